--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# The developer's verbs; `make help` lists them.
+SHAPE ?= sonotheque
+PROMISE ?=
+BIN := bin
+STATICCHECK := go tool staticcheck
+
+.PHONY: help build check fmt test demo prove prove-controls bench generate
+
+help: ## list the verbs
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## build every program into bin/
+	go build -o $(BIN)/ ./cmd/... ./test/cmd/...
+
+fmt: ## format the code
+	gofmt -w $$(git ls-files '*.go')
+
+check: ## formatter, vet and linter
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	$(STATICCHECK) ./...
+
+test: check build ## all checks and tests; what CI runs
+	go test ./...
+
+demo: build ## run a whole deployment: SHAPE=sonotheque or SHAPE=sabarmati
+	$(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN)
+
+generate: ## regenerate the RPC code (needs protoc)
+	go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(BIN):$$PATH" protoc -I api --go_out=api --go_opt=paths=source_relative \
+		--go-grpc_out=api --go-grpc_opt=paths=source_relative stoneworks/v1/operators.proto
--- /dev/null
+++ b/pkg/admission/admission.go
@@ -0,0 +1,255 @@
+// Package admission gives out the slots of the backend servers that this box
+// is a home of. A request that gets no slot at once waits shortly or is
+// refused at once; nothing is held that cannot make its deadline.
+package admission
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// Tuning of the gate.
+const (
+	// EjectAfter is how many exchanges in a row must fail before a backend
+	// server gets a rest.
+	EjectAfter = 3
+	// FirstEjection and LongestEjection bound that rest, which doubles.
+	FirstEjection   = 500 * time.Millisecond
+	LongestEjection = 10 * time.Second
+	// QueuePerSlot bounds the requests that wait, per slot.
+	QueuePerSlot = 2
+	// firstServiceTime is assumed until requests have been measured.
+	firstServiceTime = 10 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// ServerConfig is this box's part of one backend server.
+type ServerConfig struct {
+	Name    string
+	Address string
+	// Share is how many of its slots this box may use.
+	Share   int
+	Leaving bool
+}
+
+// ServerStatus is how a backend server's part stands.
+type ServerStatus struct {
+	ServerConfig
+	InUse   int
+	Ejected bool
+	// SelfLeaving is set by the backend server's own signal.
+	SelfLeaving bool
+}
+
+// Gate admits the requests of one service.
+type Gate struct {
+	Now       func() time.Time
+	QueueWait time.Duration
+	// MayAdmit reports whether the server may take a new request; a seam
+	// for tests.
+	MayAdmit func(s *ServerStatus) bool
+
+	mu      sync.Mutex
+	servers []*server
+	queue   []*waiter
+	// serviceTime is the mean time for which a slot is held.
+	serviceTime time.Duration
+}
+
+type server struct {
+	ServerStatus
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+}
+
+type waiter struct {
+	ready   chan *Permit
+	request Request
+}
+
+// Request is what admission looks at.
+type Request struct {
+	// CacheKey is the hash of the request's cache key; 0 if it has none.
+	CacheKey uint64
+	// Avoid names a backend server that has just refused this request.
+	Avoid string
+}
+
+// NewGate makes a gate without servers.
+func NewGate(now func() time.Time, queueWait time.Duration) *Gate {
+	return &Gate{
+		Now:         now,
+		QueueWait:   queueWait,
+		MayAdmit:    mayAdmit,
+		serviceTime: firstServiceTime,
+	}
+}
+
+func mayAdmit(s *ServerStatus) bool {
+	return !s.Leaving && !s.SelfLeaving && !s.Ejected && s.InUse < s.Share
+}
+
+// Update replaces the configuration; work in flight is kept in the count.
+func (g *Gate) Update(configs []ServerConfig) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := map[string]*server{}
+	for _, s := range g.servers {
+		old[s.Name+"\x00"+s.Address] = s
+	}
+	g.servers = g.servers[:0:0]
+	for _, c := range configs {
+		s := old[c.Name+"\x00"+c.Address]
+		if s == nil {
+			s = &server{}
+		}
+		s.ServerConfig = c
+		g.servers = append(g.servers, s)
+	}
+	g.serveQueue()
+}
+
+// SetSelfLeaving records a backend server's own signal.
+func (g *Gate) SetSelfLeaving(name string, leaving bool) (changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		if s.Name == name && s.SelfLeaving != leaving {
+			s.SelfLeaving = leaving
+			changed = true
+		}
+	}
+	if changed {
+		g.serveQueue()
+	}
+	return changed
+}
+
+// Status returns the servers by name.
+func (g *Gate) Status() []ServerStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]ServerStatus, 0, len(g.servers))
+	for _, s := range g.servers {
+		list = append(list, s.status(g.Now()))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (s *server) status(now time.Time) ServerStatus {
+	status := s.ServerStatus
+	status.Ejected = now.Before(s.ejectedUntil)
+	return status
+}
+
+// Acquire takes a slot. The failure always says "not run".
+func (g *Gate) Acquire(ctx context.Context, r Request) (*Permit, *outcome.Failure) {
+	g.mu.Lock()
+	if p := g.take(r); p != nil {
+		g.mu.Unlock()
+		return p, nil
+	}
+	w, failure := g.enqueue(ctx, r)
+	g.mu.Unlock()
+	if failure != nil {
+		return nil, failure
+	}
+	return g.wait(ctx, w)
+}
+
+func (g *Gate) enqueue(ctx context.Context, r Request) (*waiter, *outcome.Failure) {
+	slots := g.usableSlots()
+	if slots == 0 {
+		return nil, outcome.NewNotRun(outcome.ReasonNoServer, "no backend server of this zone takes new work").WithRetryAfter(time.Second)
+	}
+	expected := g.serviceTime * time.Duration(len(g.queue)+1) / time.Duration(slots)
+	if len(g.queue) >= slots*QueuePerSlot || expected > g.QueueWait {
+		return nil, g.full(expected)
+	}
+	if deadline, ok := ctx.Deadline(); ok && g.Now().Add(expected+g.serviceTime).After(deadline) {
+		return nil, outcome.NewNotRun(outcome.ReasonDeadline, "the wait for a slot would outlast it").WithRetryAfter(spread(expected, r))
+	}
+	w := &waiter{ready: make(chan *Permit, 1), request: r}
+	g.queue = append(g.queue, w)
+	return w, nil
+}
+
+func (g *Gate) full(expected time.Duration) *outcome.Failure {
+	wait := min(max(expected, minRetryAfter), maxRetryAfter)
+	return outcome.NewNotRun(outcome.ReasonNoCapacity, "").WithRetryAfter(wait)
+}
+
+func spread(d time.Duration, r Request) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter)
+	return d + time.Duration(r.CacheKey%uint64(d))
+}
+
+func (g *Gate) wait(ctx context.Context, w *waiter) (*Permit, *outcome.Failure) {
+	timer := time.NewTimer(g.QueueWait)
+	defer timer.Stop()
+	select {
+	case p := <-w.ready:
+		return p, nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	g.mu.Lock()
+	removed := g.remove(w)
+	expected := g.serviceTime
+	g.mu.Unlock()
+	if !removed {
+		// A slot came at the same moment.
+		p := <-w.ready
+		if ctx.Err() == nil {
+			return p, nil
+		}
+		p.Release(Unused)
+	}
+	if ctx.Err() != nil {
+		return nil, outcome.NewNotRun(outcome.ReasonCancelled, "while waiting for a slot")
+	}
+	return nil, g.full(expected)
+}
+
+func (g *Gate) remove(w *waiter) bool {
+	for i, q := range g.queue {
+		if q == w {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) usableSlots() int {
+	n := 0
+	now := g.Now()
+	for _, s := range g.servers {
+		status := s.status(now)
+		status.InUse = 0
+		if g.MayAdmit(&status) {
+			n += s.Share
+		}
+	}
+	return n
+}
+
+// serveQueue hands free slots to the requests that have waited longest.
+func (g *Gate) serveQueue() {
+	for len(g.queue) > 0 {
+		p := g.take(g.queue[0].request)
+		if p == nil {
+			return
+		}
+		g.queue[0].ready <- p
+		g.queue = g.queue[1:]
+	}
+}
--- /dev/null
+++ b/pkg/admission/admission_pick.go
@@ -0,0 +1,109 @@
+package admission
+
+import "time"
+
+// take picks a backend server with a free slot, or nil.
+func (g *Gate) take(r Request) *Permit {
+	best := g.pick(r, r.Avoid)
+	if best == nil && r.Avoid != "" {
+		best = g.pick(r, "")
+	}
+	if best == nil {
+		return nil
+	}
+	best.InUse++
+	return &Permit{gate: g, server: best, Server: best.ServerConfig, started: g.Now()}
+}
+
+// pick returns the usable server that suits the request best: the first in
+// the order of its cache key, or the one with the largest free part.
+func (g *Gate) pick(r Request, avoid string) *server {
+	now := g.Now()
+	var best *server
+	var bestScore float64
+	for _, s := range g.servers {
+		status := s.status(now)
+		if s.Name == avoid || !g.MayAdmit(&status) {
+			continue
+		}
+		score := float64(s.Share-s.InUse) / float64(s.Share)
+		if r.CacheKey != 0 {
+			score = rendezvous(r.CacheKey, s.Name)
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+// rendezvous gives every pair of key and server a fixed random score, so that
+// when one of N servers comes or goes only about 1/N of the keys move.
+func rendezvous(key uint64, name string) float64 {
+	h := key
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return float64(h>>11) / (1 << 53)
+}
+
+// ================================================================
+// Permits
+// ================================================================
+
+// Result is how the exchange that held a slot ended.
+type Result int
+
+// The results.
+const (
+	// Unused: nothing was sent.
+	Unused Result = iota
+	// Succeeded: the backend server answered.
+	Succeeded
+	// Broken: it could not be reached, or its connection failed.
+	Broken
+)
+
+// Permit is one slot in use.
+type Permit struct {
+	Server  ServerConfig
+	gate    *Gate
+	server  *server
+	started time.Time
+	done    bool
+}
+
+// Release gives the slot back; only the first call counts.
+func (p *Permit) Release(result Result) {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	p.server.InUse--
+	switch result {
+	case Succeeded:
+		p.server.failures, p.server.ejections = 0, 0
+		g.serviceTime += (g.Now().Sub(p.started) - g.serviceTime) / 16
+	case Broken:
+		g.countFailure(p.server)
+	}
+	g.serveQueue()
+}
+
+func (g *Gate) countFailure(s *server) {
+	s.failures++
+	if s.failures < EjectAfter {
+		return
+	}
+	rest := min(FirstEjection<<min(s.ejections, 10), LongestEjection)
+	s.ejections++
+	// One more failure after the rest is enough for the next one.
+	s.failures = EjectAfter - 1
+	s.ejectedUntil = g.Now().Add(rest)
+}
--- /dev/null
+++ b/pkg/box/box.go
@@ -0,0 +1,188 @@
+// Package box puts the parts of one box together: its four ports, its timers,
+// and the data that flows between the parts.
+package box
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/admission"
+	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/entry"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/once"
+	"github.com/stoneworks/stoneworks/pkg/peer"
+	"github.com/stoneworks/stoneworks/pkg/platform"
+	"github.com/stoneworks/stoneworks/pkg/rpc"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/timer"
+	"github.com/stoneworks/stoneworks/pkg/topology"
+)
+
+// Box is one running box.
+type Box struct {
+	Settings    *settings.Settings
+	Incarnation string
+	Topology    *topology.Map
+	Table       *membership.Table
+	Store       *config.Store
+	Writer      *config.Writer
+	Platform    *platform.Client
+	Exchanger   *peer.Exchanger
+	Entry       *entry.Entry
+	Once        *once.Table
+	Timers      *timer.Service
+	Metrics     metrics.Registry
+
+	handler *logging.AsyncHandler
+	logger  *log.Logger
+	log     *logging.Part
+
+	started  time.Time
+	version  atomic.Uint64
+	snapshot atomic.Pointer[decide.Snapshot]
+	leaving  atomic.Bool
+	gone     atomic.Bool
+	inFlight atomic.Int64
+	// confirmed is false while this box may not use its part of the slots,
+	// because the process stood still and others may have taken it over.
+	confirmed atomic.Bool
+	lastTick  atomic.Int64
+	listKnown atomic.Bool
+	platformOK
+
+	operators *rpc.Operators
+	apps      []*fiber.App
+	dialer    *net.Dialer
+
+	mu    sync.Mutex
+	gates map[string]*admission.Gate
+	pools map[string]*exchange.Pool
+	peers map[string]*exchange.Pool
+
+	// background runs for as long as the box does.
+	background *conc.WaitGroup
+	context    context.Context
+	stop       context.CancelFunc
+	changed    chan struct{}
+}
+
+// platformOK remembers when the platform last answered.
+type platformOK struct {
+	lastAnswer atomic.Int64
+}
+
+// New makes a box from its settings. Nothing runs before Start.
+func New(s *settings.Settings, handler *logging.AsyncHandler) *Box {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	b := &Box{
+		Settings:    s,
+		Incarnation: newIncarnation(),
+		Topology:    topology.New(s.Zones, s.ClientBlocks),
+		Store:       config.NewStore(),
+		Timers:      timer.New(),
+		Metrics:     metrics.NewRegistry(),
+		handler:     handler,
+		logger:      logging.New(handler, level),
+		started:     time.Now(),
+		gates:       map[string]*admission.Gate{},
+		pools:       map[string]*exchange.Pool{},
+		peers:       map[string]*exchange.Pool{},
+		background:  conc.NewWaitGroup(),
+		changed:     make(chan struct{}, 1),
+	}
+	b.context, b.stop = context.WithCancel(context.Background())
+	b.log = logging.For(b.logger, "box")
+	b.Table = membership.NewTable(s.Box, time.Now)
+	b.dialer = &net.Dialer{Timeout: time.Second, LocalAddr: localAddress(s.Listen.Peers)}
+	b.Platform = platform.NewHTTP(s.Platform.Address, s.Platform.Timeout, b.dialFast, b.countPlatformCall)
+	b.Writer = &config.Writer{Platform: b.Platform, Store: b.Store, ReadBack: 2 * s.Platform.Timeout}
+	b.Exchanger = peer.NewExchanger(s.Box, s.Zone, s.Seeds, b.Table, b.Store, logging.For(b.logger, "peer"))
+	b.Exchanger.Call = b.newPeerCaller()
+	b.Once = once.NewTable(s.Limits.OnceRecords, s.Limits.OnceAge, b.age)
+	b.Entry = b.newEntry()
+	b.operators = b.newOperators()
+	b.confirmed.Store(true)
+	b.lastTick.Store(int64(b.age()))
+	b.refreshSelf()
+	b.rebuild()
+	return b
+}
+
+func (b *Box) newEntry() *entry.Entry {
+	s := b.Settings
+	return &entry.Entry{
+		Self: s.Box, Zone: s.Zone, Incarnation: b.Incarnation,
+		LookupTTL:    s.LookupTTL,
+		BufferedBody: s.Limits.BufferedBodyBytes,
+		Log:          logging.For(b.logger, "route"),
+		Once:         b.Once,
+		Budget:       entry.NewBudget(),
+		Now:          time.Now,
+		Age:          b.age,
+		Ready:        b.Ready,
+		Snapshot:     b.snapshot.Load,
+		Gate:         b.gate,
+		ServerPool:   b.serverPool,
+		PeerPool:     b.peerPool,
+		Member:       b.Table.Get,
+		MaySend:      b.maySend,
+		Claim:        b.claim,
+		Leaving:      b.serverSaysLeaving,
+		Classify:     entry.Classify,
+		Count:        func(result string) { metrics.GetOrRegisterCounter("requests."+result, b.Metrics).Inc(1) },
+		Observe:      b.observe(),
+	}
+}
+
+func (b *Box) observe() func(time.Duration) {
+	t := metrics.GetOrRegisterTimer("requests.time", b.Metrics)
+	return func(d time.Duration) { t.Update(d) }
+}
+
+// Ready reports whether the box may decide: it has a whole configuration.
+func (b *Box) Ready() bool { return b.Store.Synced() }
+
+// age returns how long this life of the box has lasted, standing still
+// included.
+func (b *Box) age() time.Duration { return time.Since(b.started) }
+
+func newIncarnation() string {
+	var id [6]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// localAddress makes connections leave from the box's own IP number.
+func localAddress(listen string) net.Addr {
+	host, _, err := net.SplitHostPort(listen)
+	ip := net.ParseIP(host)
+	if err != nil || ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
+func (b *Box) dial(ctx context.Context, address string) (net.Conn, error) {
+	return b.dialer.DialContext(ctx, "tcp", address)
+}
+
+func (b *Box) dialFast(address string) (net.Conn, error) {
+	return b.dial(b.context, address)
+}
--- /dev/null
+++ b/pkg/box/box_platform.go
@@ -0,0 +1,229 @@
+package box
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/once"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/platform"
+)
+
+// How the platform is called.
+const (
+	// WatchHolders is how many boxes of a zone hold the platform's watch; the
+	// others take configuration from them.
+	WatchHolders = 2
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 5 * time.Second
+	// boxesEvery and boxesRarely are how often the list of boxes is read, by
+	// boxes that hold the watch and by the others.
+	boxesEvery  = 2 * time.Second
+	boxesRarely = 30 * time.Second
+	// relistEvery is how often the whole configuration is read again, in
+	// case a watch lost something.
+	relistEvery = time.Minute
+	// holdCheck is how often a box without the watch looks whether it should
+	// have it.
+	holdCheck = 500 * time.Millisecond
+	// platformFresh is for how long an answer shows that the platform is
+	// reachable.
+	platformFresh = 30 * time.Second
+)
+
+// KeysKind is the platform's kind of claims of keys that have no ticket.
+const KeysKind = "keys"
+
+func (b *Box) countPlatformCall(verb string) {
+	metrics.GetOrRegisterCounter("platform.calls."+verb, b.Metrics).Inc(1)
+}
+
+func (b *Box) platformAnswered() { b.lastAnswer.Store(int64(b.age()) + 1) }
+
+// PlatformReachable reports whether the platform answered lately.
+func (b *Box) PlatformReachable() bool {
+	last := b.lastAnswer.Load()
+	return last > 0 && b.age()-time.Duration(last) < platformFresh
+}
+
+// holdsWatch reports whether this box is one of its zone's watch holders.
+func (b *Box) holdsWatch() bool {
+	var names []string
+	for _, m := range b.Table.Members() {
+		if m.Zone == b.Settings.Zone && (m.State == membership.Live || m.Box == b.Settings.Box) {
+			names = append(names, m.Box)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		return decide.Hash("watch", names[i]) < decide.Hash("watch", names[j])
+	})
+	for i, n := range names {
+		if n == b.Settings.Box {
+			return i < WatchHolders
+		}
+	}
+	return false
+}
+
+// ================================================================
+// Configuration
+// ================================================================
+
+// watchPlatform keeps the configuration in step with the platform while this
+// box is a watch holder, and reads it once in any case.
+func (b *Box) watchPlatform() {
+	pause := backoff{}
+	var since uint64
+	var listed time.Time
+	for b.context.Err() == nil {
+		if b.Ready() && !b.holdsWatch() {
+			listed = time.Time{}
+			b.sleep(b.context, holdCheck)
+			continue
+		}
+		var err error
+		if time.Since(listed) > relistEvery {
+			since, err = b.list()
+			if err == nil {
+				listed = time.Now()
+			}
+		} else {
+			since, err = b.watch(since)
+		}
+		if err != nil {
+			b.log.Warn("platform did not answer", map[string]any{"error": err})
+			listed = time.Time{}
+			b.sleep(b.context, pause.next())
+			continue
+		}
+		pause = backoff{}
+	}
+}
+
+func (b *Box) list() (uint64, error) {
+	page, err := b.Platform.List(b.context, config.Kind)
+	if err != nil {
+		return 0, err
+	}
+	b.platformAnswered()
+	b.take(page)
+	b.Store.MarkSynced()
+	b.wakeRebuild()
+	return page.Version, nil
+}
+
+func (b *Box) watch(since uint64) (uint64, error) {
+	page, err := b.Platform.Watch(b.context, config.Kind, since)
+	if err != nil {
+		return since, err
+	}
+	b.platformAnswered()
+	b.take(page)
+	return page.Version, nil
+}
+
+func (b *Box) take(page platform.Page) {
+	for _, p := range page.Objects {
+		o, err := config.Decode(p)
+		if err != nil {
+			b.log.Warn("ignored a configuration object", map[string]any{"error": err})
+			continue
+		}
+		if here := b.Store.Get(o.Name); here != nil && here.Newer(o) {
+			b.log.Warn("ignored an older revision", map[string]any{"service": o.Name, "revision": o.Revision, "in_force": here.Revision})
+			continue
+		}
+		b.Store.Merge(o)
+	}
+}
+
+// ================================================================
+// The list of boxes
+// ================================================================
+
+func (b *Box) watchBoxes() {
+	pause := backoff{}
+	for b.context.Err() == nil {
+		list, err := b.Platform.Boxes(b.context)
+		if err != nil {
+			b.sleep(b.context, pause.next())
+			continue
+		}
+		pause = backoff{}
+		b.platformAnswered()
+		b.Table.SetListed(list)
+		b.listKnown.Store(true)
+		b.wakeRebuild()
+		wait := boxesRarely
+		if b.holdsWatch() {
+			wait = boxesEvery
+		}
+		b.sleep(b.context, jitter(wait))
+	}
+}
+
+// ================================================================
+// Keys without a ticket
+// ================================================================
+
+// claim makes this box the owner of a key by creating an object for it in the
+// platform, or returns the owner that was first.
+func (b *Box) claim(ctx context.Context, service, key string) (once.Ticket, *outcome.Failure) {
+	mine := once.Ticket{Box: b.Settings.Box, Incarnation: b.Incarnation, Issued: b.age()}
+	value, _ := json.Marshal(mine)
+	object := platform.Object{Kind: KeysKind, Name: service + "." + hashName(key), Value: value}
+	_, err := b.Platform.Put(ctx, object)
+	if err == nil {
+		return mine, nil
+	}
+	var conflict *platform.ConflictError
+	var lost *platform.UnknownWriteError
+	if !errors.As(err, &conflict) && !errors.As(err, &lost) {
+		return once.Ticket{}, platformDown(err)
+	}
+	// Someone was first, or the answer to our own claim was lost: what is
+	// stored now stands for good, since a claim is never written over.
+	got, err := b.Platform.Get(ctx, KeysKind, object.Name)
+	if err != nil {
+		return once.Ticket{}, platformDown(err)
+	}
+	var owner once.Ticket
+	if err := json.Unmarshal(got.Value, &owner); err != nil {
+		return once.Ticket{}, platformDown(err)
+	}
+	return owner, nil
+}
+
+func platformDown(err error) *outcome.Failure {
+	return outcome.NewNotRun(outcome.ReasonPlatformDown, err.Error()).WithRetryAfter(time.Second)
+}
+
+// ================================================================
+// Pauses
+// ================================================================
+
+// backoff gives growing pauses, each random, so that boxes do not return to a
+// recovering platform together.
+type backoff struct {
+	last time.Duration
+}
+
+func (p *backoff) next() time.Duration {
+	p.last = min(max(2*p.last, firstPause), longestPause)
+	return jitter(p.last)
+}
+
+// jitter returns d, more or less a quarter.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2)
+}
--- /dev/null
+++ b/pkg/box/box_run.go
@@ -0,0 +1,201 @@
+package box
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/peer"
+)
+
+// Intervals of the box's own work.
+const (
+	rebuildEvery = 250 * time.Millisecond
+	probeEvery   = time.Second
+	expireEvery  = 10 * time.Second
+	tickEvery    = 100 * time.Millisecond
+	// standstill is how long the timers may have been silent before the box
+	// distrusts its own part of the slots.
+	standstill = 1500 * time.Millisecond
+	// drainPoll is how often a leaving box looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+	// goodbyeTime bounds the last heartbeats.
+	goodbyeTime = 2 * time.Second
+)
+
+// ListenError says that a port cannot be opened.
+type ListenError struct {
+	Port    string
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return "listen." + e.Port + ": " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Start opens the ports and starts all work. The error is a *ListenError.
+func (b *Box) Start() error {
+	listeners, err := b.listen()
+	if err != nil {
+		return err
+	}
+	b.subscribe()
+	b.serve(listeners)
+	b.background.Go(func() { b.Timers.Run(b.context) })
+	b.background.Go(b.watchPlatform)
+	b.background.Go(b.watchBoxes)
+	b.background.Go(b.rebuildOnChange)
+	b.log.Info("started", map[string]any{"box": b.Settings.Box, "zone": b.Settings.Zone, "incarnation": b.Incarnation})
+	return nil
+}
+
+func (b *Box) listen() (map[string]net.Listener, error) {
+	a := b.Settings.Listen
+	listeners := map[string]net.Listener{}
+	for port, address := range map[string]string{
+		portCallers: a.Callers, portPeers: a.Peers, portOperators: a.Operators, portAdmin: a.Admin,
+	} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, &ListenError{Port: port, Address: address, Cause: err}
+		}
+		listeners[port] = l
+	}
+	return listeners, nil
+}
+
+func (b *Box) subscribe() {
+	b.Store.Changed = b.configChanged
+	b.Exchanger.Failed = func(address string, err error) {
+		b.log.Debug("peer did not answer", map[string]any{"address": address, "error": err})
+	}
+	b.Timers.OnPause(b.stoodStill)
+	b.Timers.Every(tickEvery, func() { b.lastTick.Store(int64(b.age())) })
+	b.Timers.Every(peer.Beat, b.beat)
+	b.Timers.Every(rebuildEvery, b.rebuild)
+	b.Timers.Every(probeEvery, b.probeServers)
+	b.Timers.Every(expireEvery, b.Table.Expire)
+}
+
+func (b *Box) beat() {
+	b.refreshSelf()
+	b.Exchanger.DoBeat(b.context)
+}
+
+func (b *Box) refreshSelf() {
+	s := b.Settings
+	b.Table.SetSelf(membership.Record{
+		Box: s.Box, Zone: s.Zone, Incarnation: b.Incarnation,
+		Started: b.started.UnixMilli(), Version: b.version.Add(1), AgeMS: b.age().Milliseconds(),
+		Leaving: b.leaving.Load(), Gone: b.gone.Load(), Ready: b.Ready(),
+		Callers: s.Advertise.Callers, Peers: s.Advertise.Peers, Operators: s.Advertise.Operators,
+		ConfigDigest: b.Store.Digest(), Load: b.load(), Homes: b.ownView(),
+	})
+}
+
+// configChanged puts a new revision in force on this box and passes it on.
+func (b *Box) configChanged(o *config.Object) {
+	b.log.Info("configuration in force", map[string]any{"service": o.Name, "revision": o.Revision, "deleted": o.Deleted})
+	b.rebuild()
+	b.operators.Changed()
+	b.background.Go(func() { b.Exchanger.Push(b.context, []*config.Object{o}) })
+}
+
+// wakeRebuild asks for a new snapshot soon.
+func (b *Box) wakeRebuild() {
+	select {
+	case b.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Box) rebuildOnChange() {
+	for {
+		select {
+		case <-b.context.Done():
+			return
+		case <-b.changed:
+			b.rebuild()
+		}
+	}
+}
+
+// ----------------------------------------------------------------
+// Standing still
+// ----------------------------------------------------------------
+
+// stoodStill is called by the timers after the process was not running.
+func (b *Box) stoodStill(gap time.Duration) {
+	b.log.Warn("stood still", map[string]any{"for": gap})
+	b.confirmed.Store(false)
+	b.Table.ForgiveSilence()
+	b.background.Go(b.confirm)
+}
+
+// confirm asks every box of the zone for its view before this box uses its
+// part of the slots again.
+func (b *Box) confirm() {
+	b.refreshSelf()
+	b.Exchanger.CallAll(b.context)
+	b.rebuild()
+	b.lastTick.Store(int64(b.age()))
+	b.confirmed.Store(true)
+	b.log.Info("part of the slots confirmed", nil)
+}
+
+// maySend reports whether this box's part of the slots is certainly its own.
+func (b *Box) maySend() bool {
+	return b.confirmed.Load() && b.age()-time.Duration(b.lastTick.Load()) < standstill
+}
+
+// ----------------------------------------------------------------
+// Stopping
+// ----------------------------------------------------------------
+
+// Leave takes the box out of service as planned: look-ups stop naming it, it
+// goes on serving until no caller can still hold an answer that names it and
+// its last request is done, and then gives up its slots.
+func (b *Box) Leave(ctx context.Context) {
+	b.leaving.Store(true)
+	b.refreshSelf()
+	b.rebuild()
+	b.log.Info("leaving", map[string]any{"lookup_ttl": b.Settings.LookupTTL})
+	b.Exchanger.CallAll(ctx)
+	// Another box may name this one until it hears that it leaves, and its
+	// callers keep that answer for a whole time to live.
+	b.sleep(ctx, b.Settings.LookupTTL+membership.SuspectAfter)
+	for b.inFlight.Load() > 0 && ctx.Err() == nil {
+		b.sleep(ctx, drainPoll)
+	}
+	b.gone.Store(true)
+	b.refreshSelf()
+	bye, cancel := context.WithTimeout(b.context, goodbyeTime)
+	defer cancel()
+	b.Exchanger.CallAll(bye)
+	b.shutApps(bye)
+	b.log.Info("left", map[string]any{"in_flight": b.inFlight.Load()})
+}
+
+func (b *Box) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Stop ends all work at once.
+func (b *Box) Stop() {
+	b.stop()
+	b.closePools()
+	b.background.Wait()
+}
--- /dev/null
+++ b/pkg/box/box_snapshot.go
@@ -0,0 +1,37 @@
+package box
+
+import (
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/stoneworks/stoneworks/pkg/decide"
+)
+
+// probesAtOnce bounds the probes that run at the same time.
+const probesAtOnce = 32
+
+func newLimitedGroup() *pool.Pool { return pool.New().WithMaxGoroutines(probesAtOnce) }
+
+// rebuild makes a new snapshot and puts it in the place of the old one.
+func (b *Box) rebuild() {
+	services := b.services()
+	b.updateGates(services)
+	b.refreshSelf()
+	b.snapshot.Store(decide.NewSnapshot(decide.Input{
+		Self:     b.Settings.Box,
+		Zone:     b.Settings.Zone,
+		Topology: b.Topology,
+		Members:  b.Table.Members(),
+		Services: services,
+	}))
+}
+
+func (b *Box) services() []decide.ServiceInput {
+	var services []decide.ServiceInput
+	for _, o := range b.Store.All() {
+		if o.Deleted {
+			continue
+		}
+		services = append(services, decide.ServiceInput{Spec: o.Service, Revision: o.Revision})
+	}
+	return services
+}
--- /dev/null
+++ b/pkg/caller/caller.go
@@ -0,0 +1,215 @@
+// Package caller is what a caller of stoneworks needs: it looks up which boxes
+// to use, keeps the answer while it may, sends requests, and repeats them by
+// the rules under which nothing that may not be repeated runs twice.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/entry"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// Tuning of a caller.
+const (
+	// DefaultAttempts bounds the submissions of one request.
+	DefaultAttempts = 5
+	lookupTimeout   = 2 * time.Second
+	connectTimeout  = time.Second
+	firstPause      = 50 * time.Millisecond
+	longestPause    = 2 * time.Second
+)
+
+// Client sends requests of one client of the system.
+type Client struct {
+	// Boxes are addresses of boxes to ask first; any will do.
+	Boxes []string
+	// Address is the client's own; empty to let the box see it.
+	Address string
+	// Attempts bounds the submissions of one request.
+	Attempts int
+
+	mu      sync.Mutex
+	lookups map[string]cachedLookup
+	pools   map[string]*exchange.Pool
+	asked   int
+}
+
+type cachedLookup struct {
+	entries []entry.LookupEntry
+	until   time.Time
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Service string
+	Method  string
+	// Path starts with '/'.
+	Path   string
+	Header [][2]string
+	Body   []byte
+	// ID names the request in logs; made up if empty.
+	ID string
+	// Once marks a request that may not be repeated; it gets a key.
+	Once bool
+	// MayRepeat marks a request that may run more than once.
+	MayRepeat bool
+}
+
+// Result is the end of a request.
+type Result struct {
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
+	Status  int
+	Header  fasthttp.ResponseHeader
+	Body    []byte
+	// RetryAfter is when to come back; 0 if that is not known.
+	RetryAfter time.Duration
+	// Attempts counts the submissions; Entry is where the last one went.
+	Attempts int
+	Entry    string
+	Key      string
+}
+
+// LookupError says that no box answered a look-up.
+type LookupError struct {
+	Service string
+	Last    error
+}
+
+// Error implements error.
+func (e *LookupError) Error() string {
+	return fmt.Sprintf("no box answered the look-up of %q: %v", e.Service, e.Last)
+}
+
+// New makes a client that first asks the given boxes.
+func New(address string, boxes ...string) *Client {
+	return &Client{
+		Boxes: boxes, Address: address, Attempts: DefaultAttempts,
+		lookups: map[string]cachedLookup{}, pools: map[string]*exchange.Pool{},
+	}
+}
+
+// Close closes the client's connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.Close()
+	}
+}
+
+// ================================================================
+// Look-ups
+// ================================================================
+
+// Lookup returns the boxes to use for the service, best first.
+func (c *Client) Lookup(ctx context.Context, service string) ([]entry.LookupEntry, error) {
+	c.mu.Lock()
+	cached, ok := c.lookups[service]
+	c.mu.Unlock()
+	if ok && time.Now().Before(cached.until) {
+		return cached.entries, nil
+	}
+	var last error
+	for _, address := range c.toAsk(cached.entries) {
+		answer, err := c.ask(ctx, address, service)
+		if err == nil && len(answer.Entries) > 0 {
+			c.mu.Lock()
+			c.lookups[service] = cachedLookup{answer.Entries, time.Now().Add(time.Duration(answer.TTLMS) * time.Millisecond)}
+			c.mu.Unlock()
+			return answer.Entries, nil
+		}
+		last = err
+	}
+	return nil, &LookupError{Service: service, Last: last}
+}
+
+// Forget drops a cached answer, since it did not serve.
+func (c *Client) Forget(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := c.lookups[service]
+	cached.until = time.Time{}
+	c.lookups[service] = cached
+}
+
+// toAsk lists boxes for a look-up: those of the last answer, then the first
+// ones, starting at another each time.
+func (c *Client) toAsk(entries []entry.LookupEntry) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked++
+	var addresses []string
+	for _, e := range entries {
+		addresses = append(addresses, e.Address)
+	}
+	for i := range c.Boxes {
+		addresses = append(addresses, c.Boxes[(i+c.asked)%len(c.Boxes)])
+	}
+	return addresses
+}
+
+func (c *Client) ask(ctx context.Context, address, service string) (*entry.Lookup, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	h := &fasthttp.RequestHeader{}
+	h.SetRequestURI(entry.PathLookup + "?service=" + url.QueryEscape(service) + "&client=" + url.QueryEscape(c.Address))
+	h.SetHost(address)
+	got, err := c.pool(address).Do(ctx, &exchange.Request{Header: h, MaxIdle: time.Minute})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = got.Body.Close() }()
+	text, err := io.ReadAll(got.Body)
+	if err != nil {
+		return nil, err
+	}
+	if got.Header.StatusCode() != fasthttp.StatusOK {
+		return nil, outcome.NewNotRun(outcome.Reason(got.Header.Peek(entry.HeaderReason)), string(text))
+	}
+	answer := &entry.Lookup{}
+	return answer, json.Unmarshal(text, answer)
+}
+
+func (c *Client) pool(address string) *exchange.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		dialer := &net.Dialer{Timeout: connectTimeout}
+		p = exchange.NewPool(address, 16, func(ctx context.Context, a string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", a)
+		})
+		c.pools[address] = p
+	}
+	return p
+}
+
+func randomID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// CheckAddress returns an error if the client's address is not an IP number.
+func (c *Client) CheckAddress() error {
+	if c.Address == "" {
+		return nil
+	}
+	_, err := netip.ParseAddr(c.Address)
+	return err
+}
--- /dev/null
+++ b/pkg/ctl/ctl_verbs.go
@@ -0,0 +1,276 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "github.com/stoneworks/stoneworks/api/stoneworks/v1"
+)
+
+// verbs is the one list of verbs.
+var verbs = []verb{
+	{"create", "create [-wait] FILE.json", "create a service from a file ('-' for standard input)", verbCreate},
+	{"get", "get NAME", "read one service", verbGet},
+	{"list", "list", "list the services", verbList},
+	{"update", "update [-revision N] [-wait] FILE.json", "replace a service", verbUpdate},
+	{"delete", "delete [-revision N] [-wait] NAME", "delete a service", verbDelete},
+	{"watch", "watch [-count N]", "print services as they change", verbWatch},
+	{"drain", "drain [-undo] [-wait] SERVICE SERVER", "give a backend server no new work", verbDrain},
+	{"shift", "shift [-wait] SERVICE FROM TO SHARE", "plan that a share of a region's clients moves", verbShift},
+	{"status", "status", "show how a box sees the deployment", verbStatus},
+	{"explain", "explain [-method M] [-path P] SERVICE CLIENT", "say where a request would go, and why", verbExplain},
+}
+
+func arguments(args []string, names ...string) error {
+	if len(args) != len(names) {
+		return &UsageError{Problem: fmt.Sprintf("%d arguments given, needed: %s", len(args), strings.Join(names, " "))}
+	}
+	return nil
+}
+
+func newChangeID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (p *program) readSpec(path string) (*pb.ServiceSpec, error) {
+	var text []byte
+	var err error
+	if path == "-" {
+		text, err = io.ReadAll(p.stdin)
+	} else {
+		text, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, &UsageError{Problem: err.Error()}
+	}
+	spec := &pb.ServiceSpec{}
+	if err := protojson.Unmarshal(text, spec); err != nil {
+		return nil, &UsageError{Problem: path + ": " + err.Error()}
+	}
+	return spec, nil
+}
+
+// ----------------------------------------------------------------
+// Changes
+// ----------------------------------------------------------------
+
+func verbCreate(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	f.BoolVar(&p.wait, "wait", false, "return when it is in force everywhere reachable")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "FILE.json"); err != nil {
+			return err
+		}
+		spec, err := p.readSpec(args[0])
+		if err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			reply, err := c.CreateService(ctx, &pb.CreateServiceRequest{Spec: spec, ChangeId: newChangeID()})
+			return p.changed(ctx, c, reply, err)
+		})
+	}
+}
+
+func verbUpdate(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	f.BoolVar(&p.wait, "wait", false, "return when it is in force everywhere reachable")
+	revision := f.Uint64("revision", 0, "the revision that must be current; 0 for the one in force")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "FILE.json"); err != nil {
+			return err
+		}
+		spec, err := p.readSpec(args[0])
+		if err != nil {
+			return err
+		}
+		return p.edit(ctx, spec.GetName(), *revision, func(*pb.ServiceSpec) (*pb.ServiceSpec, error) { return spec, nil })
+	}
+}
+
+// edit reads a service, changes it, and writes it back against the revision
+// that was read.
+func (p *program) edit(ctx context.Context, name string, revision uint64, change func(*pb.ServiceSpec) (*pb.ServiceSpec, error)) error {
+	return p.with(func(c pb.OperatorsClient) error {
+		current, err := c.GetService(ctx, &pb.GetServiceRequest{Name: name})
+		if err != nil {
+			return err
+		}
+		if revision == 0 {
+			revision = current.Revision
+		}
+		spec, err := change(current.Spec)
+		if err != nil {
+			return err
+		}
+		reply, err := c.UpdateService(ctx, &pb.UpdateServiceRequest{Spec: spec, ExpectedRevision: revision, ChangeId: newChangeID()})
+		return p.changed(ctx, c, reply, err)
+	})
+}
+
+func verbDelete(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	f.BoolVar(&p.wait, "wait", false, "return when it is in force everywhere reachable")
+	revision := f.Uint64("revision", 0, "the revision that must be current; 0 for the one in force")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "NAME"); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			current, err := c.GetService(ctx, &pb.GetServiceRequest{Name: args[0]})
+			if err != nil {
+				return err
+			}
+			expected := *revision
+			if expected == 0 {
+				expected = current.Revision
+			}
+			reply, err := c.DeleteService(ctx, &pb.DeleteServiceRequest{Name: args[0], ExpectedRevision: expected, ChangeId: newChangeID()})
+			return p.changed(ctx, c, reply, err)
+		})
+	}
+}
+
+func verbDrain(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	f.BoolVar(&p.wait, "wait", false, "return when it is in force everywhere reachable")
+	undo := f.Bool("undo", false, "give it new work again")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "SERVICE", "SERVER"); err != nil {
+			return err
+		}
+		return p.edit(ctx, args[0], 0, func(spec *pb.ServiceSpec) (*pb.ServiceSpec, error) {
+			for _, b := range spec.BackendServers {
+				if b.Name == args[1] {
+					b.Leaving = !*undo
+					return spec, nil
+				}
+			}
+			return nil, &UsageError{Problem: fmt.Sprintf("service %q has no backend server %q", args[0], args[1])}
+		})
+	}
+}
+
+func verbShift(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	f.BoolVar(&p.wait, "wait", false, "return when it is in force everywhere reachable")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "SERVICE", "FROM", "TO", "SHARE"); err != nil {
+			return err
+		}
+		var share float64
+		if _, err := fmt.Sscanf(args[3], "%g", &share); err != nil {
+			return &UsageError{Problem: fmt.Sprintf("SHARE %q: allowed is 0 to 1", args[3])}
+		}
+		return p.edit(ctx, args[0], 0, func(spec *pb.ServiceSpec) (*pb.ServiceSpec, error) {
+			kept := spec.Shifts[:0]
+			for _, s := range spec.Shifts {
+				if s.FromRegion != args[1] || s.ToRegion != args[2] {
+					kept = append(kept, s)
+				}
+			}
+			spec.Shifts = kept
+			if share > 0 {
+				spec.Shifts = append(spec.Shifts, &pb.PlannedShift{FromRegion: args[1], ToRegion: args[2], Share: share})
+			}
+			return spec, nil
+		})
+	}
+}
+
+// ----------------------------------------------------------------
+// Reading
+// ----------------------------------------------------------------
+
+func verbGet(p *program, _ *flag.FlagSet) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "NAME"); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			reply, err := c.GetService(ctx, &pb.GetServiceRequest{Name: args[0]})
+			if err != nil {
+				return err
+			}
+			return p.printService(reply)
+		})
+	}
+}
+
+func verbList(p *program, _ *flag.FlagSet) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			reply, err := c.ListServices(ctx, &pb.ListServicesRequest{})
+			if err != nil {
+				return err
+			}
+			return p.printList(reply)
+		})
+	}
+}
+
+func verbWatch(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	count := f.Int("count", 0, "stop after so many lines; 0 to go on until the timeout")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			stream, err := c.WatchServices(ctx, &pb.WatchServicesRequest{})
+			if err != nil {
+				return err
+			}
+			for n := 0; *count == 0 || n < *count; n++ {
+				reply, err := stream.Recv()
+				if ctx.Err() != nil {
+					return nil
+				}
+				if err != nil {
+					return err
+				}
+				p.printChange(reply)
+			}
+			return nil
+		})
+	}
+}
+
+func verbStatus(p *program, _ *flag.FlagSet) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			reply, err := c.GetStatus(ctx, &pb.GetStatusRequest{})
+			if err != nil {
+				return err
+			}
+			return p.printStatus(reply)
+		})
+	}
+}
+
+func verbExplain(p *program, f *flag.FlagSet) func(context.Context, []string) error {
+	method := f.String("method", "GET", "the request's method")
+	path := f.String("path", "/", "the request's path")
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "SERVICE", "CLIENT"); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			reply, err := c.Explain(ctx, &pb.ExplainRequest{Service: args[0], Client: args[1], Method: *method, Path: *path})
+			if err != nil {
+				return err
+			}
+			return p.printExplain(reply)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,111 @@
+// Package daemon is the program stoneworksd: it reads the settings, runs one
+// box, and stops it as planned when told to.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/box"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// longestLeave bounds a planned stop.
+const longestLeave = 10 * time.Minute
+
+const usage = `stoneworksd runs one box of stoneworks.
+
+  stoneworksd --config box.yaml           run until SIGTERM
+  stoneworksd --config box.yaml --check   check the settings and exit
+
+SIGTERM or SIGINT: leave as planned; no request is cut. A second one stops at once.
+Exit codes: 0 stopped or settings fine, 1 failed, 2 settings or usage at fault.
+`
+
+// Customize may change a box before it starts; tests use it.
+type Customize func(*box.Box)
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer, customize ...Customize) int {
+	flags := flag.NewFlagSet("stoneworksd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() { fmt.Fprint(stderr, usage) }
+	path := flags.String("config", "", "the settings file")
+	check := flags.Bool("check", false, "check the settings and exit")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("STONEWORKSD")); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	s, err := settings.Load(*path)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	if *check {
+		fmt.Fprintln(stdout, "settings: ok")
+		return ExitOK
+	}
+	return run(s, stdout, stderr, customize)
+}
+
+func run(s *settings.Settings, stdout, stderr io.Writer, customize []Customize) int {
+	handler := logging.NewAsyncHandler(stdout)
+	ctx, cancel := context.WithCancel(context.Background())
+	writers := conc.NewWaitGroup()
+	writers.Go(func() { handler.Run(ctx) })
+	defer writers.Wait()
+	defer cancel()
+	b := box.New(s, handler)
+	for _, c := range customize {
+		c(b)
+	}
+	if err := b.Start(); err != nil {
+		fmt.Fprintln(stderr, err)
+		b.Stop()
+		return ExitFailed
+	}
+	waitAndLeave(b)
+	b.Stop()
+	return ExitOK
+}
+
+func waitAndLeave(b *box.Box) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), longestLeave)
+	defer cancel()
+	again := conc.NewWaitGroup()
+	again.Go(func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	b.Leave(ctx)
+	cancel()
+	again.Wait()
+}
--- /dev/null
+++ b/pkg/decide/snapshot.go
@@ -0,0 +1,185 @@
+// Package decide makes the decisions: which region, availability zone and box
+// a request goes to, and which boxes a caller should use. It has no input or
+// output. Every decision is a function of an immutable snapshot and the
+// request, so boxes with equal snapshots decide alike.
+package decide
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/model"
+	"github.com/stoneworks/stoneworks/pkg/topology"
+)
+
+// Buckets is the number of parts that the clients of one region fall into for
+// each service. Shifts move whole buckets.
+const Buckets = 200
+
+// HomesPerServer is how many boxes of its availability zone connect to one
+// backend server, so that its connections suffice at any size of the zone.
+const HomesPerServer = 2
+
+// Snapshot is all that decisions depend on. It is never changed; a new one
+// takes its place.
+type Snapshot struct {
+	Self     string
+	Zone     string
+	Region   string
+	Topology *topology.Map
+	Services map[string]*ServiceView
+	// Boxes lists the boxes of each zone that may get work, by name.
+	Boxes map[string][]*BoxView
+}
+
+// ServiceView is one service prepared for decisions.
+type ServiceView struct {
+	Spec     *model.Service
+	Revision uint64
+	// Zones holds the zones that have backend servers which are not leaving.
+	Zones map[string]*ZoneView
+	// Assign gives for each client region the region that serves each
+	// bucket.
+	Assign map[string]*Assignment
+	// allowed is the allowed regions that have backend servers, by name.
+	regions []string
+}
+
+// ZoneView is one service's part of one zone.
+type ZoneView struct {
+	Zone   string
+	Region string
+	Slots  int
+	InUse  int
+	// Homes lists the live boxes that hold a share of the slots.
+	Homes []*BoxView
+}
+
+// BoxView is a box that may get work.
+type BoxView struct {
+	Box         string
+	Zone        string
+	Incarnation string
+	AgeMS       int64
+	Callers     string
+	Peers       string
+	// Leaving is only ever set for this box itself: it goes on serving what
+	// still reaches it, and look-ups no longer name it.
+	Leaving bool
+	// Free is the free part of its slots, by service, as last heard.
+	Free map[string]int
+	// Share is its part of the slots, by service, as last heard.
+	Share map[string]int
+	// Load is the share of all its slots that is in use.
+	Load float64
+}
+
+// Assignment gives the serving region of each bucket.
+type Assignment [Buckets]string
+
+// Input is what a snapshot is made from.
+type Input struct {
+	Self     string
+	Zone     string
+	Topology *topology.Map
+	Members  []membership.Member
+	Services []ServiceInput
+}
+
+// ServiceInput is one service in force, and its assignment if a plan has one.
+type ServiceInput struct {
+	Spec     *model.Service
+	Revision uint64
+	Assign   map[string]*Assignment
+}
+
+// NewSnapshot prepares a snapshot.
+func NewSnapshot(in Input) *Snapshot {
+	s := &Snapshot{
+		Self:     in.Self,
+		Zone:     in.Zone,
+		Region:   in.Topology.RegionOf(in.Zone),
+		Topology: in.Topology,
+		Services: map[string]*ServiceView{},
+		Boxes:    map[string][]*BoxView{},
+	}
+	for _, m := range in.Members {
+		if m.Box == in.Self || (m.State == membership.Live && m.Ready) {
+			s.Boxes[m.Zone] = append(s.Boxes[m.Zone], newBoxView(m))
+		}
+	}
+	for _, service := range in.Services {
+		s.Services[service.Spec.Name] = s.newServiceView(service)
+	}
+	return s
+}
+
+func newBoxView(m membership.Member) *BoxView {
+	b := &BoxView{
+		Box: m.Box, Zone: m.Zone, Incarnation: m.Incarnation, AgeMS: m.AgeMS + m.Silent.Milliseconds(),
+		Callers: m.Callers, Peers: m.Peers, Leaving: m.State != membership.Live || !m.Ready, Free: map[string]int{}, Share: map[string]int{},
+	}
+	share, inUse := 0, 0
+	for _, l := range m.Load {
+		b.Free[l.Service] = l.Share - l.InUse
+		b.Share[l.Service] = l.Share
+		share += l.Share
+		inUse += l.InUse
+	}
+	if share > 0 {
+		b.Load = float64(inUse) / float64(share)
+	}
+	return b
+}
+
+func (s *Snapshot) newServiceView(in ServiceInput) *ServiceView {
+	v := &ServiceView{Spec: in.Spec, Revision: in.Revision, Zones: map[string]*ZoneView{}, Assign: in.Assign}
+	for _, b := range in.Spec.BackendServers {
+		region := s.Topology.RegionOf(b.Zone)
+		if b.Leaving || !in.Spec.RegionAllowed(region) {
+			continue
+		}
+		z := v.Zones[b.Zone]
+		if z == nil {
+			z = &ZoneView{Zone: b.Zone, Region: region}
+			v.Zones[b.Zone] = z
+		}
+		z.Slots += b.Slots
+	}
+	seen := map[string]bool{}
+	for zone, z := range v.Zones {
+		for _, b := range s.Boxes[zone] {
+			if b.Share[in.Spec.Name] > 0 || b.Box == s.Self {
+				z.Homes = append(z.Homes, b)
+				z.InUse += b.Share[in.Spec.Name] - b.Free[in.Spec.Name]
+			}
+		}
+		if !seen[z.Region] {
+			seen[z.Region] = true
+			v.regions = append(v.regions, z.Region)
+		}
+	}
+	sort.Strings(v.regions)
+	return v
+}
+
+// Hash is the one hash of decisions: equal on all boxes, for ever.
+func Hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x over the whole word.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/pkg/entry/entry_local.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/admission"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// local admits the request to a backend server of this zone and sends it. A
+// backend server that provably did not run it is followed by one other.
+func (e *Entry) local(r *Request, avoid string) (*Answer, *outcome.Failure) {
+	gate := e.Gate(r.Service)
+	if gate == nil {
+		return nil, outcome.NewNotRun(outcome.ReasonNoServer, "this box is no home of the service").WithRetryAfter(time.Second)
+	}
+	permit, failure := gate.Acquire(r.ctx, admission.Request{CacheKey: r.cacheKey, Avoid: avoid})
+	if failure != nil {
+		return nil, failure
+	}
+	answer, failure := e.send(r, permit)
+	if failure == nil {
+		return answer, nil
+	}
+	if failure.Outcome == outcome.NotRun && avoid == "" && e.mayTryAgain(r, failure) {
+		return e.local(r, permit.Server.Name)
+	}
+	return nil, failure
+}
+
+// send runs the exchange with one backend server. The permit is released when
+// the exchange is over, which for a streamed answer is at its end.
+func (e *Entry) send(r *Request, permit *admission.Permit) (*Answer, *outcome.Failure) {
+	if !e.MaySend() {
+		permit.Release(admission.Unused)
+		return nil, outcome.NewNotRun(outcome.ReasonNotReady, "this box stood still; its part of the slots is being confirmed").WithRetryAfter(time.Second)
+	}
+	h := r.outgoing(e.Now(), r.Path)
+	h.SetHost(permit.Server.Address)
+	idle := idleOnce
+	if r.repeat {
+		idle = idleRepeatable
+	}
+	pool := e.ServerPool(permit.Server.Address, permit.Server.Share)
+	got, err := pool.Do(r.ctx, r.exchangeRequest(h, idle))
+	if err != nil {
+		return nil, e.failed(r, permit, err)
+	}
+	if len(got.Header.Peek(HeaderLeaving)) > 0 {
+		e.Leaving(r.Service, permit.Server.Name)
+	}
+	if outcome.Outcome(got.Header.Peek(HeaderOutcome)) == outcome.NotRun {
+		_ = got.Body.Close()
+		permit.Release(admission.Unused)
+		return nil, shed(&got.Header, permit.Server.Name)
+	}
+	return e.receive(r, permit, got)
+}
+
+func (r *Request) exchangeRequest(h *fasthttp.RequestHeader, idle time.Duration) *exchange.Request {
+	x := &exchange.Request{Header: h, Body: r.body.bytes, MaxIdle: idle}
+	if r.body.stream != nil {
+		x.Stream, x.Length, x.AbortStream = r.body, r.body.length, r.body.interrupt
+	}
+	return x
+}
+
+func shed(h *fasthttp.ResponseHeader, server string) *outcome.Failure {
+	f := outcome.NewNotRun(outcome.ReasonShed, server)
+	if s, err := strconv.Atoi(string(h.Peek(headerRetryAfter))); err == nil && s > 0 {
+		f.RetryAfter = time.Duration(s) * time.Second
+	}
+	if f.RetryAfter == 0 {
+		f.RetryAfter = time.Second
+	}
+	return f
+}
+
+func (e *Entry) failed(r *Request, permit *admission.Permit, err error) *outcome.Failure {
+	f := e.Classify(err)
+	result := admission.Broken
+	if f.Reason == outcome.ReasonCancelled || f.Reason == outcome.ReasonDeadline {
+		result = admission.Unused
+	}
+	permit.Release(result)
+	return f
+}
+
+// receive holds a small answer whole, so that the caller never sees part of
+// it; a larger one is passed on as it comes.
+func (e *Entry) receive(r *Request, permit *admission.Permit, got *exchange.Answer) (*Answer, *outcome.Failure) {
+	a := newAnswer(&got.Header, permit.Server.Name, e.Zone)
+	if got.Length >= 0 && got.Length <= e.BufferedBody {
+		body := make([]byte, got.Length)
+		if _, err := io.ReadFull(got.Body, body); err != nil {
+			_ = got.Body.Close()
+			return nil, e.failed(r, permit, err)
+		}
+		_ = got.Body.Close()
+		permit.Release(admission.Succeeded)
+		a.Body = body
+		return a, nil
+	}
+	a.Length = got.Length
+	a.Stream = &slotStream{ReadCloser: got.Body, release: func() { permit.Release(admission.Succeeded) }}
+	return a, nil
+}
+
+// slotStream gives the slot back when the stream is closed.
+type slotStream struct {
+	io.ReadCloser
+	release func()
+}
+
+// Close implements io.Closer.
+func (s *slotStream) Close() error {
+	err := s.ReadCloser.Close()
+	s.release()
+	return err
+}
+
+func newAnswer(h *fasthttp.ResponseHeader, server, zone string) *Answer {
+	a := &Answer{Status: h.StatusCode(), Server: server, Zone: zone}
+	for name, value := range h.All() {
+		if !passedOn(string(name)) {
+			continue
+		}
+		a.Header = append(a.Header, [2]string{string(name), string(value)})
+	}
+	return a
+}
+
+// passedOn reports whether an answer's header concerns the caller.
+func passedOn(name string) bool {
+	if len(name) >= len(headerPrefix) && name[:len(headerPrefix)] == headerPrefix {
+		return false
+	}
+	if name == fasthttp.HeaderContentLength {
+		return false
+	}
+	for _, h := range hopByHop {
+		if name == h {
+			return false
+		}
+	}
+	return true
+}
+
+// Classify says what a caller may be told of an exchange that failed. "Not
+// run" needs that no byte of the request was handed to the network.
+func Classify(err error) *outcome.Failure {
+	var x *exchange.Error
+	if !errors.As(err, &x) {
+		return outcome.NewUnknown(outcome.ReasonTruncated, err.Error())
+	}
+	f := outcome.NewUnknown(reasonOf(x), x.Error())
+	if !x.Sent {
+		f.Outcome = outcome.NotRun
+		f.RetryAfter = time.Second
+	}
+	return f
+}
+
+func reasonOf(x *exchange.Error) outcome.Reason {
+	var framing *exchange.FramingError
+	switch {
+	case errors.Is(x.Cause, context.Canceled):
+		return outcome.ReasonCancelled
+	case errors.Is(x.Cause, context.DeadlineExceeded) && !x.Sent:
+		return outcome.ReasonDeadline
+	case errors.Is(x.Cause, context.DeadlineExceeded):
+		return outcome.ReasonTimeout
+	case !x.Sent:
+		return outcome.ReasonConnect
+	case errors.As(x.Cause, &framing):
+		return outcome.ReasonMalformed
+	case x.Stage == exchange.StageBody:
+		return outcome.ReasonTruncated
+	}
+	return outcome.ReasonConnectionLost
+}
--- /dev/null
+++ b/pkg/entry/entry_lookup.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/once"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// PathLookup is where callers ask which boxes to use.
+const PathLookup = "/v1/lookup"
+
+// Lookup is the answer to a look-up.
+type Lookup struct {
+	Service string `json:"service"`
+	Client  string `json:"client"`
+	// Entries are the boxes to use, best first.
+	Entries []LookupEntry `json:"entries"`
+	// TTLMS is for how long the answer may be used, in milliseconds.
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// LookupEntry is one box that a caller may use.
+type LookupEntry struct {
+	Box     string `json:"box"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// KeyPrefix starts the idempotency keys that this box is to own; the
+	// caller adds "/" and an id of its own.
+	KeyPrefix string `json:"key_prefix"`
+}
+
+// ServeLookup answers a look-up.
+func (e *Entry) ServeLookup(ctx *fasthttp.RequestCtx) {
+	answer, failure := e.lookup(ctx)
+	if failure != nil {
+		e.Count(string(failure.Outcome) + "." + string(failure.Reason))
+		WriteFailure(ctx, newID(), failure)
+		return
+	}
+	e.Count("lookup")
+	text, _ := json.Marshal(answer)
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.Response.SetBody(append(text, '\n'))
+}
+
+func (e *Entry) lookup(ctx *fasthttp.RequestCtx) (*Lookup, *outcome.Failure) {
+	arguments := ctx.QueryArgs()
+	service, clientText := string(arguments.Peek("service")), string(arguments.Peek("client"))
+	if clientText == "" {
+		clientText = ctx.RemoteIP().String()
+	}
+	client, err := parseClientOrBlock(clientText)
+	if err != nil {
+		return nil, bad("client: allowed is an IP number or a block such as 10.1.0.0/16")
+	}
+	if !e.Ready() {
+		return nil, outcome.NewNotRun(outcome.ReasonNotReady, "").WithRetryAfter(time.Second)
+	}
+	s := e.Snapshot()
+	if s.Services[service] == nil {
+		return nil, outcome.NewNotRun(outcome.ReasonNoSuchService, fmt.Sprintf("%q", service))
+	}
+	answer := &Lookup{Service: service, Client: clientText, TTLMS: e.LookupTTL.Milliseconds(), Entries: []LookupEntry{}}
+	for _, b := range s.Entries(client, service) {
+		answer.Entries = append(answer.Entries, LookupEntry{
+			Box: b.Box, Zone: b.Zone, Address: b.Callers, KeyPrefix: e.ticketOf(b).String(),
+		})
+	}
+	e.Log.Debug("look-up", map[string]any{"service": service, "client": clientText, "entries": len(answer.Entries)})
+	return answer, nil
+}
+
+// ticketOf makes a ticket of the box. What was last heard of its age is less
+// than its age now, so the ticket ends early rather than late.
+func (e *Entry) ticketOf(b *decide.BoxView) once.Ticket {
+	t := once.Ticket{Box: b.Box, Incarnation: b.Incarnation, Issued: time.Duration(b.AgeMS) * time.Millisecond}
+	if b.Box == e.Self {
+		t.Incarnation, t.Issued = e.Incarnation, e.Age()
+	}
+	return t
+}
+
+func parseClientOrBlock(text string) (netip.Addr, error) {
+	if p, err := netip.ParsePrefix(text); err == nil {
+		return p.Addr().Unmap(), nil
+	}
+	a, err := netip.ParseAddr(text)
+	return a.Unmap(), err
+}
--- /dev/null
+++ b/pkg/entry/entry_once.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/once"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// runOnce runs a request that may not be repeated: at the box that owns its
+// key, and there at most once.
+func (e *Entry) runOnce(r *Request) (*Answer, *outcome.Failure) {
+	if r.Key == "" {
+		return nil, outcome.NewNotRun(outcome.ReasonKeyRequired, r.Method+" of this service may not be repeated")
+	}
+	ticket, hasTicket, err := once.ParseKey(r.Key)
+	if err != nil {
+		return nil, bad(err.Error())
+	}
+	if !hasTicket {
+		owner, failure := e.Claim(r.ctx, r.Service, r.Key)
+		if failure != nil {
+			return nil, r.unlessFirst(failure)
+		}
+		ticket = owner
+	}
+	if ticket.Box == e.Self && ticket.Incarnation == e.Incarnation {
+		return e.runOwned(r, ticket)
+	}
+	return e.toOwner(r, ticket)
+}
+
+// unlessFirst turns "not run" into "unknown" where an earlier request with the
+// key may have run, which only the caller can exclude.
+func (r *Request) unlessFirst(f *outcome.Failure) *outcome.Failure {
+	if f.Outcome == outcome.NotRun && !r.FirstAttempt {
+		f.Outcome = outcome.Unknown
+	}
+	return f
+}
+
+// toOwner passes the request to the box that owns its key. That the owner did
+// not get this request says nothing of an earlier one with the same key.
+func (e *Entry) toOwner(r *Request, t once.Ticket) (*Answer, *outcome.Failure) {
+	owner, known := e.Member(t.Box)
+	if known && owner.Incarnation != t.Incarnation || t.Box == e.Self || r.Hop == HopOwner {
+		return nil, r.unlessFirst(outcome.NewNotRun(outcome.ReasonStaleTicket, t.String()).WithRetryAfter(time.Second))
+	}
+	if !known || owner.State == membership.Dead {
+		return nil, r.unlessFirst(outcome.NewNotRun(outcome.ReasonOwnerUnreachable, t.Box).WithRetryAfter(time.Second))
+	}
+	e.Log.Info("passed to the owner of its key", map[string]any{"request": r.ID, "service": r.Service, "owner": t.Box})
+	a, f := e.handOff(r, owner.Peers, HopOwner)
+	if f != nil && f.Reason == outcome.ReasonConnect {
+		f.Reason = outcome.ReasonOwnerUnreachable
+		return nil, r.unlessFirst(f)
+	}
+	return a, f
+}
+
+// runOwned runs the request here, or joins the run that its key already has.
+func (e *Entry) runOwned(r *Request, t once.Ticket) (*Answer, *outcome.Failure) {
+	key := once.Key{Service: r.Service, Key: r.Key, Fingerprint: r.fingerprint()}
+	run, first, failure := e.Once.Begin(key, t.Issued)
+	if failure != nil {
+		return nil, failure
+	}
+	if !first {
+		kept, failure := run.Wait(r.ctx)
+		if failure != nil {
+			return nil, failure
+		}
+		return &Answer{Status: kept.Status, Header: kept.Header, Body: kept.Body}, nil
+	}
+	answer, failure := e.route(r)
+	if failure != nil {
+		run.Failed(failure)
+		return nil, failure
+	}
+	if answer.Stream == nil {
+		run.Answered(&once.Answer{Status: answer.Status, Header: answer.Header, Body: bytes.Clone(answer.Body)})
+		return answer, nil
+	}
+	run.Answered(nil)
+	return answer, nil
+}
+
+// fingerprint tells requests apart that wrongly carry one key.
+func (r *Request) fingerprint() uint64 {
+	length := len(r.body.bytes)
+	if r.body.stream != nil {
+		length = r.body.length
+	}
+	return decide.Hash(r.Method, r.Path, strconv.Itoa(length), string(r.body.bytes))
+}
--- /dev/null
+++ b/pkg/entry/entry_route.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// route offers the request to boxes until one answers or it may not go on.
+func (e *Entry) route(r *Request) (*Answer, *outcome.Failure) {
+	target := decide.Request{Client: r.Client, Spread: decide.Hash(r.ID)}
+	var last *outcome.Failure
+	for try := range maxTries {
+		d := r.snapshot.Route(r.view, &target)
+		e.logDecision(r, d, try)
+		if d.Box == nil {
+			break
+		}
+		answer, failure := e.offer(r, d)
+		if failure == nil {
+			e.Budget.Success(r.Service)
+			return answer, nil
+		}
+		last = failure
+		if try < len(target.Tried) {
+			target.Tried[try] = d.Box.Box
+		}
+		if !e.mayTryAgain(r, failure) {
+			return nil, failure
+		}
+	}
+	if last == nil {
+		last = outcome.NewNotRun(outcome.ReasonNoServer, "no box with backend servers of this service is known").WithRetryAfter(time.Second)
+	}
+	return nil, last
+}
+
+func (e *Entry) offer(r *Request, d decide.Decision) (*Answer, *outcome.Failure) {
+	if d.Box.Box == e.Self {
+		return e.local(r, "")
+	}
+	return e.handOff(r, d.Box.Peers, HopZone)
+}
+
+// mayTryAgain reports whether the request may be sent a second time, and pays
+// for that from the budget.
+func (e *Entry) mayTryAgain(r *Request, f *outcome.Failure) bool {
+	if r.ctx.Err() != nil || !r.body.replayable() {
+		return false
+	}
+	switch f.Reason {
+	case outcome.ReasonCancelled, outcome.ReasonDeadline, outcome.ReasonBadRequest, outcome.ReasonNoSuchService:
+		return false
+	}
+	if f.Outcome == outcome.Unknown && !r.repeat {
+		return false
+	}
+	return e.Budget.Take(r.Service)
+}
+
+func (e *Entry) logDecision(r *Request, d decide.Decision, try int) {
+	box := ""
+	if d.Box != nil {
+		box = d.Box.Box
+	}
+	e.Log.Info("routed", map[string]any{
+		"request": r.ID, "service": r.Service, "revision": r.view.Revision, "bucket": d.Bucket,
+		"region": d.Region, "zone": d.Zone, "box": box, "reason": d.Reason, "try": try,
+	})
+}
--- /dev/null
+++ b/pkg/entry/entry_serve.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// Answer is an answer on its way to the caller.
+type Answer struct {
+	Status int
+	Header [][2]string
+	// Body is the whole body, or Stream is and must be closed.
+	Body   []byte
+	Stream io.ReadCloser
+	// Length of the stream; -1 if it is not known.
+	Length int
+	Server string
+	Zone   string
+}
+
+// Serve handles one request and calls done when its last byte was passed on.
+// fromPeer is true on the port that only boxes use.
+func (e *Entry) Serve(ctx *fasthttp.RequestCtx, fromPeer bool, done func()) {
+	started := e.Now()
+	r, failure := e.parse(ctx, fromPeer)
+	if failure != nil {
+		done()
+		e.refuse(ctx, r, failure, true)
+		return
+	}
+	body, failure := openBody(ctx, e.BufferedBody)
+	if failure != nil {
+		done()
+		e.refuse(ctx, r, failure, true)
+		return
+	}
+	r.body = body
+	hangup, hungUp := context.WithCancel(context.Background())
+	unwatch := func() {}
+	if body.stream == nil {
+		unwatch = exchange.WatchHangup(ctx.Conn(), hungUp)
+	}
+	within, cancel := r.within(hangup)
+	r.ctx = within
+	finish := func() {
+		unwatch()
+		cancel()
+		hungUp()
+		done()
+	}
+	answer, failure := e.run(r)
+	e.Observe(e.Now().Sub(started))
+	if failure != nil {
+		finish()
+		e.refuse(ctx, r, failure, body.stream != nil)
+		return
+	}
+	e.pass(ctx, r, answer, finish)
+}
+
+func (e *Entry) run(r *Request) (*Answer, *outcome.Failure) {
+	if r.Hop == HopZone {
+		return e.local(r, "")
+	}
+	if !r.repeat {
+		return e.runOnce(r)
+	}
+	return e.route(r)
+}
+
+// pass writes an answer. finish is called when its last byte was passed on.
+func (e *Entry) pass(ctx *fasthttp.RequestCtx, r *Request, a *Answer, finish func()) {
+	e.Count(string(outcome.Answered))
+	resp := &ctx.Response
+	resp.SetStatusCode(a.Status)
+	resp.Header.SetNoDefaultContentType(true)
+	for _, h := range a.Header {
+		resp.Header.Add(h[0], h[1])
+	}
+	resp.Header.Set(HeaderOutcome, string(outcome.Answered))
+	resp.Header.Set(HeaderRequestID, r.ID)
+	resp.Header.Set(HeaderServer, a.Server)
+	resp.Header.Set(HeaderZone, a.Zone)
+	resp.Header.Set(HeaderBox, e.Self)
+	if r.body.aborted.Load() || (r.body.stream != nil && !r.body.started.Load()) {
+		resp.SetConnectionClose()
+	}
+	if a.Stream == nil {
+		finish()
+		if r.Method == fasthttp.MethodHead {
+			resp.SkipBody = true
+		}
+		resp.SetBody(a.Body)
+		return
+	}
+	resp.SetBodyStream(&answerStream{ReadCloser: a.Stream, finish: finish}, a.Length)
+}
+
+// answerStream runs finish after the stream was closed.
+type answerStream struct {
+	io.ReadCloser
+	finish func()
+}
+
+// Close implements io.Closer.
+func (s *answerStream) Close() error {
+	err := s.ReadCloser.Close()
+	s.finish()
+	return err
+}
+
+// FailureBody is the JSON body of a request that was not answered.
+type FailureBody struct {
+	Outcome      outcome.Outcome `json:"outcome"`
+	Reason       outcome.Reason  `json:"reason"`
+	Detail       string          `json:"detail,omitempty"`
+	RequestID    string          `json:"request_id"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+}
+
+// refuse writes a failure. If the request's body may not have been read, the
+// connection cannot go on.
+func (e *Entry) refuse(ctx *fasthttp.RequestCtx, r *Request, f *outcome.Failure, closeConnection bool) {
+	e.Count(string(f.Outcome) + "." + string(f.Reason))
+	e.Log.Info("request not answered", map[string]any{
+		"request": r.ID, "service": r.Service, "outcome": f.Outcome, "reason": f.Reason, "detail": f.Detail,
+	})
+	WriteFailure(ctx, r.ID, f)
+	ctx.Response.Header.Set(HeaderBox, e.Self)
+	if closeConnection {
+		ctx.Response.SetConnectionClose()
+	}
+}
+
+// WriteFailure writes the one form in which failures are told.
+func WriteFailure(ctx *fasthttp.RequestCtx, id string, f *outcome.Failure) {
+	resp := &ctx.Response
+	resp.Reset()
+	resp.SetStatusCode(f.Status())
+	resp.Header.Set(HeaderOutcome, string(f.Outcome))
+	resp.Header.Set(HeaderReason, string(f.Reason))
+	resp.Header.Set(HeaderRequestID, id)
+	if f.RetryAfter > 0 {
+		resp.Header.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+		resp.Header.Set(HeaderRetryMS, strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
+	}
+	resp.Header.SetContentType("application/json")
+	text, _ := json.Marshal(FailureBody{
+		Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, RequestID: id,
+		RetryAfterMS: f.RetryAfter.Milliseconds(),
+	})
+	resp.SetBody(append(text, '\n'))
+}
+
+// failureFrom reads a failure that another box wrote.
+func failureFrom(h *fasthttp.ResponseHeader) *outcome.Failure {
+	f := &outcome.Failure{
+		Outcome: outcome.Outcome(h.Peek(HeaderOutcome)),
+		Reason:  outcome.Reason(h.Peek(HeaderReason)),
+		Detail:  "said box " + string(h.Peek(HeaderBox)),
+	}
+	if ms, err := strconv.ParseInt(string(h.Peek(HeaderRetryMS)), 10, 64); err == nil && ms > 0 {
+		f.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/exchange/exchange.go
@@ -0,0 +1,187 @@
+// Package exchange sends one request over one connection and reads one answer.
+//
+// It is the layer that knows what can be said of a request that failed: an
+// *Error tells whether any byte of the request was handed to the network. It
+// never sends anything twice. A connection carries one exchange at a time and
+// is used again only if that exchange ended whole on both sides; a timeout, a
+// cancellation or a fault of framing closes it, so a late answer can never be
+// taken for the answer to another request.
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Stage is how far an exchange had come when it failed.
+type Stage string
+
+// The stages of an exchange.
+const (
+	StageConnect Stage = "connect"
+	StageSend    Stage = "send"
+	StageHeader  Stage = "header"
+	StageBody    Stage = "body"
+)
+
+// Error is an exchange that failed.
+type Error struct {
+	Stage Stage
+	// Sent is true if any byte of the request may have left this process.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("exchange failed at %s (sent=%t): %v", e.Stage, e.Sent, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// FramingError says that an answer's body does not fit its framing.
+type FramingError struct {
+	Detail string
+}
+
+// Error implements error.
+func (e *FramingError) Error() string { return "framing: " + e.Detail }
+
+// Request is a request to send.
+type Request struct {
+	// Header has its body framing set by Do.
+	Header *fasthttp.RequestHeader
+	// Body is the whole body; or Stream is, with its Length, -1 if unknown.
+	Body   []byte
+	Stream io.Reader
+	Length int
+	// AbortStream makes a Read of Stream return at once; it is called when
+	// the exchange ends before the whole stream was sent.
+	AbortStream func()
+	// MaxIdle is the longest time for which a connection that is used again
+	// may have been idle. The other side may just be closing it.
+	MaxIdle time.Duration
+}
+
+// Answer is an answer whose header has been read.
+type Answer struct {
+	Header fasthttp.ResponseHeader
+	// Body must be read to its end or closed.
+	Body io.ReadCloser
+	// Length is the body's length, -1 if it is not known before its end.
+	Length int
+	// Reused is true if the connection had carried an exchange before.
+	Reused bool
+}
+
+// Pool holds the connections to one address.
+type Pool struct {
+	Address string
+	// Dial opens a connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MaxIdleConns bounds the connections kept for another exchange.
+	MaxIdleConns int
+	// Reusable reports whether a connection that ended its exchange in this
+	// manner may carry another; a seam for tests.
+	Reusable func(whole, closeAsked bool) bool
+
+	mu     sync.Mutex
+	idle   []*connection
+	closed bool
+}
+
+// NewPool makes an empty pool.
+func NewPool(address string, maxIdle int, dial func(ctx context.Context, address string) (net.Conn, error)) *Pool {
+	return &Pool{
+		Address:      address,
+		Dial:         dial,
+		MaxIdleConns: maxIdle,
+		Reusable:     func(whole, closeAsked bool) bool { return whole && !closeAsked },
+	}
+}
+
+// connection is a connection with its reader and writer.
+type connection struct {
+	net.Conn
+	r         *bufio.Reader
+	w         *bufio.Writer
+	written   int64
+	idleSince time.Time
+	used      bool
+}
+
+// Write counts the bytes handed to the network.
+func (c *connection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// Close closes the pool's idle connections; those in use close at their end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.closed = true
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Conn.Close()
+	}
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*connection, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleSince) <= maxIdle && quiet(c.Conn) {
+			c.used = true
+			c.written = 0
+			return c, nil
+		}
+		_ = c.Conn.Close()
+	}
+	conn, err := p.Dial(ctx, p.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{Conn: conn}
+	c.r = bufio.NewReaderSize(conn, 16<<10)
+	c.w = bufio.NewWriterSize(c, 4<<10)
+	return c, nil
+}
+
+func (p *Pool) pop() *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) put(c *connection) {
+	_ = c.SetDeadline(time.Time{})
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	if !p.closed && len(p.idle) < p.MaxIdleConns {
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/pkg/exchange/exchange_body.go
@@ -0,0 +1,94 @@
+package exchange
+
+import (
+	"errors"
+	"io"
+	"strings"
+)
+
+// body reads an answer's body and checks it against its framing: an end that
+// comes too early is an error, never io.EOF.
+type body struct {
+	running *running
+	left    int64
+	chunks  io.Reader
+	whole   bool
+	failure error
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	switch {
+	case b.failure != nil:
+		return 0, b.failure
+	case b.whole:
+		return 0, io.EOF
+	case b.chunks != nil:
+		return b.readChunks(p)
+	}
+	return b.readLength(p)
+}
+
+func (b *body) readLength(p []byte) (int, error) {
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.running.conn.r.Read(p)
+	b.left -= int64(n)
+	if b.left == 0 {
+		b.finish()
+		return n, nil
+	}
+	if err != nil {
+		return n, b.fail(err)
+	}
+	return n, nil
+}
+
+func (b *body) readChunks(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	if errors.Is(err, io.EOF) {
+		if err := b.readTrailer(); err != nil {
+			return n, b.fail(err)
+		}
+		b.finish()
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, b.fail(err)
+	}
+	return n, nil
+}
+
+// readTrailer reads the lines after the last chunk up to the empty one.
+func (b *body) readTrailer() error {
+	for {
+		line, err := b.running.conn.r.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if strings.TrimRight(line, "\r\n") == "" {
+			return nil
+		}
+	}
+}
+
+func (b *body) finish() {
+	b.whole = true
+	b.running.end(true)
+}
+
+func (b *body) fail(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	b.failure = &Error{Stage: StageBody, Sent: true, Cause: b.running.cause(err)}
+	b.running.end(false)
+	return b.failure
+}
+
+// Close gives up what has not been read.
+func (b *body) Close() error {
+	b.running.end(b.whole)
+	return nil
+}
--- /dev/null
+++ b/pkg/exchange/exchange_do.go
@@ -0,0 +1,221 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http/httputil"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// past is a deadline that ends all reading and writing at once.
+var past = time.Unix(1, 0)
+
+// noDeadline lifts a deadline.
+var noDeadline time.Time
+
+// Do sends the request and reads the answer's header. The error is an *Error.
+//
+// The context bounds the whole exchange with its body; when it ends, the
+// connection is closed, which tells the other side that nobody waits.
+func (p *Pool) Do(ctx context.Context, req *Request) (*Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Stage: StageConnect, Cause: err}
+	}
+	c, err := p.get(ctx, req.MaxIdle)
+	if err != nil {
+		return nil, &Error{Stage: StageConnect, Cause: err}
+	}
+	x := &running{pool: p, conn: c, ctx: ctx, abort: func() {}}
+	if req.AbortStream != nil {
+		x.abort = req.AbortStream
+	}
+	x.stop = context.AfterFunc(ctx, x.interrupt)
+	answer, err := x.start(req)
+	if err != nil {
+		x.end(false)
+		return nil, err
+	}
+	return answer, nil
+}
+
+// running is an exchange on its way.
+type running struct {
+	pool       *Pool
+	conn       *connection
+	ctx        context.Context
+	stop       func() bool
+	closeAsked bool
+	// abort makes a streamed body's reader return.
+	abort func()
+	// sending runs while a streamed body is sent; sentWhole is set at its end.
+	sending   conc.WaitGroup
+	streamed  bool
+	sentWhole atomic.Bool
+	ended     bool
+}
+
+// interrupt makes all reading and writing of the exchange return.
+func (x *running) interrupt() {
+	_ = x.conn.SetDeadline(past)
+	x.abort()
+}
+
+func (x *running) start(req *Request) (*Answer, error) {
+	if err := x.ctx.Err(); err != nil {
+		// The process may have stood still since the connection was taken.
+		return nil, &Error{Stage: StageSend, Cause: err}
+	}
+	if err := x.send(req); err != nil {
+		return nil, &Error{Stage: StageSend, Sent: x.conn.written > 0, Cause: x.cause(err)}
+	}
+	answer := &Answer{Reused: x.conn.used}
+	if err := x.readHeader(&answer.Header); err != nil {
+		return nil, &Error{Stage: StageHeader, Sent: true, Cause: x.cause(err)}
+	}
+	x.closeAsked = answer.Header.ConnectionClose()
+	if err := x.openBody(req, answer); err != nil {
+		return nil, &Error{Stage: StageHeader, Sent: true, Cause: err}
+	}
+	return answer, nil
+}
+
+// cause prefers the reason for which the context ended over the error that it
+// made the connection return.
+func (x *running) cause(err error) error {
+	if ctxErr := x.ctx.Err(); ctxErr != nil {
+		return ctxErr
+	}
+	return err
+}
+
+// ----------------------------------------------------------------
+// Sending
+// ----------------------------------------------------------------
+
+func (x *running) send(req *Request) error {
+	if req.Stream == nil {
+		req.Header.SetContentLength(len(req.Body))
+		if len(req.Body) == 0 && req.Header.IsGet() {
+			req.Header.Del(fasthttp.HeaderContentLength)
+		}
+		if err := req.Header.Write(x.conn.w); err != nil {
+			return err
+		}
+		if _, err := x.conn.w.Write(req.Body); err != nil {
+			return err
+		}
+		return x.conn.w.Flush()
+	}
+	req.Header.SetContentLength(req.Length)
+	if err := req.Header.Write(x.conn.w); err != nil {
+		return err
+	}
+	if err := x.conn.w.Flush(); err != nil {
+		return err
+	}
+	x.streamed = true
+	x.sending.Go(func() { x.sendStream(req) })
+	return nil
+}
+
+// sendStream sends a body while the answer is awaited, since a backend server
+// may refuse an upload without reading it.
+func (x *running) sendStream(req *Request) {
+	if err := x.copyStream(req); err != nil {
+		// Half a request is on its way; only closing tells the other side.
+		_ = x.conn.SetDeadline(past)
+		return
+	}
+	x.sentWhole.Store(true)
+}
+
+func (x *running) copyStream(req *Request) error {
+	if req.Length >= 0 {
+		n, err := io.Copy(x.conn.w, io.LimitReader(req.Stream, int64(req.Length)))
+		if err != nil {
+			return err
+		}
+		if n != int64(req.Length) {
+			return io.ErrUnexpectedEOF
+		}
+		return x.conn.w.Flush()
+	}
+	chunks := httputil.NewChunkedWriter(x.conn.w)
+	if _, err := io.Copy(chunks, req.Stream); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	if _, err := x.conn.w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	return x.conn.w.Flush()
+}
+
+// ----------------------------------------------------------------
+// Reading
+// ----------------------------------------------------------------
+
+func (x *running) readHeader(h *fasthttp.ResponseHeader) error {
+	for {
+		if err := h.Read(x.conn.r); err != nil {
+			return err
+		}
+		if status := h.StatusCode(); status < 100 || status >= 200 {
+			return nil
+		}
+	}
+}
+
+func (x *running) openBody(req *Request, a *Answer) error {
+	status := a.Header.StatusCode()
+	length := a.Header.ContentLength()
+	switch {
+	case req.Header.IsHead(), status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified:
+		a.Length = 0
+		a.Body = &body{running: x, whole: true}
+		x.end(true)
+	case length >= 0:
+		a.Length = length
+		a.Body = &body{running: x, left: int64(length), whole: length == 0}
+		if length == 0 {
+			x.end(true)
+		}
+	case length == -1:
+		a.Length = -1
+		a.Body = &body{running: x, chunks: httputil.NewChunkedReader(x.conn.r)}
+	default:
+		// Without a length or chunks, a cut connection looks like the end.
+		return &FramingError{Detail: "the answer has neither a length nor chunks"}
+	}
+	return nil
+}
+
+// end gives the connection back, or closes it if the exchange is not whole.
+// It returns only when the sender no longer reads the request's stream.
+func (x *running) end(whole bool) {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	// If the context has already ended, its function may yet set a deadline.
+	untouched := x.stop()
+	if x.streamed {
+		if !x.sentWhole.Load() {
+			// Answered before the whole request was sent, or failed.
+			whole = false
+			x.interrupt()
+		}
+		x.sending.Wait()
+	}
+	if untouched && x.conn.r.Buffered() == 0 && x.pool.Reusable(whole, x.closeAsked) {
+		x.pool.put(x.conn)
+		return
+	}
+	_ = x.conn.Conn.Close()
+}
--- /dev/null
+++ b/pkg/exchange/quiet.go
@@ -0,0 +1,70 @@
+package exchange
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/sourcegraph/conc"
+)
+
+// quiet reports whether an idle connection is open and has nothing to read.
+// A byte that nobody asked for makes a connection unfit as much as its end.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isQuiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		isQuiet = errno == syscall.EAGAIN
+		return true
+	})
+	return err == nil && isQuiet
+}
+
+// WatchHangup calls hungUp once if the other side closes the connection while
+// the returned function has not been called. It does not consume any byte, and
+// gives up if the other side sends more. No read may be running meanwhile.
+func WatchHangup(c net.Conn, hungUp func()) (stop func()) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return func() {}
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		if watchEnd(raw) {
+			hungUp()
+		}
+	})
+	return func() {
+		_ = c.SetReadDeadline(past)
+		wg.Wait()
+		_ = c.SetReadDeadline(noDeadline)
+	}
+}
+
+// watchEnd waits for the connection to be readable and reports whether that
+// was its end.
+func watchEnd(raw syscall.RawConn) bool {
+	ended := false
+	err := raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errno == syscall.EAGAIN {
+			return false
+		}
+		ended = errno != nil || n == 0
+		return true
+	})
+	return err == nil && ended
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,266 @@
+// Package peer is the exchange between boxes: heartbeats, and configuration.
+//
+// Each box calls a fixed number of others at each beat, whatever the size of
+// the fleet, and tells them what it heard since it last called them. Boxes
+// whose configurations differ hand each other what is newer. A change that has
+// just come into force is also passed on at once to a few boxes, each of which
+// does the same, so that it does not wait for beats.
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+)
+
+// Tuning of the exchange.
+const (
+	// Beat is the time between two heartbeats.
+	Beat = 500 * time.Millisecond
+	// CallTimeout bounds one call to another box.
+	CallTimeout = time.Second
+	// PushFanout is how many boxes of its own zone a box passes a change on
+	// to; PushFanoutOutside how many of other zones.
+	PushFanout        = 3
+	PushFanoutOutside = 2
+)
+
+// Paths of the exchange on the peers' port.
+const (
+	PathExchange = "/v1/peer/exchange"
+	PathSync     = "/v1/peer/sync"
+)
+
+// Beacon is a heartbeat and its answer.
+type Beacon struct {
+	From    string              `json:"from"`
+	Records []membership.Record `json:"records"`
+	Digest  string              `json:"digest"`
+	Synced  bool                `json:"synced"`
+	// Stamps is set in an answer if the digests differ.
+	Stamps map[string]config.Stamp `json:"stamps,omitempty"`
+}
+
+// Sync hands over configuration and asks for what is newer.
+type Sync struct {
+	From    string                  `json:"from"`
+	Objects []*config.Object        `json:"objects,omitempty"`
+	Stamps  map[string]config.Stamp `json:"stamps,omitempty"`
+	Synced  bool                    `json:"synced"`
+}
+
+// Exchanger calls other boxes and answers them.
+type Exchanger struct {
+	Self  string
+	Zone  string
+	Seeds []string
+	Table *membership.Table
+	Store *config.Store
+	Log   *logging.Part
+	// Call sends a message to a box's peers' address; a seam.
+	Call func(ctx context.Context, address, path string, in, out any) error
+	// Reached is told of each box that answered, with the time of the call.
+	Reached func(box string, called time.Time)
+	// Failed is told of each address that did not answer.
+	Failed func(address string, err error)
+
+	mu        sync.Mutex
+	lastSent  map[string]time.Time
+	rotations [3]int
+}
+
+// NewExchanger makes an exchanger.
+func NewExchanger(self, zone string, seeds []string, table *membership.Table, store *config.Store, log *logging.Part) *Exchanger {
+	return &Exchanger{
+		Self: self, Zone: zone, Seeds: seeds, Table: table, Store: store, Log: log,
+		Reached:  func(string, time.Time) {},
+		Failed:   func(string, error) {},
+		lastSent: map[string]time.Time{},
+	}
+}
+
+// ================================================================
+// Calling
+// ================================================================
+
+// DoBeat calls one box of this zone, one of another, and one that is silent.
+func (x *Exchanger) DoBeat(ctx context.Context) {
+	wg := conc.NewWaitGroup()
+	for _, address := range x.targets() {
+		wg.Go(func() { x.callOne(ctx, address) })
+	}
+	wg.Wait()
+}
+
+// CallAll calls every box of this zone that is known, and reports when all of
+// them have answered or failed.
+func (x *Exchanger) CallAll(ctx context.Context) {
+	wg := conc.NewWaitGroup()
+	for _, m := range x.Table.Members() {
+		if m.Box != x.Self && m.Zone == x.Zone && m.Peers != "" {
+			wg.Go(func() { x.callOne(ctx, m.Peers) })
+		}
+	}
+	wg.Wait()
+}
+
+func (x *Exchanger) targets() []string {
+	var groups [3][]string
+	known := map[string]bool{}
+	for _, m := range x.Table.Members() {
+		known[m.Peers] = true
+		switch {
+		case m.Box == x.Self || m.Peers == "":
+		case m.State == membership.Dead || m.State == membership.Listed:
+			groups[2] = append(groups[2], m.Peers)
+		case m.Zone == x.Zone:
+			groups[0] = append(groups[0], m.Peers)
+		default:
+			groups[1] = append(groups[1], m.Peers)
+		}
+	}
+	for _, s := range x.Seeds {
+		if !known[s] {
+			groups[2] = append(groups[2], s)
+		}
+	}
+	return x.rotate(groups)
+}
+
+// rotate picks the next address of each group in turn.
+func (x *Exchanger) rotate(groups [3][]string) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var picked []string
+	for i, g := range groups {
+		if len(g) == 0 {
+			continue
+		}
+		x.rotations[i] = (x.rotations[i] + 1) % len(g)
+		picked = append(picked, g[x.rotations[i]])
+	}
+	return picked
+}
+
+func (x *Exchanger) callOne(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	called := x.Table.Now()
+	message := x.beacon(address)
+	var reply Beacon
+	if err := x.Call(ctx, address, PathExchange, message, &reply); err != nil {
+		x.Failed(address, err)
+		return
+	}
+	x.sentUpTo(address, called)
+	x.Table.Merge(reply.Records)
+	x.Reached(reply.From, called)
+	if reply.Digest != x.Store.Digest() || (reply.Synced && !x.Store.Synced()) {
+		x.syncWith(ctx, address, reply)
+	}
+}
+
+func (x *Exchanger) beacon(to string) Beacon {
+	x.mu.Lock()
+	since := x.lastSent[to]
+	x.mu.Unlock()
+	return Beacon{From: x.Self, Records: x.Table.News(since), Digest: x.Store.Digest(), Synced: x.Store.Synced()}
+}
+
+func (x *Exchanger) sentUpTo(to string, when time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lastSent[to] = when
+}
+
+func (x *Exchanger) syncWith(ctx context.Context, address string, theirs Beacon) {
+	message := Sync{
+		From: x.Self, Objects: x.Store.NewerThan(theirs.Stamps),
+		Stamps: x.Store.Stamps(), Synced: x.Store.Synced(),
+	}
+	var reply Sync
+	if err := x.Call(ctx, address, PathSync, message, &reply); err != nil {
+		x.Failed(address, err)
+		return
+	}
+	x.take(reply)
+}
+
+// Push passes objects that have just come into force on to a few boxes.
+func (x *Exchanger) Push(ctx context.Context, objects []*config.Object) {
+	message := Sync{From: x.Self, Objects: objects}
+	wg := conc.NewWaitGroup()
+	for _, address := range x.pushTargets() {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+			defer cancel()
+			var reply Sync
+			if err := x.Call(ctx, address, PathSync, message, &reply); err != nil {
+				x.Failed(address, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (x *Exchanger) pushTargets() []string {
+	var inside, outside []string
+	for _, m := range x.Table.Members() {
+		switch {
+		case m.Box == x.Self || m.Peers == "" || m.State == membership.Dead:
+		case m.Zone == x.Zone:
+			inside = append(inside, m.Peers)
+		default:
+			outside = append(outside, m.Peers)
+		}
+	}
+	return append(sample(inside, PushFanout), sample(outside, PushFanoutOutside)...)
+}
+
+func sample(list []string, n int) []string {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// ================================================================
+// Answering
+// ================================================================
+
+// AnswerBeacon takes in a heartbeat.
+func (x *Exchanger) AnswerBeacon(b Beacon) Beacon {
+	key := "answer\x00" + b.From
+	now := x.Table.Now()
+	x.Table.Merge(b.Records)
+	reply := x.beacon(key)
+	x.sentUpTo(key, now)
+	if b.Digest != reply.Digest {
+		reply.Stamps = x.Store.Stamps()
+	}
+	return reply
+}
+
+// AnswerSync takes in configuration and returns what is newer here.
+func (x *Exchanger) AnswerSync(s Sync) Sync {
+	x.take(s)
+	reply := Sync{From: x.Self, Synced: x.Store.Synced()}
+	if s.Stamps != nil {
+		reply.Objects = x.Store.NewerThan(s.Stamps)
+	}
+	return reply
+}
+
+func (x *Exchanger) take(s Sync) {
+	for _, o := range x.Store.Merge(s.Objects...) {
+		x.Log.Info("took configuration from a peer", map[string]any{"from": s.From, "service": o.Name, "revision": o.Revision})
+	}
+	if s.Synced && s.Stamps == nil && !x.Store.Synced() {
+		x.Store.MarkSynced()
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,137 @@
+// Package settings reads a box's YAML settings. Everything is checked at once
+// when the program starts: each fault is reported with its line and with what
+// would be allowed, and a key that is not known is a fault.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/topology"
+)
+
+// Settings is one box's settings.
+type Settings struct {
+	Box          string           `yaml:"box" required:"true"`
+	Zone         string           `yaml:"zone" required:"true"`
+	Listen       Addresses        `yaml:"listen" required:"true"`
+	Advertise    Addresses        `yaml:"advertise"`
+	Platform     Platform         `yaml:"platform" required:"true"`
+	Seeds        []string         `yaml:"seeds"`
+	Zones        []topology.Zone  `yaml:"zones" required:"true"`
+	ClientBlocks []topology.Block `yaml:"client_blocks"`
+	LogLevel     string           `yaml:"log_level"`
+	LookupTTL    time.Duration    `yaml:"lookup_ttl"`
+	Limits       Limits           `yaml:"limits"`
+}
+
+// Addresses are the four endpoints of a box, each an IP number and port.
+type Addresses struct {
+	Callers   string `yaml:"callers" json:"callers"`
+	Peers     string `yaml:"peers" json:"peers"`
+	Operators string `yaml:"operators" json:"operators"`
+	Admin     string `yaml:"admin" json:"admin"`
+}
+
+// Platform tells where the platform's object API is.
+type Platform struct {
+	Address string        `yaml:"address" required:"true"`
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+// Limits bounds what a box holds in memory.
+type Limits struct {
+	// HeaderBytes bounds a request's headers.
+	HeaderBytes int `yaml:"header_bytes"`
+	// BufferedBodyBytes bounds a body that is held whole, so that it can be
+	// sent again or kept as the answer of an idempotency key.
+	BufferedBodyBytes int `yaml:"buffered_body_bytes"`
+	// OnceRecords bounds the idempotency keys that a box remembers.
+	OnceRecords int `yaml:"once_records"`
+	// OnceAge is how long a key is remembered.
+	OnceAge time.Duration `yaml:"once_age"`
+	// QueueWait bounds how long a request waits for a slot.
+	QueueWait time.Duration `yaml:"queue_wait"`
+}
+
+// Defaults returns the settings that a file need not give.
+func Defaults() Settings {
+	return Settings{
+		LogLevel:  "info",
+		LookupTTL: 5 * time.Second,
+		Platform:  Platform{Timeout: 2 * time.Second},
+		Limits: Limits{
+			HeaderBytes:       16 << 10,
+			BufferedBodyBytes: 64 << 10,
+			OnceRecords:       100_000,
+			OnceAge:           10 * time.Minute,
+			QueueWait:         100 * time.Millisecond,
+		},
+	}
+}
+
+// Fault is one thing wrong in a settings file.
+type Fault struct {
+	// Line in the file, from 1; 0 if the fault has no line.
+	Line    int
+	Key     string
+	Problem string
+	Allowed string
+}
+
+// Error lists all the faults of a settings file.
+type Error struct {
+	File   string
+	Faults []Fault
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s; allowed: %s", e.File, f.Line, f.Key, f.Problem, f.Allowed))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file. The error is an *Error, or that of
+// reading the file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(file string, text []byte) (*Settings, error) {
+	s := Defaults()
+	d := &decoder{lines: map[string]int{}}
+	d.document(text, &s)
+	if len(d.faults) == 0 {
+		d.check(&s)
+	}
+	if len(d.faults) > 0 {
+		return nil, &Error{File: file, Faults: d.faults}
+	}
+	s.Advertise = s.Advertise.orElse(s.Listen)
+	return &s, nil
+}
+
+func (a Addresses) orElse(other Addresses) Addresses {
+	pick := func(x, y string) string {
+		if x != "" {
+			return x
+		}
+		return y
+	}
+	return Addresses{
+		Callers:   pick(a.Callers, other.Callers),
+		Peers:     pick(a.Peers, other.Peers),
+		Operators: pick(a.Operators, other.Operators),
+		Admin:     pick(a.Admin, other.Admin),
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings_check.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/model"
+)
+
+// check looks at values that parsed but may not make sense.
+func (d *decoder) check(s *Settings) {
+	d.checkName("box", s.Box)
+	zones := map[string]bool{}
+	for i, z := range s.Zones {
+		key := fmt.Sprintf("zones[%d]", i)
+		d.checkName(key+".zone", z.Zone)
+		d.checkName(key+".region", z.Region)
+		if zones[z.Zone] {
+			d.fault(key+".zone", fmt.Sprintf("%q stands twice", z.Zone), "each zone once")
+		}
+		zones[z.Zone] = true
+	}
+	if !zones[s.Zone] {
+		d.fault("zone", fmt.Sprintf("%q", s.Zone), "one of the zones listed under zones")
+	}
+	d.checkAddresses("listen", s.Listen, true)
+	d.checkAddresses("advertise", s.Advertise, false)
+	d.checkAddress("platform.address", s.Platform.Address)
+	for i, a := range s.Seeds {
+		d.checkAddress(fmt.Sprintf("seeds[%d]", i), a)
+	}
+	for i, b := range s.ClientBlocks {
+		key := fmt.Sprintf("client_blocks[%d]", i)
+		if _, err := netip.ParsePrefix(b.Prefix); err != nil {
+			d.fault(key+".prefix", fmt.Sprintf("%q", b.Prefix), "an IP prefix such as 10.1.0.0/16")
+		}
+		if !zones[b.Zone] {
+			d.fault(key+".zone", fmt.Sprintf("%q", b.Zone), "one of the zones listed under zones")
+		}
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		d.fault("log_level", fmt.Sprintf("%q", s.LogLevel), "debug, info, warn or error")
+	}
+	d.checkDuration("lookup_ttl", s.LookupTTL, time.Second, time.Hour)
+	d.checkDuration("platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
+	d.checkDuration("limits.once_age", s.Limits.OnceAge, time.Second, 24*time.Hour)
+	d.checkDuration("limits.queue_wait", s.Limits.QueueWait, 0, time.Minute)
+	d.checkInt("limits.header_bytes", s.Limits.HeaderBytes, 1<<10, 1<<20)
+	d.checkInt("limits.buffered_body_bytes", s.Limits.BufferedBodyBytes, 0, 16<<20)
+	d.checkInt("limits.once_records", s.Limits.OnceRecords, 1, 10_000_000)
+}
+
+func (d *decoder) checkName(key, name string) {
+	if !model.ValidName(name) {
+		d.fault(key, fmt.Sprintf("%q", name), "lower-case letters, digits and '-'")
+	}
+}
+
+func (d *decoder) checkAddresses(key string, a Addresses, needed bool) {
+	for _, e := range []struct{ name, address string }{
+		{"callers", a.Callers}, {"peers", a.Peers}, {"operators", a.Operators}, {"admin", a.Admin},
+	} {
+		if e.address == "" && !needed {
+			continue
+		}
+		d.checkAddress(key+"."+e.name, e.address)
+	}
+}
+
+func (d *decoder) checkAddress(key, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		d.fault(key, fmt.Sprintf("%q", address), "IP number and port such as 10.0.0.7:7001")
+	}
+}
+
+func (d *decoder) checkDuration(key string, v, least, most time.Duration) {
+	if v < least || v > most {
+		d.fault(key, v.String(), fmt.Sprintf("%s to %s", least, most))
+	}
+}
+
+func (d *decoder) checkInt(key string, v, least, most int) {
+	if v < least || v > most {
+		d.fault(key, fmt.Sprint(v), fmt.Sprintf("%d to %d", least, most))
+	}
+}
--- /dev/null
+++ b/pkg/timer/timer.go
@@ -0,0 +1,126 @@
+// Package timer is the one source of time. Parts subscribe to it instead of
+// starting timers of their own, so a test can drive all of them with a fake
+// clock, and so a pause of the whole process is noticed in one place.
+//
+// Example: a process is stopped for a minute and then goes on. The loop sees
+// that far more time passed than it slept, and tells the subscribers of
+// OnPause before anything else runs on a clock that jumped.
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Tick is the resolution of the service.
+const Tick = 50 * time.Millisecond
+
+// PauseThreshold is the gap between two ticks that counts as a pause.
+const PauseThreshold = time.Second
+
+// Service calls its subscribers at their intervals.
+type Service struct {
+	// Now reads the clock; tests replace it.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	subs    []*subscription
+	onPause []func(time.Duration)
+	last    time.Time
+}
+
+type subscription struct {
+	every   time.Duration
+	next    time.Time
+	running bool
+	call    func()
+}
+
+// New makes a service on the system's monotonic clock.
+func New() *Service {
+	return &Service{Now: time.Now}
+}
+
+// Every calls f once each interval, never twice at the same time.
+func (s *Service) Every(interval time.Duration, f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subs = append(s.subs, &subscription{every: interval, next: s.Now().Add(interval), call: f})
+}
+
+// OnPause calls f with the gap after the whole process stood still.
+func (s *Service) OnPause(f func(time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onPause = append(s.onPause, f)
+}
+
+// Run drives the subscribers until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	t := time.NewTicker(Tick)
+	defer t.Stop()
+	wg := conc.NewWaitGroup()
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.Step(wg.Go)
+		}
+	}
+}
+
+// Step runs what is due now, each call through spawn.
+func (s *Service) Step(spawn func(func())) {
+	now := s.Now()
+	for _, f := range s.pauseCalls(now) {
+		f()
+	}
+	for _, sub := range s.due(now) {
+		spawn(func() {
+			defer s.finished(sub)
+			sub.call()
+		})
+	}
+}
+
+func (s *Service) pauseCalls(now time.Time) []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gap := now.Sub(s.last)
+	first := s.last.IsZero()
+	s.last = now
+	if first || gap < PauseThreshold {
+		return nil
+	}
+	calls := make([]func(), 0, len(s.onPause))
+	for _, f := range s.onPause {
+		calls = append(calls, func() { f(gap) })
+	}
+	return calls
+}
+
+func (s *Service) due(now time.Time) []*subscription {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []*subscription
+	for _, sub := range s.subs {
+		if sub.running || now.Before(sub.next) {
+			continue
+		}
+		sub.running = true
+		sub.next = now.Add(sub.every)
+		due = append(due, sub)
+	}
+	return due
+}
+
+func (s *Service) finished(sub *subscription) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub.running = false
+}
--- /dev/null
+++ b/pkg/topology/block_table.go
@@ -0,0 +1,171 @@
+package topology
+
+import (
+	"net/netip"
+	"sort"
+)
+
+// Block is a block of client addresses and its nearest availability zone.
+type Block struct {
+	Prefix string `json:"prefix" yaml:"prefix"`
+	Zone   string `json:"zone" yaml:"zone"`
+}
+
+// noSite marks a range of addresses that no block covers.
+const noSite = ^uint16(0)
+
+// BlockTable maps addresses to sites by longest prefix. The prefixes are
+// flattened once into ranges that do not overlap, so a look-up is one index
+// into a table of the upper 16 bits and a short binary search.
+//
+// Cost: 6 bytes a range for IPv4 and 18 for IPv6, plus 256 KiB for the index.
+type BlockTable struct {
+	starts4 []uint32
+	sites4  []uint16
+	// index4[h] is the number of ranges that start below h<<16.
+	index4  []uint32
+	starts6 [][16]byte
+	sites6  []uint16
+}
+
+type span struct {
+	first, last netip.Addr
+	bits        int
+	site        uint16
+}
+
+// NewBlockTable flattens the blocks. Blocks that cannot be parsed, or whose
+// zone siteOf does not know, are left out: settings are checked before.
+func NewBlockTable(blocks []Block, siteOf func(string) (uint16, bool)) *BlockTable {
+	var v4, v6 []span
+	for _, b := range blocks {
+		p, err := netip.ParsePrefix(b.Prefix)
+		site, ok := siteOf(b.Zone)
+		if err != nil || !ok {
+			continue
+		}
+		p = p.Masked()
+		s := span{first: p.Addr(), last: lastAddr(p), bits: p.Bits(), site: site}
+		if p.Addr().Is4() {
+			v4 = append(v4, s)
+		} else {
+			v6 = append(v6, s)
+		}
+	}
+	t := &BlockTable{}
+	flatten(v4, func(start netip.Addr, site uint16) {
+		b := start.As4()
+		t.starts4 = append(t.starts4, uint32(b[0])<<24|uint32(b[1])<<16|uint32(b[2])<<8|uint32(b[3]))
+		t.sites4 = append(t.sites4, site)
+	})
+	flatten(v6, func(start netip.Addr, site uint16) {
+		t.starts6 = append(t.starts6, start.As16())
+		t.sites6 = append(t.sites6, site)
+	})
+	t.buildIndex()
+	return t
+}
+
+func (t *BlockTable) buildIndex() {
+	t.index4 = make([]uint32, 1<<16+1)
+	i := 0
+	for h := range t.index4 {
+		for i < len(t.starts4) && uint64(t.starts4[i]) < uint64(h)<<16 {
+			i++
+		}
+		t.index4[h] = uint32(i)
+	}
+}
+
+// Find returns the site of the address.
+func (t *BlockTable) Find(a netip.Addr) (site int, ok bool) {
+	a = a.Unmap()
+	if a.Is4() {
+		return t.find4(a)
+	}
+	k := a.As16()
+	i := sort.Search(len(t.starts6), func(i int) bool { return less16(k, t.starts6[i]) }) - 1
+	if i < 0 || t.sites6[i] == noSite {
+		return 0, false
+	}
+	return int(t.sites6[i]), true
+}
+
+func (t *BlockTable) find4(a netip.Addr) (site int, ok bool) {
+	b := a.As4()
+	k := uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+	lo, hi := t.index4[k>>16], t.index4[k>>16+1]
+	for lo < hi {
+		mid := (lo + hi) / 2
+		if t.starts4[mid] <= k {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	if lo == 0 || t.sites4[lo-1] == noSite {
+		return 0, false
+	}
+	return int(t.sites4[lo-1]), true
+}
+
+// flatten turns nested prefixes into consecutive ranges, calling emit with
+// each range's first address and site.
+func flatten(spans []span, emit func(netip.Addr, uint16)) {
+	sort.Slice(spans, func(i, j int) bool {
+		if c := spans[i].first.Compare(spans[j].first); c != 0 {
+			return c < 0
+		}
+		return spans[i].bits < spans[j].bits
+	})
+	var open []span
+	last := noSite
+	put := func(start netip.Addr, site uint16) {
+		if site != last {
+			emit(start, site)
+			last = site
+		}
+	}
+	closeBefore := func(limit netip.Addr, all bool) {
+		for len(open) > 0 {
+			top := open[len(open)-1]
+			if !all && top.last.Compare(limit) >= 0 {
+				return
+			}
+			open = open[:len(open)-1]
+			next := top.last.Next()
+			if !next.IsValid() {
+				return
+			}
+			site := noSite
+			if len(open) > 0 {
+				site = open[len(open)-1].site
+			}
+			put(next, site)
+		}
+	}
+	for _, s := range spans {
+		closeBefore(s.first, false)
+		put(s.first, s.site)
+		open = append(open, s)
+	}
+	closeBefore(netip.Addr{}, true)
+}
+
+func lastAddr(p netip.Prefix) netip.Addr {
+	b := p.Addr().AsSlice()
+	for i := p.Bits(); i < len(b)*8; i++ {
+		b[i/8] |= 1 << (7 - i%8)
+	}
+	a, _ := netip.AddrFromSlice(b)
+	return a
+}
+
+func less16(a, b [16]byte) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/harness/deployment.go
@@ -0,0 +1,387 @@
+package harness
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/stoneworks/stoneworks/pkg/platform"
+	"github.com/stoneworks/stoneworks/test/standin"
+)
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Shape Shape
+	Dir   string
+	// BinDir has the built programs; BoxProgram is the daemon's name there.
+	BinDir     string
+	BoxProgram string
+	// LookupTTL of the boxes, as in the settings.
+	LookupTTL string
+	// Advertise may replace the peers' address that box i tells others, to
+	// put a proxy in between.
+	Advertise func(i int, peers string) string
+	// PlatformAddress is where the boxes reach the platform; set it to a
+	// proxy's address to put one in between.
+	PlatformAddress func(direct string) string
+
+	net      string
+	platform *process
+	backends *process
+	boxes    []*process
+}
+
+type process struct {
+	cmd    *exec.Cmd
+	log    *os.File
+	exited chan struct{}
+}
+
+// New prepares a deployment in a directory; nothing runs yet.
+func New(shape Shape, dir, binDir string) (*Deployment, error) {
+	network, err := freeNet()
+	if err != nil {
+		return nil, err
+	}
+	return &Deployment{
+		Shape: shape, Dir: dir, BinDir: binDir, BoxProgram: "stoneworksd", LookupTTL: "2s",
+		Advertise:       func(_ int, peers string) string { return peers },
+		PlatformAddress: func(direct string) string { return direct },
+		net:             network,
+		boxes:           make([]*process, shape.Boxes),
+	}, nil
+}
+
+// freeNet finds a part of the loopback range that nobody uses: each process
+// gets an address of its own there, with fixed ports.
+func freeNet() (string, error) {
+	var last error
+	for i := range 200 {
+		n := (os.Getpid() + i*7919) % (100 * 250)
+		network := fmt.Sprintf("127.%d.%d", 100+n/250, n%250+1)
+		l, err := net.Listen("tcp", network+".254:9")
+		if err == nil {
+			_ = l.Close()
+			return network, nil
+		}
+		last = err
+	}
+	return "", last
+}
+
+// Addr returns an address of the deployment's network, for proxies.
+func (d *Deployment) Addr(host, port int) string { return fmt.Sprintf("%s.%d:%d", d.net, host, port) }
+
+func (d *Deployment) boxIP(i int) string { return fmt.Sprintf("%s.%d", d.net, 10+i) }
+
+// Callers returns box i's address for callers; Peers, Operators and Admin its
+// other ports.
+func (d *Deployment) Callers(i int) string { return d.boxIP(i) + ":7001" }
+
+// Peers returns the address for other boxes.
+func (d *Deployment) Peers(i int) string { return d.boxIP(i) + ":7002" }
+
+// Operators returns the address for operators.
+func (d *Deployment) Operators(i int) string { return d.boxIP(i) + ":7003" }
+
+// Admin returns the address for metrics and health.
+func (d *Deployment) Admin(i int) string { return d.boxIP(i) + ":7004" }
+
+// PlatformDirect returns the platform's own address.
+func (d *Deployment) PlatformDirect() string { return d.Addr(1, 6000) }
+
+func (d *Deployment) backendsAdmin() string { return d.Addr(2, 6001) }
+
+// AllCallers lists the callers' addresses of all boxes.
+func (d *Deployment) AllCallers() []string {
+	var list []string
+	for i := range d.Shape.Boxes {
+		list = append(list, d.Callers(i))
+	}
+	return list
+}
+
+// ================================================================
+// Starting
+// ================================================================
+
+// Start starts the stand-ins and every box, and waits until all are ready.
+func (d *Deployment) Start() error {
+	if err := d.startStandins(); err != nil {
+		return err
+	}
+	for i := range d.Shape.Boxes {
+		if err := d.StartBox(i); err != nil {
+			return err
+		}
+	}
+	for i := range d.Shape.Boxes {
+		if err := d.WaitReady(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startStandins() error {
+	var err error
+	d.platform, err = d.standin("platform", standin.ProcessConfig{Platform: d.PlatformDirect(), Boxes: d.BoxList()})
+	if err != nil {
+		return err
+	}
+	c := standin.ProcessConfig{Admin: d.backendsAdmin()}
+	for i, s := range d.Shape.Services {
+		for n := range s.Servers {
+			c.Backends = append(c.Backends, standin.BackendConfig{
+				Name: serverName(s.Name, n), Listen: d.serverAddress(i, n),
+				ServiceMS: s.ServiceMS, Connections: connectionsPerServer,
+			})
+		}
+	}
+	d.backends, err = d.standin("backends", c)
+	return err
+}
+
+// BoxList is the platform's list of all boxes.
+func (d *Deployment) BoxList() []platform.Box {
+	var boxes []platform.Box
+	for i := range d.Shape.Boxes {
+		boxes = append(boxes, platform.Box{
+			Box: d.Shape.BoxName(i), Zone: d.Shape.ZoneOfBox(i),
+			Callers: d.Callers(i), Peers: d.Advertise(i, d.Peers(i)), Operators: d.Operators(i),
+		})
+	}
+	return boxes
+}
+
+func (d *Deployment) standin(name string, c standin.ProcessConfig) (*process, error) {
+	path := filepath.Join(d.Dir, name+".json")
+	text, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	return d.start(name, "stoneworks-standin", true, path)
+}
+
+// StartBox starts box i, with a new log.
+func (d *Deployment) StartBox(i int) error {
+	name := d.Shape.BoxName(i)
+	path := filepath.Join(d.Dir, name+".yaml")
+	text, err := yaml.Marshal(d.boxSettings(i))
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	d.boxes[i], err = d.start(name, d.BoxProgram, false, "--config", path)
+	return err
+}
+
+func (d *Deployment) boxSettings(i int) map[string]any {
+	zones, blocks := []map[string]string{}, []map[string]string{}
+	for n, z := range d.Shape.Zones() {
+		region := strings.TrimSuffix(strings.TrimSuffix(z, "-a"), "-b")
+		zones = append(zones, map[string]string{"zone": z, "region": region})
+		blocks = append(blocks, map[string]string{"prefix": fmt.Sprintf("10.%d.0.0/16", n+1), "zone": z})
+	}
+	var seeds []string
+	for n := range d.Shape.Boxes {
+		if n != i {
+			seeds = append(seeds, d.Advertise(n, d.Peers(n)))
+		}
+	}
+	return map[string]any{
+		"box": d.Shape.BoxName(i), "zone": d.Shape.ZoneOfBox(i),
+		"listen": map[string]string{
+			"callers": d.Callers(i), "peers": d.Peers(i), "operators": d.Operators(i), "admin": d.Admin(i),
+		},
+		"advertise": map[string]string{"peers": d.Advertise(i, d.Peers(i))},
+		"platform":  map[string]string{"address": d.PlatformAddress(d.PlatformDirect())},
+		"seeds":     seeds, "zones": zones, "client_blocks": blocks, "lookup_ttl": d.LookupTTL,
+	}
+}
+
+// start runs a program with its output in a log; if wait is set it returns
+// when the program has written its first line.
+func (d *Deployment) start(name, program string, wait bool, args ...string) (*process, error) {
+	path := filepath.Join(d.Dir, name+".log")
+	log, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(filepath.Join(d.BinDir, program), args...)
+	cmd.Stderr = log
+	var first io.ReadCloser
+	if wait {
+		first, err = cmd.StdoutPipe()
+	} else {
+		cmd.Stdout = log
+	}
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		return nil, err
+	}
+	p := &process{cmd: cmd, log: log, exited: make(chan struct{})}
+	if wait {
+		if _, err := bufio.NewReader(first).ReadString('\n'); err != nil {
+			_ = cmd.Wait()
+			return nil, fmt.Errorf("%s ended at once, see %s", name, path)
+		}
+	}
+	go func() {
+		_ = cmd.Wait()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// WaitReady waits until box i is ready.
+func (d *Deployment) WaitReady(i int) error {
+	return WaitFor(20*time.Second, func() bool {
+		resp, err := http.Get("http://" + d.Admin(i) + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// ErrWaited is returned when something awaited did not come about.
+var ErrWaited = errors.New("waited in vain")
+
+// WaitFor polls until the condition holds.
+func WaitFor(limit time.Duration, condition func() bool) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return nil
+		}
+	}
+	return ErrWaited
+}
+
+// ================================================================
+// Failing
+// ================================================================
+
+// Signal sends a signal to box i.
+func (d *Deployment) Signal(i int, s syscall.Signal) error { return d.boxes[i].cmd.Process.Signal(s) }
+
+// Kill kills box i and waits for its end.
+func (d *Deployment) Kill(i int) {
+	_ = d.boxes[i].cmd.Process.Kill()
+	<-d.boxes[i].exited
+}
+
+// Freeze stops box i without its knowing; Thaw lets it go on.
+func (d *Deployment) Freeze(i int) { _ = d.Signal(i, syscall.SIGSTOP) }
+
+// Thaw lets a frozen box go on.
+func (d *Deployment) Thaw(i int) { _ = d.Signal(i, syscall.SIGCONT) }
+
+// Terminate asks box i to leave and returns its exit code when it has.
+func (d *Deployment) Terminate(i int) int {
+	_ = d.Signal(i, syscall.SIGTERM)
+	<-d.boxes[i].exited
+	return d.boxes[i].cmd.ProcessState.ExitCode()
+}
+
+// SetPlatformFault changes what the platform does wrong.
+func (d *Deployment) SetPlatformFault(f standin.PlatformFault) error {
+	return post("http://"+d.PlatformDirect()+"/admin/fault", f)
+}
+
+// SetBoxList replaces the platform's list of boxes.
+func (d *Deployment) SetBoxList(list []platform.Box) error {
+	return post("http://"+d.PlatformDirect()+"/admin/boxes", list)
+}
+
+// RestorePlatform puts the platform's store back by some writes.
+func (d *Deployment) RestorePlatform(writes int) error {
+	return post(fmt.Sprintf("http://%s/admin/restore?back=%d", d.PlatformDirect(), writes), nil)
+}
+
+// PlatformCalls returns the platform's count of calls by verb.
+func (d *Deployment) PlatformCalls() map[string]int {
+	var calls map[string]int
+	_ = get("http://"+d.PlatformDirect()+"/admin/calls", &calls)
+	return calls
+}
+
+// Control changes a backend server.
+func (d *Deployment) Control(server string, c standin.BackendControl) error {
+	return post("http://"+d.backendsAdmin()+"/control?name="+server, c)
+}
+
+// Records returns what the backend servers ran, by name.
+func (d *Deployment) Records() (map[string]standin.Record, error) {
+	var list []standin.Record
+	if err := get("http://"+d.backendsAdmin()+"/records", &list); err != nil {
+		return nil, err
+	}
+	records := map[string]standin.Record{}
+	for _, r := range list {
+		records[r.Name] = r
+	}
+	return records, nil
+}
+
+// RunsOf sums the runs of a key over all backend servers.
+func RunsOf(records map[string]standin.Record, key string) int {
+	n := 0
+	for _, r := range records {
+		n += r.Runs[key]
+	}
+	return n
+}
+
+// Stop ends every process that Start or StartBox started.
+func (d *Deployment) Stop() {
+	for _, p := range append([]*process{d.platform, d.backends}, d.boxes...) {
+		if p == nil {
+			continue
+		}
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+		_ = p.log.Close()
+	}
+}
+
+func post(url string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post(url, "application/json", strings.NewReader(string(text)))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func get(url string, into any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
