Promise 1: at most once, proved under failure

Mechanism: an idempotency key starts with the ticket of the box that owns it, so every repeat reaches one memory; a dead or restarted owner means unknown. Weighed in the design: owner by hash over live boxes (unsafe while views differ), a write to the platform for each key (some hundred a second, and down in outages; kept only for keys without a ticket).

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -31,6 +31,8 @@
 	connectTimeout  = time.Second
 	firstPause      = 50 * time.Millisecond
 	longestPause    = 2 * time.Second
+	// maxIdle is how long a connection may have been idle to be used again.
+	maxIdle = 2 * time.Second
 )
 
 // Client sends requests of one client of the system.
--- a/pkg/caller/caller_do.go
+++ b/pkg/caller/caller_do.go
@@ -91,47 +91,67 @@
 		// one whose owner is gone.
 		x.key = e.KeyPrefix + "/" + x.id
 	}
-	result := &Result{Attempts: x.tries, Entry: e.Address, Key: x.key}
-	got, err := x.client.pool(e.Address).Do(ctx, &exchange.Request{
-		Header: x.header(ctx, e), Body: x.request.Body, MaxIdle: 2 * time.Second,
+	result := x.client.Submit(ctx, e.Address, Submission{Request: x.request, ID: x.id, Key: x.key, First: x.clean})
+	result.Attempts = x.tries
+	if result.Status == 0 {
+		x.client.Forget(x.request.Service)
+	}
+	return result
+}
+
+// Submission is one sending of a request.
+type Submission struct {
+	Request Request
+	ID      string
+	// Key is the idempotency key; empty for none.
+	Key string
+	// First vouches that no request with this key can have run before.
+	First bool
+}
+
+// Submit sends a request once to one box, and never again.
+func (c *Client) Submit(ctx context.Context, address string, s Submission) *Result {
+	result := &Result{Attempts: 1, Entry: address, Key: s.Key}
+	got, err := c.pool(address).Do(ctx, &exchange.Request{
+		Header: c.header(ctx, address, s), Body: s.Request.Body, MaxIdle: maxIdle,
 	})
 	if err != nil {
-		x.client.Forget(x.request.Service)
 		return result.fail(err)
 	}
 	defer func() { _ = got.Body.Close() }()
 	got.Header.CopyTo(&result.Header)
-	result.Status = got.Header.StatusCode()
 	body, err := io.ReadAll(got.Body)
 	if err != nil {
 		return result.fail(err)
 	}
+	result.Status = got.Header.StatusCode()
 	result.Body = body
 	result.readOutcome()
 	return result
 }
 
-func (x *call) header(ctx context.Context, e entry.LookupEntry) *fasthttp.RequestHeader {
+func (c *Client) header(ctx context.Context, address string, s Submission) *fasthttp.RequestHeader {
 	h := &fasthttp.RequestHeader{}
-	h.SetMethod(x.request.Method)
-	h.SetRequestURI(entry.PathRequests + x.request.Service + x.request.Path)
-	h.SetHost(e.Address)
+	h.SetMethod(s.Request.Method)
+	h.SetRequestURI(entry.PathRequests + s.Request.Service + s.Request.Path)
+	h.SetHost(address)
 	h.SetNoDefaultContentType(true)
-	for _, f := range x.request.Header {
+	for _, f := range s.Request.Header {
 		h.Set(f[0], f[1])
 	}
-	h.Set(entry.HeaderRequestID, x.id)
-	if x.client.Address != "" {
-		h.Set(entry.HeaderClient, x.client.Address)
+	h.Set(entry.HeaderRequestID, s.ID)
+	if c.Address != "" {
+		h.Set(entry.HeaderClient, c.Address)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		h.Set(entry.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
-	if x.key != "" {
-		h.Set(entry.HeaderKey, x.key)
-		if x.clean {
-			h.Set(entry.HeaderAttempt, "first")
-		}
+	if s.Key == "" {
+		return h
+	}
+	h.Set(entry.HeaderKey, s.Key)
+	if s.First {
+		h.Set(entry.HeaderAttempt, entry.AttemptFirst)
 	}
 	return h
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -43,7 +43,6 @@
 	// BufferedBody bounds the bodies that are held whole, in bytes.
 	BufferedBody int
 	Log          *logging.Part
-	Once         *once.Table
 	Budget       *Budget
 
 	Now      func() time.Time
@@ -55,6 +54,8 @@
 	ServerPool func(address string, connections int) *exchange.Pool
 	PeerPool   func(address string) *exchange.Pool
 	Member     func(box string) (membership.Member, bool)
+	// Begin takes an idempotency key, or joins whoever took it.
+	Begin func(k once.Key, issued time.Duration) (run *once.Run, first bool, failure *outcome.Failure)
 	// MaySend reports whether this box's grant of slots still runs; it is
 	// asked at the moment of sending.
 	MaySend func() bool
--- a/pkg/entry/entry_handoff.go
+++ b/pkg/entry/entry_handoff.go
@@ -15,7 +15,7 @@
 	h.Set(HeaderHop, string(hop))
 	h.Set(HeaderClient, r.Client.String())
 	if r.FirstAttempt {
-		h.Set(HeaderAttempt, attemptFirst)
+		h.Set(HeaderAttempt, AttemptFirst)
 	}
 	got, err := e.PeerPool(address).Do(r.ctx, r.exchangeRequest(h, idlePeer))
 	if err != nil {
--- a/pkg/entry/entry_once.go
+++ b/pkg/entry/entry_once.go
@@ -65,7 +65,7 @@
 // runOwned runs the request here, or joins the run that its key already has.
 func (e *Entry) runOwned(r *Request, t once.Ticket) (*Answer, *outcome.Failure) {
 	key := once.Key{Service: r.Service, Key: r.Key, Fingerprint: r.fingerprint()}
-	run, first, failure := e.Once.Begin(key, t.Issued)
+	run, first, failure := e.Begin(key, t.Issued)
 	if failure != nil {
 		return nil, failure
 	}
--- a/pkg/entry/entry_parse.go
+++ b/pkg/entry/entry_parse.go
@@ -49,7 +49,7 @@
 		return r, failure
 	}
 	r.Key = string(h.Peek(HeaderKey))
-	r.FirstAttempt = string(h.Peek(HeaderAttempt)) == attemptFirst
+	r.FirstAttempt = string(h.Peek(HeaderAttempt)) == AttemptFirst
 	if !e.Ready() {
 		return r, outcome.NewNotRun(outcome.ReasonNotReady, "").WithRetryAfter(time.Second)
 	}
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -18,10 +18,13 @@
 	HeaderLeaving     = "Stoneworks-Leaving"
 	headerPrefix      = "Stoneworks-"
 	headerRetryAfter  = "Retry-After"
-	attemptFirst      = "first"
 	maxRequestIDBytes = 128
 )
 
+// AttemptFirst is the value of HeaderAttempt by which a caller vouches that no
+// request with this key can have run before.
+const AttemptFirst = "first"
+
 // Hop says in which role a box handed a request to this one.
 type Hop string
 
--- /dev/null
+++ b/test/control/control.go
@@ -0,0 +1,32 @@
+// Package control switches single mechanisms of a box off, through its
+// function-field seams, so that the proofs of the promises can be seen to
+// fail without them.
+package control
+
+import (
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/box"
+	"github.com/stoneworks/stoneworks/pkg/once"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// Controls lists the mechanisms by name.
+var Controls = map[string]func(*box.Box){
+	"": func(*box.Box) {},
+	// no-once forgets every key at once.
+	"no-once": func(b *box.Box) {
+		b.Entry.Begin = func(k once.Key, issued time.Duration) (*once.Run, bool, *outcome.Failure) {
+			return once.NewTable(1, time.Hour, func() time.Duration { return 0 }).Begin(k, issued)
+		}
+	},
+	// careless-not-run says "not run" of every exchange that failed.
+	"careless-not-run": func(b *box.Box) {
+		classify := b.Entry.Classify
+		b.Entry.Classify = func(err error) *outcome.Failure {
+			f := classify(err)
+			f.Outcome = outcome.NotRun
+			return f
+		}
+	},
+}
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -28,6 +28,8 @@
 	// BinDir has the built programs; BoxProgram is the daemon's name there.
 	BinDir     string
 	BoxProgram string
+	// Env is added to the environment of the boxes.
+	Env []string
 	// LookupTTL of the boxes, as in the settings.
 	LookupTTL string
 	// Advertise may replace the peers' address that box i tells others, to
@@ -227,6 +229,7 @@
 	}
 	cmd := exec.Command(filepath.Join(d.BinDir, program), args...)
 	cmd.Stderr = log
+	cmd.Env = append(os.Environ(), d.Env...)
 	var first io.ReadCloser
 	if wait {
 		first, err = cmd.StdoutPipe()
--- /dev/null
+++ b/test/prove/promise_1_test.go
@@ -0,0 +1,256 @@
+package prove
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/caller"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/test/harness"
+	"github.com/stoneworks/stoneworks/test/standin"
+)
+
+// TestPromise1 proves that a request that may not be repeated runs at most
+// once, whatever its caller repeats and whatever fails meanwhile.
+func TestPromise1(t *testing.T) {
+	prove(t, 1, "no-once", func(p *proof) {
+		l := p.start("small")
+		p.sameBoxAtOnce()
+		p.twoBoxesAtOnce()
+		p.answerLost()
+		p.backendFaults()
+		p.viewsDiffer(l)
+		p.platformDown(l)
+		p.claimsRace(l)
+		p.ownerFrozen()
+		p.ownerKilled()
+		p.ownerRestarted()
+	})
+}
+
+// betweenRepeats keeps callers that repeat from spinning.
+const betweenRepeats = 50 * time.Millisecond
+
+// atMostOnce checks the witness at the end of a case.
+func (p *proof) atMostOnce(what, key string) {
+	if n := p.runs(key); n > 1 {
+		p.violated("%s: the key ran %d times", what, n)
+	}
+}
+
+// both submits one key twice at once, through two boxes.
+func (p *proof) both(first, second int, r caller.Request, key, id string) (a, b *caller.Result) {
+	wg := conc.NewWaitGroup()
+	wg.Go(func() { a = p.submit(first, r, key, id, 5*time.Second) })
+	wg.Go(func() { b = p.submit(second, r, key, id, 5*time.Second) })
+	wg.Wait()
+	return a, b
+}
+
+func (p *proof) sameBoxAtOnce() {
+	for range 10 {
+		key, id := p.keyOf(0)
+		a, b := p.both(0, 0, buy(50, ""), key, id)
+		p.fault()
+		p.atMostOnce("twice at once on one box", key)
+		if a.Outcome != outcome.Answered || b.Outcome != outcome.Answered {
+			p.violated("twice at once on one box: %s %s, %s %s", a.Outcome, a.Reason, b.Outcome, b.Reason)
+		}
+	}
+}
+
+func (p *proof) twoBoxesAtOnce() {
+	for i := range 10 {
+		key, id := p.keyOf(0)
+		p.both(1+i%4, 2+i%3, buy(50, ""), key, id)
+		p.fault()
+		p.atMostOnce("through two boxes at once", key)
+	}
+}
+
+// answerLost hangs up while the request runs, then repeats it elsewhere.
+func (p *proof) answerLost() {
+	for i := range 6 {
+		key, id := p.keyOf(0)
+		p.submit(0, buy(200, ""), key, id, 50*time.Millisecond)
+		p.fault()
+		p.submit(i%6, buy(200, ""), key, id, 5*time.Second)
+		p.atMostOnce("answer lost", key)
+	}
+}
+
+// backendFaults has backend servers fail after the request reached them.
+func (p *proof) backendFaults() {
+	for _, fault := range []string{"reset-before", "reset-after", "truncate", "close", "hang"} {
+		for i := range 4 {
+			key, id := p.keyOf(0)
+			p.submit(0, buy(5, fault), key, id, 300*time.Millisecond)
+			p.fault()
+			p.submit(i, buy(5, fault), key, id, 300*time.Millisecond)
+			p.atMostOnce("backend server: "+fault, key)
+		}
+	}
+}
+
+// viewsDiffer cuts the owner off from the other boxes and repeats through
+// both sides, while the boxes' views of each other drift apart.
+func (p *proof) viewsDiffer(l *links) {
+	keys := map[string]string{}
+	for range 3 {
+		key, id := p.keyOf(0)
+		keys[key] = id
+		p.submit(0, buy(5, ""), key, id, 2*time.Second)
+	}
+	fresh, freshID := p.keyOf(0)
+	l.cutBox(p.d, 0)
+	p.fault()
+	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(betweenRepeats) {
+		for key, id := range keys {
+			p.submit(3, buy(5, ""), key, id, 300*time.Millisecond)
+		}
+		// The cut-off side goes on serving what it owns.
+		if r := p.submit(0, buy(5, ""), fresh, freshID, 2*time.Second); r.Outcome != outcome.Answered {
+			p.violated("views differ: the owner's own zone got %s %s", r.Outcome, r.Reason)
+		}
+		p.submit(5, buy(5, ""), fresh, freshID, 300*time.Millisecond)
+	}
+	l.heal()
+	for key, id := range keys {
+		p.submit(3, buy(5, ""), key, id, 2*time.Second)
+		p.atMostOnce("views differ", key)
+	}
+	p.submit(2, buy(5, ""), fresh, freshID, 2*time.Second)
+	p.atMostOnce("views differ", fresh)
+	p.awaitRevisionEverywhere(1)
+}
+
+// platformDown repeats keys with tickets, which need no platform, and keys
+// without, which must not run.
+func (p *proof) platformDown(l *links) {
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{Down: true}))
+	p.fault()
+	for i := range 4 {
+		key, id := p.keyOf(0)
+		p.submit(0, buy(5, ""), key, id, 2*time.Second)
+		if r := p.submit(i, buy(5, ""), key, id, 2*time.Second); r.Outcome != outcome.Answered {
+			p.violated("platform down: a key with a ticket got %s %s", r.Outcome, r.Reason)
+		}
+		p.atMostOnce("platform down", key)
+		bare := "bare-" + id
+		r := p.submit(i, buy(5, ""), bare, id, 3*time.Second)
+		if r.Outcome == outcome.Answered || r.Outcome == outcome.NotRun {
+			p.violated("platform down: a key without a ticket got %s %s", r.Outcome, r.Reason)
+		}
+		if p.runs(bare) > 0 {
+			p.violated("platform down: a key without a ticket ran")
+		}
+	}
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{}))
+}
+
+// claimsRace sends keys without a ticket through several boxes at once, also
+// while the platform loses answers.
+func (p *proof) claimsRace(*links) {
+	for round := range 3 {
+		lose := round == 1
+		p.must(p.d.SetPlatformFault(standin.PlatformFault{LoseAnswers: lose}))
+		for range 4 {
+			id := harness.NewID()
+			key := "bare-" + id
+			wg := conc.NewWaitGroup()
+			for i := range 4 {
+				wg.Go(func() { p.submit(i, buy(20, ""), key, id, 5*time.Second) })
+			}
+			wg.Wait()
+			p.fault()
+			p.submit(5, buy(20, ""), key, id, 5*time.Second)
+			p.atMostOnce("claims race", key)
+			if !lose && p.runs(key) != 1 {
+				p.violated("claims race: the key ran %d times", p.runs(key))
+			}
+		}
+	}
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{}))
+}
+
+// ownerFrozen stops the owner with a request in flight, repeats elsewhere for
+// longer than the owner counts as alive, and lets it go on.
+func (p *proof) ownerFrozen() {
+	var keys, ids []string
+	wg := conc.NewWaitGroup()
+	for range 4 {
+		key, id := p.keyOf(1)
+		keys, ids = append(keys, key), append(ids, id)
+		wg.Go(func() { p.submit(1, buy(300, ""), key, id, 2*time.Second) })
+	}
+	p.awaitRun(keys[0])
+	p.d.Freeze(1)
+	p.fault()
+	late, lateID := p.keyOf(1 + 4) // box 5 shares the zone
+	_ = late
+	for until := time.Now().Add(7 * time.Second); time.Now().Before(until); time.Sleep(betweenRepeats) {
+		for n, key := range keys {
+			p.submit(n%4+2, buy(300, ""), key, ids[n], 300*time.Millisecond)
+		}
+		p.submit(2, buy(5, ""), late, lateID, 500*time.Millisecond)
+	}
+	p.d.Thaw(1)
+	wg.Wait()
+	for n, key := range keys {
+		p.submit(n%4+2, buy(300, ""), key, ids[n], 2*time.Second)
+		p.atMostOnce("owner frozen", key)
+	}
+	p.atMostOnce("owner frozen", late)
+	p.awaitRevisionEverywhere(1)
+}
+
+// ownerKilled kills the owner with requests in flight.
+func (p *proof) ownerKilled() {
+	var keys, ids []string
+	wg := conc.NewWaitGroup()
+	for range 4 {
+		key, id := p.keyOf(2)
+		keys, ids = append(keys, key), append(ids, id)
+		wg.Go(func() { p.submit(2, buy(300, ""), key, id, 2*time.Second) })
+	}
+	p.awaitRun(keys[3])
+	p.d.Kill(2)
+	p.fault()
+	wg.Wait()
+	for until := time.Now().Add(7 * time.Second); time.Now().Before(until); time.Sleep(betweenRepeats) {
+		for n, key := range keys {
+			r := p.submit([]int{0, 1, 3, 4, 5}[n], buy(300, ""), key, ids[n], 300*time.Millisecond)
+			if r.Outcome == outcome.NotRun && p.runs(key) > 0 {
+				p.violated("owner killed: told not run, but it ran")
+			}
+		}
+	}
+	for _, key := range keys {
+		p.atMostOnce("owner killed", key)
+	}
+}
+
+// ownerRestarted starts the killed owner again: a new life knows nothing of
+// the old one's keys and must not run them.
+func (p *proof) ownerRestarted() {
+	key, id := p.keyOf(3)
+	p.submit(3, buy(5, ""), key, id, 2*time.Second)
+	p.must(p.d.Signal(3, syscall.SIGKILL))
+	p.d.Kill(3)
+	p.fault()
+	p.must(p.d.StartBox(2))
+	p.must(p.d.StartBox(3))
+	p.must(p.d.WaitReady(2))
+	p.must(p.d.WaitReady(3))
+	p.awaitRevisionEverywhere(1)
+	for i := range 6 {
+		r := p.submit(i, buy(5, ""), key, id, time.Second)
+		if r.Outcome != outcome.Unknown {
+			p.violated("owner restarted: got %s %s", r.Outcome, r.Reason)
+		}
+	}
+	p.atMostOnce("owner restarted", key)
+}
--- /dev/null
+++ b/test/prove/prove_test.go
@@ -0,0 +1,331 @@
+// Package prove holds the proofs of what must always hold: real processes,
+// real failures, and the backend servers' own records as the witness.
+package prove
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/caller"
+	"github.com/stoneworks/stoneworks/pkg/rpc"
+	"github.com/stoneworks/stoneworks/test/faultproxy"
+	"github.com/stoneworks/stoneworks/test/harness"
+
+	pb "github.com/stoneworks/stoneworks/api/stoneworks/v1"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+var binDir string
+
+// controlEnv names the mechanism that the boxes run without.
+const controlEnv = "STONEWORKS_CONTROL"
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "stoneworks-bin-")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir+"/", "./cmd/...", "./test/cmd/...")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	binDir = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// proof collects what one promise's proof met and found.
+type proof struct {
+	t *testing.T
+	n int
+	d *harness.Deployment
+
+	mu       sync.Mutex
+	faults   int
+	requests int
+	wrong    []string
+	figures  []string
+}
+
+// prove runs a proof: plainly, or as a control that must come out broken.
+func prove(t *testing.T, n int, control string, run func(p *proof)) {
+	if controlled := os.Getenv(controlEnv); controlled != "" && controlled != control {
+		t.Skip("another mechanism is switched off")
+	}
+	p := &proof{t: t, n: n}
+	run(p)
+	if t.Failed() {
+		fmt.Printf("PROMISE %d unproved the proof itself failed\n", n)
+		return
+	}
+	p.verdict(os.Getenv(controlEnv) != "")
+}
+
+func (p *proof) verdict(isControl bool) {
+	state := "held"
+	switch {
+	case len(p.wrong) > 0:
+		state = "broken"
+	case p.faults == 0 || p.requests == 0:
+		state = "unproved"
+	}
+	if isControl {
+		if state != "broken" {
+			p.t.Errorf("CONTROL %d %s: the proof cannot fail", p.n, state)
+			return
+		}
+		fmt.Printf("CONTROL %d broken as expected: %d violations, such as: %s\n", p.n, len(p.wrong), p.wrong[0])
+		return
+	}
+	fmt.Printf("PROMISE %d %s faults=%d requests=%d %s\n", p.n, state, p.faults, p.requests, strings.Join(p.figures, " "))
+	for _, w := range p.wrong {
+		p.t.Errorf("promise %d: %s", p.n, w)
+	}
+}
+
+func (p *proof) violated(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wrong = append(p.wrong, fmt.Sprintf(format, args...))
+}
+
+func (p *proof) figure(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.figures = append(p.figures, fmt.Sprintf(format, args...))
+}
+
+func (p *proof) fault() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults++
+}
+
+func (p *proof) sent(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests += n
+}
+
+// must ends the proof if its own scaffolding failed.
+func (p *proof) must(err error) {
+	p.t.Helper()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ================================================================
+// Deployments
+// ================================================================
+
+// links are the proxies before the boxes' ports for each other.
+type links struct {
+	peers    []*faultproxy.Proxy
+	platform *faultproxy.Proxy
+}
+
+// start runs a deployment in which every connection between boxes, and to the
+// platform, goes through a fault proxy.
+func (p *proof) start(shape string) *links {
+	d, err := harness.New(harness.Shapes[shape], p.t.TempDir(), binDir)
+	p.must(err)
+	p.d = d
+	if control := os.Getenv(controlEnv); control != "" {
+		d.BoxProgram = "stoneworksd-control"
+		d.Env = []string{controlEnv + "=" + control}
+	}
+	l := &links{}
+	for i := range d.Shape.Boxes {
+		x, err := faultproxy.New(d.Addr(60+i, 7002), d.Peers(i))
+		p.must(err)
+		l.peers = append(l.peers, x)
+	}
+	l.platform, err = faultproxy.New(d.Addr(59, 6000), d.PlatformDirect())
+	p.must(err)
+	d.Advertise = func(i int, _ string) string { return l.peers[i].Address() }
+	d.PlatformAddress = func(string) string { return l.platform.Address() }
+	p.t.Cleanup(func() {
+		d.Stop()
+		p.keepLogs()
+		l.platform.Close()
+		for _, x := range l.peers {
+			x.Close()
+		}
+	})
+	p.must(d.Start())
+	for i := range d.Shape.Services {
+		_, err := p.operator(0).CreateService(p.ctx(10*time.Second), &pb.CreateServiceRequest{Spec: rpc.ToSpec(d.Service(i))})
+		p.must(err)
+	}
+	p.awaitRevisionEverywhere(1)
+	return l
+}
+
+// keepLogs copies the logs to where STONEWORKS_LOGS says.
+func (p *proof) keepLogs() {
+	to := os.Getenv("STONEWORKS_LOGS")
+	if to == "" {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(p.d.Dir, "*.log"))
+	for _, l := range logs {
+		if text, err := os.ReadFile(l); err == nil {
+			_ = os.WriteFile(filepath.Join(to, filepath.Base(l)), text, 0o600)
+		}
+	}
+}
+
+// cutBox holds back all data between box i and the other boxes.
+func (l *links) cutBox(d *harness.Deployment, i int) {
+	ip, _, _ := strings.Cut(d.Peers(i), ":")
+	l.peers[i].SetAll(faultproxy.Fault{HoldRequests: true, HoldAnswers: true})
+	for n, x := range l.peers {
+		if n != i {
+			x.Set(func(source string) faultproxy.Fault {
+				if source == ip {
+					return faultproxy.Fault{HoldRequests: true, HoldAnswers: true}
+				}
+				return faultproxy.Fault{}
+			})
+		}
+	}
+}
+
+func (l *links) heal() {
+	for _, x := range l.peers {
+		x.Clear()
+	}
+	l.platform.Clear()
+}
+
+func (p *proof) ctx(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	p.t.Cleanup(cancel)
+	return ctx
+}
+
+func (p *proof) operator(i int) pb.OperatorsClient {
+	conn, err := grpc.NewClient("passthrough:///"+p.d.Operators(i), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	p.must(err)
+	p.t.Cleanup(func() { _ = conn.Close() })
+	return pb.NewOperatorsClient(conn)
+}
+
+// awaitRevisionEverywhere waits until all boxes have every service at least
+// at the revision.
+func (p *proof) awaitRevisionEverywhere(revision uint64) {
+	for i := range p.d.Shape.Boxes {
+		client := p.operator(i)
+		p.must(harness.WaitFor(20*time.Second, func() bool {
+			reply, err := client.ListServices(p.ctx(time.Second), &pb.ListServicesRequest{})
+			if err != nil || len(reply.Services) < len(p.d.Shape.Services) {
+				return false
+			}
+			for _, s := range reply.Services {
+				if s.Revision < revision {
+					return false
+				}
+			}
+			return true
+		}))
+	}
+	// Snapshots follow the configuration, and heartbeats the shares.
+	p.must(harness.WaitFor(20*time.Second, func() bool {
+		for i := range p.d.Shape.Boxes {
+			status, err := p.operator(i).GetStatus(p.ctx(time.Second), &pb.GetStatusRequest{})
+			if err != nil || liveBoxes(status) < p.d.Shape.Boxes {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+func liveBoxes(s *pb.StatusReply) int {
+	n := 0
+	for _, b := range s.Boxes {
+		if b.State == "live" {
+			n++
+		}
+	}
+	return n
+}
+
+// ================================================================
+// Requests
+// ================================================================
+
+// service is the one service of the small shape.
+const service = "shop"
+
+// client returns a caller whose clients are in the first zone.
+func (p *proof) client(i int) *caller.Client {
+	c := caller.New(p.d.Shape.ClientOf(p.d.Shape.ZoneOfBox(i), 1), p.d.Callers(i))
+	p.t.Cleanup(c.Close)
+	return c
+}
+
+// keyOf returns a fresh key that box i owns, and the request's id.
+func (p *proof) keyOf(i int) (key, id string) {
+	id = harness.NewID()
+	entries, err := p.client(i).Lookup(p.ctx(5*time.Second), service)
+	p.must(err)
+	for _, e := range entries {
+		if e.Box == p.d.Shape.BoxName(i) {
+			return e.KeyPrefix + "/" + id, id
+		}
+	}
+	p.t.Fatalf("the look-up does not name box %d", i)
+	return "", ""
+}
+
+// buy is a request that may not be repeated and takes the given time.
+func buy(ms int, fault string) caller.Request {
+	r := caller.Request{Service: service, Method: "POST", Path: fmt.Sprintf("/buy?ms=%d", ms), Body: []byte("one score"), Once: true}
+	if fault != "" {
+		r.Header = [][2]string{{"X-Fault", fault}}
+	}
+	return r
+}
+
+// submit sends a request once through box i and checks any answer.
+func (p *proof) submit(i int, r caller.Request, key, id string, within time.Duration) *caller.Result {
+	p.sent(1)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	c := caller.New(p.d.Shape.ClientOf(p.d.Shape.ZoneOfBox(i), 1), p.d.Callers(i))
+	defer c.Close()
+	result := c.Submit(ctx, p.d.Callers(i), caller.Submission{Request: r, ID: id, Key: key})
+	if wrong := harness.CheckAnswer(withID(r, id), result); wrong != "" {
+		p.violated("%s", wrong)
+	}
+	return result
+}
+
+func withID(r caller.Request, id string) caller.Request {
+	r.ID = id
+	return r
+}
+
+// runs returns how often the backend servers ran the key.
+func (p *proof) runs(key string) int {
+	records, err := p.d.Records()
+	p.must(err)
+	return harness.RunsOf(records, key)
+}
+
+// awaitRun waits until a backend server has begun the key.
+func (p *proof) awaitRun(key string) {
+	p.must(harness.WaitFor(5*time.Second, func() bool { return p.runs(key) > 0 }))
+}
