Promise 2: not run means not run; two faults found and mended

Cause 1: route returned the end of the last try. A request that ran and failed in its own zone (unknown) and was then refused elsewhere was told not run. Change: ends of tries are joined; unknown stays. Ruled out: a leaked count of requests in flight (it was 0 at the end). Change: after the look-ups have run out it refuses with box_leaving. Terminate in tests is bounded.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -54,7 +54,10 @@
 	started  time.Time
 	version  atomic.Uint64
 	snapshot atomic.Pointer[decide.Snapshot]
+	// leaving, closed and gone are the steps of a planned stop: no longer
+	// named by look-ups; takes no new request; holds no slot.
 	leaving  atomic.Bool
+	closed   atomic.Bool
 	gone     atomic.Bool
 	inFlight atomic.Int64
 	// confirmed is false while this box may not use its part of the slots,
@@ -136,6 +139,7 @@
 		Now:          time.Now,
 		Age:          b.age,
 		Ready:        b.Ready,
+		Closed:       b.closed.Load,
 		Snapshot:     b.snapshot.Load,
 		Gate:         b.gate,
 		ServerPool:   b.serverPool,
--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -174,6 +174,9 @@
 	// Another box may name this one until it hears that it leaves, and its
 	// callers keep that answer for a whole time to live.
 	b.sleep(ctx, b.Settings.LookupTTL+membership.SuspectAfter)
+	// Who still comes now ignores look-ups; without this, such a caller could
+	// keep the box from ever being done.
+	b.closed.Store(true)
 	for b.inFlight.Load() > 0 && ctx.Err() == nil {
 		b.sleep(ctx, drainPoll)
 	}
--- a/pkg/caller/caller_do.go
+++ b/pkg/caller/caller_do.go
@@ -78,7 +78,7 @@
 	switch r.Reason {
 	case outcome.ReasonBadRequest, outcome.ReasonKeyRequired, outcome.ReasonTooLarge, outcome.ReasonNoSuchService, outcome.ReasonAnswerNotKept:
 		return false
-	case outcome.ReasonStaleTicket, outcome.ReasonOwnerUnreachable, outcome.ReasonConnect:
+	case outcome.ReasonStaleTicket, outcome.ReasonOwnerUnreachable, outcome.ReasonConnect, outcome.ReasonBoxLeaving:
 		x.client.Forget(x.request.Service)
 	}
 	return r.Outcome == outcome.NotRun || x.request.MayRepeat || x.request.Once
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -45,9 +45,11 @@
 	Log          *logging.Part
 	Budget       *Budget
 
-	Now      func() time.Time
-	Age      func() time.Duration
-	Ready    func() bool
+	Now   func() time.Time
+	Age   func() time.Duration
+	Ready func() bool
+	// Closed reports whether the box, being stopped, takes no new request.
+	Closed   func() bool
 	Snapshot func() *decide.Snapshot
 	Gate     func(service string) *admission.Gate
 	// ServerPool and PeerPool return the connections to an address.
--- a/pkg/entry/entry_parse.go
+++ b/pkg/entry/entry_parse.go
@@ -53,6 +53,9 @@
 	if !e.Ready() {
 		return r, outcome.NewNotRun(outcome.ReasonNotReady, "").WithRetryAfter(time.Second)
 	}
+	if e.Closed() {
+		return r, outcome.NewNotRun(outcome.ReasonBoxLeaving, e.Self).WithRetryAfter(time.Millisecond)
+	}
 	r.snapshot = e.Snapshot()
 	r.view = r.snapshot.Services[r.Service]
 	if r.view == nil {
--- a/pkg/entry/entry_route.go
+++ b/pkg/entry/entry_route.go
@@ -22,12 +22,12 @@
 			e.Budget.Success(r.Service)
 			return answer, nil
 		}
-		last = failure
+		last = worse(last, failure)
 		if try < len(target.Tried) {
 			target.Tried[try] = d.Box.Box
 		}
 		if !e.mayTryAgain(r, failure) {
-			return nil, failure
+			break
 		}
 	}
 	if last == nil {
@@ -36,6 +36,15 @@
 	return nil, last
 }
 
+// worse joins the ends of two tries. Once one try may have run, the request may
+// have run, whatever the next box says of itself.
+func worse(earlier, later *outcome.Failure) *outcome.Failure {
+	if earlier != nil && earlier.Outcome == outcome.Unknown && later.Outcome == outcome.NotRun {
+		return earlier
+	}
+	return later
+}
+
 func (e *Entry) offer(r *Request, d decide.Decision) (*Answer, *outcome.Failure) {
 	if d.Box.Box == e.Self {
 		return e.local(r, "")
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -34,6 +34,7 @@
 	ReasonNoSuchService    Reason = "no_such_service"
 	ReasonKeyRequired      Reason = "idempotency_key_required"
 	ReasonNotReady         Reason = "not_ready"
+	ReasonBoxLeaving       Reason = "box_leaving"
 	ReasonNoCapacity       Reason = "no_capacity"
 	ReasonNoServer         Reason = "no_backend_server"
 	ReasonDeadline         Reason = "deadline_too_short"
@@ -66,6 +67,7 @@
 	{ReasonNoSuchService, 404, "no service of that name is in force"},
 	{ReasonKeyRequired, 400, "the request may not be repeated and carries no Idempotency-Key"},
 	{ReasonNotReady, 503, "the box has no configuration yet"},
+	{ReasonBoxLeaving, 503, "the box is stopping and takes no new requests; look up again"},
 	{ReasonNoCapacity, 503, "every slot that the request may use is taken"},
 	{ReasonNoServer, 503, "no backend server that the request may use is reachable"},
 	{ReasonDeadline, 503, "the deadline leaves no time to run the request"},
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -20,6 +20,15 @@
 	Reset bool
 	// TruncateAnswers breaks connections after so many bytes of answers.
 	TruncateAnswers int
+	// TruncateRequests does the same to requests.
+	TruncateRequests int
+}
+
+func (f Fault) limit(answers bool) int {
+	if answers {
+		return f.TruncateAnswers
+	}
+	return f.TruncateRequests
 }
 
 // Proxy passes connections from its own address on to a target.
@@ -126,7 +135,7 @@
 	for {
 		f, changed := p.fault(source)
 		held := f.HoldRequests && !answers || f.HoldAnswers && answers
-		if !hit && (held || f.Reset || f.Delay > 0 || f.TruncateAnswers > 0) {
+		if !hit && (held || f.Reset || f.Delay > 0 || f.limit(answers) > 0) {
 			hit = true
 			p.Hits.Add(1)
 		}
@@ -138,7 +147,7 @@
 			continue
 		}
 		time.Sleep(f.Delay)
-		if left := f.TruncateAnswers - *passed; f.TruncateAnswers > 0 && answers && len(data) > left {
+		if left := f.limit(answers) - *passed; f.limit(answers) > 0 && len(data) > left {
 			_, _ = to.Write(data[:max(left, 0)])
 			return false
 		}
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -35,6 +35,9 @@
 	// Advertise may replace the peers' address that box i tells others, to
 	// put a proxy in between.
 	Advertise func(i int, peers string) string
+	// ServerAddress may replace the address under which operators name a
+	// backend server, to put a proxy in between.
+	ServerAddress func(service, n int, direct string) string
 	// PlatformAddress is where the boxes reach the platform; set it to a
 	// proxy's address to put one in between.
 	PlatformAddress func(direct string) string
@@ -60,6 +63,7 @@
 	return &Deployment{
 		Shape: shape, Dir: dir, BinDir: binDir, BoxProgram: "stoneworksd", LookupTTL: "2s",
 		Advertise:       func(_ int, peers string) string { return peers },
+		ServerAddress:   func(_, _ int, direct string) string { return direct },
 		PlatformAddress: func(direct string) string { return direct },
 		net:             network,
 		boxes:           make([]*process, shape.Boxes),
@@ -300,10 +304,18 @@
 // Thaw lets a frozen box go on.
 func (d *Deployment) Thaw(i int) { _ = d.Signal(i, syscall.SIGCONT) }
 
-// Terminate asks box i to leave and returns its exit code when it has.
+// leaveLimit bounds a planned stop in tests.
+const leaveLimit = 30 * time.Second
+
+// Terminate asks box i to leave and returns its exit code when it has, or -1
+// if it did not in time.
 func (d *Deployment) Terminate(i int) int {
 	_ = d.Signal(i, syscall.SIGTERM)
-	<-d.boxes[i].exited
+	select {
+	case <-d.boxes[i].exited:
+	case <-time.After(leaveLimit):
+		return -1
+	}
 	return d.boxes[i].cmd.ProcessState.ExitCode()
 }
 
--- a/test/harness/shape.go
+++ b/test/harness/shape.go
@@ -92,7 +92,7 @@
 	}
 	for n := range shape.Servers {
 		s.BackendServers = append(s.BackendServers, model.BackendServer{
-			Name: serverName(shape.Name, n), Address: d.serverAddress(i, n), Zone: d.zoneOfServer(n),
+			Name: serverName(shape.Name, n), Address: d.ServerAddress(i, n, d.serverAddress(i, n)), Zone: d.zoneOfServer(n),
 			Slots: d.Shape.Slots, Connections: connectionsPerServer,
 		})
 	}
--- /dev/null
+++ b/test/prove/promise_2_test.go
@@ -0,0 +1,257 @@
+package prove
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/caller"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/test/faultproxy"
+	"github.com/stoneworks/stoneworks/test/harness"
+)
+
+// TestPromise2 proves that a request of which a caller is told that it was
+// not run was not run, for every way in which a request can end.
+func TestPromise2(t *testing.T) {
+	prove(t, 2, "careless-not-run", func(p *proof) {
+		l := p.start("small")
+		w := &witness{p: p, outcomes: map[string]int{}}
+		w.serverFaults()
+		w.linkFaults(l)
+		w.deadlines()
+		w.closedWhileIdle()
+		w.unknownThenFull()
+		w.overload()
+		w.handOffCut(l)
+		w.boxStopping()
+		w.boxKilled()
+		w.check()
+	})
+}
+
+// witness keeps what callers were told, to compare it with what ran.
+type witness struct {
+	p        *proof
+	told     []told
+	outcomes map[string]int
+}
+
+type told struct {
+	what, name string
+	outcome    outcome.Outcome
+	reason     outcome.Reason
+}
+
+func (w *witness) add(what, name string, r *caller.Result) {
+	w.p.mu.Lock()
+	defer w.p.mu.Unlock()
+	w.told = append(w.told, told{what, name, r.Outcome, r.Reason})
+	w.outcomes[string(r.Outcome)]++
+}
+
+// send submits a request that may be repeated and one that may not.
+func (w *witness) send(what string, box int, path, fault string, body []byte, within time.Duration) {
+	p := w.p
+	p.fault()
+	var header [][2]string
+	if fault != "" {
+		header = [][2]string{{"X-Fault", fault}}
+	}
+	id := harness.NewID()
+	r := caller.Request{Service: service, Method: "GET", Path: path, Header: header, MayRepeat: true}
+	if body != nil {
+		r.Method, r.Body = "PUT", body
+	}
+	w.add(what, id, p.submit(box, r, "", id, within))
+	key, id := p.keyOf(box)
+	r.Method, r.Body, r.Once = "POST", []byte("x"), true
+	if body != nil {
+		r.Body = body
+	}
+	w.add(what, key, p.submit(box, r, key, id, within))
+}
+
+// check compares with the backend servers' records, after whatever was still
+// on its way has arrived.
+func (w *witness) check() {
+	time.Sleep(time.Second)
+	records, err := w.p.d.Records()
+	w.p.must(err)
+	for _, x := range w.told {
+		if x.outcome == outcome.NotRun && harness.RunsOf(records, x.name) > 0 {
+			w.p.violated("%s: told %s (%s), but %s ran", x.what, x.outcome, x.reason, x.name)
+		}
+	}
+	for _, o := range []string{"answered", "not-run", "unknown"} {
+		w.p.figure("%s=%d", o, w.outcomes[o])
+		if w.outcomes[o] == 0 {
+			w.p.t.Errorf("no request ended as %s", o)
+		}
+	}
+}
+
+func (w *witness) serverFaults() {
+	for _, fault := range []string{"", "shed", "reset-before", "reset-after", "truncate", "close", "hang"} {
+		for i := range 6 {
+			w.send("server "+fault, i, "/item?ms=2", fault, nil, 250*time.Millisecond)
+		}
+	}
+}
+
+// linkFaults breaks the links to the backend servers.
+func (w *witness) linkFaults(l *links) {
+	large := []byte(strings.Repeat("a receipt ", 30_000))
+	for name, f := range map[string]faultproxy.Fault{
+		"reset at once":        {Reset: true},
+		"request cut at 100 B": {TruncateRequests: 100},
+		"request cut at 50 KB": {TruncateRequests: 50_000},
+		"answer cut at 60 B":   {TruncateAnswers: 60},
+		"requests held":        {HoldRequests: true},
+		"answers held":         {HoldAnswers: true},
+	} {
+		for _, x := range l.servers {
+			x.SetAll(f)
+		}
+		for i := range 4 {
+			w.send("link: "+name, i, "/item?ms=2", "", nil, 250*time.Millisecond)
+			w.send("link, upload: "+name, i, "/item?ms=2", "", large, 250*time.Millisecond)
+		}
+		l.heal()
+	}
+	// Nobody listens behind the address: the proxies are gone for a while.
+	w.p.must(w.refused())
+}
+
+// refused sends to a service whose backend servers' ports are closed.
+func (w *witness) refused() error {
+	s := w.p.d.Service(0)
+	s.Name = "closed"
+	for i := range s.BackendServers {
+		s.BackendServers[i].Address = w.p.d.Addr(100+i, 9)
+	}
+	if err := w.p.createService(s); err != nil {
+		return err
+	}
+	for i := range 6 {
+		w.p.fault()
+		id := harness.NewID()
+		r := w.p.submit(i, caller.Request{Service: s.Name, Method: "GET", Path: "/"}, "", id, time.Second)
+		w.add("refused", id, r)
+		if r.Outcome != outcome.NotRun {
+			w.p.violated("refused: told %s (%s), though nothing can have run", r.Outcome, r.Reason)
+		}
+	}
+	return nil
+}
+
+func (w *witness) deadlines() {
+	for ms := range 12 {
+		w.send("deadline", ms%6, "/item?ms=4", "", nil, time.Duration(ms+1)*time.Millisecond)
+	}
+}
+
+// closedWhileIdle uses connections that the other side may just be closing.
+func (w *witness) closedWhileIdle() {
+	for i := range 40 {
+		w.send("closed while idle", 0, "/item?ms=0", []string{"close", ""}[i%2], nil, time.Second)
+	}
+}
+
+// unknownThenFull has a request run and fail in its own zone, and then find
+// every other place full: what it is told last must not hide what ran first.
+func (w *witness) unknownThenFull() {
+	for range 4 {
+		wg := conc.NewWaitGroup()
+		for _, box := range []int{1, 1, 1, 1, 5, 5, 5, 5} {
+			wg.Go(func() {
+				id := harness.NewID()
+				w.p.submit(box, caller.Request{Service: service, Method: "GET", Path: "/slow?ms=600"}, "", id, 2*time.Second)
+			})
+		}
+		time.Sleep(150 * time.Millisecond)
+		w.send("unknown, then full", 0, "/item?ms=0", "reset-after", nil, time.Second)
+		wg.Wait()
+	}
+}
+
+// overload offers far more than all slots can take.
+func (w *witness) overload() {
+	wg := conc.NewWaitGroup()
+	for i := range 120 {
+		wg.Go(func() {
+			id := harness.NewID()
+			r := w.p.submit(i%6, caller.Request{Service: service, Method: "GET", Path: "/slow?ms=200"}, "", id, 3*time.Second)
+			w.add("overload", id, r)
+		})
+	}
+	wg.Wait()
+	w.p.fault()
+}
+
+// handOffCut loses a box while it works on what others handed to it.
+func (w *witness) handOffCut(l *links) {
+	l.cutBox(w.p.d, 2)
+	for i := range 8 {
+		w.sendFrom("hand-off cut", "south-a", i%2, "/item?ms=5")
+	}
+	l.heal()
+	w.p.awaitRevisionEverywhere(1)
+}
+
+// sendFrom sends as a client of a zone through a box of another, so that the
+// request is handed on.
+func (w *witness) sendFrom(what, zone string, box int, path string) {
+	p := w.p
+	p.sent(1)
+	id := harness.NewID()
+	c := caller.New(p.d.Shape.ClientOf(zone, 1), p.d.Callers(box))
+	defer c.Close()
+	r := c.Submit(p.ctx(400*time.Millisecond), p.d.Callers(box), caller.Submission{
+		Request: caller.Request{Service: service, Method: "GET", Path: path}, ID: id,
+	})
+	w.add(what, id, r)
+}
+
+// load sends through box i until stop is closed.
+func (w *witness) load(what string, box int, stop chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		id := harness.NewID()
+		w.add(what, id, w.p.submit(box, caller.Request{Service: service, Method: "GET", Path: fmt.Sprintf("/item?ms=%d", n%30)}, "", id, time.Second))
+	}
+}
+
+// during runs a load through the box while f happens to it.
+func (w *witness) during(what string, box int, f func()) {
+	stop := make(chan struct{})
+	wg := conc.NewWaitGroup()
+	for range 6 {
+		wg.Go(func() { w.load(what, box, stop) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	w.p.fault()
+	f()
+	time.Sleep(100 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+}
+
+func (w *witness) boxStopping() {
+	w.during("box stopping", 4, func() {
+		if code := w.p.d.Terminate(4); code != 0 {
+			w.p.violated("box stopping: exit code %d", code)
+		}
+	})
+}
+
+func (w *witness) boxKilled() {
+	w.during("box killed", 3, func() { w.p.d.Kill(3) })
+}
--- a/test/prove/prove_test.go
+++ b/test/prove/prove_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/caller"
+	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/rpc"
 	"github.com/stoneworks/stoneworks/test/faultproxy"
 	"github.com/stoneworks/stoneworks/test/harness"
@@ -132,6 +133,7 @@
 // links are the proxies before the boxes' ports for each other.
 type links struct {
 	peers    []*faultproxy.Proxy
+	servers  []*faultproxy.Proxy
 	platform *faultproxy.Proxy
 }
 
@@ -153,13 +155,19 @@
 	}
 	l.platform, err = faultproxy.New(d.Addr(59, 6000), d.PlatformDirect())
 	p.must(err)
+	for n := range d.Shape.Services[0].Servers {
+		x, err := faultproxy.New(d.Addr(200+n, 8000), d.Service(0).BackendServers[n].Address)
+		p.must(err)
+		l.servers = append(l.servers, x)
+	}
+	d.ServerAddress = func(_, n int, _ string) string { return l.servers[n].Address() }
 	d.Advertise = func(i int, _ string) string { return l.peers[i].Address() }
 	d.PlatformAddress = func(string) string { return l.platform.Address() }
 	p.t.Cleanup(func() {
 		d.Stop()
 		p.keepLogs()
 		l.platform.Close()
-		for _, x := range l.peers {
+		for _, x := range append(l.peers, l.servers...) {
 			x.Close()
 		}
 	})
@@ -203,7 +211,7 @@
 }
 
 func (l *links) heal() {
-	for _, x := range l.peers {
+	for _, x := range append(l.peers, l.servers...) {
 		x.Clear()
 	}
 	l.platform.Clear()
@@ -329,3 +337,22 @@
 func (p *proof) awaitRun(key string) {
 	p.must(harness.WaitFor(5*time.Second, func() bool { return p.runs(key) > 0 }))
 }
+
+// createService creates one more service and waits until all boxes have it.
+func (p *proof) createService(s *model.Service) error {
+	_, err := p.operator(0).CreateService(p.ctx(10*time.Second), &pb.CreateServiceRequest{Spec: rpc.ToSpec(s)})
+	if err != nil {
+		return err
+	}
+	for i := range p.d.Shape.Boxes {
+		client := p.operator(i)
+		err := harness.WaitFor(10*time.Second, func() bool {
+			_, err := client.GetService(p.ctx(time.Second), &pb.GetServiceRequest{Name: s.Name})
+			return err == nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
