--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -150,6 +150,23 @@
 	return status
 }
 
+// mayEject reports whether one more server may get a rest. Where half of them
+// rest already, the fault is likelier in the network, or in this box, and
+// resting the others too would turn it into an outage.
+func (g *Gate) mayEject(now time.Time) bool {
+	resting, usable := 0, 0
+	for _, s := range g.servers {
+		if s.Share == 0 || s.Leaving || s.SelfLeaving {
+			continue
+		}
+		usable++
+		if now.Before(s.ejectedUntil) {
+			resting++
+		}
+	}
+	return 2*(resting+1) <= usable
+}
+
 // Acquire takes a slot. The failure always says "not run".
 func (g *Gate) Acquire(ctx context.Context, r Request) (*Permit, *outcome.Failure) {
 	g.mu.Lock()
--- a/pkg/admission/admission_pick.go
+++ b/pkg/admission/admission_pick.go
@@ -65,6 +65,16 @@
 	Succeeded
 	// Broken: it could not be reached, or its connection failed.
 	Broken
+	// TimedOut: the caller's deadline came first. That speaks against the
+	// backend server only if it had far more time than it usually needs.
+	TimedOut
+)
+
+// A server that had timeoutFactor times the usual time, and at least
+// timeoutFloor, and did not answer, counts as broken.
+const (
+	timeoutFactor = 10
+	timeoutFloor  = 100 * time.Millisecond
 )
 
 // Permit is one slot in use.
@@ -92,13 +102,17 @@
 		g.serviceTime += (g.Now().Sub(p.started) - g.serviceTime) / 16
 	case Broken:
 		g.countFailure(p.server)
+	case TimedOut:
+		if g.Now().Sub(p.started) >= max(timeoutFactor*g.serviceTime, timeoutFloor) {
+			g.countFailure(p.server)
+		}
 	}
 	g.serveQueue()
 }
 
 func (g *Gate) countFailure(s *server) {
 	s.failures++
-	if s.failures < EjectAfter {
+	if s.failures < EjectAfter || !g.mayEject(g.Now()) {
 		return
 	}
 	rest := min(FirstEjection<<min(s.ejections, 10), LongestEjection)
--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -46,6 +46,8 @@
 	Once        *once.Table
 	Timers      *timer.Service
 	Metrics     metrics.Registry
+	// NewPool makes the connections to one address; a seam for tests.
+	NewPool func(address string, maxIdle int) *exchange.Pool
 
 	handler *logging.AsyncHandler
 	logger  *log.Logger
@@ -118,6 +120,7 @@
 	b.Writer = &config.Writer{Platform: b.Platform, Store: b.Store, ReadBack: 2 * s.Platform.Timeout}
 	b.Exchanger = peer.NewExchanger(s.Box, s.Zone, s.Seeds, b.Table, b.Store, logging.For(b.logger, "peer"))
 	b.Exchanger.Call = b.newPeerCaller()
+	b.NewPool = func(address string, maxIdle int) *exchange.Pool { return exchange.NewPool(address, maxIdle, b.dial) }
 	b.Once = once.NewTable(s.Limits.OnceRecords, s.Limits.OnceAge, b.age)
 	b.Entry = b.newEntry()
 	b.operators = b.newOperators()
--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/linger"
 	"github.com/stoneworks/stoneworks/pkg/membership"
 	"github.com/stoneworks/stoneworks/pkg/peer"
 )
@@ -62,7 +63,7 @@
 	for port, address := range map[string]string{
 		portCallers: a.Callers, portPeers: a.Peers, portOperators: a.Operators, portAdmin: a.Admin,
 	} {
-		l, err := net.Listen("tcp", address)
+		l, err := linger.Listen(address)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -160,7 +160,7 @@
 	defer b.mu.Unlock()
 	p := pools[address]
 	if p == nil {
-		p = exchange.NewPool(address, maxIdle, b.dial)
+		p = b.NewPool(address, maxIdle)
 		pools[address] = p
 	}
 	return p
--- a/pkg/entry/entry_local.go
+++ b/pkg/entry/entry_local.go
@@ -86,8 +86,11 @@
 func (e *Entry) failed(r *Request, permit *admission.Permit, err error) *outcome.Failure {
 	f := e.Classify(err)
 	result := admission.Broken
-	if f.Reason == outcome.ReasonCancelled || f.Reason == outcome.ReasonDeadline {
+	switch f.Reason {
+	case outcome.ReasonCancelled, outcome.ReasonDeadline:
 		result = admission.Unused
+	case outcome.ReasonTimeout:
+		result = admission.TimedOut
 	}
 	permit.Release(result)
 	return f
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -89,22 +89,41 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdleConns bounds the connections kept for another exchange.
 	MaxIdleConns int
-	// Reusable reports whether a connection that ended its exchange in this
-	// manner may carry another; a seam for tests.
-	Reusable func(whole, closeAsked bool) bool
+	// Reusable reports whether a connection may carry another exchange after
+	// one that ended so; Quiet whether it is still fit for it later. Both are
+	// seams for tests.
+	Reusable func(End) bool
+	Quiet    func(net.Conn) bool
 
 	mu     sync.Mutex
 	idle   []*connection
 	closed bool
 }
 
+// End is how an exchange ended, as far as its connection is concerned.
+type End struct {
+	// Whole: request and answer both went through to their last byte.
+	Whole bool
+	// CloseAsked: the other side announced that it closes.
+	CloseAsked bool
+	// Interrupted: the context ended before the exchange did.
+	Interrupted bool
+	// Leftover: bytes followed the answer that nobody asked for.
+	Leftover bool
+}
+
+func reusable(e End) bool {
+	return e.Whole && !e.CloseAsked && !e.Interrupted && !e.Leftover
+}
+
 // NewPool makes an empty pool.
 func NewPool(address string, maxIdle int, dial func(ctx context.Context, address string) (net.Conn, error)) *Pool {
 	return &Pool{
 		Address:      address,
 		Dial:         dial,
 		MaxIdleConns: maxIdle,
-		Reusable:     func(whole, closeAsked bool) bool { return whole && !closeAsked },
+		Reusable:     reusable,
+		Quiet:        quiet,
 	}
 }
 
@@ -144,7 +163,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) <= maxIdle && quiet(c.Conn) {
+		if time.Since(c.idleSince) <= maxIdle && p.Quiet(c.Conn) {
 			c.used = true
 			c.written = 0
 			return c, nil
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -204,7 +204,7 @@
 	}
 	x.ended = true
 	// If the context has already ended, its function may yet set a deadline.
-	untouched := x.stop()
+	interrupted := !x.stop()
 	if x.streamed {
 		if !x.sentWhole.Load() {
 			// Answered before the whole request was sent, or failed.
@@ -213,7 +213,8 @@
 		}
 		x.sending.Wait()
 	}
-	if untouched && x.conn.r.Buffered() == 0 && x.pool.Reusable(whole, x.closeAsked) {
+	end := End{Whole: whole, CloseAsked: x.closeAsked, Interrupted: interrupted, Leftover: x.conn.r.Buffered() > 0}
+	if x.pool.Reusable(end) {
 		x.pool.put(x.conn)
 		return
 	}
--- /dev/null
+++ b/pkg/linger/linger.go
@@ -0,0 +1,75 @@
+// Package linger closes connections so that the last answer arrives.
+//
+// A box may refuse an upload before it has read it. If it then simply closed
+// the connection, the unread bytes would make the kernel send a reset, and the
+// reset can overtake the refusal: the caller would see a broken connection
+// ("unknown") in place of "not run". So the box ends its own direction first
+// and reads for a moment what the caller is still sending.
+package linger
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Longest is how long a connection is read on after the last answer.
+const Longest = time.Second
+
+// Listener makes connections that can linger.
+type Listener struct {
+	*net.TCPListener
+	closing conc.WaitGroup
+}
+
+// Listen opens a TCP listener on the address.
+func Listen(address string) (*Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{TCPListener: l.(*net.TCPListener)}, nil
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{TCPConn: c, listener: l}, nil
+}
+
+// Conn is a connection that lingers if it was asked to.
+type Conn struct {
+	*net.TCPConn
+	listener *Listener
+	linger   atomic.Bool
+}
+
+// Ask makes the connection linger when it is closed; other connections than
+// this package's are left as they are.
+func Ask(c net.Conn) {
+	if own, ok := c.(*Conn); ok {
+		own.linger.Store(true)
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if !c.linger.CompareAndSwap(true, false) {
+		return c.TCPConn.Close()
+	}
+	if err := c.CloseWrite(); err != nil {
+		return c.TCPConn.Close()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(Longest))
+	c.listener.closing.Go(func() {
+		_, _ = io.Copy(io.Discard, c.TCPConn)
+		_ = c.TCPConn.Close()
+	})
+	return nil
+}
--- a/test/control/control.go
+++ b/test/control/control.go
@@ -4,9 +4,11 @@
 package control
 
 import (
+	"net"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/box"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/once"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 )
@@ -20,6 +22,16 @@
 			return once.NewTable(1, time.Hour, func() time.Duration { return 0 }).Begin(k, issued)
 		}
 	},
+	// reuse-any uses connections again however their exchange ended.
+	"reuse-any": func(b *box.Box) {
+		newPool := b.NewPool
+		b.NewPool = func(address string, maxIdle int) *exchange.Pool {
+			p := newPool(address, maxIdle)
+			p.Reusable = func(exchange.End) bool { return true }
+			p.Quiet = func(net.Conn) bool { return true }
+			return p
+		}
+	},
 	// careless-not-run says "not run" of every exchange that failed.
 	"careless-not-run": func(b *box.Box) {
 		classify := b.Entry.Classify
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -289,6 +289,15 @@
 // Failing
 // ================================================================
 
+// PeakMemory returns the most memory that box i had in use, in bytes.
+func (d *Deployment) PeakMemory(i int) int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.boxes[i].cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	var kilobytes int64
+	_, _ = fmt.Sscan(rest, &kilobytes)
+	return kilobytes << 10
+}
+
 // Signal sends a signal to box i.
 func (d *Deployment) Signal(i int, s syscall.Signal) error { return d.boxes[i].cmd.Process.Signal(s) }
 
