--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 SHAPE ?= sonotheque
 PROMISE ?=
 BIN := bin
+# The mechanisms that test/control can switch off, one for each promise.
+CONTROLS := no-once careless-not-run reuse-any ignore-leaving
 STATICCHECK := go tool staticcheck
 
 .PHONY: help build check fmt test demo prove prove-controls bench generate
@@ -27,6 +29,14 @@
 demo: build ## run a whole deployment: SHAPE=sonotheque or SHAPE=sabarmati
 	$(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN)
 
+prove: build ## prove what must always hold: PROMISE=4 for one
+	go test ./test/prove -run 'TestPromise$(PROMISE)' -count=1 -v -timeout 20m | grep -E '^(PROMISE|CONTROL|ok|FAIL|---)|promise [0-9]'
+
+prove-controls: build ## show that each proof can fail
+	@for c in $(CONTROLS); do \
+		STONEWORKS_CONTROL=$$c go test ./test/prove -run TestPromise -count=1 -v -timeout 20m \
+			| grep -E '^(CONTROL|FAIL|panic)|CONTROL' || exit 1; done
+
 generate: ## regenerate the RPC code (needs protoc)
 	go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH="$(BIN):$$PATH" protoc -I api --go_out=api --go_opt=paths=source_relative \
--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -46,8 +46,10 @@
 	Once        *once.Table
 	Timers      *timer.Service
 	Metrics     metrics.Registry
-	// NewPool makes the connections to one address; a seam for tests.
+	// NewPool makes the connections to one address, and NewGate the gate of
+	// one service; seams for tests.
 	NewPool func(address string, maxIdle int) *exchange.Pool
+	NewGate func() *admission.Gate
 
 	handler *logging.AsyncHandler
 	logger  *log.Logger
@@ -121,6 +123,7 @@
 	b.Exchanger = peer.NewExchanger(s.Box, s.Zone, s.Seeds, b.Table, b.Store, logging.For(b.logger, "peer"))
 	b.Exchanger.Call = b.newPeerCaller()
 	b.NewPool = func(address string, maxIdle int) *exchange.Pool { return exchange.NewPool(address, maxIdle, b.dial) }
+	b.NewGate = func() *admission.Gate { return admission.NewGate(time.Now, s.Limits.QueueWait) }
 	b.Once = once.NewTable(s.Limits.OnceRecords, s.Limits.OnceAge, b.age)
 	b.Entry = b.newEntry()
 	b.operators = b.newOperators()
--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -109,7 +109,7 @@
 	defer b.mu.Unlock()
 	g := b.gates[service]
 	if g == nil {
-		g = admission.NewGate(time.Now, b.Settings.Limits.QueueWait)
+		g = b.NewGate()
 		b.gates[service] = g
 	}
 	return g
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -99,15 +99,23 @@
 	wg.Wait()
 }
 
-// CallAll calls every box of this zone that is known, and reports when all of
-// them have answered or failed.
+// CallAll calls every box of this zone that is known, and some of the others,
+// and returns when all of them have answered or failed.
 func (x *Exchanger) CallAll(ctx context.Context) {
-	wg := conc.NewWaitGroup()
+	var inside, outside []string
 	for _, m := range x.Table.Members() {
-		if m.Box != x.Self && m.Zone == x.Zone && m.Peers != "" {
-			wg.Go(func() { x.callOne(ctx, m.Peers) })
+		switch {
+		case m.Box == x.Self || m.Peers == "":
+		case m.Zone == x.Zone:
+			inside = append(inside, m.Peers)
+		case m.State != membership.Dead:
+			outside = append(outside, m.Peers)
 		}
 	}
+	wg := conc.NewWaitGroup()
+	for _, address := range append(inside, sample(outside, PushFanoutOutside)...) {
+		wg.Go(func() { x.callOne(ctx, address) })
+	}
 	wg.Wait()
 }
 
--- a/test/control/control.go
+++ b/test/control/control.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/admission"
 	"github.com/stoneworks/stoneworks/pkg/box"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/once"
@@ -32,6 +33,15 @@
 			return p
 		}
 	},
+	// ignore-leaving gives new work to leaving backend servers.
+	"ignore-leaving": func(b *box.Box) {
+		newGate := b.NewGate
+		b.NewGate = func() *admission.Gate {
+			g := newGate()
+			g.MayAdmit = func(s *admission.ServerStatus) bool { return s.InUse < s.Share }
+			return g
+		}
+	},
 	// careless-not-run says "not run" of every exchange that failed.
 	"careless-not-run": func(b *box.Box) {
 		classify := b.Entry.Classify
--- a/test/prove/prove_test.go
+++ b/test/prove/prove_test.go
@@ -50,6 +50,8 @@
 	t *testing.T
 	n int
 	d *harness.Deployment
+	// links are the deployment's proxies.
+	links *links
 
 	mu       sync.Mutex
 	faults   int
@@ -148,6 +150,7 @@
 		d.Env = []string{controlEnv + "=" + control}
 	}
 	l := &links{}
+	p.links = l
 	for i := range d.Shape.Boxes {
 		x, err := faultproxy.New(d.Addr(60+i, 7002), d.Peers(i))
 		p.must(err)
@@ -196,7 +199,7 @@
 
 // cutBox holds back all data between box i and the other boxes.
 func (l *links) cutBox(d *harness.Deployment, i int) {
-	ip, _, _ := strings.Cut(d.Peers(i), ":")
+	ip := hostOf(d.Peers(i))
 	l.peers[i].SetAll(faultproxy.Fault{HoldRequests: true, HoldAnswers: true})
 	for n, x := range l.peers {
 		if n != i {
@@ -210,6 +213,11 @@
 	}
 }
 
+func hostOf(address string) string {
+	ip, _, _ := strings.Cut(address, ":")
+	return ip
+}
+
 func (l *links) heal() {
 	for _, x := range append(l.peers, l.servers...) {
 		x.Clear()
