Promise 5: a planned stop cuts nothing; adoption and exact slot hand-over

Cause: when the only box of a zone left, the slots of that zone's backend servers were used by nobody, and streams of its region were refused with no_capacity. Ruled out: requests cut by the stop itself (0 unknown), look-ups naming the leaving box. Change: a zone without boxes is adopted by the boxes of its region, under the same rule as splitting within a zone (views told in heartbeats, give before take), and a box above its new part tells the excess. A leaving box gives its slots up before it waits for its streams. Hand-offs still reach a leaving box until it closes.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -28,6 +28,7 @@
 	"github.com/stoneworks/stoneworks/pkg/platform"
 	"github.com/stoneworks/stoneworks/pkg/rpc"
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/slots"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
 )
@@ -50,6 +51,10 @@
 	// one service; seams for tests.
 	NewPool func(address string, maxIdle int) *exchange.Pool
 	NewGate func() *admission.Gate
+	// Usable is how many of a server's slots this box may use.
+	Usable func(box, server string, slots int, own slots.View, others []slots.Told) int
+	// LeaveSteps are the steps of a planned stop.
+	LeaveSteps []LeaveStep
 
 	handler *logging.AsyncHandler
 	logger  *log.Logger
@@ -75,7 +80,14 @@
 	apps      []*fiber.App
 	dialer    *net.Dialer
 
-	mu    sync.Mutex
+	region string
+	// rebuilding keeps rebuilds apart, so that an older view never follows
+	// a newer one.
+	rebuilding sync.Mutex
+
+	mu sync.Mutex
+	// told is the views that heartbeats tell.
+	told  map[string][]string
 	gates map[string]*admission.Gate
 	pools map[string]*exchange.Pool
 	peers map[string]*exchange.Pool
@@ -122,8 +134,12 @@
 	b.Writer = &config.Writer{Platform: b.Platform, Store: b.Store, ReadBack: 2 * s.Platform.Timeout}
 	b.Exchanger = peer.NewExchanger(s.Box, s.Zone, s.Seeds, b.Table, b.Store, logging.For(b.logger, "peer"))
 	b.Exchanger.Call = b.newPeerCaller()
+	b.Exchanger.SameRegion = func(zone string) bool { return b.Topology.RegionOf(zone) == b.region }
 	b.NewPool = func(address string, maxIdle int) *exchange.Pool { return exchange.NewPool(address, maxIdle, b.dial) }
 	b.NewGate = func() *admission.Gate { return admission.NewGate(time.Now, s.Limits.QueueWait) }
+	b.region = b.Topology.RegionOf(s.Zone)
+	b.Usable = slots.Usable
+	b.LeaveSteps = b.leaveSteps()
 	b.Once = once.NewTable(s.Limits.OnceRecords, s.Limits.OnceAge, b.age)
 	b.Entry = b.newEntry()
 	b.operators = b.newOperators()
--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -95,12 +95,18 @@
 
 func (b *Box) refreshSelf() {
 	s := b.Settings
+	// The views come first: an excess that is told must not be older than
+	// the view that it belongs to.
+	b.mu.Lock()
+	views := b.told
+	b.mu.Unlock()
+	loads, excess := b.load()
 	b.Table.SetSelf(membership.Record{
 		Box: s.Box, Zone: s.Zone, Incarnation: b.Incarnation,
 		Started: b.started.UnixMilli(), Version: b.version.Add(1), AgeMS: b.age().Milliseconds(),
-		Leaving: b.leaving.Load(), Gone: b.gone.Load(), Ready: b.Ready(),
+		Leaving: b.leaving.Load(), Gone: b.gone.Load(), Ready: b.Ready() && !b.closed.Load(),
 		Callers: s.Advertise.Callers, Peers: s.Advertise.Peers, Operators: s.Advertise.Operators,
-		ConfigDigest: b.Store.Digest(), Load: b.load(), Homes: b.ownView(),
+		ConfigDigest: b.Store.Digest(), Load: loads, Views: views, Excess: excess,
 	})
 }
 
@@ -163,31 +169,72 @@
 // Stopping
 // ----------------------------------------------------------------
 
-// Leave takes the box out of service as planned: look-ups stop naming it, it
-// goes on serving until no caller can still hold an answer that names it and
-// its last request is done, and then gives up its slots.
+// LeaveStep is one step of a planned stop.
+type LeaveStep struct {
+	Name string
+	Do   func(ctx context.Context)
+}
+
+// leaveSteps lists the steps of a planned stop in their order: look-ups stop
+// naming the box; it goes on serving until no caller can still hold an answer
+// that names it; it takes nothing new and gives up all slots but those of
+// requests in flight; it finishes these; its last answers go out.
+func (b *Box) leaveSteps() []LeaveStep {
+	return []LeaveStep{
+		{"announce", b.announceLeaving},
+		{"outlive look-ups", func(ctx context.Context) {
+			// Another box may name this one until it hears that it leaves, and
+			// its callers keep that answer for a whole time to live.
+			b.sleep(ctx, b.Settings.LookupTTL+membership.SuspectAfter)
+		}},
+		{"give up slots", b.giveUpSlots},
+		{"finish", b.finishRequests},
+		{"close connections", func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
+			defer cancel()
+			b.shutApps(ctx)
+		}},
+	}
+}
+
+// Leave takes the box out of service as planned.
 func (b *Box) Leave(ctx context.Context) {
+	for _, step := range b.LeaveSteps {
+		b.log.Info("leaving", map[string]any{"step": step.Name, "in_flight": b.inFlight.Load()})
+		step.Do(ctx)
+	}
+	b.log.Info("left", map[string]any{"in_flight": b.inFlight.Load()})
+}
+
+func (b *Box) announceLeaving(ctx context.Context) {
 	b.leaving.Store(true)
 	b.refreshSelf()
 	b.rebuild()
-	b.log.Info("leaving", map[string]any{"lookup_ttl": b.Settings.LookupTTL})
 	b.Exchanger.CallAll(ctx)
-	// Another box may name this one until it hears that it leaves, and its
-	// callers keep that answer for a whole time to live.
-	b.sleep(ctx, b.Settings.LookupTTL+membership.SuspectAfter)
-	// Who still comes now ignores look-ups; without this, such a caller could
-	// keep the box from ever being done.
+}
+
+// giveUpSlots refuses what still comes, since it comes from callers that
+// ignore look-ups and could keep the box from ever being done.
+func (b *Box) giveUpSlots(ctx context.Context) {
 	b.closed.Store(true)
+	b.gone.Store(true)
+	b.sayGoodbye(ctx)
+}
+
+// finishRequests waits for the last request, telling the others as the slots
+// become free.
+func (b *Box) finishRequests(ctx context.Context) {
 	for b.inFlight.Load() > 0 && ctx.Err() == nil {
 		b.sleep(ctx, drainPoll)
 	}
-	b.gone.Store(true)
-	b.refreshSelf()
-	bye, cancel := context.WithTimeout(b.context, goodbyeTime)
+	b.sayGoodbye(ctx)
+}
+
+func (b *Box) sayGoodbye(ctx context.Context) {
+	b.rebuild()
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
 	defer cancel()
-	b.Exchanger.CallAll(bye)
-	b.shutApps(bye)
-	b.log.Info("left", map[string]any{"in_flight": b.inFlight.Load()})
+	b.Exchanger.CallAll(ctx)
 }
 
 func (b *Box) sleep(ctx context.Context, d time.Duration) {
--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"reflect"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,70 +28,111 @@
 	Leaving bool `json:"leaving"`
 }
 
-// ownView is the list of boxes that this box splits slots with: those of its
-// zone that the platform's list names or that were heard of lately, and not
-// those that said goodbye.
-func (b *Box) ownView() slots.View {
-	names := []string{}
-	if !b.gone.Load() {
-		names = append(names, b.Settings.Box)
+// takesPart reports whether a box shares the slots of its zone, as far as this
+// box knows: it is listed or was heard of lately, and has not given them up.
+func takesPart(m membership.Member) bool {
+	return !m.Gone && (m.InList || m.State != membership.Dead)
+}
+
+// views returns the views that this box computes with: of every zone of its
+// region, by zone. A zone without boxes is adopted by the rest of the region.
+func (b *Box) views(members []membership.Member) map[string]slots.View {
+	natives := map[string][]string{}
+	var region []string
+	for _, m := range members {
+		if b.Topology.RegionOf(m.Zone) != b.region || !takesPart(m) {
+			continue
+		}
+		natives[m.Zone] = append(natives[m.Zone], m.Box)
+		region = append(region, m.Box)
 	}
-	for _, m := range b.Table.Members() {
-		if m.Zone != b.Settings.Zone || m.Box == b.Settings.Box || m.Gone {
+	views := map[string]slots.View{}
+	for _, z := range b.Topology.Zones() {
+		if z.Region != b.region {
 			continue
 		}
-		if m.InList || m.State != membership.Dead {
-			names = append(names, m.Box)
+		views[z.Zone] = slots.NewView(natives[z.Zone]...)
+		if len(natives[z.Zone]) == 0 {
+			views[z.Zone] = slots.NewView(region...)
 		}
 	}
-	return slots.NewView(names...)
+	return views
 }
 
-// otherViews returns the views that the other boxes of the zone compute with.
-// A box that was heard of but gave none has not begun; one that is dead and
-// off the list has given up its part.
-func (b *Box) otherViews(own slots.View) []slots.View {
-	var views []slots.View
-	for _, m := range b.Table.Members() {
-		if m.Zone != b.Settings.Zone || m.Box == b.Settings.Box || m.Gone || m.State == membership.Listed {
+// told returns what the other boxes of the region said of a server. The word
+// of a box that is dead, and neither listed nor in the zone's view, has lapsed.
+func told(members []membership.Member, self, zone, server string, own slots.View) []slots.Told {
+	var all []slots.Told
+	for _, m := range members {
+		if m.Box == self || m.State == membership.Listed || (len(m.Views) == 0 && len(m.Excess) == 0) {
 			continue
 		}
-		if m.State == membership.Dead && !own.Has(m.Box) {
+		if m.Silent > membership.DeadAfter && !own.Has(m.Box) {
 			continue
 		}
-		if len(m.Homes) > 0 {
-			views = append(views, m.Homes)
+		t := slots.Told{Excess: m.Excess[server]}
+		if !m.Gone {
+			t.View = m.Views[zone]
 		}
+		all = append(all, t)
 	}
-	return views
+	return all
 }
 
-// updateGates gives every service's gate this box's part of the slots.
+// updateGates gives every service's gate this box's part of the slots, and
+// announces the box's views at once if they changed.
 func (b *Box) updateGates(services []decide.ServiceInput) {
-	own := b.ownView()
-	others := b.otherViews(own)
+	members := b.Table.Members()
+	views := b.views(members)
 	seen := map[string]bool{}
 	for _, s := range services {
 		seen[s.Spec.Name] = true
-		b.gateOf(s.Spec.Name).Update(b.serverConfigs(s.Spec, own, others))
+		b.gateOf(s.Spec.Name).Update(b.serverConfigs(s.Spec, views, members))
 	}
+	b.dropGates(seen)
+	if b.noteViews(views) {
+		b.refreshSelf()
+		b.background.Go(func() { b.Exchanger.CallAll(b.context) })
+	}
+}
+
+func (b *Box) dropGates(keep map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, g := range b.gates {
-		if !seen[name] {
+		if !keep[name] {
 			g.Update(nil)
 			delete(b.gates, name)
 		}
 	}
 }
 
-func (b *Box) serverConfigs(s *model.Service, own slots.View, others []slots.View) []admission.ServerConfig {
+// noteViews remembers the views for heartbeats, and reports whether they
+// differ from the last ones.
+func (b *Box) noteViews(views map[string]slots.View) bool {
+	told := map[string][]string{}
+	for zone, v := range views {
+		told[zone] = v
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := !reflect.DeepEqual(b.told, told)
+	b.told = told
+	return changed
+}
+
+func (b *Box) serverConfigs(s *model.Service, views map[string]slots.View, members []membership.Member) []admission.ServerConfig {
 	var configs []admission.ServerConfig
 	for _, server := range s.BackendServers {
-		if server.Zone != b.Settings.Zone || !s.RegionAllowed(b.Topology.RegionOf(server.Zone)) {
+		view := views[server.Zone]
+		if len(view) == 0 || !s.RegionAllowed(b.region) {
+			continue
+		}
+		key := serverKey(s.Name, server.Name)
+		if server.Zone != b.Settings.Zone && view.Part(b.Settings.Box, key, server.Slots) == 0 && !b.holdsSlotOf(s.Name, server.Name) {
 			continue
 		}
-		part := slots.Usable(b.Settings.Box, s.Name+"/"+server.Name, server.Slots, own, others)
+		part := b.Usable(b.Settings.Box, key, server.Slots, view, told(members, b.Settings.Box, server.Zone, key, view))
 		configs = append(configs, admission.ServerConfig{
 			Name: server.Name, Address: server.Address, Share: part, Leaving: server.Leaving,
 		})
@@ -98,6 +140,22 @@
 	return configs
 }
 
+func serverKey(service, server string) string { return service + "/" + server }
+
+// holdsSlotOf reports whether requests of this box are in flight at a server.
+func (b *Box) holdsSlotOf(service, server string) bool {
+	gate := b.gate(service)
+	if gate == nil {
+		return false
+	}
+	for _, s := range gate.Status() {
+		if s.Name == server {
+			return s.InUse > 0
+		}
+	}
+	return false
+}
+
 func (b *Box) gate(service string) *admission.Gate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,18 +173,22 @@
 	return g
 }
 
-// load tells the other boxes how much of this box's part is in use.
-func (b *Box) load() []membership.ServiceLoad {
+// load tells the other boxes how much of this box's part is in use, and where
+// it is above its part.
+func (b *Box) load() (loads []membership.ServiceLoad, excess map[string]int) {
 	b.mu.Lock()
 	gates := make(map[string]*admission.Gate, len(b.gates))
 	for name, g := range b.gates {
 		gates[name] = g
 	}
 	b.mu.Unlock()
-	var loads []membership.ServiceLoad
+	excess = map[string]int{}
 	for name, g := range gates {
 		l := membership.ServiceLoad{Service: name}
 		for _, s := range g.Status() {
+			if s.InUse > s.Share {
+				excess[serverKey(name, s.Name)] = s.InUse - s.Share
+			}
 			if s.Leaving || s.SelfLeaving || s.Ejected {
 				continue
 			}
@@ -137,7 +199,7 @@
 			loads = append(loads, l)
 		}
 	}
-	return loads
+	return loads, excess
 }
 
 // ----------------------------------------------------------------
--- a/pkg/box/box_snapshot.go
+++ b/pkg/box/box_snapshot.go
@@ -13,6 +13,8 @@
 
 // rebuild makes a new snapshot and puts it in the place of the old one.
 func (b *Box) rebuild() {
+	b.rebuilding.Lock()
+	defer b.rebuilding.Unlock()
 	services := b.services()
 	b.updateGates(services)
 	b.refreshSelf()
--- a/pkg/decide/route.go
+++ b/pkg/decide/route.go
@@ -126,7 +126,7 @@
 		if b == nil {
 			continue
 		}
-		share := float64(free(b, v)+1) / float64(view.Slots+1)
+		share := float64(free(b, v)+1) / float64(b.Share[v.Spec.Name]+1)
 		if share > best {
 			best = share
 			d.Zone, d.Box = z.Zone, b
--- a/pkg/decide/snapshot.go
+++ b/pkg/decide/snapshot.go
@@ -50,9 +50,8 @@
 type ZoneView struct {
 	Zone   string
 	Region string
-	Slots  int
-	InUse  int
-	// Homes lists the live boxes that hold a share of the slots.
+	// Homes lists the boxes that hold a share of the slots: the zone's own,
+	// or, if it has none, those of its region.
 	Homes []*BoxView
 }
 
@@ -64,8 +63,8 @@
 	AgeMS       int64
 	Callers     string
 	Peers       string
-	// Leaving is only ever set for this box itself: it goes on serving what
-	// still reaches it, and look-ups no longer name it.
+	// Leaving: it goes on serving what reaches it, but look-ups no longer
+	// name it.
 	Leaving bool
 	// Free is the free part of its slots, by service, as last heard.
 	Free map[string]int
@@ -105,7 +104,8 @@
 		Boxes:    map[string][]*BoxView{},
 	}
 	for _, m := range in.Members {
-		if m.Box == in.Self || (m.State == membership.Live && m.Ready) {
+		serving := m.State == membership.Live || m.State == membership.Leaving
+		if m.Box == in.Self || (serving && m.Ready) {
 			s.Boxes[m.Zone] = append(s.Boxes[m.Zone], newBoxView(m))
 		}
 	}
@@ -140,19 +140,16 @@
 		if b.Leaving || !in.Spec.RegionAllowed(region) {
 			continue
 		}
-		z := v.Zones[b.Zone]
-		if z == nil {
-			z = &ZoneView{Zone: b.Zone, Region: region}
-			v.Zones[b.Zone] = z
+		if v.Zones[b.Zone] == nil {
+			v.Zones[b.Zone] = &ZoneView{Zone: b.Zone, Region: region}
 		}
-		z.Slots += b.Slots
 	}
 	seen := map[string]bool{}
 	for zone, z := range v.Zones {
-		for _, b := range s.Boxes[zone] {
-			if b.Share[in.Spec.Name] > 0 || b.Box == s.Self {
-				z.Homes = append(z.Homes, b)
-				z.InUse += b.Share[in.Spec.Name] - b.Free[in.Spec.Name]
+		z.Homes = s.homes(zone, in.Spec.Name)
+		for _, other := range s.Topology.Zones() {
+			if len(s.Boxes[zone]) == 0 && other.Region == z.Region {
+				z.Homes = append(z.Homes, s.homes(other.Zone, in.Spec.Name)...)
 			}
 		}
 		if !seen[z.Region] {
@@ -164,6 +161,18 @@
 	return v
 }
 
+// homes returns the zone's boxes that hold a share of the service's slots.
+// This box counts as one: it may queue, and it knows its own share best.
+func (s *Snapshot) homes(zone, service string) []*BoxView {
+	var homes []*BoxView
+	for _, b := range s.Boxes[zone] {
+		if b.Share[service] > 0 || b.Box == s.Self {
+			homes = append(homes, b)
+		}
+	}
+	return homes
+}
+
 // Hash is the one hash of decisions: equal on all boxes, for ever.
 func Hash(parts ...string) uint64 {
 	h := fnv.New64a()
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -57,7 +57,8 @@
 	// AgeMS is how long the box has run.
 	AgeMS   int64 `json:"age"`
 	Leaving bool  `json:"leaving,omitempty"`
-	// Gone is set in a box's last heartbeat: it holds no slot any more.
+	// Gone is set when a leaving box takes nothing new: it has given up its
+	// slots but for the excess that it tells.
 	Gone         bool          `json:"gone,omitempty"`
 	Ready        bool          `json:"ready"`
 	Callers      string        `json:"callers"`
@@ -65,9 +66,12 @@
 	Operators    string        `json:"operators"`
 	ConfigDigest string        `json:"config"`
 	Load         []ServiceLoad `json:"load,omitempty"`
-	// Homes is the list of boxes of its zone among which this box splits the
-	// slots of the zone's backend servers.
-	Homes []string `json:"homes,omitempty"`
+	// Views lists, by availability zone, the boxes among which this box
+	// splits the slots of that zone's backend servers.
+	Views map[string][]string `json:"views,omitempty"`
+	// Excess tells, by service and server, by how much requests in flight
+	// keep this box above its part.
+	Excess map[string]int `json:"excess,omitempty"`
 }
 
 // newer reports whether r is later news than other of the same box.
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -66,6 +66,8 @@
 	Log   *logging.Part
 	// Call sends a message to a box's peers' address; a seam.
 	Call func(ctx context.Context, address, path string, in, out any) error
+	// SameRegion reports whether a zone is in this box's region.
+	SameRegion func(zone string) bool
 	// Reached is told of each box that answered, with the time of the call.
 	Reached func(box string, called time.Time)
 	// Failed is told of each address that did not answer.
@@ -80,9 +82,10 @@
 func NewExchanger(self, zone string, seeds []string, table *membership.Table, store *config.Store, log *logging.Part) *Exchanger {
 	return &Exchanger{
 		Self: self, Zone: zone, Seeds: seeds, Table: table, Store: store, Log: log,
-		Reached:  func(string, time.Time) {},
-		Failed:   func(string, error) {},
-		lastSent: map[string]time.Time{},
+		SameRegion: func(other string) bool { return other == zone },
+		Reached:    func(string, time.Time) {},
+		Failed:     func(string, error) {},
+		lastSent:   map[string]time.Time{},
 	}
 }
 
@@ -99,14 +102,14 @@
 	wg.Wait()
 }
 
-// CallAll calls every box of this zone that is known, and some of the others,
+// CallAll calls every box of this region that is known, and some of the others,
 // and returns when all of them have answered or failed.
 func (x *Exchanger) CallAll(ctx context.Context) {
 	var inside, outside []string
 	for _, m := range x.Table.Members() {
 		switch {
 		case m.Box == x.Self || m.Peers == "":
-		case m.Zone == x.Zone:
+		case x.SameRegion(m.Zone):
 			inside = append(inside, m.Peers)
 		case m.State != membership.Dead:
 			outside = append(outside, m.Peers)
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -1,18 +1,22 @@
-// Package slots splits the slots of each backend server over boxes of its own
-// availability zone, so that all of them together never use more than there
-// are, also while boxes come and go and see that at different times.
+// Package slots splits the slots of each backend server over boxes, so that
+// all of them together never use more than there are, also while boxes come
+// and go and see that at different times.
 //
-// Each box computes with a view: the boxes of its zone that it believes to
-// take part. It tells its view in its heartbeat, and uses no more than what
-// every view that it knows of would give it. So a part is given up before it
-// is taken: a new box gets its part only when the others' heartbeats show
-// views that name it.
+// A backend server's slots belong to the boxes of its own availability zone.
+// Only if that has no box left do the other boxes of its region adopt them.
+//
+// Each box computes with a view of every zone: the boxes that it believes to
+// share the zone's slots. It tells its views in its heartbeat, and uses no
+// more than what every view that it knows of would give it. So a part is given
+// up before it is taken. Where requests in flight keep a box above its part,
+// it says by how much, and the others leave that much alone.
 //
 // Example: dakar-a-1 alone holds all 6 slots of a server. dakar-a-2 starts
 // and computes with both names, which would give it 3. The heartbeat of
 // dakar-a-1 still shows itself alone, a view that gives dakar-a-2 nothing, so
-// it uses none. When dakar-a-1 has read the new list it goes down to 3 and its
-// next heartbeat says so; only now dakar-a-2 starts to use its 3.
+// it uses none. When dakar-a-1 has heard of dakar-a-2 it goes down to 3, with
+// 4 requests still in flight: its next heartbeat shows both names and an
+// excess of 1. Now dakar-a-2 uses 2, and 3 as soon as the excess is gone.
 package slots
 
 import (
@@ -79,13 +83,25 @@
 	return 0
 }
 
+// Told is what another box said in its last heartbeat.
+type Told struct {
+	// View that it computes with for the server's zone; empty if it gave none.
+	View View
+	// Excess is by how much it is above its part of the server.
+	Excess int
+}
+
 // Usable returns how many of the server's slots the box may use: the least
-// that its own view, and each view the other boxes of its zone were last heard
-// to compute with, gives it.
-func Usable(box, server string, slots int, own View, others []View) int {
+// that its own view and every view told by others gives it, less what others
+// hold in excess.
+func Usable(box, server string, slots int, own View, others []Told) int {
 	part := own.Part(box, server, slots)
-	for _, v := range others {
-		part = min(part, v.Part(box, server, slots))
+	excess := 0
+	for _, o := range others {
+		excess += o.Excess
+		if len(o.View) > 0 {
+			part = min(part, o.View.Part(box, server, slots))
+		}
 	}
-	return part
+	return max(part-excess, 0)
 }
--- a/test/control/control.go
+++ b/test/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/once"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/slots"
 )
 
 // Controls lists the mechanisms by name.
@@ -42,6 +43,14 @@
 			return g
 		}
 	},
+	// exit-at-once stops without leaving first.
+	"exit-at-once": func(b *box.Box) { b.LeaveSteps = nil },
+	// own-view uses what the box's own view gives it, whatever others say.
+	"own-view": func(b *box.Box) {
+		b.Usable = func(box, server string, n int, own slots.View, _ []slots.Told) int {
+			return own.Part(box, server, n)
+		}
+	},
 	// careless-not-run says "not run" of every exchange that failed.
 	"careless-not-run": func(b *box.Box) {
 		classify := b.Entry.Classify
--- a/test/prove/promise_3_test.go
+++ b/test/prove/promise_3_test.go
@@ -185,12 +185,16 @@
 	return len(data), nil
 }
 
+func digestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
 // upload sends a large body through box 0 and checks the digest in the answer.
 func (p *proof) upload(zone string, chunked bool) error {
 	p.sent(1)
 	id := harness.NewID()
 	body := bytes.Repeat([]byte("receipt "), bigBody/8)
-	sum := sha256.Sum256(body)
 	url := fmt.Sprintf("http://%s%s%s/upload", p.d.Callers(0), entry.PathRequests, service)
 	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
 	p.must(err)
@@ -208,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	if want := standin.Expected(id, hex.EncodeToString(sum[:]), int64(len(body))); string(answer) != want {
+	if want := standin.Expected(id, digestOf(body), int64(len(body))); string(answer) != want {
 		return fmt.Errorf("status %d: %q, want %q", resp.StatusCode, answer, want)
 	}
 	return nil
--- a/test/prove/promise_4_test.go
+++ b/test/prove/promise_4_test.go
@@ -34,6 +34,7 @@
 		p.drainWhileBoxFrozen()
 		p.signalInCutZone(l)
 		_, notRun, unknown, reasons := load.end()
+		p.checkPeaks()
 		p.figure("not-run=%d unknown=%d", notRun, unknown)
 		p.t.Log(reasons)
 	})
--- /dev/null
+++ b/test/prove/promise_5_test.go
@@ -0,0 +1,177 @@
+package prove
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/caller"
+	"github.com/stoneworks/stoneworks/pkg/entry"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/test/harness"
+	"github.com/stoneworks/stoneworks/test/standin"
+)
+
+// TestPromise5 proves that a planned stop cuts nothing: every box in turn is
+// replaced under load, with streams and uploads in flight.
+func TestPromise5(t *testing.T) {
+	prove(t, 5, "exit-at-once", func(p *proof) {
+		p.start("small")
+		load := p.drive(4, 30)
+		long := p.driveStreams(3)
+		slowest := time.Duration(0)
+		for i := range p.d.Shape.Boxes {
+			began := time.Now()
+			p.fault()
+			if code := p.d.Terminate(i); code != 0 {
+				p.violated("box %d exited with %d", i, code)
+			}
+			slowest = max(slowest, time.Since(began))
+			p.must(p.d.StartBox(i))
+			p.must(p.d.WaitReady(i))
+			p.awaitAllLive()
+		}
+		streams := long.end()
+		answered, notRun, unknown, reasons := load.end()
+		p.checkPeaks()
+		p.figure("answered=%d not-run=%d unknown=%d streams=%d slowest_stop=%dms", answered, notRun, unknown, streams, slowest.Milliseconds())
+		if notRun+unknown > 0 {
+			p.violated("requests lost by planned stops: %v", reasons)
+		}
+		if streams == 0 {
+			p.t.Error("no stream was in flight")
+		}
+	})
+}
+
+// streaming is a load of slow downloads and uploads.
+type streaming struct {
+	p    *proof
+	stop chan struct{}
+	wg   *conc.WaitGroup
+	done atomic.Int64
+}
+
+// driveStreams starts n callers in each zone, each with one slow download or
+// upload after the other.
+func (p *proof) driveStreams(n int) *streaming {
+	s := &streaming{p: p, stop: make(chan struct{}), wg: conc.NewWaitGroup()}
+	for _, zone := range p.d.Shape.Zones() {
+		for i := range n {
+			s.wg.Go(func() { s.caller(zone, i) })
+		}
+	}
+	return s
+}
+
+func (s *streaming) end() int64 {
+	close(s.stop)
+	s.wg.Wait()
+	return s.done.Load()
+}
+
+func (s *streaming) caller(zone string, n int) {
+	p := s.p
+	c := caller.New(p.d.Shape.ClientOf(zone, n), p.d.AllCallers()...)
+	defer c.Close()
+	web := &http.Client{Transport: &http.Transport{}}
+	for i := 0; ; i++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		entries, err := c.Lookup(p.ctx(5*time.Second), service)
+		if err != nil {
+			p.violated("no look-up: %v", err)
+			continue
+		}
+		p.sent(1)
+		if i%2 == 0 {
+			err = s.download(web, entries[0], c.Address)
+		} else {
+			err = s.upload(web, entries[0], c.Address)
+		}
+		if err != nil {
+			p.violated("stream through %s: %v", entries[0].Box, err)
+			continue
+		}
+		s.done.Add(1)
+	}
+}
+
+func (s *streaming) request(method string, e entry.LookupEntry, path, id, client string, body io.Reader) *http.Request {
+	req, err := http.NewRequest(method, "http://"+e.Address+entry.PathRequests+service+path, body)
+	s.p.must(err)
+	req.Header.Set(entry.HeaderRequestID, id)
+	req.Header.Set(entry.HeaderClient, client)
+	return req
+}
+
+// download takes about two seconds.
+func (s *streaming) download(web *http.Client, e entry.LookupEntry, client string) error {
+	id := harness.NewID()
+	const size = 200_000
+	resp, err := web.Do(s.request(http.MethodGet, e, fmt.Sprintf("/track?bytes=%d&pause_ms=150", size), id, client, nil))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(entry.HeaderOutcome) != string(outcome.Answered) {
+		return fmt.Errorf("status %d %s", resp.StatusCode, resp.Header.Get(entry.HeaderReason))
+	}
+	n, err := io.Copy(&patternWriter{pattern: []byte(strings.Repeat(id+"\n", 1024))}, resp.Body)
+	if err == nil && n != size {
+		err = fmt.Errorf("%d bytes", n)
+	}
+	return err
+}
+
+// upload takes about a second.
+func (s *streaming) upload(web *http.Client, e entry.LookupEntry, client string) error {
+	id := harness.NewID()
+	part := bytes.Repeat([]byte("u"), 40_000)
+	slow := &slowReader{parts: 10, part: part, pause: 100 * time.Millisecond}
+	resp, err := web.Do(s.request(http.MethodPut, e, "/upload", id, client, slow))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if want := standin.Expected(id, digestOf(bytes.Repeat(part, 10)), 400_000); string(answer) != want {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, answer)
+	}
+	return nil
+}
+
+// slowReader gives parts with a pause before each.
+type slowReader struct {
+	parts int
+	part  []byte
+	pause time.Duration
+	left  []byte
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if len(r.left) == 0 {
+		if r.parts == 0 {
+			return 0, io.EOF
+		}
+		time.Sleep(r.pause)
+		r.parts--
+		r.left = r.part
+	}
+	n := copy(p, r.left)
+	r.left = r.left[n:]
+	return n, nil
+}
--- a/test/prove/prove_test.go
+++ b/test/prove/prove_test.go
@@ -256,7 +256,11 @@
 			return true
 		}))
 	}
-	// Snapshots follow the configuration, and heartbeats the shares.
+	p.awaitAllLive()
+}
+
+// awaitAllLive waits until every box sees all boxes alive.
+func (p *proof) awaitAllLive() {
 	p.must(harness.WaitFor(20*time.Second, func() bool {
 		for i := range p.d.Shape.Boxes {
 			status, err := p.operator(i).GetStatus(p.ctx(time.Second), &pb.GetStatusRequest{})
@@ -364,3 +368,17 @@
 	}
 	return nil
 }
+
+// checkPeaks compares each backend server's own peak with its slots.
+func (p *proof) checkPeaks() {
+	records, err := p.d.Records()
+	p.must(err)
+	most := 0
+	for name, r := range records {
+		most = max(most, r.Peak)
+		if r.Peak > p.d.Shape.Slots {
+			p.violated("%s worked on %d requests at once and has %d slots", name, r.Peak, p.d.Shape.Slots)
+		}
+	}
+	p.figure("peak_use=%d/%d", most, p.d.Shape.Slots)
+}
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -134,7 +134,10 @@
 		return
 	}
 	b.begin(r)
-	defer b.end()
+	// A caller may have the last byte before this handler returns, so the slot
+	// counts as free from just before the last write.
+	end := sync.OnceFunc(b.end)
+	defer end()
 	digest := sha256.New()
 	size, err := io.Copy(digest, r.Body)
 	if err != nil {
@@ -145,7 +148,7 @@
 		return
 	}
 	body := Expected(r.Header.Get(entry.HeaderRequestID), hex.EncodeToString(digest.Sum(nil)), size)
-	b.answer(w, r, fault, body)
+	b.answer(w, r, fault, body, end)
 }
 
 // Expected is the answer to a request: it names the request's id and digest,
@@ -200,11 +203,12 @@
 	}
 }
 
-func (b *Backend) answer(w http.ResponseWriter, r *http.Request, fault, body string) {
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request, fault, body string, end func()) {
 	if n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64); err == nil {
-		b.stream(w, r, n)
+		b.stream(w, r, n, end)
 		return
 	}
+	end()
 	switch fault {
 	case "reset-after":
 		reset(w)
@@ -224,7 +228,7 @@
 }
 
 // stream sends n bytes that depend on the request's id, slowly if asked.
-func (b *Backend) stream(w http.ResponseWriter, r *http.Request, n int64) {
+func (b *Backend) stream(w http.ResponseWriter, r *http.Request, n int64, end func()) {
 	pattern := []byte(strings.Repeat(r.Header.Get(entry.HeaderRequestID)+"\n", 1024))
 	if r.URL.Query().Get("chunked") == "" {
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
@@ -232,13 +236,16 @@
 	pause, _ := strconv.Atoi(r.URL.Query().Get("pause_ms"))
 	for n > 0 {
 		part := pattern[:min(int64(len(pattern)), n)]
+		time.Sleep(time.Duration(pause) * time.Millisecond)
+		if int64(len(part)) == n {
+			end()
+		}
 		if _, err := w.Write(part); err != nil {
 			return
 		}
 		n -= int64(len(part))
 		if pause > 0 {
 			w.(http.Flusher).Flush()
-			time.Sleep(time.Duration(pause) * time.Millisecond)
 		}
 	}
 }
