Promise 6: the shift cap, proved under failure

Plans move buckets within the cap by conditional update against the revision read and only a whole window after it was first seen; each box walks to the plan within the cap of its buckets and of its measured requests. The proof now counts a move only where it certainly fell into a window, for all clients together and, as strictly as before, for each box's own.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -23,11 +23,13 @@
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/once"
 	"github.com/stoneworks/stoneworks/pkg/peer"
 	"github.com/stoneworks/stoneworks/pkg/platform"
 	"github.com/stoneworks/stoneworks/pkg/rpc"
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/shift"
 	"github.com/stoneworks/stoneworks/pkg/slots"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
@@ -53,6 +55,8 @@
 	NewGate func() *admission.Gate
 	// Usable is how many of a server's slots this box may use.
 	Usable func(box, server string, slots int, own slots.View, others []slots.Told) int
+	// ShiftCap is the share of traffic that may change region in a window.
+	ShiftCap func(*model.Service) float64
 	// LeaveSteps are the steps of a planned stop.
 	LeaveSteps []LeaveStep
 
@@ -87,10 +91,13 @@
 
 	mu sync.Mutex
 	// told is the views that heartbeats tell.
-	told  map[string][]string
-	gates map[string]*admission.Gate
-	pools map[string]*exchange.Pool
-	peers map[string]*exchange.Pool
+	told    map[string][]string
+	gates   map[string]*admission.Gate
+	walkers map[string]*shift.Walker
+	// planSeen tells when this box first saw the plan that is in force.
+	planSeen map[string]seenPlan
+	pools    map[string]*exchange.Pool
+	peers    map[string]*exchange.Pool
 
 	// background runs for as long as the box does.
 	background *conc.WaitGroup
@@ -121,6 +128,8 @@
 		logger:      logging.New(handler, level),
 		started:     time.Now(),
 		gates:       map[string]*admission.Gate{},
+		walkers:     map[string]*shift.Walker{},
+		planSeen:    map[string]seenPlan{},
 		pools:       map[string]*exchange.Pool{},
 		peers:       map[string]*exchange.Pool{},
 		background:  conc.NewWaitGroup(),
@@ -139,6 +148,7 @@
 	b.NewGate = func() *admission.Gate { return admission.NewGate(time.Now, s.Limits.QueueWait) }
 	b.region = b.Topology.RegionOf(s.Zone)
 	b.Usable = slots.Usable
+	b.ShiftCap = func(s *model.Service) float64 { return s.ShiftCap }
 	b.LeaveSteps = b.leaveSteps()
 	b.Once = once.NewTable(s.Limits.OnceRecords, s.Limits.OnceAge, b.age)
 	b.Entry = b.newEntry()
@@ -172,6 +182,7 @@
 		Claim:        b.claim,
 		Leaving:      b.serverSaysLeaving,
 		Classify:     entry.Classify,
+		CountBucket:  b.countBucket,
 		Count:        func(result string) { metrics.GetOrRegisterCounter("requests."+result, b.Metrics).Inc(1) },
 		Observe:      b.observe(),
 	}
--- a/pkg/box/box_operators.go
+++ b/pkg/box/box_operators.go
@@ -9,6 +9,7 @@
 	"github.com/stoneworks/stoneworks/pkg/decide"
 	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/rpc"
+	"github.com/stoneworks/stoneworks/pkg/shift"
 )
 
 func (b *Box) newOperators() *rpc.Operators {
@@ -34,7 +35,7 @@
 		})
 	}
 	for _, o := range b.Store.All() {
-		if !o.Deleted {
+		if o.IsService() {
 			reply.Services = append(reply.Services, b.serviceStatus(o))
 		}
 	}
@@ -57,9 +58,36 @@
 		}
 		s.BackendServers = append(s.BackendServers, line)
 	}
+	b.planStatus(o.Name, s)
 	return s
 }
 
+// planStatus tells what the plan is and how far this box is from it.
+func (b *Box) planStatus(service string, s *pb.ServiceStatus) {
+	o := b.Store.Get(config.PlanPrefix + service)
+	inForce := b.walker(service).InForce()
+	if o == nil || o.Plan == nil || inForce == nil {
+		return
+	}
+	s.PlanRevision = o.Revision
+	s.PlanLeft = shift.Distance(inForce, o.Plan)
+	for _, client := range b.Topology.Regions() {
+		for _, serving := range b.Topology.Regions() {
+			n := 0
+			for bucket := range decide.Buckets {
+				if inForce.Region(client, bucket) == serving {
+					n++
+				}
+			}
+			if n > 0 {
+				s.Assignment = append(s.Assignment, &pb.RegionShare{
+					ClientRegion: client, ServingRegion: serving, Share: float64(n) / decide.Buckets,
+				})
+			}
+		}
+	}
+}
+
 func serverState(s admission.ServerStatus) string {
 	switch {
 	case s.Leaving || s.SelfLeaving:
--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -15,6 +15,7 @@
 const (
 	rebuildEvery = 250 * time.Millisecond
 	probeEvery   = time.Second
+	planEvery    = 250 * time.Millisecond
 	expireEvery  = 10 * time.Second
 	tickEvery    = 100 * time.Millisecond
 	// standstill is how long the timers may have been silent before the box
@@ -84,6 +85,7 @@
 	b.Timers.Every(tickEvery, func() { b.lastTick.Store(int64(b.age())) })
 	b.Timers.Every(peer.Beat, b.beat)
 	b.Timers.Every(rebuildEvery, b.rebuild)
+	b.Timers.Every(planEvery, b.plan)
 	b.Timers.Every(probeEvery, b.probeServers)
 	b.Timers.Every(expireEvery, b.Table.Expire)
 }
--- /dev/null
+++ b/pkg/box/box_shift.go
@@ -0,0 +1,173 @@
+package box
+
+import (
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/model"
+	"github.com/stoneworks/stoneworks/pkg/shift"
+)
+
+// enterBelow is the use of a region's slots above which no shift adds to it.
+const enterBelow = 0.8
+
+// seenPlan is a plan's stamp and when this box first saw it.
+type seenPlan struct {
+	stamp config.Stamp
+	since time.Time
+}
+
+func (b *Box) walker(service string) *shift.Walker {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.walkers[service]
+	if w == nil {
+		w = shift.NewWalker()
+		b.walkers[service] = w
+	}
+	return w
+}
+
+func (b *Box) countBucket(service, client string, bucket int) {
+	b.walker(service).Count(client, bucket)
+}
+
+// assign walks a service's assignment towards its plan and returns it; nil
+// while there is no plan yet.
+func (b *Box) assign(s *model.Service) map[string]*decide.Assignment {
+	o := b.Store.Get(config.PlanPrefix + s.Name)
+	if o == nil || o.Plan == nil {
+		return nil
+	}
+	w := b.walker(s.Name)
+	return w.Advance(time.Now(), s.Name, o.Plan, b.ShiftCap(s), window(s)).Assignments()
+}
+
+func window(s *model.Service) time.Duration {
+	return time.Duration(s.ShiftWindowMS) * time.Millisecond
+}
+
+// ================================================================
+// Planning
+// ================================================================
+
+// plan lets this box plan the services that fall to it. Which box plans is
+// only a matter of saving work: whoever plans, a step is written against the
+// revision that it was made from, so of two planners one fails.
+func (b *Box) plan() {
+	if !b.Ready() || !b.confirmed.Load() || b.closed.Load() {
+		return
+	}
+	members := b.Table.Members()
+	for _, o := range b.Store.All() {
+		if o.IsService() && b.isPlanner(o.Name, members) {
+			b.planService(o.Service, members)
+		}
+	}
+}
+
+func (b *Box) isPlanner(service string, members []membership.Member) bool {
+	best, bestHash := "", uint64(0)
+	for _, m := range members {
+		if m.State != membership.Live || !m.Ready {
+			continue
+		}
+		if h := decide.Hash("planner", service, m.Box); best == "" || h > bestHash {
+			best, bestHash = m.Box, h
+		}
+	}
+	return best == b.Settings.Box
+}
+
+func (b *Box) planService(s *model.Service, members []membership.Member) {
+	name := config.PlanPrefix + s.Name
+	facts := b.shiftFacts(s, members)
+	current := b.Store.Get(name)
+	if current == nil || current.Plan == nil {
+		// The first plan says what is: it moves nothing.
+		facts.Usable = func(string) bool { return true }
+		b.writePlan(s, name, 0, shift.Target(&model.Service{Name: s.Name}, nil, facts), 0)
+		return
+	}
+	if !b.seenFor(name, current, window(s)) {
+		return
+	}
+	target := shift.Target(s, current.Plan, facts)
+	next := shift.Step(s.Name, current.Plan, target, b.ShiftCap(s), func(region string) bool {
+		return b.hasHeadroom(s.Name, region, members)
+	})
+	if shift.Distance(current.Plan, next) == 0 {
+		return
+	}
+	b.writePlan(s, name, current.Revision, next, shift.Distance(next, target))
+}
+
+// seenFor reports whether this box has seen the plan for a whole window, by
+// its own clock and without having stood still meanwhile.
+func (b *Box) seenFor(name string, o *config.Object, window time.Duration) bool {
+	stamp := config.Stamp{Revision: o.Revision, ChangeID: o.ChangeID}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := b.planSeen[name]
+	if seen.stamp != stamp {
+		b.planSeen[name] = seenPlan{stamp: stamp, since: time.Now()}
+		return false
+	}
+	return time.Since(seen.since) >= window
+}
+
+func (b *Box) writePlan(s *model.Service, name string, expected uint64, next *shift.Plan, left float64) {
+	o, err := b.Writer.Apply(b.context, config.Change{Name: name, Expected: expected, ChangeID: newIncarnation(), Plan: next})
+	if err != nil {
+		b.log.Warn("plan not written", map[string]any{"service": s.Name, "error": err})
+		return
+	}
+	b.log.Info("planned", map[string]any{"service": s.Name, "revision": o.Revision, "left_to_target": left})
+}
+
+// shiftFacts tells which regions serve, and which of them are heard of.
+func (b *Box) shiftFacts(s *model.Service, members []membership.Member) shift.Facts {
+	f := shift.Facts{ClientRegions: b.Topology.Regions()}
+	serving := map[string]bool{}
+	for _, server := range s.BackendServers {
+		region := b.Topology.RegionOf(server.Zone)
+		if !server.Leaving && s.RegionAllowed(region) {
+			serving[region] = true
+		}
+	}
+	for _, r := range b.Topology.Regions() {
+		if serving[r] {
+			f.Serving = append(f.Serving, r)
+		}
+	}
+	f.Usable = func(region string) bool {
+		for _, m := range members {
+			if b.Topology.RegionOf(m.Zone) == region && m.State != membership.Dead && m.State != membership.Listed && !m.Gone {
+				return true
+			}
+		}
+		return false
+	}
+	return f
+}
+
+// hasHeadroom reports whether a region may take more: its boxes' load is known
+// and well below their slots. Unknown load means no: a shift must not go where
+// nothing is measured.
+func (b *Box) hasHeadroom(service, region string, members []membership.Member) bool {
+	share, inUse := 0, 0
+	for _, m := range members {
+		if b.Topology.RegionOf(m.Zone) != region || m.State != membership.Live {
+			continue
+		}
+		for _, l := range m.Load {
+			if l.Service == service {
+				share += l.Share
+				inUse += l.InUse
+			}
+		}
+	}
+	return share > 0 && float64(inUse) < enterBelow*float64(share)
+}
--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -240,7 +240,7 @@
 	defer cancel()
 	wg := newLimitedGroup()
 	for _, o := range b.Store.All() {
-		if o.Deleted {
+		if !o.IsService() {
 			continue
 		}
 		gate := b.gate(o.Name)
--- a/pkg/box/box_snapshot.go
+++ b/pkg/box/box_snapshot.go
@@ -30,10 +30,10 @@
 func (b *Box) services() []decide.ServiceInput {
 	var services []decide.ServiceInput
 	for _, o := range b.Store.All() {
-		if o.Deleted {
+		if !o.IsService() {
 			continue
 		}
-		services = append(services, decide.ServiceInput{Spec: o.Service, Revision: o.Revision})
+		services = append(services, decide.ServiceInput{Spec: o.Service, Revision: o.Revision, Assign: b.assign(o.Service)})
 	}
 	return services
 }
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -14,9 +14,13 @@
 	"sync"
 
 	"github.com/stoneworks/stoneworks/pkg/model"
+	"github.com/stoneworks/stoneworks/pkg/shift"
 )
 
-// Object is one revision of one service. A deleted service stays as a
+// PlanPrefix starts the names of plans, which no service can have.
+const PlanPrefix = "plan:"
+
+// Object is one revision of one service, or of a service's plan. A deleted service stays as a
 // tombstone, so that an older revision cannot bring it back.
 type Object struct {
 	Name     string         `json:"name"`
@@ -24,8 +28,12 @@
 	ChangeID string         `json:"change_id"`
 	Deleted  bool           `json:"deleted,omitempty"`
 	Service  *model.Service `json:"service,omitempty"`
+	Plan     *shift.Plan    `json:"plan,omitempty"`
 }
 
+// IsService reports whether o is a service that is not deleted.
+func (o *Object) IsService() bool { return o.Service != nil }
+
 // Newer reports whether o replaces other. Two objects of one revision that
 // differ can only come from a store that lost its memory; the change id
 // decides then, so that all boxes decide alike.
@@ -41,6 +49,9 @@
 	// Changed is called, without any lock held, with each object that came
 	// into force.
 	Changed func(*Object)
+	// Newer reports whether an object replaces the one in force; a seam for
+	// tests.
+	Newer func(o, inForce *Object) bool
 
 	mu      sync.RWMutex
 	objects map[string]*Object
@@ -49,7 +60,7 @@
 
 // NewStore makes an empty store that is not ready.
 func NewStore() *Store {
-	return &Store{objects: map[string]*Object{}, Changed: func(*Object) {}}
+	return &Store{objects: map[string]*Object{}, Changed: func(*Object) {}, Newer: (*Object).Newer}
 }
 
 // Merge takes in objects and returns those that came into force. Merge is
@@ -58,7 +69,7 @@
 	var news []*Object
 	s.mu.Lock()
 	for _, o := range objects {
-		if o.Newer(s.objects[o.Name]) {
+		if s.Newer(o, s.objects[o.Name]) {
 			s.objects[o.Name] = o
 			news = append(news, o)
 		}
--- a/pkg/config/writer.go
+++ b/pkg/config/writer.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/platform"
+	"github.com/stoneworks/stoneworks/pkg/shift"
 )
 
 // Kind is the platform's kind of the configuration objects.
@@ -65,8 +66,9 @@
 	// Expected is the revision the operator saw; 0 to create.
 	Expected uint64
 	ChangeID string
-	// Service is nil to delete.
+	// Service, or Plan, is what it becomes; both nil to delete.
 	Service *model.Service
+	Plan    *shift.Plan
 }
 
 // retryPause is how long Apply waits before it reads the object again.
@@ -185,7 +187,8 @@
 }
 
 func (c Change) object(current *Object) *Object {
-	next := &Object{Name: c.Name, Revision: 1, ChangeID: c.ChangeID, Service: c.Service, Deleted: c.Service == nil}
+	next := &Object{Name: c.Name, Revision: 1, ChangeID: c.ChangeID, Service: c.Service, Plan: c.Plan}
+	next.Deleted = c.Service == nil && c.Plan == nil
 	if current != nil {
 		next.Revision = current.Revision + 1
 	}
@@ -232,7 +235,7 @@
 	if err := json.Unmarshal(p.Value, &o); err != nil {
 		return nil, &platform.MalformedError{Detail: fmt.Sprintf("%s/%s: %v", p.Kind, p.Name, err)}
 	}
-	if o.Name != p.Name || o.Revision == 0 || (o.Service == nil) != o.Deleted {
+	if o.Name != p.Name || o.Revision == 0 || (o.Service == nil && o.Plan == nil) != o.Deleted {
 		return nil, &platform.MalformedError{Detail: fmt.Sprintf("%s/%s: not a configuration object", p.Kind, p.Name)}
 	}
 	return &o, nil
--- a/pkg/ctl/ctl_print.go
+++ b/pkg/ctl/ctl_print.go
@@ -80,6 +80,16 @@
 	})
 }
 
+func (p *program) printPlan(s *pb.ServiceStatus) error {
+	return p.print(s, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "service %s\tplan revision %d\tleft to walk %.1f%%\n", s.Name, s.PlanRevision, 100*s.PlanLeft)
+		fmt.Fprintln(w, "CLIENTS OF\tSERVED BY\tSHARE")
+		for _, a := range s.Assignment {
+			fmt.Fprintf(w, "%s\t%s\t%.1f%%\n", a.ClientRegion, a.ServingRegion, 100*a.Share)
+		}
+	})
+}
+
 func (p *program) printExplain(r *pb.ExplainReply) error {
 	return p.print(r, func(w *tabwriter.Writer) {
 		fmt.Fprintf(w, "region\t%s\nzone\t%s\nbox\t%s\nreason\t%s\nbucket\t%d\nmay be repeated\t%t\nentry boxes\t%s\n",
--- a/pkg/ctl/ctl_verbs.go
+++ b/pkg/ctl/ctl_verbs.go
@@ -26,6 +26,7 @@
 	{"drain", "drain [-undo] [-wait] SERVICE SERVER", "give a backend server no new work", verbDrain},
 	{"shift", "shift [-wait] SERVICE FROM TO SHARE", "plan that a share of a region's clients moves", verbShift},
 	{"status", "status", "show how a box sees the deployment", verbStatus},
+	{"plan", "plan SERVICE", "show which region serves which share of the clients, and how far a box is from the plan", verbPlan},
 	{"explain", "explain [-method M] [-path P] SERVICE CLIENT", "say where a request would go, and why", verbExplain},
 }
 
@@ -258,6 +259,26 @@
 	}
 }
 
+func verbPlan(p *program, _ *flag.FlagSet) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "SERVICE"); err != nil {
+			return err
+		}
+		return p.with(func(c pb.OperatorsClient) error {
+			reply, err := c.GetStatus(ctx, &pb.GetStatusRequest{})
+			if err != nil {
+				return err
+			}
+			for _, s := range reply.Services {
+				if s.Name == args[0] {
+					return p.printPlan(s)
+				}
+			}
+			return &UsageError{Problem: fmt.Sprintf("no service %q", args[0])}
+		})
+	}
+}
+
 func verbExplain(p *program, f *flag.FlagSet) func(context.Context, []string) error {
 	method := f.String("method", "GET", "the request's method")
 	path := f.String("path", "/", "the request's path")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -68,6 +68,8 @@
 	Leaving func(service, server string)
 	// Classify says what a failed exchange means.
 	Classify func(err error) *outcome.Failure
+	// CountBucket counts requests by client region and bucket.
+	CountBucket func(service, client string, bucket int)
 	// Count counts ends of requests, by outcome and reason.
 	Count func(result string)
 	// Observe measures a whole request.
--- a/pkg/entry/entry_route.go
+++ b/pkg/entry/entry_route.go
@@ -14,6 +14,9 @@
 	for try := range maxTries {
 		d := r.snapshot.Route(r.view, &target)
 		e.logDecision(r, d, try)
+		if try == 0 {
+			e.CountBucket(r.Service, d.Client, d.Bucket)
+		}
 		if d.Box == nil {
 			break
 		}
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -67,6 +67,9 @@
 
 // DeleteService implements the call of that name.
 func (o *Operators) DeleteService(ctx context.Context, r *pb.DeleteServiceRequest) (*pb.ServiceReply, error) {
+	if !model.ValidName(r.GetName()) {
+		return nil, toStatus(&config.NotFoundError{Name: r.GetName()})
+	}
 	return o.apply(ctx, config.Change{Name: r.GetName(), Expected: r.GetExpectedRevision(), ChangeID: r.GetChangeId()})
 }
 
@@ -87,7 +90,7 @@
 // GetService implements the call of that name.
 func (o *Operators) GetService(_ context.Context, r *pb.GetServiceRequest) (*pb.ServiceReply, error) {
 	object := o.Store.Get(r.GetName())
-	if object == nil || object.Deleted {
+	if object == nil || !object.IsService() {
 		return nil, toStatus(&config.NotFoundError{Name: r.GetName()})
 	}
 	return toReply(object), nil
@@ -97,7 +100,7 @@
 func (o *Operators) ListServices(context.Context, *pb.ListServicesRequest) (*pb.ListServicesReply, error) {
 	reply := &pb.ListServicesReply{}
 	for _, object := range o.Store.All() {
-		if !object.Deleted {
+		if object.IsService() {
 			reply.Services = append(reply.Services, toReply(object))
 		}
 	}
--- a/pkg/rpc/rpc_watch.go
+++ b/pkg/rpc/rpc_watch.go
@@ -29,6 +29,9 @@
 	for {
 		for _, object := range o.Store.NewerThan(sent) {
 			sent[object.Name] = config.Stamp{Revision: object.Revision, ChangeID: object.ChangeID}
+			if object.Plan != nil {
+				continue
+			}
 			if err := stream.Send(toReply(object)); err != nil {
 				return err
 			}
--- /dev/null
+++ b/pkg/shift/walker.go
@@ -0,0 +1,148 @@
+package shift
+
+import (
+	"sync"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/decide"
+)
+
+// Walker is one box's assignment of one service: what it has in force, and how
+// it walks from there to the plan.
+type Walker struct {
+	mu      sync.Mutex
+	inForce *Plan
+	moves   []move
+	// counts and last are the requests of this window and of the one before,
+	// by client region and bucket.
+	counts  map[string]*[decide.Buckets]float64
+	last    map[string]*[decide.Buckets]float64
+	rotated time.Time
+}
+
+// move is one bucket that changed its region.
+type move struct {
+	at     time.Time
+	client string
+	bucket int
+}
+
+// NewWalker makes a walker that takes the first plan it sees as it is: a box
+// that has just started has no traffic to move.
+func NewWalker() *Walker {
+	return &Walker{counts: map[string]*[decide.Buckets]float64{}, last: map[string]*[decide.Buckets]float64{}}
+}
+
+// Count notes a request.
+func (w *Walker) Count(client string, bucket int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.counts[client]
+	if c == nil {
+		c = &[decide.Buckets]float64{}
+		w.counts[client] = c
+	}
+	c[bucket]++
+}
+
+// InForce returns the assignment in force, or nil before the first plan.
+func (w *Walker) InForce() *Plan {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.inForce
+}
+
+// Advance walks towards the plan as far as the cap allows, and returns the
+// assignment in force. In any window the moved buckets of a client region are
+// at most the cap's part of its buckets and of its measured requests.
+func (w *Walker) Advance(now time.Time, service string, plan *Plan, limit float64, window time.Duration) *Plan {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.inForce == nil {
+		w.inForce = plan
+		return plan
+	}
+	w.rotate(now, window)
+	w.forget(now.Add(-window - slack(window)))
+	for client := range plan.Assign {
+		w.advanceClient(now, service, client, plan, limit)
+	}
+	return w.inForce
+}
+
+// slack lengthens the window a little, since requests that were decided before
+// a move may reach their region after it.
+func slack(window time.Duration) time.Duration { return window / 10 }
+
+func (w *Walker) advanceClient(now time.Time, service, client string, plan *Plan, limit float64) {
+	moved, weight := w.movedOf(client)
+	total := w.weightOf(client, -1)
+	taken := map[int]string{}
+	for _, bucket := range bucketOrder(service, client) {
+		to := plan.Region(client, bucket)
+		if to == "" || to == w.inForce.Region(client, bucket) {
+			continue
+		}
+		own := w.weightOf(client, bucket)
+		if float64(moved+1) > limit*decide.Buckets+rounding {
+			break
+		}
+		if weight+own > limit*total+rounding {
+			continue
+		}
+		moved++
+		weight += own
+		taken[bucket] = to
+		w.moves = append(w.moves, move{at: now, client: client, bucket: bucket})
+	}
+	if len(taken) > 0 {
+		w.inForce = w.inForce.With(client, taken)
+	}
+}
+
+func (w *Walker) movedOf(client string) (n int, weight float64) {
+	for _, m := range w.moves {
+		if m.client == client {
+			n++
+			weight += w.weightOf(client, m.bucket)
+		}
+	}
+	return n, weight
+}
+
+// weightOf sums the requests of a bucket, or of all if it is negative.
+func (w *Walker) weightOf(client string, bucket int) float64 {
+	sum := 0.0
+	for _, counts := range []*[decide.Buckets]float64{w.counts[client], w.last[client]} {
+		if counts == nil {
+			continue
+		}
+		if bucket >= 0 {
+			sum += counts[bucket]
+			continue
+		}
+		for _, n := range counts {
+			sum += n
+		}
+	}
+	return sum
+}
+
+func (w *Walker) forget(before time.Time) {
+	kept := w.moves[:0]
+	for _, m := range w.moves {
+		if m.at.After(before) {
+			kept = append(kept, m)
+		}
+	}
+	w.moves = kept
+}
+
+func (w *Walker) rotate(now time.Time, window time.Duration) {
+	if now.Sub(w.rotated) < window {
+		return
+	}
+	w.last = w.counts
+	w.counts = map[string]*[decide.Buckets]float64{}
+	w.rotated = now
+}
--- a/test/control/control.go
+++ b/test/control/control.go
@@ -9,7 +9,9 @@
 
 	"github.com/stoneworks/stoneworks/pkg/admission"
 	"github.com/stoneworks/stoneworks/pkg/box"
+	"github.com/stoneworks/stoneworks/pkg/config"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/once"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 	"github.com/stoneworks/stoneworks/pkg/slots"
@@ -51,6 +53,12 @@
 			return own.Part(box, server, n)
 		}
 	},
+	// no-cap shifts everything at once.
+	"no-cap": func(b *box.Box) { b.ShiftCap = func(*model.Service) float64 { return 1 } },
+	// any-revision takes whatever comes last.
+	"any-revision": func(b *box.Box) {
+		b.Store.Newer = func(*config.Object, *config.Object) bool { return true }
+	},
 	// careless-not-run says "not run" of every exchange that failed.
 	"careless-not-run": func(b *box.Box) {
 		classify := b.Entry.Classify
--- /dev/null
+++ b/test/prove/promise_6_test.go
@@ -0,0 +1,368 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "github.com/stoneworks/stoneworks/api/stoneworks/v1"
+	"github.com/stoneworks/stoneworks/pkg/caller"
+	"github.com/stoneworks/stoneworks/pkg/decide"
+	"github.com/stoneworks/stoneworks/pkg/entry"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/test/faultproxy"
+	"github.com/stoneworks/stoneworks/test/harness"
+	"github.com/stoneworks/stoneworks/test/standin"
+)
+
+const (
+	shiftCap    = 0.1
+	shiftWindow = 2 * time.Second
+	// sampleEvery is how often each client is seen, which is how exactly the
+	// moment of its move is known.
+	sampleEvery = 100 * time.Millisecond
+)
+
+// TestPromise6 proves that no shift moves more than the cap in any window.
+func TestPromise6(t *testing.T) {
+	prove(t, 6, "no-cap", func(p *proof) {
+		l := p.start("small")
+		p.awaitPlan()
+		w := p.watchClients([]int{0, 1, 3})
+		p.plannedShift()
+		p.twoOperators()
+		p.plannerHarmed(l)
+		p.lostPlanAnswers()
+		p.zoneCutOff(l, w)
+		p.regionLost()
+		w.end()
+		w.check()
+	})
+}
+
+// awaitPlan waits until every box has a plan.
+func (p *proof) awaitPlan() {
+	for i := range p.d.Shape.Boxes {
+		p.must(harness.WaitFor(10*time.Second, func() bool { return p.planOf(i).GetPlanRevision() > 0 }))
+	}
+}
+
+func (p *proof) planOf(i int) *pb.ServiceStatus {
+	reply, err := p.operator(i).GetStatus(p.ctx(2*time.Second), &pb.GetStatusRequest{})
+	if err != nil || len(reply.Services) == 0 {
+		return nil
+	}
+	return reply.Services[0]
+}
+
+// shareOf returns which share of the clients of one region box i has another
+// region serve.
+func (p *proof) shareOf(i int, client, serving string) float64 {
+	for _, a := range p.planOf(i).GetAssignment() {
+		if a.ClientRegion == client && a.ServingRegion == serving {
+			return a.Share
+		}
+	}
+	return 0
+}
+
+// shift sets the one planned shift of the service, north to south.
+func (p *proof) shift(box int, share float64) error {
+	client := p.operator(box)
+	current, err := client.GetService(p.ctx(5*time.Second), &pb.GetServiceRequest{Name: service})
+	if err != nil {
+		return err
+	}
+	return p.shiftFrom(box, current, share)
+}
+
+func (p *proof) shiftFrom(box int, current *pb.ServiceReply, share float64) error {
+	current.Spec.Shifts = []*pb.PlannedShift{{FromRegion: "north", ToRegion: "south", Share: share}}
+	_, err := p.operator(box).UpdateService(p.ctx(10*time.Second), &pb.UpdateServiceRequest{Spec: current.Spec, ExpectedRevision: current.Revision})
+	return err
+}
+
+// awaitShare waits until the boxes have that share of the north in the south.
+func (p *proof) awaitShare(share float64, boxes ...int) {
+	for _, i := range boxes {
+		err := harness.WaitFor(60*time.Second, func() bool { return abs(p.shareOf(i, "north", "south")-share) < 0.006 })
+		if err != nil {
+			p.violated("box %d has %g of the north in the south, not %g", i, p.shareOf(i, "north", "south"), share)
+		}
+	}
+}
+
+func abs(x float64) float64 { return max(x, -x) }
+
+func (p *proof) plannedShift() {
+	p.fault()
+	p.must(p.shift(0, 0.3))
+	p.awaitShare(0.3, 0, 1, 3)
+}
+
+// twoOperators change the same service at the same moment.
+func (p *proof) twoOperators() {
+	p.fault()
+	current, err := p.operator(0).GetService(p.ctx(5*time.Second), &pb.GetServiceRequest{Name: service})
+	p.must(err)
+	var errs [2]error
+	wg := conc.NewWaitGroup()
+	for i, share := range []float64{0.1, 0.5} {
+		wg.Go(func() { errs[i] = p.shiftFrom(i, current, share) })
+	}
+	wg.Wait()
+	wins := 0
+	for _, err := range errs {
+		switch status.Code(err) {
+		case codes.OK:
+			wins++
+		case codes.Aborted:
+		default:
+			p.violated("two operators: %v", err)
+		}
+	}
+	if wins != 1 {
+		p.violated("two operators: %d of them won", wins)
+	}
+}
+
+// plannerBox finds the box that wrote the plan last.
+func (p *proof) plannerBox() int {
+	best, hash := 0, uint64(0)
+	for i := range p.d.Shape.Boxes {
+		if h := decide.Hash("planner", service, p.d.Shape.BoxName(i)); h > hash {
+			best, hash = i, h
+		}
+	}
+	return best
+}
+
+// plannerHarmed freezes the planner in the middle of a shift for longer than it
+// counts as alive, and kills it in the middle of another.
+func (p *proof) plannerHarmed(*links) {
+	planner := p.plannerBox()
+	p.must(p.shift((planner+1)%6, 0.0))
+	time.Sleep(3 * time.Second)
+	p.d.Freeze(planner)
+	p.fault()
+	time.Sleep(8 * time.Second)
+	p.d.Thaw(planner)
+	p.awaitShare(0, 0, 1, 3)
+	p.must(p.shift((planner+1)%6, 0.2))
+	time.Sleep(2500 * time.Millisecond)
+	p.d.Kill(planner)
+	p.fault()
+	var others []int
+	for _, i := range []int{0, 1, 3} {
+		if i != planner {
+			others = append(others, i)
+		}
+	}
+	p.awaitShare(0.2, others...)
+	p.must(p.d.StartBox(planner))
+	p.must(p.d.WaitReady(planner))
+	p.awaitAllLive()
+}
+
+// lostPlanAnswers has the platform take every write and answer none.
+func (p *proof) lostPlanAnswers() {
+	p.must(p.shift(0, 0.3))
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{LoseAnswers: true, DelayMS: 30}))
+	p.fault()
+	p.awaitShare(0.3, 0, 1, 3)
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{StaleBy: 2}))
+	p.fault()
+	time.Sleep(2 * time.Second)
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{}))
+}
+
+// zoneCutOff cuts box 1, which serves clients of its own, off from everything
+// while the others shift, and lets it join again with its old plan.
+func (p *proof) zoneCutOff(l *links, _ *clientWatch) {
+	l.cutBox(p.d, 1)
+	l.platform.Set(func(source string) faultproxy.Fault {
+		cut := source == hostOf(p.d.Peers(1))
+		return faultproxy.Fault{HoldRequests: cut, HoldAnswers: cut}
+	})
+	p.fault()
+	time.Sleep(3 * time.Second)
+	p.must(p.shift(0, 0.7))
+	p.awaitShare(0.7, 0, 3)
+	if got := p.shareOf(1, "north", "south"); abs(got-0.3) > 0.006 {
+		p.violated("a zone that was cut off moved to %g by itself", got)
+	}
+	l.heal()
+	rejoined := time.Now()
+	p.awaitShare(0.7, 1)
+	p.figure("rejoin=%.1fwindows", time.Since(rejoined).Seconds()/shiftWindow.Seconds())
+}
+
+// regionLost kills every box of the south and brings them back.
+func (p *proof) regionLost() {
+	p.d.Kill(2)
+	p.d.Kill(3)
+	p.fault()
+	p.must(p.d.SetBoxList(p.d.BoxList()))
+	p.awaitShare(0, 0, 1)
+	p.must(p.d.StartBox(2))
+	p.must(p.d.StartBox(3))
+	p.must(p.d.WaitReady(2))
+	p.must(p.d.WaitReady(3))
+	p.awaitShare(0.7, 0, 1)
+}
+
+// ================================================================
+// Clients
+// ================================================================
+
+// clientWatch has one client in each bucket ask through one box all the time,
+// and notes which region answered.
+type clientWatch struct {
+	p     *proof
+	stop  chan struct{}
+	wg    *conc.WaitGroup
+	mu    sync.Mutex
+	moves map[int][]moved
+}
+
+// moved is a client that was answered by another region than before. It moved
+// at some time after it had sent the last request that was decided the old
+// way, or was not answered, and before the answer.
+type moved struct {
+	after  time.Time
+	before time.Time
+	client int
+	to     string
+	// through is the box that it asked both times, or -1 if it changed boxes.
+	through int
+}
+
+// watchClients starts the clients of each box: one in each bucket of the north.
+func (p *proof) watchClients(boxes []int) *clientWatch {
+	w := &clientWatch{p: p, stop: make(chan struct{}), wg: conc.NewWaitGroup(), moves: map[int][]moved{}}
+	clients := oneInEachBucket(p.d.Shape.ClientOf("north-a", 0))
+	for _, box := range boxes {
+		for n, address := range clients {
+			w.wg.Go(func() { w.client(box, n, address) })
+		}
+	}
+	return w
+}
+
+// oneInEachBucket returns an address in every bucket, near the given one.
+func oneInEachBucket(near string) []string {
+	found := make([]string, decide.Buckets)
+	left := decide.Buckets
+	for a := netip.MustParseAddr(near); left > 0; a = a.Next() {
+		if b := decide.BucketOf(a); found[b] == "" {
+			found[b] = a.String()
+			left--
+		}
+	}
+	return found
+}
+
+func (w *clientWatch) client(box, n int, address string) {
+	time.Sleep(sampleEvery * time.Duration(n) / decide.Buckets)
+	p := w.p
+	c := caller.New(address, p.d.Callers(box))
+	defer c.Close()
+	// As callers do, it goes to another box while its own does not answer.
+	boxes := []int{box, 0, 4, 5}
+	at, last, lastAt := 0, "", 0
+	asked := time.Now()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(sampleEvery):
+		}
+		p.sent(1)
+		askedBefore := asked
+		asked = time.Now()
+		r := caller.Request{Service: service, Method: "GET", Path: "/item?ms=0"}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		result := c.Submit(ctx, p.d.Callers(boxes[at]), caller.Submission{Request: r, ID: harness.NewID()})
+		cancel()
+		switch {
+		case result.Status == 0:
+			at = (at + 1) % len(boxes)
+			continue
+		case result.Outcome != outcome.Answered:
+			continue
+		}
+		zone := string(result.Header.Peek(entry.HeaderZone))
+		region, _, _ := strings.Cut(zone, "-")
+		if last != "" && region != last {
+			through := boxes[at]
+			if at != lastAt {
+				through = -1
+			}
+			w.mu.Lock()
+			w.moves[box] = append(w.moves[box], moved{askedBefore, time.Now(), n, zone, through})
+			w.mu.Unlock()
+		}
+		last, lastAt = region, at
+	}
+}
+
+func (w *clientWatch) end() {
+	close(w.stop)
+	w.wg.Wait()
+}
+
+// check counts the moves that certainly fell into one window: those of all
+// clients together, and, more strictly, those of each box's own clients while
+// they used it.
+func (w *clientWatch) check() {
+	var all []moved
+	for box, moves := range w.moves {
+		all = append(all, moves...)
+		var own []moved
+		for _, m := range moves {
+			if m.through == box {
+				own = append(own, m)
+			}
+		}
+		w.checkMoves(fmt.Sprintf("box %d", box), own, decide.Buckets)
+	}
+	w.checkMoves("all", all, decide.Buckets*len(w.moves))
+	if len(all) == 0 {
+		w.p.t.Error("nobody moved, so it proves nothing")
+	}
+}
+
+func (w *clientWatch) checkMoves(whose string, moves []moved, clients int) {
+	sort.Slice(moves, func(i, j int) bool { return moves[i].after.Before(moves[j].after) })
+	most, when := 0, ""
+	for i := range moves {
+		if n := len(within(moves[i:], moves[i].after.Add(shiftWindow))); n > most {
+			most, when = n, moves[i].after.Format(time.TimeOnly)
+		}
+	}
+	share := float64(most) / float64(clients)
+	if share > shiftCap {
+		w.p.violated("%.1f%% of the clients of %s moved within one window, from %s on", 100*share, whose, when)
+	}
+	w.p.figure("%q:moves=%d,most_in_a_window=%.1f%%", whose, len(moves), 100*share)
+}
+
+// within returns the moves that were over by the end of a window.
+func within(moves []moved, end time.Time) []moved {
+	var inside []moved
+	for _, m := range moves {
+		if m.before.Before(end) {
+			inside = append(inside, m)
+		}
+	}
+	return inside
+}
--- /dev/null
+++ b/test/prove/promise_8_test.go
@@ -0,0 +1,290 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "github.com/stoneworks/stoneworks/api/stoneworks/v1"
+	"github.com/stoneworks/stoneworks/test/faultproxy"
+	"github.com/stoneworks/stoneworks/test/harness"
+	"github.com/stoneworks/stoneworks/test/standin"
+)
+
+// forceBound is how long after acceptance a configuration may take to be in
+// force in every reachable zone.
+const forceBound = 2 * time.Second
+
+// TestPromise8 proves that an accepted configuration is in force everywhere
+// that can be reached within the bound, and never reverts.
+func TestPromise8(t *testing.T) {
+	prove(t, 8, "any-revision", func(p *proof) {
+		l := p.start("small")
+		w := p.watchRevisions()
+		p.plainChanges()
+		p.acceptedThenOutage(l)
+		p.lostWriteAnswers()
+		p.staleReads()
+		p.restartInOutage()
+		p.storePutBack()
+		p.operatorsRace()
+		p.peersLinkedPlatformCut(l)
+		p.zoneRejoins(l)
+		w.end()
+	})
+}
+
+// change sets the deadline of the service through box i and returns the
+// accepted revision.
+func (p *proof) change(i int) (uint64, error) {
+	client := p.operator(i)
+	current, err := client.GetService(p.ctx(5*time.Second), &pb.GetServiceRequest{Name: service})
+	if err != nil {
+		return 0, err
+	}
+	current.Spec.DefaultDeadlineMs = int64(10_000 + current.Revision)
+	p.sent(1)
+	reply, err := client.UpdateService(p.ctx(10*time.Second), &pb.UpdateServiceRequest{Spec: current.Spec, ExpectedRevision: current.Revision})
+	return reply.GetRevision(), err
+}
+
+// inForce waits until the boxes have the revision, and checks the bound.
+func (p *proof) inForce(what string, revision uint64, since time.Time, boxes ...int) {
+	err := harness.WaitFor(20*time.Second, func() bool {
+		for _, i := range boxes {
+			if p.revisionOf(i) < revision {
+				return false
+			}
+		}
+		return true
+	})
+	took := time.Since(since)
+	if err != nil || took > forceBound {
+		p.violated("%s: revision %d took %s", what, revision, took)
+	}
+	p.figure("%q=%dms", what, took.Milliseconds())
+}
+
+func (p *proof) revisionOf(i int) uint64 {
+	reply, err := p.operator(i).GetService(p.ctx(time.Second), &pb.GetServiceRequest{Name: service})
+	if err != nil {
+		return 0
+	}
+	return reply.Revision
+}
+
+var everyBox = []int{0, 1, 2, 3, 4, 5}
+
+func (p *proof) plainChanges() {
+	p.fault()
+	for i := range 6 {
+		revision, err := p.change(i)
+		p.must(err)
+		p.inForce(fmt.Sprintf("through box %d", i), revision, time.Now(), everyBox...)
+	}
+}
+
+// acceptedThenOutage takes the platform away right after acceptance.
+func (p *proof) acceptedThenOutage(l *links) {
+	revision, err := p.change(0)
+	p.must(err)
+	l.platform.SetAll(faultproxy.Fault{Reset: true})
+	p.fault()
+	p.inForce("accepted, then outage", revision, time.Now(), everyBox...)
+	_, err = p.change(1)
+	if c := status.Code(err); c != codes.Unavailable && c != codes.Unknown {
+		p.violated("a change during an outage was answered %v", err)
+	}
+	l.platform.Clear()
+	time.Sleep(time.Second)
+}
+
+// lostWriteAnswers has the platform store writes and drop the answers: what is
+// accepted must be in force, once, and what is not known must be said so.
+func (p *proof) lostWriteAnswers() {
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{LoseAnswers: true}))
+	p.fault()
+	for i := range 4 {
+		revision, err := p.change(i)
+		if err != nil {
+			if c := status.Code(err); c != codes.Unknown && c != codes.Aborted {
+				p.violated("a lost answer was told as %v", err)
+			}
+			continue
+		}
+		p.inForce("answers lost", revision, time.Now(), everyBox...)
+	}
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{}))
+}
+
+// staleReads has the platform answer reads with an older state.
+func (p *proof) staleReads() {
+	revision, err := p.change(2)
+	p.must(err)
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{StaleBy: 3}))
+	p.fault()
+	p.inForce("stale reads", revision, time.Now(), everyBox...)
+	// A box that starts now reads the old state and must not keep it.
+	p.d.Kill(4)
+	p.must(p.d.StartBox(4))
+	p.must(p.d.WaitReady(4))
+	p.inForce("box started on stale reads", revision, time.Now(), 4)
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{}))
+	p.awaitAllLive()
+}
+
+// restartInOutage restarts a box while only its peers have the configuration.
+func (p *proof) restartInOutage() {
+	revision, err := p.change(3)
+	p.must(err)
+	p.inForce("before an outage", revision, time.Now(), everyBox...)
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{Down: true}))
+	p.fault()
+	p.d.Kill(2)
+	p.must(p.d.StartBox(2))
+	p.must(p.d.WaitReady(2))
+	p.inForce("box started in an outage", revision, time.Now(), 2)
+	p.must(p.d.SetPlatformFault(standin.PlatformFault{}))
+	p.awaitAllLive()
+}
+
+// storePutBack puts the platform's store back to an older state; what was
+// accepted stays in force, also at a box that starts from that store.
+func (p *proof) storePutBack() {
+	revision, err := p.change(0)
+	p.must(err)
+	p.inForce("before the store was put back", revision, time.Now(), everyBox...)
+	p.must(p.d.RestorePlatform(3))
+	p.fault()
+	p.d.Kill(5)
+	p.must(p.d.StartBox(5))
+	p.must(p.d.WaitReady(5))
+	p.inForce("store put back", revision, time.Now(), everyBox...)
+	next, err := p.change(5)
+	if err != nil || next <= revision {
+		p.violated("a change after the store was put back: revision %d after %d, %v", next, revision, err)
+	}
+	p.inForce("changed after it was put back", next, time.Now(), everyBox...)
+	p.awaitAllLive()
+}
+
+// operatorsRace has operators change the same revision at the same moment.
+func (p *proof) operatorsRace() {
+	for range 10 {
+		p.fault()
+		current, err := p.operator(0).GetService(p.ctx(5*time.Second), &pb.GetServiceRequest{Name: service})
+		p.must(err)
+		var wins, conflicts conflictCount
+		wg := conc.NewWaitGroup()
+		for i := range 4 {
+			wg.Go(func() {
+				p.sent(1)
+				_, err := p.operator(i).UpdateService(p.ctx(10*time.Second), &pb.UpdateServiceRequest{Spec: current.Spec, ExpectedRevision: current.Revision})
+				switch status.Code(err) {
+				case codes.OK:
+					wins.add()
+				case codes.Aborted:
+					conflicts.add()
+				default:
+					p.violated("operators race: %v", err)
+				}
+			})
+		}
+		wg.Wait()
+		if wins.n != 1 {
+			p.violated("operators race: %d won, %d lost", wins.n, conflicts.n)
+		}
+	}
+}
+
+// peersLinkedPlatformCut cuts the south off from the platform only.
+func (p *proof) peersLinkedPlatformCut(l *links) {
+	l.platform.Set(func(source string) faultproxy.Fault {
+		cut := source == hostOf(p.d.Peers(2)) || source == hostOf(p.d.Peers(3))
+		return faultproxy.Fault{HoldRequests: cut, HoldAnswers: cut}
+	})
+	p.fault()
+	revision, err := p.change(0)
+	p.must(err)
+	p.inForce("zones cut from the platform", revision, time.Now(), everyBox...)
+	l.platform.Clear()
+}
+
+// zoneRejoins cuts a zone off from everything and joins it again.
+func (p *proof) zoneRejoins(l *links) {
+	l.cutBox(p.d, 3)
+	l.platform.Set(func(source string) faultproxy.Fault {
+		cut := source == hostOf(p.d.Peers(3))
+		return faultproxy.Fault{HoldRequests: cut, HoldAnswers: cut}
+	})
+	p.fault()
+	time.Sleep(8 * time.Second)
+	revision, err := p.change(0)
+	p.must(err)
+	p.inForce("the others of a cut zone", revision, time.Now(), 0, 1, 2, 4, 5)
+	if got := p.revisionOf(3); got >= revision {
+		p.t.Errorf("the cut does not hold: box 3 has revision %d", got)
+	}
+	l.heal()
+	p.inForce("zone rejoined", revision, time.Now(), 3)
+}
+
+// conflictCount counts from several goroutines.
+type conflictCount struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (c *conflictCount) add() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+}
+
+// revisionWatch looks all the time whether any box goes back in revision.
+type revisionWatch struct {
+	stop chan struct{}
+	wg   *conc.WaitGroup
+}
+
+func (p *proof) watchRevisions() *revisionWatch {
+	w := &revisionWatch{stop: make(chan struct{}), wg: conc.NewWaitGroup()}
+	for i := range p.d.Shape.Boxes {
+		client := p.operator(i)
+		w.wg.Go(func() { p.watchBox(i, client, w.stop) })
+	}
+	return w
+}
+
+func (p *proof) watchBox(i int, client pb.OperatorsClient, stop chan struct{}) {
+	highest := uint64(0)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		reply, err := client.GetService(ctx, &pb.GetServiceRequest{Name: service})
+		cancel()
+		p.sent(1)
+		switch {
+		case err != nil:
+		case reply.Revision < highest:
+			p.violated("box %d went back from revision %d to %d", i, highest, reply.Revision)
+		default:
+			highest = reply.Revision
+		}
+	}
+}
+
+func (w *revisionWatch) end() {
+	close(w.stop)
+	w.wg.Wait()
+}
--- a/test/prove/prove_test.go
+++ b/test/prove/prove_test.go
@@ -145,6 +145,7 @@
 	d, err := harness.New(harness.Shapes[shape], p.t.TempDir(), binDir)
 	p.must(err)
 	p.d = d
+	d.ShiftWindow = 2 * time.Second
 	if control := os.Getenv(controlEnv); control != "" {
 		d.BoxProgram = "stoneworksd-control"
 		d.Env = []string{controlEnv + "=" + control}
