--- a/pkg/box/box_snapshot.go
+++ b/pkg/box/box_snapshot.go
@@ -15,6 +15,9 @@
 func (b *Box) rebuild() {
 	b.rebuilding.Lock()
 	defer b.rebuilding.Unlock()
+	// The box's own record comes first: whether this box still takes part
+	// decides its views, and with them its shares and its excess.
+	b.refreshSelf()
 	services := b.services()
 	b.updateGates(services)
 	b.refreshSelf()
--- a/test/prove/prove_test.go
+++ b/test/prove/prove_test.go
@@ -58,6 +58,8 @@
 	requests int
 	wrong    []string
 	figures  []string
+	// frozen is one more than the number of the box that stands still.
+	frozen int
 }
 
 // prove runs a proof: plainly, or as a control that must come out broken.
