Slots are taken back only after they were asked for; property tests of the core

Cause: a box that had given its part up could take it back on old news while another box had already taken it. Ruled out: the excess in heartbeats, which was right in the failing run. Change: views have versions, boxes tell which they have seen, and a view counts until every other box has seen a later one.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -54,7 +54,7 @@
 	NewPool func(address string, maxIdle int) *exchange.Pool
 	NewGate func() *admission.Gate
 	// Usable is how many of a server's slots this box may use.
-	Usable func(box, server string, slots int, own slots.View, others []slots.Told) int
+	Usable func(box, server string, slots int, own []slots.Versioned, others []slots.Told) int
 	// ShiftCap is the share of traffic that may change region in a window.
 	ShiftCap func(*model.Service) float64
 	// LeaveSteps are the steps of a planned stop.
@@ -91,10 +91,12 @@
 	rebuilding sync.Mutex
 
 	mu sync.Mutex
-	// told is the views that heartbeats tell.
-	told    map[string][]string
-	gates   map[string]*admission.Gate
-	walkers map[string]*shift.Walker
+	// ownViews are the views of slots that count, and seenViews the versions
+	// of others' views, that the gates keep to and heartbeats tell.
+	ownViews  []membership.SlotViews
+	seenViews map[string]uint64
+	gates     map[string]*admission.Gate
+	walkers   map[string]*shift.Walker
 	// planSeen tells when this box first saw the plan that is in force.
 	planSeen map[string]seenPlan
 	pools    map[string]*exchange.Pool
@@ -144,6 +146,7 @@
 	b.Writer = &config.Writer{Platform: b.Platform, Store: b.Store, ReadBack: 2 * s.Platform.Timeout}
 	b.Exchanger = peer.NewExchanger(s.Box, s.Zone, s.Seeds, b.Table, b.Store, logging.For(b.logger, "peer"))
 	b.Exchanger.Call = b.newPeerCaller()
+	b.Exchanger.Heard = b.heardViews
 	b.Exchanger.SameRegion = func(zone string) bool { return b.Topology.RegionOf(zone) == b.region }
 	b.NewPool = func(address string, maxIdle int) *exchange.Pool { return exchange.NewPool(address, maxIdle, b.dial) }
 	b.NewGate = func() *admission.Gate { return admission.NewGate(time.Now, s.Limits.QueueWait) }
--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -110,7 +110,7 @@
 	// The views come first: an excess that is told must not be older than
 	// the view that it belongs to.
 	b.mu.Lock()
-	views := b.told
+	views, seen := b.ownViews, b.seenViews
 	b.mu.Unlock()
 	loads, excess := b.load()
 	b.Table.SetSelf(membership.Record{
@@ -118,7 +118,7 @@
 		Started: b.started.UnixMilli(), Version: b.version.Add(1), AgeMS: b.age().Milliseconds(),
 		Leaving: b.leaving.Load(), Gone: b.gone.Load(), Ready: b.Ready() && !b.closed.Load(),
 		Callers: s.Advertise.Callers, Peers: s.Advertise.Peers, Operators: s.Advertise.Operators,
-		ConfigDigest: b.Store.Digest(), Load: loads, Views: views, Excess: excess,
+		ConfigDigest: b.Store.Digest(), Load: loads, Views: views, Seen: seen, Excess: excess,
 	})
 }
 
--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -59,40 +59,119 @@
 	return views
 }
 
-// told returns what the other boxes of the region said of a server. The word
-// of a box that is dead, and neither listed nor in the zone's view, has lapsed.
-func told(members []membership.Member, self, zone, server string, own slots.View) []slots.Told {
-	var all []slots.Told
+// speakers returns the other boxes of the region whose word on slots counts.
+// The word of a box that is dead, and off the views, has lapsed.
+func (b *Box) speakers(members []membership.Member, views map[string]slots.View) []membership.Member {
+	var list []membership.Member
 	for _, m := range members {
-		if m.Box == self || m.State == membership.Listed || (len(m.Views) == 0 && len(m.Excess) == 0) {
+		if m.Box == b.Settings.Box || m.State == membership.Listed || b.Topology.RegionOf(m.Zone) != b.region {
 			continue
 		}
-		if m.Silent > membership.DeadAfter && !own.Has(m.Box) {
+		if m.Silent > membership.DeadAfter && !views[m.Zone].Has(m.Box) {
 			continue
 		}
-		t := slots.Told{Excess: m.Excess[server]}
+		list = append(list, m)
+	}
+	return list
+}
+
+// told returns what the speakers said of one server. A box that is gone has
+// told its excess only.
+func told(speakers []membership.Member, self, zone, server string) []slots.Told {
+	all := make([]slots.Told, 0, len(speakers))
+	for _, m := range speakers {
+		t := slots.Told{Excess: m.Excess[server], Seen: m.Seen[self]}
 		if !m.Gone {
-			t.View = m.Views[zone]
+			t.Views = viewsOf(m.Views, zone)
 		}
 		all = append(all, t)
 	}
 	return all
 }
 
-// updateGates gives every service's gate this box's part of the slots, and
-// announces the box's views at once if they changed.
+func viewsOf(views []membership.SlotViews, zone string) []slots.Versioned {
+	list := make([]slots.Versioned, 0, len(views))
+	for _, v := range views {
+		list = append(list, slots.Versioned{Version: v.Version, View: v.Zones[zone]})
+	}
+	return list
+}
+
+// updateGates gives every service's gate this box's part of the slots. A
+// change of the box's views is told at once, and so is that it has seen a
+// change of another's; the part that others gave up is then taken.
 func (b *Box) updateGates(services []decide.ServiceInput) {
 	members := b.Table.Members()
 	views := b.views(members)
+	speakers := b.speakers(members, views)
+	own, changed := b.countingViews(views, speakers)
 	seen := map[string]bool{}
 	for _, s := range services {
 		seen[s.Spec.Name] = true
-		b.gateOf(s.Spec.Name).Update(b.serverConfigs(s.Spec, views, members))
+		b.gateOf(s.Spec.Name).Update(b.serverConfigs(s.Spec, own, speakers))
 	}
 	b.dropGates(seen)
-	if b.noteViews(views) {
+	b.noteViews(own, speakers)
+	if changed {
 		b.refreshSelf()
-		b.background.Go(func() { b.Exchanger.CallAll(b.context) })
+		b.background.Go(func() {
+			b.Exchanger.CallAll(b.context)
+			b.wakeRebuild()
+		})
+	}
+}
+
+// countingViews returns this box's views that still count, with the present
+// ones as the last, and whether these are new.
+func (b *Box) countingViews(views map[string]slots.View, speakers []membership.Member) (own []membership.SlotViews, changed bool) {
+	zones := map[string][]string{}
+	for zone, v := range views {
+		zones[zone] = v
+	}
+	b.mu.Lock()
+	own = append(own, b.ownViews...)
+	b.mu.Unlock()
+	version := uint64(time.Now().UnixMilli())
+	if n := len(own); n > 0 {
+		version = max(version, own[n-1].Version+1)
+	}
+	if n := len(own); n == 0 || !reflect.DeepEqual(own[n-1].Zones, zones) {
+		own = append(own, membership.SlotViews{Version: version, Zones: zones})
+		changed = true
+	}
+	var seen []uint64
+	for _, m := range speakers {
+		if !m.Gone {
+			seen = append(seen, m.Seen[b.Settings.Box])
+		}
+	}
+	return slots.Counting(own, func(v membership.SlotViews) uint64 { return v.Version }, seen), changed
+}
+
+// noteViews remembers for heartbeats what the gates now keep to.
+func (b *Box) noteViews(own []membership.SlotViews, speakers []membership.Member) {
+	seen := map[string]uint64{}
+	for _, m := range speakers {
+		if v := m.ViewsVersion(); v > 0 {
+			seen[m.Box] = v
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ownViews, b.seenViews = own, seen
+}
+
+// heardViews is called when another box has told something. If its views are
+// new, this box keeps to them before it answers that it has seen them.
+func (b *Box) heardViews() {
+	b.mu.Lock()
+	known := b.seenViews
+	b.mu.Unlock()
+	for _, m := range b.Table.Members() {
+		if m.Box != b.Settings.Box && b.Topology.RegionOf(m.Zone) == b.region && m.ViewsVersion() > known[m.Box] && m.State != membership.Dead {
+			b.rebuild()
+			return
+		}
 	}
 }
 
@@ -107,24 +186,11 @@
 	}
 }
 
-// noteViews remembers the views for heartbeats, and reports whether they
-// differ from the last ones.
-func (b *Box) noteViews(views map[string]slots.View) bool {
-	told := map[string][]string{}
-	for zone, v := range views {
-		told[zone] = v
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	changed := !reflect.DeepEqual(b.told, told)
-	b.told = told
-	return changed
-}
-
-func (b *Box) serverConfigs(s *model.Service, views map[string]slots.View, members []membership.Member) []admission.ServerConfig {
+func (b *Box) serverConfigs(s *model.Service, own []membership.SlotViews, speakers []membership.Member) []admission.ServerConfig {
 	var configs []admission.ServerConfig
+	latest := own[len(own)-1].Zones
 	for _, server := range s.BackendServers {
-		view := views[server.Zone]
+		view := slots.View(latest[server.Zone])
 		if len(view) == 0 || !s.RegionAllowed(b.region) {
 			continue
 		}
@@ -132,7 +198,8 @@
 		if server.Zone != b.Settings.Zone && view.Part(b.Settings.Box, key, server.Slots) == 0 && !b.holdsSlotOf(s.Name, server.Name) {
 			continue
 		}
-		part := b.Usable(b.Settings.Box, key, server.Slots, view, told(members, b.Settings.Box, server.Zone, key, view))
+		others := told(speakers, b.Settings.Box, server.Zone, key)
+		part := b.Usable(b.Settings.Box, key, server.Slots, viewsOf(own, server.Zone), others)
 		configs = append(configs, admission.ServerConfig{
 			Name: server.Name, Address: server.Address, Share: part, Leaving: server.Leaving,
 		})
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -45,6 +45,22 @@
 	InUse   int    `json:"u"`
 }
 
+// SlotViews lists, by availability zone, the boxes among which a box splits
+// the slots of that zone's backend servers.
+type SlotViews struct {
+	// Version rises with every change, also over restarts of the box.
+	Version uint64              `json:"v"`
+	Zones   map[string][]string `json:"z"`
+}
+
+// ViewsVersion returns the version of the latest views; 0 if there are none.
+func (r *Record) ViewsVersion() uint64 {
+	if len(r.Views) == 0 {
+		return 0
+	}
+	return r.Views[len(r.Views)-1].Version
+}
+
 // Record is what a box says of itself.
 type Record struct {
 	Box         string `json:"box"`
@@ -66,9 +82,10 @@
 	Operators    string        `json:"operators"`
 	ConfigDigest string        `json:"config"`
 	Load         []ServiceLoad `json:"load,omitempty"`
-	// Views lists, by availability zone, the boxes among which this box
-	// splits the slots of that zone's backend servers.
-	Views map[string][]string `json:"views,omitempty"`
+	// Views are the views of slots that still count, the latest last.
+	Views []SlotViews `json:"views,omitempty"`
+	// Seen has the version of the latest views seen of each box of the region.
+	Seen map[string]uint64 `json:"seen,omitempty"`
 	// Excess tells, by service and server, by how much requests in flight
 	// keep this box above its part.
 	Excess map[string]int `json:"excess,omitempty"`
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -75,6 +75,9 @@
 	Call func(ctx context.Context, address, path string, in, out any) error
 	// SameRegion reports whether a zone is in this box's region.
 	SameRegion func(zone string) bool
+	// Heard is called after records of others were taken in, before this
+	// box says anything itself.
+	Heard func()
 	// Reached is told of each box that answered, with the time of the call.
 	Reached func(box string, called time.Time)
 	// Failed is told of each address that did not answer.
@@ -189,6 +192,7 @@
 	}
 	x.sentUpTo(address, called)
 	x.Table.Merge(reply.Records)
+	x.Heard()
 	x.Reached(reply.From, called)
 	if reply.Digest != x.Store.Digest() || (reply.Synced && !x.Store.Synced()) {
 		x.syncWith(ctx, address, reply)
@@ -266,6 +270,7 @@
 	key := "answer\x00" + b.From
 	now := x.Table.Now()
 	x.Table.Merge(b.Records)
+	x.Heard()
 	reply := x.beacon(key)
 	x.sentUpTo(key, now)
 	if b.Digest != reply.Digest {
--- /dev/null
+++ b/pkg/peer/peer_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/config"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/model"
+)
+
+func newExchanger(name string) *Exchanger {
+	table := membership.NewTable(name, time.Now)
+	table.SetSelf(membership.Record{Box: name, Zone: "z", Peers: name, Version: 1})
+	return NewExchanger(name, "z", nil, table, config.NewStore(), logging.Discard())
+}
+
+// through carries messages as JSON, as the network does.
+func through(to *Exchanger) func(context.Context, string, string, any, any) error {
+	return func(_ context.Context, _, path string, in, out any) error {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		var answer any
+		if path == PathExchange {
+			var b Beacon
+			err = json.Unmarshal(text, &b)
+			answer = to.AnswerBeacon(b)
+		} else {
+			var s Sync
+			err = json.Unmarshal(text, &s)
+			answer = to.AnswerSync(s)
+		}
+		if err != nil {
+			return err
+		}
+		text, _ = json.Marshal(answer)
+		return json.Unmarshal(text, out)
+	}
+}
+
+// TestEmptyBoxGetsEverything is the failure in which a box that had nothing
+// was told it had the whole configuration, and got none of it.
+func TestEmptyBoxGetsEverything(t *testing.T) {
+	is := is.New(t)
+	full, empty := newExchanger("full"), newExchanger("empty")
+	full.Store.Merge(&config.Object{Name: "s", Revision: 7, Service: &model.Service{Name: "s"}})
+	full.Store.MarkSynced()
+	empty.Call = through(full)
+	empty.callOne(context.Background(), "full")
+	is.True(empty.Store.Synced())
+	is.Equal(empty.Store.Get("s").Revision, uint64(7))
+}
+
+// TestEmptyBoxOfEmptyBox: nobody is whole by asking a box that is not.
+func TestEmptyBoxOfEmptyBox(t *testing.T) {
+	is := is.New(t)
+	a, b := newExchanger("a"), newExchanger("b")
+	a.Call = through(b)
+	a.callOne(context.Background(), "b")
+	is.True(!a.Store.Synced())
+	_, known := b.Table.Get("a")
+	is.True(known)
+}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const good = `box: dakar-a-1
+zone: dakar-a
+listen: {callers: "127.0.0.1:1", peers: "127.0.0.1:2", operators: "127.0.0.1:3", admin: "127.0.0.1:4"}
+platform: {address: "127.0.0.1:5"}
+zones:
+  - {zone: dakar-a, region: dakar}
+`
+
+func TestGood(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("box.yaml", []byte(good))
+	is.NoErr(err)
+	is.Equal(s.Advertise.Peers, "127.0.0.1:2")
+	is.Equal(s.Limits.OnceRecords, Defaults().Limits.OnceRecords)
+}
+
+func TestEveryFaultAtOnce(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(good, "zone: dakar-a\n", "zone: dakar-z\n", 1) +
+		"lookup_ttl: soon\nlookups: 5\nlimits:\n  header_bytes: many\n"
+	_, err := Parse("box.yaml", []byte(text))
+	var faults *Error
+	is.True(errors.As(err, &faults))
+	is.Equal(len(faults.Faults), 3) // values are checked once all keys parse
+	is.Equal(faults.Faults[0].Line, 7)
+	_, err = Parse("box.yaml", []byte(strings.Replace(good, "zone: dakar-a\n", "zone: dakar-z\n", 1)))
+	is.True(errors.As(err, &faults))
+	is.Equal(faults.Faults[0].Line, 2)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("a: [b, {c: d}]"))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		_, _ = Parse("box.yaml", text)
+	})
+}
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -11,12 +11,19 @@
 // up before it is taken. Where requests in flight keep a box above its part,
 // it says by how much, and the others leave that much alone.
 //
+// A box that gave its part up may not take it back on old news: another box
+// may have taken it meanwhile. So views have versions, boxes tell which version
+// of each other's view they have seen, and a view counts until every other box
+// has seen a later one. At any moment there is then one view, the oldest that
+// still counts, whose parts nobody exceeds.
+//
 // Example: dakar-a-1 alone holds all 6 slots of a server. dakar-a-2 starts
 // and computes with both names, which would give it 3. The heartbeat of
 // dakar-a-1 still shows itself alone, a view that gives dakar-a-2 nothing, so
 // it uses none. When dakar-a-1 has heard of dakar-a-2 it goes down to 3, with
 // 4 requests still in flight: its next heartbeat shows both names and an
-// excess of 1. Now dakar-a-2 uses 2, and 3 as soon as the excess is gone.
+// excess of 1. Once dakar-a-2 has seen that, and dakar-a-1 that it has seen
+// it, dakar-a-2 uses 2, and 3 as soon as the excess is gone.
 package slots
 
 import (
@@ -83,24 +90,57 @@
 	return 0
 }
 
+// Versioned is a view with its version, which rises with every change.
+type Versioned struct {
+	Version uint64
+	View    View
+}
+
 // Told is what another box said in its last heartbeat.
 type Told struct {
-	// View that it computes with for the server's zone; empty if it gave none.
-	View View
+	// Views are those of its views of the server's zone that still count.
+	Views []Versioned
+	// Seen is the version of this box's view that it has seen.
+	Seen uint64
 	// Excess is by how much it is above its part of the server.
 	Excess int
 }
 
+// Counting returns those of a box's own views that still count: the last one
+// that every other box has seen, and all later ones. seen has the version that
+// each other box was last heard to have seen.
+func Counting[V any](own []V, version func(V) uint64, seen []uint64) []V {
+	first := 0
+	for i, v := range own {
+		if seenByAll(version(v), seen) {
+			first = i
+		}
+	}
+	return own[first:]
+}
+
+func seenByAll(version uint64, seen []uint64) bool {
+	for _, s := range seen {
+		if s < version {
+			return false
+		}
+	}
+	return true
+}
+
 // Usable returns how many of the server's slots the box may use: the least
-// that its own view and every view told by others gives it, less what others
-// hold in excess.
-func Usable(box, server string, slots int, own View, others []Told) int {
-	part := own.Part(box, server, slots)
+// that any view that still counts, its own and those told by others, gives
+// it, less what others hold in excess.
+func Usable(box, server string, slots int, own []Versioned, others []Told) int {
+	part := slots
+	for _, v := range own {
+		part = min(part, v.View.Part(box, server, slots))
+	}
 	excess := 0
 	for _, o := range others {
 		excess += o.Excess
-		if len(o.View) > 0 {
-			part = min(part, o.View.Part(box, server, slots))
+		for _, v := range o.Views {
+			part = min(part, v.View.Part(box, server, slots))
 		}
 	}
 	return max(part-excess, 0)
--- /dev/null
+++ b/pkg/slots/slots_test.go
@@ -0,0 +1,124 @@
+package slots
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestPartsOfOneViewSumToSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		boxes := rapid.SliceOfN(rapid.StringMatching(`[a-e]`), 1, 5).Draw(t, "boxes")
+		slots := rapid.IntRange(0, 9).Draw(t, "slots")
+		v := NewView(boxes...)
+		sum := 0
+		for _, b := range v {
+			sum += v.Part(b, "server", slots)
+		}
+		if sum != slots {
+			t.Fatalf("%v: %d of %d", v, sum, slots)
+		}
+	})
+}
+
+// box is one box of the model: its views that count, what it told last, what
+// it heard, and what it holds.
+type box struct {
+	views  []Versioned
+	told   heartbeat
+	heard  map[string]heartbeat
+	inUse  int
+	usable int
+}
+
+type heartbeat struct {
+	views  []Versioned
+	seen   map[string]uint64
+	excess int
+}
+
+// TestNeverAboveSlots drives boxes that change their views at any moment and
+// hear of each other late, in any order: together they never hold more than
+// the slots. Without versions and Seen this test failed: a box that had given
+// its part up took it back on old news.
+func TestNeverAboveSlots(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		boxes := map[string]*box{}
+		for _, n := range names {
+			boxes[n] = &box{views: []Versioned{{1, NewView(names...)}}, heard: map[string]heartbeat{}}
+		}
+		for _, b := range boxes {
+			b.told = heartbeat{views: b.views, seen: map[string]uint64{"a": 1, "b": 1, "c": 1}}
+		}
+		for _, n := range names {
+			for _, other := range names {
+				if other != n {
+					boxes[n].heard[other] = boxes[other].told
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			n := rapid.SampledFrom(names).Draw(t, "box")
+			b := boxes[n]
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				next := NewView(rapid.SliceOfN(rapid.SampledFrom(names), 1, 3).Draw(t, "view")...)
+				b.views = append(b.views[:len(b.views):len(b.views)], Versioned{b.views[len(b.views)-1].Version + 1, next})
+			case 1, 2:
+				if other := rapid.SampledFrom(names).Draw(t, "other"); other != n {
+					b.heard[other] = boxes[other].told
+				}
+			case 3:
+				if b.inUse < b.usable {
+					b.inUse++
+				}
+			case 4:
+				b.inUse = max(b.inUse-1, 0)
+			}
+			b.refresh(n, slots)
+			sum := 0
+			for _, other := range boxes {
+				sum += other.inUse
+			}
+			if sum > slots {
+				t.Fatalf("%d in use of %d", sum, slots)
+			}
+		}
+	})
+}
+
+// refresh does what a box does before it tells: first its part, then its word.
+func (b *box) refresh(name string, slots int) {
+	var others []Told
+	var seen []uint64
+	acknowledged := map[string]uint64{}
+	for other, h := range b.heard {
+		others = append(others, Told{Views: h.views, Excess: h.excess})
+		seen = append(seen, h.seen[name])
+		acknowledged[other] = h.views[len(h.views)-1].Version
+	}
+	b.views = Counting(b.views, func(v Versioned) uint64 { return v.Version }, seen)
+	b.usable = Usable(name, "server", slots, b.views, others)
+	b.told = heartbeat{views: b.views, seen: acknowledged, excess: max(b.inUse-b.usable, 0)}
+}
+
+// TestTakesAfterAll shows that the rule lets a box take its part in the end.
+func TestTakesAfterAll(t *testing.T) {
+	is := is.New(t)
+	own := []Versioned{{1, NewView("a", "b")}, {2, NewView("a")}}
+	version := func(v Versioned) uint64 { return v.Version }
+	is.Equal(Usable("a", "s", 6, Counting(own, version, []uint64{1}), nil), 3)
+	is.Equal(Usable("a", "s", 6, Counting(own, version, []uint64{2}), nil), 6)
+	is.Equal(Usable("a", "s", 6, Counting(own, version, nil), nil), 6)
+}
+
+func TestHomesStay(t *testing.T) {
+	is := is.New(t)
+	v := NewView("a", "b", "c", "a")
+	is.Equal(len(v), 3)
+	is.True(v.Has("b"))
+	is.Equal(len(v.Homes("server")), 2)
+}
