--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,10 @@
 		STONEWORKS_CONTROL=$$c go test ./test/prove -run TestPromise -count=1 -v -timeout 20m \
 			| grep -E '^(CONTROL|FAIL|panic)|CONTROL' || exit 1; done
 
+bench: build ## measure latency, the core, and what control costs
+	go test ./pkg/decide ./pkg/topology -run '^$$' -bench . -benchtime 0.3s | grep Benchmark
+	$(BIN)/stoneworks-bench --bin $(BIN)
+
 generate: ## regenerate the RPC code (needs protoc)
 	go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH="$(BIN):$$PATH" protoc -I api --go_out=api --go_opt=paths=source_relative \
--- a/pkg/box/box_ports.go
+++ b/pkg/box/box_ports.go
@@ -212,6 +212,7 @@
 		if resp.StatusCode() != fasthttp.StatusOK {
 			return &PeerError{Address: address, Status: resp.StatusCode()}
 		}
+		metrics.GetOrRegisterCounter("peer.calls", b.Metrics).Inc(1)
 		metrics.GetOrRegisterCounter("peer.bytes", b.Metrics).Inc(int64(len(text) + len(resp.Body())))
 		return json.Unmarshal(resp.Body(), out)
 	}
--- a/pkg/decide/snapshot.go
+++ b/pkg/decide/snapshot.go
@@ -72,6 +72,7 @@
 	Share map[string]int
 	// Load is the share of all its slots that is in use.
 	Load float64
+	hash uint64
 }
 
 // Assignment gives the serving region of each bucket.
@@ -118,7 +119,7 @@
 func newBoxView(m membership.Member) *BoxView {
 	b := &BoxView{
 		Box: m.Box, Zone: m.Zone, Incarnation: m.Incarnation, AgeMS: m.AgeMS + m.Silent.Milliseconds(),
-		Callers: m.Callers, Peers: m.Peers, Leaving: m.State != membership.Live || !m.Ready, Free: map[string]int{}, Share: map[string]int{},
+		hash: Hash(m.Box), Callers: m.Callers, Peers: m.Peers, Leaving: m.State != membership.Live || !m.Ready, Free: map[string]int{}, Share: map[string]int{},
 	}
 	share, inUse := 0, 0
 	for _, l := range m.Load {
--- /dev/null
+++ b/test/bench/bench_control.go
@@ -0,0 +1,139 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	pb "github.com/stoneworks/stoneworks/api/stoneworks/v1"
+	"github.com/stoneworks/stoneworks/test/harness"
+)
+
+// restTime is how long a deployment is watched.
+const restTime = 10 * time.Second
+
+// controlByBoxes measures what control costs a box at rest, by the number of
+// boxes; the regions stay three.
+func (b *bench) controlByBoxes() error {
+	for _, boxes := range []int{6, 12, 24, 48, 72} {
+		shape := harness.Shape{
+			Name: "rest", Regions: []string{"one", "two", "three"}, Boxes: boxes, Slots: 4,
+			Services: []harness.ServiceShape{{Name: "shop", Servers: 12, ServiceMS: 1}},
+		}
+		if err := b.with(shape, func(d *harness.Deployment) error { return b.rest(d, fmt.Sprintf("control.boxes.%d", boxes)) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// controlByServices measures the same by the number of services, and what a
+// burst of changes costs.
+func (b *bench) controlByServices() error {
+	for _, services := range []int{1, 10, 40} {
+		shape := harness.Shape{Name: "services", Regions: []string{"one", "two", "three"}, Boxes: 12, Slots: 4}
+		for i := range services {
+			shape.Services = append(shape.Services, harness.ServiceShape{Name: fmt.Sprintf("s%d", i), Servers: 1, ServiceMS: 1})
+		}
+		name := fmt.Sprintf("control.services.%d", services)
+		if err := b.with(shape, func(d *harness.Deployment) error {
+			if err := b.rest(d, name); err != nil {
+				return err
+			}
+			return b.changes(d, name+".changes")
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// usage is what a box has used since its start.
+type usage struct {
+	cpu   time.Duration
+	bytes float64
+	calls float64
+}
+
+func (b *bench) rest(d *harness.Deployment, name string) error {
+	time.Sleep(3 * time.Second)
+	return b.over(d, name, func() error {
+		time.Sleep(restTime)
+		return nil
+	})
+}
+
+// changes changes one service 20 times a second for the resting time.
+func (b *bench) changes(d *harness.Deployment, name string) error {
+	client, done, err := operator(d)
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	service := d.Shape.Services[0].Name
+	return b.over(d, name, func() error {
+		for end := time.Now().Add(restTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			current, err := client.GetService(ctx, &pb.GetServiceRequest{Name: service})
+			if err != nil {
+				return err
+			}
+			if _, err := client.UpdateService(ctx, &pb.UpdateServiceRequest{Spec: current.Spec, ExpectedRevision: current.Revision}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// over prints the mean use of a box while f runs.
+func (b *bench) over(d *harness.Deployment, name string, f func() error) error {
+	before, began, calls := b.use(d), time.Now(), d.PlatformCalls()
+	if err := f(); err != nil {
+		return err
+	}
+	after, took := b.use(d), time.Since(began).Seconds()
+	n := float64(d.Shape.Boxes)
+	memory := int64(0)
+	for i := range d.Shape.Boxes {
+		memory = max(memory, d.PeakMemory(i))
+	}
+	total := 0
+	for verb, count := range d.PlatformCalls() {
+		total += count - calls[verb]
+	}
+	b.measure(name+".cpu", 100*(after.cpu-before.cpu).Seconds()/took/n, "%core")
+	b.measure(name+".bytes_sent", (after.bytes-before.bytes)/took/n, "B/s")
+	b.measure(name+".peer_calls", (after.calls-before.calls)/took/n, "calls/s")
+	b.measure(name+".memory", float64(memory)/(1<<20), "MB")
+	b.measure(name+".platform_calls", float64(total)/took, "calls/s")
+	return nil
+}
+
+// use sums the use of all boxes.
+func (b *bench) use(d *harness.Deployment) usage {
+	var sum usage
+	for i := range d.Shape.Boxes {
+		sum.cpu += d.CPU(i)
+		sum.bytes += metric(d.Admin(i), "peer.bytes")
+		sum.calls += metric(d.Admin(i), "peer.calls")
+	}
+	return sum
+}
+
+// metric reads a counter of a box.
+func metric(admin, name string) float64 {
+	resp, err := http.Get("http://" + admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var all map[string]map[string]float64
+	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
+		return 0
+	}
+	return all[name]["count"]
+}
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -300,6 +300,23 @@
 	return kilobytes << 10
 }
 
+// clockTicks is the unit of processor time in /proc, per second.
+const clockTicks = 100
+
+// CPU returns the processor time that box i has used.
+func (d *Deployment) CPU(i int) time.Duration {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.boxes[i].cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	var user, system int64
+	_, _ = fmt.Sscan(fields[11], &user)
+	_, _ = fmt.Sscan(fields[12], &system)
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
 // Signal sends a signal to box i.
 func (d *Deployment) Signal(i int, s syscall.Signal) error { return d.boxes[i].cmd.Process.Signal(s) }
 
