--- a/pkg/box/box_ports.go
+++ b/pkg/box/box_ports.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"fmt"
 	"net"
 	"time"
 
@@ -115,17 +113,6 @@
 	return app
 }
 
-// answerJSON makes a handler from a function of two messages.
-func answerJSON[In, Out any](answer func(In) Out) fiber.Handler {
-	return func(c fiber.Ctx) error {
-		var in In
-		if err := json.Unmarshal(c.Body(), &in); err != nil {
-			return writeAppError(c, err)
-		}
-		return c.JSON(answer(in))
-	}
-}
-
 func (b *Box) adminApp() *fiber.App {
 	app := b.newApp()
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
@@ -168,56 +155,6 @@
 	}
 }
 
-// ----------------------------------------------------------------
-// Calls to peers
-// ----------------------------------------------------------------
-
-// PeerError is an answer of another box that is not 200.
-type PeerError struct {
-	Address string
-	Status  int
-}
-
-// Error implements error.
-func (e *PeerError) Error() string { return fmt.Sprintf("box at %s: status %d", e.Address, e.Status) }
-
-func (b *Box) newPeerCaller() func(ctx context.Context, address, path string, in, out any) error {
-	client := &fasthttp.Client{
-		Dial:                      b.dialFast,
-		ReadTimeout:               peer.CallTimeout,
-		WriteTimeout:              peer.CallTimeout,
-		MaxIdleConnDuration:       10 * time.Second,
-		NoDefaultUserAgentHeader:  true,
-		MaxIdemponentCallAttempts: 1,
-	}
-	return func(ctx context.Context, address, path string, in, out any) error {
-		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		defer fasthttp.ReleaseRequest(req)
-		defer fasthttp.ReleaseResponse(resp)
-		text, err := json.Marshal(in)
-		if err != nil {
-			return err
-		}
-		req.SetRequestURI("http://" + address + path)
-		req.Header.SetMethod(fasthttp.MethodPost)
-		req.Header.SetContentType("application/json")
-		req.SetBody(text)
-		deadline, ok := ctx.Deadline()
-		if !ok {
-			deadline = time.Now().Add(peer.CallTimeout)
-		}
-		if err := client.DoDeadline(req, resp, deadline); err != nil {
-			return err
-		}
-		if resp.StatusCode() != fasthttp.StatusOK {
-			return &PeerError{Address: address, Status: resp.StatusCode()}
-		}
-		metrics.GetOrRegisterCounter("peer.calls", b.Metrics).Inc(1)
-		metrics.GetOrRegisterCounter("peer.bytes", b.Metrics).Inc(int64(len(text) + len(resp.Body())))
-		return json.Unmarshal(resp.Body(), out)
-	}
-}
-
 // hashName makes a name that the platform takes from any key.
 func hashName(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- /dev/null
+++ b/pkg/box/box_probes.go
@@ -0,0 +1,77 @@
+package box
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/admission"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+)
+
+// HealthPath is where a backend server tells how it is.
+const HealthPath = "/stoneworks/health"
+
+// probesAtOnce bounds the probes that run at the same time.
+const probesAtOnce = 32
+
+// probeTimeout bounds one probe.
+const probeTimeout = 500 * time.Millisecond
+
+// Health is a backend server's answer to a probe.
+type Health struct {
+	// Leaving is set when it wants no new work.
+	Leaving bool `json:"leaving"`
+}
+
+// probeServers asks each backend server that this box has a part of whether
+// it leaves. No answer is no news: health endpoints lag, and the exchanges
+// themselves show whether a server works.
+func (b *Box) probeServers() {
+	ctx, cancel := context.WithTimeout(b.context, probeTimeout)
+	defer cancel()
+	wg := pool.New().WithMaxGoroutines(probesAtOnce)
+	for _, o := range b.Store.All() {
+		if !o.IsService() {
+			continue
+		}
+		gate := b.gate(o.Name)
+		if gate == nil {
+			continue
+		}
+		for _, s := range gate.Status() {
+			if s.Share > 0 {
+				wg.Go(func() { b.probe(ctx, o.Name, gate, s) })
+			}
+		}
+	}
+	wg.Wait()
+}
+
+func (b *Box) probe(ctx context.Context, service string, gate *admission.Gate, s admission.ServerStatus) {
+	h := &fasthttp.RequestHeader{}
+	h.SetRequestURI(HealthPath)
+	h.SetHost(s.Address)
+	got, err := b.serverPool(s.Address, s.Share).Do(ctx, &exchange.Request{Header: h, MaxIdle: time.Minute})
+	if err != nil {
+		return
+	}
+	defer func() { _ = got.Body.Close() }()
+	var health Health
+	if got.Header.StatusCode() != fasthttp.StatusOK || json.NewDecoder(got.Body).Decode(&health) != nil {
+		return
+	}
+	if gate.SetSelfLeaving(s.Name, health.Leaving) {
+		b.log.Info("backend server changed its mind", map[string]any{"service": service, "server": s.Name, "leaving": health.Leaving})
+	}
+}
+
+// serverSaysLeaving is called when an answer carries the leaving signal.
+func (b *Box) serverSaysLeaving(service, server string) {
+	if gate := b.gate(service); gate != nil && gate.SetSelfLeaving(server, true) {
+		b.log.Info("backend server leaves", map[string]any{"service": service, "server": server})
+	}
+}
--- a/pkg/box/box_snapshot.go
+++ b/pkg/box/box_snapshot.go
@@ -1,15 +1,6 @@
 package box
 
-import (
-	"github.com/sourcegraph/conc/pool"
-
-	"github.com/stoneworks/stoneworks/pkg/decide"
-)
-
-// probesAtOnce bounds the probes that run at the same time.
-const probesAtOnce = 32
-
-func newLimitedGroup() *pool.Pool { return pool.New().WithMaxGoroutines(probesAtOnce) }
+import "github.com/stoneworks/stoneworks/pkg/decide"
 
 // rebuild makes a new snapshot and puts it in the place of the old one.
 func (b *Box) rebuild() {
--- /dev/null
+++ b/pkg/box/box_views.go
@@ -0,0 +1,158 @@
+package box
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/slots"
+)
+
+// takesPart reports whether a box shares the slots of its zone, as far as this
+// box knows: it is listed or was heard of lately, and has not given them up.
+func takesPart(m membership.Member) bool {
+	return !m.Gone && (m.InList || m.State != membership.Dead)
+}
+
+// views returns the views that this box computes with: of every zone of its
+// region, by zone. A zone without boxes is adopted by the rest of the region.
+func (b *Box) views(members []membership.Member) map[string]slots.View {
+	natives := map[string][]string{}
+	var region []string
+	for _, m := range members {
+		if b.Topology.RegionOf(m.Zone) != b.region || !takesPart(m) {
+			continue
+		}
+		natives[m.Zone] = append(natives[m.Zone], m.Box)
+		region = append(region, m.Box)
+	}
+	views := map[string]slots.View{}
+	for _, z := range b.Topology.Zones() {
+		if z.Region != b.region {
+			continue
+		}
+		views[z.Zone] = slots.NewView(natives[z.Zone]...)
+		if len(natives[z.Zone]) == 0 {
+			views[z.Zone] = slots.NewView(region...)
+		}
+	}
+	return views
+}
+
+// speakers returns the other boxes of the region whose word on slots counts.
+// The word of a box that is dead, and off the views, has lapsed.
+func (b *Box) speakers(members []membership.Member, views map[string]slots.View) []membership.Member {
+	var list []membership.Member
+	for _, m := range members {
+		if m.Box == b.Settings.Box || m.State == membership.Listed || b.Topology.RegionOf(m.Zone) != b.region {
+			continue
+		}
+		if m.Silent > membership.DeadAfter && !views[m.Zone].Has(m.Box) {
+			continue
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// told returns what the speakers said of one server. A box that is gone has
+// told its excess only.
+func told(speakers []membership.Member, self, zone, server string) []slots.Told {
+	all := make([]slots.Told, 0, len(speakers))
+	for _, m := range speakers {
+		t := slots.Told{Excess: m.Excess[server], Seen: m.Seen[self]}
+		if !m.Gone {
+			t.Views = viewsOf(m.Views, zone)
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
+func viewsOf(views []membership.SlotViews, zone string) []slots.Versioned {
+	list := make([]slots.Versioned, 0, len(views))
+	for _, v := range views {
+		list = append(list, slots.Versioned{Version: v.Version, View: v.Zones[zone]})
+	}
+	return list
+}
+
+// countingViews returns this box's views that still count, with the present
+// ones as the last.
+func (b *Box) countingViews(views map[string]slots.View, speakers []membership.Member) []membership.SlotViews {
+	zones := map[string][]string{}
+	for zone, v := range views {
+		zones[zone] = v
+	}
+	b.mu.Lock()
+	own := append([]membership.SlotViews(nil), b.ownViews...)
+	b.mu.Unlock()
+	version := uint64(time.Now().UnixMilli())
+	if n := len(own); n > 0 {
+		version = max(version, own[n-1].Version+1)
+	}
+	if n := len(own); n == 0 || !reflect.DeepEqual(own[n-1].Zones, zones) {
+		own = append(own, membership.SlotViews{Version: version, Zones: zones})
+	}
+	var seen []uint64
+	for _, m := range speakers {
+		if !m.Gone {
+			seen = append(seen, m.Seen[b.Settings.Box])
+		}
+	}
+	return slots.Counting(own, func(v membership.SlotViews) uint64 { return v.Version }, seen)
+}
+
+// noteViews remembers for heartbeats what the gates now keep to, and reports
+// whether this box's views that count have changed.
+func (b *Box) noteViews(own []membership.SlotViews, speakers []membership.Member) (changed bool) {
+	seen := map[string]uint64{}
+	heard := map[string]viewsHeard{}
+	for _, m := range speakers {
+		heard[m.Box] = viewsHeard{version: m.ViewsVersion(), counting: len(m.Views), excess: len(m.Excess)}
+		if v := m.ViewsVersion(); v > 0 {
+			seen[m.Box] = v
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed = !sameVersions(b.ownViews, own)
+	b.ownViews, b.seenViews, b.heardOf = own, seen, heard
+	return changed
+}
+
+// viewsHeard is what the gates keep to of another box.
+type viewsHeard struct {
+	version  uint64
+	counting int
+	excess   int
+}
+
+func sameVersions(a, b []membership.SlotViews) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Version != b[i].Version {
+			return false
+		}
+	}
+	return true
+}
+
+// heardViews is called when another box has told something. If its views are
+// new, this box keeps to them before it answers that it has seen them.
+func (b *Box) heardViews() {
+	b.mu.Lock()
+	known := b.heardOf
+	b.mu.Unlock()
+	for _, m := range b.Table.Members() {
+		if m.Box == b.Settings.Box || m.State == membership.Dead || b.Topology.RegionOf(m.Zone) != b.region {
+			continue
+		}
+		if known[m.Box] != (viewsHeard{version: m.ViewsVersion(), counting: len(m.Views), excess: len(m.Excess)}) {
+			b.rebuild()
+			return
+		}
+	}
+}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -200,13 +200,35 @@
 	}
 }
 
+// beacon makes the heartbeat for a box, of which the address or the name is
+// known. What is only of use within a region is left out for other regions.
 func (x *Exchanger) beacon(to string) Beacon {
 	x.mu.Lock()
 	since := x.lastSent[to]
 	x.mu.Unlock()
-	return Beacon{From: x.Self, Records: x.Table.News(since), Digest: x.Store.Digest(), Synced: x.Store.Synced()}
+	records := x.Table.News(since)
+	if !x.isNear(to) {
+		for i := range records {
+			records[i].Views, records[i].Seen, records[i].Excess = nil, nil, nil
+		}
+	}
+	return Beacon{From: x.Self, Records: records, Digest: x.Store.Digest(), Synced: x.Store.Synced()}
+}
+
+// isNear reports whether a box is in this box's region; one that is not known
+// may be.
+func (x *Exchanger) isNear(to string) bool {
+	for _, m := range x.Table.Members() {
+		if m.Peers == to || answerKey(m.Box) == to {
+			return x.SameRegion(m.Zone)
+		}
+	}
+	return true
 }
 
+// answerKey is under which it is noted what a box was last answered.
+func answerKey(box string) string { return "answer\x00" + box }
+
 func (x *Exchanger) sentUpTo(to string, when time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -268,7 +290,7 @@
 
 // AnswerBeacon takes in a heartbeat.
 func (x *Exchanger) AnswerBeacon(b Beacon) Beacon {
-	key := "answer\x00" + b.From
+	key := answerKey(b.From)
 	now := x.Table.Now()
 	x.Table.Merge(b.Records)
 	x.Heard()
--- a/test/bench/bench.go
+++ b/test/bench/bench.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"google.golang.org/grpc"
@@ -20,6 +21,7 @@
 
 type bench struct {
 	bin    string
+	sizes  []string
 	stdout io.Writer
 }
 
@@ -28,15 +30,17 @@
 	flags := flag.NewFlagSet("stoneworks-bench", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	bin := flags.String("bin", "bin", "where the programs are")
-	what := flags.String("what", "all", "latency, control or all")
+	sizes := flags.String("boxes", "6 12 24 48 72", "the numbers of boxes whose control is measured")
+	what := flags.String("what", "all", "latency, boxes, services or all")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
-	b := &bench{bin: *bin, stdout: stdout}
+	b := &bench{bin: *bin, stdout: stdout, sizes: strings.Fields(*sizes)}
 	steps := map[string][]func() error{
-		"latency": {b.latency},
-		"control": {b.controlByBoxes, b.controlByServices},
-		"all":     {b.latency, b.controlByBoxes, b.controlByServices},
+		"latency":  {b.latency},
+		"boxes":    {b.controlByBoxes},
+		"services": {b.controlByServices},
+		"all":      {b.latency, b.controlByBoxes, b.controlByServices},
 	}
 	for _, step := range steps[*what] {
 		if err := step(); err != nil {
--- a/test/bench/bench_control.go
+++ b/test/bench/bench_control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	pb "github.com/stoneworks/stoneworks/api/stoneworks/v1"
@@ -17,7 +18,11 @@
 // controlByBoxes measures what control costs a box at rest, by the number of
 // boxes; the regions stay three.
 func (b *bench) controlByBoxes() error {
-	for _, boxes := range []int{6, 12, 24, 48, 72} {
+	for _, size := range b.sizes {
+		boxes, err := strconv.Atoi(size)
+		if err != nil {
+			return err
+		}
 		shape := harness.Shape{
 			Name: "rest", Regions: []string{"one", "two", "three"}, Boxes: boxes, Slots: 4,
 			Services: []harness.ServiceShape{{Name: "shop", Servers: 12, ServiceMS: 1}},
