Settings: values are checked also where other keys are at fault

Cause: values were looked at only when every key had parsed, so a file with an unknown key hid its wrong values until the next try. Seen with a settings file of nine faults, of which four were told. Change: all are told, of one key and what is below it only the first.

--- a/pkg/settings/decoder.go
+++ b/pkg/settings/decoder.go
@@ -17,13 +17,20 @@
 	faults []Fault
 	// lines remembers where each key stood, for the checks that follow.
 	lines map[string]int
+	// parsed is set when the text was YAML at all.
+	parsed bool
 }
 
 var durationType = reflect.TypeOf(time.Duration(0))
 
 // fault reports a problem at the line where the key, or the nearest key
-// above it, stands.
+// above it, stands. Of one key, and what is below it, only the first counts.
 func (d *decoder) fault(key, problem, allowed string) {
+	for _, f := range d.faults {
+		if key == f.Key || strings.HasPrefix(key, f.Key+".") || strings.HasPrefix(key, f.Key+"[") {
+			return
+		}
+	}
 	d.faults = append(d.faults, Fault{Line: d.lineOf(key), Key: key, Problem: problem, Allowed: allowed})
 }
 
@@ -51,6 +58,7 @@
 		d.fault("document", "empty", "settings as in docs/operators.md")
 		return
 	}
+	d.parsed = true
 	d.value("", root.Content[0], reflect.ValueOf(target).Elem())
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -111,7 +111,7 @@
 	s := Defaults()
 	d := &decoder{lines: map[string]int{}}
 	d.document(text, &s)
-	if len(d.faults) == 0 {
+	if d.parsed {
 		d.check(&s)
 	}
 	if len(d.faults) > 0 {
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -31,8 +31,9 @@
 	_, err := Parse("box.yaml", []byte(text))
 	var faults *Error
 	is.True(errors.As(err, &faults))
-	is.Equal(len(faults.Faults), 3) // values are checked once all keys parse
+	is.Equal(len(faults.Faults), 4)
 	is.Equal(faults.Faults[0].Line, 7)
+	is.Equal(faults.Faults[3].Key, "zone")
 	_, err = Parse("box.yaml", []byte(strings.Replace(good, "zone: dakar-a\n", "zone: dakar-z\n", 1)))
 	is.True(errors.As(err, &faults))
 	is.Equal(faults.Faults[0].Line, 2)
--- a/pkg/topology/topology_test.go
+++ b/pkg/topology/topology_test.go
@@ -80,10 +80,10 @@
 	for i := range addresses {
 		addresses[i] = netip.AddrFrom4([4]byte{byte(1 + dice.IntN(50)), byte(dice.IntN(256)), byte(dice.IntN(256)), 1})
 	}
-	b.ReportMetric(float64(len(table.starts4)*6+len(table.index4)*4)/(1<<20), "MB")
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
 		table.Find(addresses[i&(1<<16-1)])
 	}
+	b.ReportMetric(float64(len(table.starts4)*6+len(table.index4)*4)/(1<<20), "MB")
 }
