--- a/pkg/entry/entry_once.go
+++ b/pkg/entry/entry_once.go
@@ -74,7 +74,7 @@
 		if failure != nil {
 			return nil, failure
 		}
-		return &Answer{Status: kept.Status, Header: kept.Header, Body: kept.Body}, nil
+		return &Answer{Status: kept.Status, Header: kept.Header, Body: kept.Body, Server: kept.Server, Zone: kept.Zone}, nil
 	}
 	answer, failure := e.route(r)
 	if failure != nil {
@@ -82,7 +82,9 @@
 		return nil, failure
 	}
 	if answer.Stream == nil {
-		run.Answered(&once.Answer{Status: answer.Status, Header: answer.Header, Body: bytes.Clone(answer.Body)})
+		run.Answered(&once.Answer{
+			Status: answer.Status, Header: answer.Header, Body: bytes.Clone(answer.Body), Server: answer.Server, Zone: answer.Zone,
+		})
 		return answer, nil
 	}
 	run.Answered(nil)
--- a/pkg/once/once.go
+++ b/pkg/once/once.go
@@ -27,6 +27,9 @@
 	Status int
 	Header [][2]string
 	Body   []byte
+	// Server and Zone say who answered.
+	Server string
+	Zone   string
 }
 
 // state is how far a record has come.
