A platform that was put back is told what is newer

Cause: newer revisions lived on in the boxes only; with every box replaced after the store was put back, the configuration went back from revision 17 to 16. Change: watch holders list again when the platform's version falls, and write back what is in force and newer, by conditional update; a list that was only stale conflicts.

--- a/pkg/box/box_platform.go
+++ b/pkg/box/box_platform.go
@@ -98,7 +98,12 @@
 				listed = time.Now()
 			}
 		} else {
-			since, err = b.watch(since)
+			before := since
+			since, err = b.watch(before)
+			if since < before {
+				// The platform's own version fell: its store was put back.
+				listed = time.Time{}
+			}
 		}
 		if err != nil {
 			b.log.Warn("platform did not answer", map[string]any{"error": err})
@@ -119,9 +124,35 @@
 	b.take(page)
 	b.Store.MarkSynced()
 	b.wakeRebuild()
+	b.repair(page)
 	return page.Version, nil
 }
 
+// repair writes back what is in force and newer than what the platform has: a
+// store that was put back to an older state must not outlive the boxes that
+// know better. A list that was only stale makes these writes conflict.
+func (b *Box) repair(page platform.Page) {
+	versions := map[string]uint64{}
+	stored := map[string]*config.Object{}
+	for _, p := range page.Objects {
+		versions[p.Name] = p.Version
+		if o, err := config.Decode(p); err == nil {
+			stored[p.Name] = o
+		}
+	}
+	for _, o := range b.Store.All() {
+		if !o.Newer(stored[o.Name]) {
+			continue
+		}
+		value, err := json.Marshal(o)
+		if err != nil {
+			continue
+		}
+		_, err = b.Platform.Put(b.context, platform.Object{Kind: config.Kind, Name: o.Name, Version: versions[o.Name], Value: value})
+		b.log.Warn("wrote a newer revision back", map[string]any{"service": o.Name, "revision": o.Revision, "error": err})
+	}
+}
+
 func (b *Box) watch(since uint64) (uint64, error) {
 	page, err := b.Platform.Watch(b.context, config.Kind, since)
 	if err != nil {
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -17,6 +17,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"github.com/stoneworks/stoneworks/pkg/config"
 	"github.com/stoneworks/stoneworks/pkg/platform"
 	"github.com/stoneworks/stoneworks/test/standin"
 )
@@ -362,6 +363,15 @@
 	return post(fmt.Sprintf("http://%s/admin/restore?back=%d", d.PlatformDirect(), writes), nil)
 }
 
+// Stored returns the platform's own copy of a service.
+func (d *Deployment) Stored(service string) (*config.Object, error) {
+	var p platform.Object
+	if err := get("http://"+d.PlatformDirect()+"/objects/"+config.Kind+"/"+service, &p); err != nil {
+		return nil, err
+	}
+	return config.Decode(p)
+}
+
 // PlatformCalls returns the platform's count of calls by verb.
 func (d *Deployment) PlatformCalls() map[string]int {
 	var calls map[string]int
--- a/test/prove/promise_8_test.go
+++ b/test/prove/promise_8_test.go
@@ -38,6 +38,7 @@
 		p.staleReads()
 		p.restartInOutage()
 		p.storePutBack()
+		p.storePutBackThenAllReplaced()
 		p.operatorsRace()
 		p.peersLinkedPlatformCut(l)
 		p.zoneRejoins(l)
@@ -182,6 +183,33 @@
 	p.awaitAllLive()
 }
 
+// storePutBackThenAllReplaced leaves nobody who remembers but the store.
+func (p *proof) storePutBackThenAllReplaced() {
+	revision, err := p.change(0)
+	p.must(err)
+	p.inForce("before the store was put back again", revision, time.Now(), everyBox...)
+	p.must(p.d.RestorePlatform(1))
+	p.fault()
+	err = harness.WaitFor(10*time.Second, func() bool {
+		stored, err := p.d.Stored(service)
+		return err == nil && stored.Revision >= revision
+	})
+	if err != nil {
+		p.violated("the store was put back and never told the newer revision")
+	}
+	for _, i := range everyBox {
+		p.d.Kill(i)
+	}
+	for _, i := range everyBox {
+		p.must(p.d.StartBox(i))
+	}
+	for _, i := range everyBox {
+		p.must(p.d.WaitReady(i))
+	}
+	p.inForce("store put back, then every box replaced", revision, time.Now(), everyBox...)
+	p.awaitAllLive()
+}
+
 // operatorsRace has operators change the same revision at the same moment.
 func (p *proof) operatorsRace() {
 	for range 10 {
--- a/test/standin/platform.go
+++ b/test/standin/platform.go
@@ -192,6 +192,10 @@
 	case "/admin/restore":
 		if n, _ := strconv.Atoi(r.URL.Query().Get("back")); n > 0 && n <= len(p.history) {
 			p.objects = clone(p.history[len(p.history)-n])
+			p.version -= uint64(n)
+			p.history = p.history[:len(p.history)-n]
+			close(p.changed)
+			p.changed = make(chan struct{})
 		}
 	}
 	reply(w, http.StatusOK, p.calls)
