A fault in one request does not end the process; unused fields removed

Read as a newcomer: Reached and Calls were set and never used. A panic in a handler would have ended the box with all its requests; it is now told as unknown, internal_error, since how far the request had come is not known.

--- a/pkg/box/box_ports.go
+++ b/pkg/box/box_ports.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
+	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -96,12 +98,27 @@
 
 func (b *Box) serveRequest(ctx *fasthttp.RequestCtx, fromPeer bool) {
 	b.inFlight.Add(1)
-	b.Entry.Serve(ctx, fromPeer, func() { b.inFlight.Add(-1) })
+	done := sync.OnceFunc(func() { b.inFlight.Add(-1) })
+	defer b.recoverRequest(ctx, done)
+	b.Entry.Serve(ctx, fromPeer, done)
 	if b.leaving.Load() {
 		ctx.Response.SetConnectionClose()
 	}
 }
 
+// recoverRequest keeps a fault of one request from ending the process and with
+// it all others. How far that request had come is not known.
+func (b *Box) recoverRequest(ctx *fasthttp.RequestCtx, done func()) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	done()
+	b.log.Warn("fault in a request", map[string]any{"fault": fault, "stack": string(debug.Stack())})
+	entry.WriteFailure(ctx, "none", outcome.NewUnknown(outcome.ReasonInternal, "see the log of "+b.Settings.Box))
+	ctx.Response.SetConnectionClose()
+}
+
 func (b *Box) peersApp() *fiber.App {
 	app := b.newApp()
 	app.Post(peer.PathExchange, answerJSON(b.Exchanger.AnswerBeacon))
--- /dev/null
+++ b/pkg/box/box_test.go
@@ -0,0 +1,59 @@
+package box
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/entry"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/topology"
+)
+
+func newTestBox(is *is.I) *Box {
+	s := settings.Defaults()
+	s.Box, s.Zone, s.Listen.Peers = "dakar-a-1", "dakar-a", "127.0.0.1:0"
+	s.Zones = []topology.Zone{{Zone: "dakar-a", Region: "dakar"}, {Zone: "dakar-b", Region: "dakar"}, {Zone: "thies-a", Region: "thies"}}
+	b := New(&s, logging.NewAsyncHandler(io.Discard))
+	is.True(b != nil)
+	return b
+}
+
+// TestFaultOfOneRequest: a fault in one request answers that request and does
+// not end the process.
+func TestFaultOfOneRequest(t *testing.T) {
+	is := is.New(t)
+	b := newTestBox(is)
+	b.Entry.Ready = func() bool { panic("fault") }
+	var request fasthttp.Request
+	request.SetRequestURI("/s/preview/track")
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Init(&request, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}, nil)
+	b.serveRequest(ctx, false)
+	is.Equal(ctx.Response.StatusCode(), 500)
+	is.Equal(string(ctx.Response.Header.Peek(entry.HeaderOutcome)), string(outcome.Unknown))
+	is.Equal(b.inFlight.Load(), int64(0))
+}
+
+// TestViews: a zone's slots are its own boxes'; a zone without boxes is its
+// region's; a box that said goodbye takes no part.
+func TestViews(t *testing.T) {
+	is := is.New(t)
+	b := newTestBox(is)
+	other := membership.Record{Box: "dakar-b-1", Zone: "dakar-b", Incarnation: "1", Version: 1}
+	far := membership.Record{Box: "thies-a-1", Zone: "thies-a", Incarnation: "1", Version: 1}
+	b.Table.Merge([]membership.Record{other, far})
+	views := b.views(b.Table.Members())
+	is.Equal([]string(views["dakar-a"]), []string{"dakar-a-1"})
+	is.Equal([]string(views["dakar-b"]), []string{"dakar-b-1"})
+	is.Equal(len(views), 2)
+	other.Version, other.Gone = 2, true
+	b.Table.Merge([]membership.Record{other})
+	is.Equal([]string(b.views(b.Table.Members())["dakar-b"]), []string{"dakar-a-1"})
+}
--- a/pkg/decide/snapshot.go
+++ b/pkg/decide/snapshot.go
@@ -42,7 +42,7 @@
 	// Assign gives for each client region the region that serves each
 	// bucket.
 	Assign map[string]*Assignment
-	// allowed is the allowed regions that have backend servers, by name.
+	// regions lists the allowed regions that have backend servers, by name.
 	regions []string
 }
 
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -78,8 +78,6 @@
 	// Heard is called after records of others were taken in, before this
 	// box says anything itself.
 	Heard func()
-	// Reached is told of each box that answered, with the time of the call.
-	Reached func(box string, called time.Time)
 	// Failed is told of each address that did not answer.
 	Failed func(address string, err error)
 
@@ -94,7 +92,6 @@
 		Self: self, Zone: zone, Seeds: seeds, Table: table, Store: store, Log: log,
 		SameRegion: func(other string) bool { return other == zone },
 		Heard:      func() {},
-		Reached:    func(string, time.Time) {},
 		Failed:     func(string, error) {},
 		lastSent:   map[string]time.Time{},
 	}
@@ -194,7 +191,6 @@
 	x.sentUpTo(address, called)
 	x.Table.Merge(reply.Records)
 	x.Heard()
-	x.Reached(reply.From, called)
 	if reply.Digest != x.Store.Digest() || (reply.Synced && !x.Store.Synced()) {
 		x.syncWith(ctx, address, reply)
 	}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -48,8 +48,6 @@
 	// when the platform's own waiting time is over.
 	Watch func(ctx context.Context, kind string, since uint64) (Page, error)
 	Boxes func(ctx context.Context) ([]Box, error)
-	// Calls counts the calls made, by verb.
-	Calls func(verb string)
 }
 
 // ================================================================
--- a/pkg/platform/platform_http.go
+++ b/pkg/platform/platform_http.go
@@ -41,7 +41,7 @@
 		watches: newFasthttpClient(dial, WatchTime+timeout),
 		count:   count,
 	}
-	return &Client{Get: h.get, List: h.list, Put: h.put, Watch: h.watch, Boxes: h.boxes, Calls: count}
+	return &Client{Get: h.get, List: h.list, Put: h.put, Watch: h.watch, Boxes: h.boxes}
 }
 
 func newFasthttpClient(dial func(addr string) (net.Conn, error), timeout time.Duration) *fasthttp.Client {
