--- a/pkg/settings/decoder.go
+++ b/pkg/settings/decoder.go
@@ -103,8 +103,8 @@
 		seen[name] = true
 		d.value(path, n.Content[i+1], v.Field(index))
 	}
-	for name, index := range fields {
-		if v.Type().Field(index).Tag.Get("required") != "" && !seen[name] {
+	for _, name := range sortedKeys(fields) {
+		if v.Type().Field(fields[name]).Tag.Get("required") != "" && !seen[name] {
 			d.fault(join(key, name), "missing", "this key is needed")
 		}
 	}
