A caller's broken upload no longer counts against the backend server

Cause: a misframed chunked body was told as connection_lost and released the slot as broken, so three such uploads put a healthy server to rest. Seen with raw requests against a box. Change: a stream whose own side failed is told as bad_request, outcome unknown, and the server is not blamed.

--- a/pkg/entry/entry_body.go
+++ b/pkg/entry/entry_body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"sync/atomic"
 	"time"
@@ -19,13 +20,19 @@
 	// started is set when the first byte of a stream was asked for.
 	started atomic.Bool
 	aborted atomic.Bool
+	// broken is set when the caller's own side of a stream failed.
+	broken atomic.Bool
 	abort   func()
 }
 
 // Read implements io.Reader over a streamed body.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.started.Store(true)
-	return b.stream.Read(p)
+	n, err := b.stream.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && !b.aborted.Load() {
+		b.broken.Store(true)
+	}
+	return n, err
 }
 
 // replayable reports whether the body can still be sent from its beginning.
--- a/pkg/entry/entry_local.go
+++ b/pkg/entry/entry_local.go
@@ -93,6 +93,11 @@
 }
 
 func (e *Entry) failed(r *Request, permit *admission.Permit, err error) *outcome.Failure {
+	if r.body.broken.Load() {
+		// What the caller sent is at fault, not the backend server.
+		permit.Release(admission.Unused)
+		return outcome.NewUnknown(outcome.ReasonBadRequest, "the request's body broke off or is misframed")
+	}
 	f := e.Classify(err)
 	result := admission.Broken
 	switch f.Reason {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -87,3 +87,34 @@
 	}()
 	is.True(gate.HasFree())
 }
+
+// brokenReader fails as a misframed body does.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("misframed") }
+
+// TestBrokenBodyIsTheCallers is the failure in which uploads that broke off
+// counted against the backend server and had it ejected.
+func TestBrokenBodyIsTheCallers(t *testing.T) {
+	is := is.New(t)
+	gate := admission.NewGate(time.Now, 0)
+	gate.Update([]admission.ServerConfig{{Name: "a", Share: 1}, {Name: "b", Share: 1}})
+	e := &Entry{Classify: Classify}
+	for range 10 {
+		permit, failure := gate.Acquire(context.Background(), admission.Request{})
+		is.True(failure == nil)
+		body := &requestBody{stream: brokenReader{}, length: -1, abort: func() {}}
+		_, err := body.Read(nil)
+		is.True(err != nil)
+		f := e.failed(&Request{body: body}, permit, &exchange.Error{Stage: exchange.StageHeader, Sent: true, Cause: err})
+		is.Equal(f.Outcome, outcome.Unknown)
+		is.Equal(f.Reason, outcome.ReasonBadRequest)
+	}
+	for _, s := range gate.Status() {
+		is.True(!s.Ejected)
+	}
+	aborted := &requestBody{stream: brokenReader{}, abort: func() {}}
+	aborted.interrupt()
+	_, _ = aborted.Read(nil)
+	is.True(!aborted.broken.Load())
+}
