--- a/pkg/entry/entry_body.go
+++ b/pkg/entry/entry_body.go
@@ -22,7 +22,7 @@
 	aborted atomic.Bool
 	// broken is set when the caller's own side of a stream failed.
 	broken atomic.Bool
-	abort   func()
+	abort  func()
 }
 
 // Read implements io.Reader over a streamed body.
