A record that left its region never hides a full one

Cause: since heartbeats were cut to the region, a record without its views of slots went to other regions and came back from there. If it came before the full record of the same version, the full one was ignored, and the box took slots that others still used. Change: such records are marked partial; of a box of one's own region a partial record never replaces a full one, and while one is known only in part no slot is counted on.

--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -23,12 +23,15 @@
 		b.gateOf(s.Spec.Name).Update(b.serverConfigs(s.Spec, own, speakers))
 	}
 	b.dropGates(seen)
-	if b.noteViews(own, speakers) || b.excessEnded() {
+	switch {
+	case b.noteViews(own, speakers) || b.excessEnded():
 		b.refreshSelf()
 		b.background.Go(func() {
 			b.Exchanger.CallAll(b.context)
 			b.wakeRebuild()
 		})
+	case anyPartial(speakers):
+		b.background.Go(func() { b.Exchanger.CallAll(b.context) })
 	}
 }
 
@@ -64,7 +67,10 @@
 			continue
 		}
 		others := told(speakers, b.Settings.Box, server.Zone, key)
-		part := b.Usable(b.Settings.Box, key, server.Slots, viewsOf(own, server.Zone), others)
+		part := 0
+		if !anyPartial(speakers) {
+			part = b.Usable(b.Settings.Box, key, server.Slots, viewsOf(own, server.Zone), others)
+		}
 		configs = append(configs, admission.ServerConfig{
 			Name: server.Name, Address: server.Address, Share: part, Leaving: server.Leaving,
 		})
--- a/pkg/box/box_views.go
+++ b/pkg/box/box_views.go
@@ -55,6 +55,18 @@
 	return list
 }
 
+// anyPartial reports whether a box of the region is known only by way of
+// another region. Until it was heard itself, or is dead, no slot can be counted
+// on.
+func anyPartial(speakers []membership.Member) bool {
+	for _, m := range speakers {
+		if m.Partial && m.Silent <= membership.DeadAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // told returns what the speakers said of one server. A box that is gone has
 // told its excess only.
 func told(speakers []membership.Member, self, zone, server string) []slots.Told {
@@ -109,7 +121,7 @@
 	seen := map[string]uint64{}
 	heard := map[string]viewsHeard{}
 	for _, m := range speakers {
-		heard[m.Box] = viewsHeard{version: m.ViewsVersion(), counting: len(m.Views), excess: len(m.Excess)}
+		heard[m.Box] = viewsHeard{version: m.ViewsVersion(), counting: len(m.Views), excess: len(m.Excess), partial: m.Partial}
 		if v := m.ViewsVersion(); v > 0 {
 			seen[m.Box] = v
 		}
@@ -126,6 +138,7 @@
 	version  uint64
 	counting int
 	excess   int
+	partial  bool
 }
 
 func sameVersions(a, b []membership.SlotViews) bool {
@@ -150,7 +163,7 @@
 		if m.Box == b.Settings.Box || m.State == membership.Dead || b.Topology.RegionOf(m.Zone) != b.region {
 			continue
 		}
-		if known[m.Box] != (viewsHeard{version: m.ViewsVersion(), counting: len(m.Views), excess: len(m.Excess)}) {
+		if known[m.Box] != (viewsHeard{version: m.ViewsVersion(), counting: len(m.Views), excess: len(m.Excess), partial: m.Partial}) {
 			b.rebuild()
 			return
 		}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -82,6 +82,9 @@
 	Operators    string        `json:"operators"`
 	ConfigDigest string        `json:"config"`
 	Load         []ServiceLoad `json:"load,omitempty"`
+	// Partial is set on a record that left its region: it lacks the views,
+	// what was seen, and the excess.
+	Partial bool `json:"partial,omitempty"`
 	// Views are the views of slots that still count, the latest last.
 	Views []SlotViews `json:"views,omitempty"`
 	// Seen has the version of the latest views seen of each box of the region.
@@ -116,6 +119,8 @@
 	Now func() time.Time
 	// Self is the name of this box.
 	Self string
+	// Near reports whether a zone is in this box's region.
+	Near func(zone string) bool
 
 	mu      sync.RWMutex
 	records map[string]*entry
@@ -129,7 +134,7 @@
 
 // NewTable makes a table that knows only its own box.
 func NewTable(self string, now func() time.Time) *Table {
-	return &Table{Now: now, Self: self, records: map[string]*entry{}, listed: map[string]platform.Box{}}
+	return &Table{Now: now, Self: self, Near: func(string) bool { return false }, records: map[string]*entry{}, listed: map[string]platform.Box{}}
 }
 
 // Merge takes in records heard from another box.
@@ -146,12 +151,22 @@
 			t.records[r.Box] = &entry{record: r, heard: now}
 			continue
 		}
-		if r.newer(&e.record) {
+		if t.replaces(&r, &e.record) {
 			e.record, e.heard = r, now
 		}
 	}
 }
 
+// replaces reports whether r takes the place of a record. Of a box of this
+// region, a partial record must never hide what a full one of the same life
+// says, though its version be higher: the slots depend on it.
+func (t *Table) replaces(r, known *Record) bool {
+	if r.Incarnation == known.Incarnation && t.Near(r.Zone) && r.Partial != known.Partial {
+		return known.Partial
+	}
+	return r.newer(known)
+}
+
 // SetSelf replaces this box's own record.
 func (t *Table) SetSelf(r Record) {
 	t.mu.Lock()
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -50,3 +50,24 @@
 	m, _ := table.Get("b")
 	is.Equal(m.State, Live)
 }
+
+// TestPartialNeverHidesFull is the failure in which a record that had gone
+// round by another region, without its views of slots, took the place of the
+// full one, and slots were used twice.
+func TestPartialNeverHidesFull(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("a", time.Now)
+	table.Near = func(zone string) bool { return zone == "near" }
+	partial := Record{Box: "b", Zone: "near", Incarnation: "1", Version: 7, Partial: true}
+	full := Record{Box: "b", Zone: "near", Incarnation: "1", Version: 5, Excess: map[string]int{"s": 1}}
+	table.Merge([]Record{partial, full})
+	m, _ := table.Get("b")
+	is.Equal(m.Excess["s"], 1)
+	partial.Version = 9
+	table.Merge([]Record{partial})
+	m, _ = table.Get("b")
+	is.Equal(m.Version, uint64(5))
+	table.Merge([]Record{{Box: "b", Zone: "near", Incarnation: "2", Started: 1, Partial: true}})
+	m, _ = table.Get("b")
+	is.True(m.Partial) // a new life, of which nothing is known yet
+}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -206,6 +206,7 @@
 	if !x.isNear(to) {
 		for i := range records {
 			records[i].Views, records[i].Seen, records[i].Excess = nil, nil, nil
+			records[i].Partial = true
 		}
 	}
 	return Beacon{From: x.Self, Records: records, Digest: x.Store.Digest(), Synced: x.Store.Synced()}
