A box that woke waits for its region's answers before it uses its part

Cause: after standing still a box called its region once and went on whether it was answered or not. Change: it asks until all that may be alive have answered, at most for as long as makes a box dead.

--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -167,8 +167,16 @@
 // confirm asks every box of the zone for its view before this box uses its
 // part of the slots again.
 func (b *Box) confirm() {
-	b.refreshSelf()
-	b.Exchanger.CallAll(b.context)
+	// A box that does not answer may have taken this one's part meanwhile;
+	// only when it has been silent for so long that it is dead does its old
+	// word no longer count.
+	for end := b.age() + membership.DeadAfter; b.age() < end && b.context.Err() == nil; {
+		b.refreshSelf()
+		if b.Exchanger.CallAll(b.context) == 0 {
+			break
+		}
+		b.sleep(b.context, rebuildEvery)
+	}
 	b.rebuild()
 	b.lastTick.Store(int64(b.age()))
 	b.confirmed.Store(true)
--- a/pkg/box/box_slots.go
+++ b/pkg/box/box_slots.go
@@ -30,7 +30,7 @@
 			b.Exchanger.CallAll(b.context)
 			b.wakeRebuild()
 		})
-	case anyPartial(speakers):
+	case b.anyPartial(speakers):
 		b.background.Go(func() { b.Exchanger.CallAll(b.context) })
 	}
 }
@@ -68,7 +68,7 @@
 		}
 		others := told(speakers, b.Settings.Box, server.Zone, key)
 		part := 0
-		if !anyPartial(speakers) {
+		if !b.anyPartial(speakers) {
 			part = b.Usable(b.Settings.Box, key, server.Slots, viewsOf(own, server.Zone), others)
 		}
 		configs = append(configs, admission.ServerConfig{
--- a/pkg/box/box_views.go
+++ b/pkg/box/box_views.go
@@ -55,12 +55,13 @@
 	return list
 }
 
-// anyPartial reports whether a box of the region is known only by way of
-// another region. Until it was heard itself, or is dead, no slot can be counted
-// on.
-func anyPartial(speakers []membership.Member) bool {
+// anyPartial reports whether a box of the region, older than this one, is known
+// only by way of another region. What it holds is not known until it was heard
+// itself or is dead. A younger one holds nothing that this box has not seen.
+func (b *Box) anyPartial(speakers []membership.Member) bool {
 	for _, m := range speakers {
-		if m.Partial && m.Silent <= membership.DeadAfter {
+		age := time.Duration(m.AgeMS)*time.Millisecond + m.Silent
+		if m.Partial && m.Silent <= membership.DeadAfter && age > b.age() {
 			return true
 		}
 	}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -111,23 +112,32 @@
 }
 
 // CallAll calls every box of this region that is known, and some of the others,
-// and returns when all of them have answered or failed.
-func (x *Exchanger) CallAll(ctx context.Context) {
+// and returns when all of them have answered or failed, with the number of those
+// of the region that failed though they may be alive.
+func (x *Exchanger) CallAll(ctx context.Context) (failed int) {
 	var inside, outside []string
+	alive := map[string]bool{}
 	for _, m := range x.Table.Members() {
 		switch {
 		case m.Box == x.Self || m.Peers == "":
 		case x.SameRegion(m.Zone):
 			inside = append(inside, m.Peers)
+			alive[m.Peers] = m.State != membership.Dead
 		case m.State != membership.Dead:
 			outside = append(outside, m.Peers)
 		}
 	}
+	var missed atomic.Int64
 	wg := conc.NewWaitGroup()
 	for _, address := range append(inside, sample(outside, PushFanoutOutside)...) {
-		wg.Go(func() { x.callOne(ctx, address) })
+		wg.Go(func() {
+			if !x.callOne(ctx, address) && alive[address] {
+				missed.Add(1)
+			}
+		})
 	}
 	wg.Wait()
+	return int(missed.Load())
 }
 
 // CallSeeds calls some of the boxes that the settings name, for a box that
@@ -178,7 +188,8 @@
 	return picked
 }
 
-func (x *Exchanger) callOne(ctx context.Context, address string) {
+// callOne sends a heartbeat, and reports whether it was answered.
+func (x *Exchanger) callOne(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	called := x.Table.Now()
@@ -186,7 +197,7 @@
 	var reply Beacon
 	if err := x.Call(ctx, address, PathExchange, message, &reply); err != nil {
 		x.Failed(address, err)
-		return
+		return false
 	}
 	x.sentUpTo(address, called)
 	x.Table.Merge(reply.Records)
@@ -194,6 +205,7 @@
 	if reply.Digest != x.Store.Digest() || (reply.Synced && !x.Store.Synced()) {
 		x.syncWith(ctx, address, reply)
 	}
+	return true
 }
 
 // beacon makes the heartbeat for a box, of which the address or the name is
