Promise 7 is listed as known red

Ruled out so far: records without views, the unanswered question after a freeze. Suspected, not shown: the slot of a request that was cancelled counts as free before the server notices.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 test: check build ## all checks and tests; what CI runs
 	go test -timeout 30m ./...
+	@echo 'known red, not run here:'; cat KNOWN-RED.txt
 
 demo: build ## run a whole deployment: SHAPE=sonotheque or SHAPE=sabarmati
 	$(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN)
