Records that a box tells of itself keep their order

Cause: two parts of a box could make its record at the same time, and the one with the higher version could carry the older views and excess, by which others took slots still in use. Change: one at a time.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -91,6 +91,8 @@
 	// rebuilding keeps rebuilds apart, so that an older view never follows
 	// a newer one.
 	rebuilding sync.Mutex
+	// telling keeps the records that this box tells of itself in order.
+	telling sync.Mutex
 
 	mu sync.Mutex
 	// ownViews are the views of slots that count, and seenViews the versions
