make prove and prove-controls fail when a proof does

Cause: both pipe go test through grep, and a pipe's verdict was grep's, so a broken promise ended in exit 0. Shown with a proof that is broken on purpose, in a scratch clone: exit 0 before, 2 after. Change: pipefail for every recipe.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,10 @@
 # The developer's verbs; `make help` lists them.
+
+# A recipe fails if any command of a pipe does: what is only filtered by grep
+# must not lose its verdict.
+SHELL := bash
+.SHELLFLAGS := -o pipefail -c
+
 SHAPE ?= sonotheque
 PROMISE ?=
 BIN := bin
