--- a/pkg/decide/route.go
+++ b/pkg/decide/route.go
@@ -23,8 +23,6 @@
 	SameRegion Reason = "same_region"
 	// AssignedRegion: the client's bucket is assigned to another region.
 	AssignedRegion Reason = "assigned_region"
-	// OwnZoneFull: nobody is known to have free slots; this zone waits.
-	OwnZoneFull Reason = "own_zone_full"
 	// NoZone: no zone of the assigned region can be used.
 	NoZone Reason = "no_zone"
 )
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -100,8 +100,6 @@
 type Told struct {
 	// Views are those of its views of the server's zone that still count.
 	Views []Versioned
-	// Seen is the version of this box's view that it has seen.
-	Seen uint64
 	// Excess is by how much it is above its part of the server.
 	Excess int
 }
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -133,7 +133,7 @@
 		reset(w)
 		return
 	}
-	b.begin(r)
+	b.begin()
 	// A caller may have the last byte before this handler returns, so the slot
 	// counts as free from just before the last write.
 	end := sync.OnceFunc(b.end)
@@ -158,7 +158,7 @@
 	return fmt.Sprintf("%s %d %s\n", id, size, hex.EncodeToString(sum[:]))
 }
 
-func (b *Backend) begin(*http.Request) {
+func (b *Backend) begin() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.record.InUse++
