--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/stoneworks/stoneworks/pkg/box"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/platform"
 )
 
 // Exit codes.
@@ -35,6 +37,7 @@
 
   stoneworksd --config box.yaml           run until SIGTERM
   stoneworksd --config box.yaml --check   check the settings and exit
+  stoneworksd --version                   print the version and exit
 
 SIGTERM or SIGINT: leave as planned; no request is cut. A second one stops at once.
 Exit codes: 0 stopped or settings fine, 1 failed, 2 settings or usage at fault.
@@ -48,7 +51,8 @@
 	flags := flag.NewFlagSet("stoneworksd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() { fmt.Fprint(stderr, usage) }
-	path := flags.String("config", "", "the settings file")
+	path := flags.String("config", "", "the settings file; without it, the one that the platform names")
+	version := flags.Bool("version", false, "print the version and exit")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("STONEWORKSD")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -57,6 +61,13 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
+	if *version {
+		fmt.Fprintln(stdout, "stoneworksd "+buildVersion())
+		return ExitOK
+	}
+	if *path == "" {
+		*path = os.Getenv(platform.SettingsVariable)
+	}
 	s, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -66,9 +77,26 @@
 		fmt.Fprintln(stdout, "settings: ok")
 		return ExitOK
 	}
+	if s.Platform.Protocol == settings.ProtocolObjects {
+		return steer(s, *path, stdout, stderr)
+	}
 	return run(s, stdout, stderr, customize)
 }
 
+// buildVersion returns the revision that the program was built from.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return info.Main.Version
+}
+
 func run(s *settings.Settings, stdout, stderr io.Writer, customize []Customize) int {
 	handler := logging.NewAsyncHandler(stdout)
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/pkg/daemon/daemon_steer.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/steering"
+	"github.com/stoneworks/stoneworks/platform"
+)
+
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// steer runs a box on a platform that is a store of objects.
+func steer(s *settings.Settings, path string, stdout, stderr io.Writer) int {
+	handler := logging.NewAsyncHandler(stdout)
+	if s.LogFormat == "json" {
+		handler = logging.NewAsyncJSONHandler(stdout)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	writers := conc.NewWaitGroup()
+	writers.Go(func() { handler.Run(ctx) })
+	defer writers.Wait()
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	n := steering.New(s, platform.Adapter(), handler)
+	if err := n.Start(); err != nil {
+		fmt.Fprintln(stderr, err)
+		n.Stop()
+		return ExitFailed
+	}
+	waitForEnd(n, path, signals, logging.For(logging.New(handler, logging.ParseLevel(s.LogLevel)), "daemon"))
+	leaveContext, cancelLeave := context.WithTimeout(ctx, longestLeave)
+	defer cancelLeave()
+	n.Leave(leaveContext)
+	n.Stop()
+	return ExitOK
+}
+
+// waitForEnd takes over changed settings until the box is told to stop.
+func waitForEnd(n *steering.Node, path string, signals <-chan os.Signal, log *logging.Part) {
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case signal := <-signals:
+			if signal != syscall.SIGHUP {
+				return
+			}
+			log.Info("asked to read the settings", nil)
+		case <-poll.C:
+			if modified(path).Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(path)
+		s, err := settings.Load(path)
+		if err != nil {
+			log.Warn("settings refused, the old ones stay in force", map[string]any{"error": err.Error()})
+			continue
+		}
+		n.Reload(s)
+	}
+}
+
+// modified returns when the file was last changed.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -69,6 +69,9 @@
 	// MaxIdle is the longest time for which a connection that is used again
 	// may have been idle. The other side may just be closing it.
 	MaxIdle time.Duration
+	// Match reports whether an answer belongs to this request; nil takes any.
+	// An answer that does not is read to its end and left out.
+	Match func(*fasthttp.ResponseHeader) bool
 }
 
 // Answer is an answer whose header has been read.
@@ -134,9 +137,25 @@
 	w         *bufio.Writer
 	written   int64
 	idleSince time.Time
+	// keepAlive is for how long the other side keeps the connection idle, 0
+	// if it did not say.
+	keepAlive time.Duration
 	used      bool
 }
 
+// keepAliveMargin is how much sooner than the other side this side gives an
+// idle connection up, so that no request meets its closing.
+const keepAliveMargin = time.Second
+
+// fresh reports whether the connection may be used again after its idle time.
+func (c *connection) fresh(maxIdle time.Duration) bool {
+	idle := time.Since(c.idleSince)
+	if c.keepAlive > 0 && idle > c.keepAlive-keepAliveMargin {
+		return false
+	}
+	return idle <= maxIdle
+}
+
 // Write counts the bytes handed to the network.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -163,7 +182,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) <= maxIdle && p.Quiet(c.Conn) {
+		if c.fresh(maxIdle) && p.Quiet(c.Conn) {
 			c.used = true
 			c.written = 0
 			return c, nil
--- a/pkg/exchange/exchange_body.go
+++ b/pkg/exchange/exchange_body.go
@@ -12,6 +12,8 @@
 	running *running
 	left    int64
 	chunks  io.Reader
+	// toEnd: the body ends with its connection.
+	toEnd   bool
 	whole   bool
 	failure error
 }
@@ -25,6 +27,8 @@
 		return 0, io.EOF
 	case b.chunks != nil:
 		return b.readChunks(p)
+	case b.toEnd:
+		return b.readToEnd(p)
 	}
 	return b.readLength(p)
 }
@@ -45,6 +49,18 @@
 	return n, nil
 }
 
+func (b *body) readToEnd(p []byte) (int, error) {
+	n, err := b.running.conn.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.finish()
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, b.fail(err)
+	}
+	return n, nil
+}
+
 func (b *body) readChunks(p []byte) (int, error) {
 	n, err := b.chunks.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http/httputil"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -73,16 +75,29 @@
 		return nil, &Error{Stage: StageSend, Sent: x.conn.written > 0, Cause: x.cause(err)}
 	}
 	answer := &Answer{Reused: x.conn.used}
-	if err := x.readHeader(&answer.Header); err != nil {
+	if err := x.readOwnHeader(req, &answer.Header); err != nil {
 		return nil, &Error{Stage: StageHeader, Sent: true, Cause: x.cause(err)}
 	}
 	x.closeAsked = answer.Header.ConnectionClose()
-	if err := x.openBody(req, answer); err != nil {
-		return nil, &Error{Stage: StageHeader, Sent: true, Cause: err}
-	}
+	x.conn.keepAlive = keepAliveOf(&answer.Header)
+	x.openBody(req, answer)
 	return answer, nil
 }
 
+// keepAliveOf returns the idle time that the other side announces, or 0.
+func keepAliveOf(h *fasthttp.ResponseHeader) time.Duration {
+	_, rest, found := strings.Cut(string(h.Peek("Keep-Alive")), "timeout=")
+	if !found {
+		return 0
+	}
+	digits, _, _ := strings.Cut(rest, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // cause prefers the reason for which the context ended over the error that it
 // made the connection return.
 func (x *running) cause(err error) error {
@@ -172,7 +187,50 @@
 	}
 }
 
-func (x *running) openBody(req *Request, a *Answer) error {
+// maxForeign bounds the answers to other requests that are left out.
+const maxForeign = 4
+
+// ForeignError says that only answers to other requests came.
+type ForeignError struct{}
+
+// Error implements error.
+func (e *ForeignError) Error() string { return "the answers belong to other requests" }
+
+// readOwnHeader reads up to the header of the answer to this request. An
+// answer that came too late for the request before may stand in its place.
+func (x *running) readOwnHeader(req *Request, h *fasthttp.ResponseHeader) error {
+	for range maxForeign {
+		if err := x.readHeader(h); err != nil {
+			return err
+		}
+		if req.Match == nil || req.Match(h) {
+			return nil
+		}
+		if err := x.skipBody(h); err != nil {
+			return err
+		}
+	}
+	return &ForeignError{}
+}
+
+// skipBody reads the body of an answer to another request. A body that ends
+// with its connection leaves no room for another answer.
+func (x *running) skipBody(h *fasthttp.ResponseHeader) error {
+	switch length := h.ContentLength(); {
+	case length >= 0:
+		_, err := io.CopyN(io.Discard, x.conn.r, int64(length))
+		return err
+	case length == -1:
+		b := &body{running: x, chunks: httputil.NewChunkedReader(x.conn.r)}
+		if _, err := io.Copy(io.Discard, b.chunks); err != nil {
+			return err
+		}
+		return b.readTrailer()
+	}
+	return &ForeignError{}
+}
+
+func (x *running) openBody(req *Request, a *Answer) {
 	status := a.Header.StatusCode()
 	length := a.Header.ContentLength()
 	switch {
@@ -190,10 +248,11 @@
 		a.Length = -1
 		a.Body = &body{running: x, chunks: httputil.NewChunkedReader(x.conn.r)}
 	default:
-		// Without a length or chunks, a cut connection looks like the end.
-		return &FramingError{Detail: "the answer has neither a length nor chunks"}
+		// The end of the connection is the end of the body; a reset is not.
+		a.Length = -1
+		a.Body = &body{running: x, toEnd: true}
+		x.closeAsked = true
 	}
-	return nil
 }
 
 // end gives the connection back, or closes it if the exchange is not whole.
--- /dev/null
+++ b/pkg/ingress/ingress.go
@@ -0,0 +1,208 @@
+// Package ingress is the request path of a box: it reads a client's request,
+// finds its route, chooses a backend server, sends the request there, and
+// passes the answer back. The decisions are those of packages routing,
+// upstream and retry; the wire to backend servers is package exchange's; what
+// headers are called is a Dialect's. This package puts the steps in order and
+// says what a client may be told when one of them fails.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/retry"
+	"github.com/stoneworks/stoneworks/pkg/routing"
+	"github.com/stoneworks/stoneworks/pkg/upstream"
+)
+
+// Meta is what a client's headers say of a request.
+type Meta struct {
+	ID string
+	// Key is the affinity key, empty for none.
+	Key string
+	// Timeout is how long the client waits; 0 if it did not say.
+	Timeout time.Duration
+}
+
+// Verdict is what an upstream's headers say of its answer.
+type Verdict struct {
+	// NotRun: the upstream did not run the request and will not.
+	NotRun bool
+	// Stale: the upstream is not the one that was expected.
+	Stale bool
+	// Signed: the answer is an upstream's own.
+	Signed bool
+	// Load is what it said of its load, or nil.
+	Load *upstream.Load
+}
+
+// Dialect names the headers of a deployment. All fields are needed.
+type Dialect struct {
+	// ReadRequest reads a client's headers; the error names a malformed one.
+	ReadRequest func(h http.Header) (Meta, error)
+	// WriteRequest sets the headers for an upstream: what is left of the time,
+	// and which upstream is expected.
+	WriteRequest func(h *fasthttp.RequestHeader, m *Meta, left time.Duration, server *upstream.Server)
+	// ReadAnswer reads an upstream's headers.
+	ReadAnswer func(h *fasthttp.ResponseHeader) Verdict
+	// Belongs reports whether an answer is the one to the request.
+	Belongs func(h *fasthttp.ResponseHeader, m *Meta) bool
+	// Internal reports whether a client's header of that name is not passed on.
+	Internal func(name string) bool
+	// WriteFailure sets the headers of an answer of the box's own.
+	WriteFailure func(h http.Header, m *Meta, f *outcome.Failure)
+}
+
+// Server serves clients. All fields are needed but Pauses.
+type Server struct {
+	Dialect *Dialect
+	// Table returns the configuration in force, nil if there is none yet.
+	Table func() *routing.Table
+	// Current reports whether the configuration is known to be fresh.
+	Current func() bool
+	// Leaving reports whether the box is stopping, Closed whether it takes
+	// nothing new any more.
+	Leaving func() bool
+	Closed  func() bool
+
+	Splitter *routing.Splitter
+	Set      *upstream.Set
+	Budget   *retry.Budget
+	// Pool returns the connections to an upstream.
+	Pool func(server *upstream.Server) *exchange.Pool
+	Now  func() time.Time
+	// Random returns a random number, for requests without a key.
+	Random func() uint64
+	Log    *logging.Part
+	// Count counts an event; Observe a request's time by service and outcome.
+	Count   func(name string)
+	Observe func(name string, d time.Duration)
+}
+
+// Tuning of the request path.
+const (
+	// bufferedBody bounds a body that is held whole, so that it can be sent
+	// again; a larger one is passed on as it comes. In bytes.
+	bufferedBody = 1 << 20
+	// maxTries bounds how often one request looks for an upstream, those that
+	// could not be reached included.
+	maxTries = 4
+	// leastTime is the least time that must be left to send a request.
+	leastTime = 20 * time.Millisecond
+	// defaultTimeout bounds requests for which neither the client nor the
+	// route names a time.
+	defaultTimeout = 30 * time.Second
+	// sampleAnswered: of requests that were answered at the first try, one in
+	// so many is logged.
+	sampleAnswered = 32
+	// idleRepeatable and idleOnce bound the idle time of connections that are
+	// used again: what may not be repeated must not meet a closing connection.
+	idleRepeatable = 8 * time.Second
+	idleOnce       = 4 * time.Second
+)
+
+// call is one client's request on its way.
+type call struct {
+	server   *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	meta     Meta
+	route    *routing.Route
+	version  uint64
+	service  string
+	key      uint64
+	start    time.Time
+	deadline time.Time
+	body     body
+	ctx      context.Context
+	tried    []string
+	sent     int
+	steps    []step
+}
+
+// step is one try, for the log.
+type step struct {
+	server  string
+	result  upstream.Result
+	home    int
+	busy    float64
+	remote  bool
+	took    time.Duration
+	problem error
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{server: s, w: w, r: r, start: s.Now()}
+	if s.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if failure := c.prepare(); failure != nil {
+		c.fail(failure)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	if failure := c.readBody(); failure != nil {
+		c.fail(failure)
+		return
+	}
+	if failure := c.forward(); failure != nil {
+		c.fail(failure)
+	}
+}
+
+// prepare reads the request's header and finds its route.
+func (c *call) prepare() *outcome.Failure {
+	s := c.server
+	meta, err := s.Dialect.ReadRequest(c.r.Header)
+	c.meta = meta
+	if err != nil {
+		return outcome.NewNotRun(outcome.ReasonBadRequest, err.Error())
+	}
+	table := s.Table()
+	if table == nil {
+		return outcome.NewNotRun(outcome.ReasonNotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
+	}
+	c.version = table.Configuration.Version
+	c.route = table.Find(c.r.Host, c.r.URL.EscapedPath())
+	if c.route == nil {
+		if !s.Current() {
+			return outcome.NewNotRun(outcome.ReasonNotReady, "the configuration may be old").WithRetryAfter(notReadyRetry)
+		}
+		return outcome.NewNotRun(outcome.ReasonNoRoute, c.r.Host)
+	}
+	if s.Closed() {
+		return outcome.NewNotRun(outcome.ReasonBoxLeaving, "").WithRetryAfter(time.Millisecond)
+	}
+	c.deadline = c.start.Add(c.timeout())
+	c.service = c.route.Backends[s.Splitter.Pick(c.route)].Service
+	c.key = s.Random()
+	if c.route.SessionAffinity && meta.Key != "" {
+		c.key = upstream.Hash(c.route.Host, c.route.PathPrefix, meta.Key)
+	}
+	s.Budget.Request(c.service)
+	return nil
+}
+
+// notReadyRetry is when a client may come back to a box that starts.
+const notReadyRetry = 200 * time.Millisecond
+
+// timeout is the lesser of what the client and the route allow.
+func (c *call) timeout() time.Duration {
+	d := c.meta.Timeout
+	if d <= 0 {
+		d = defaultTimeout
+	}
+	if c.route.Timeout > 0 && c.route.Timeout < d {
+		d = c.route.Timeout
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/ingress/ingress_answer.go
@@ -0,0 +1,157 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/upstream"
+)
+
+// bufferedAnswer bounds an answer that is held whole before any of it is
+// passed on, so that one that breaks off can still be replaced. In bytes.
+const bufferedAnswer = 256 << 10
+
+// receive reads the answer and passes it on. A large one is passed on while
+// it comes; if it breaks off, the client's connection does too.
+func (c *call) receive(lease *upstream.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
+	held, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswer+1))
+	if err != nil {
+		_ = answer.Body.Close()
+		return c.failed(lease, start, sentError(err))
+	}
+	c.copyHeader(answer)
+	if len(held) <= bufferedAnswer {
+		_ = answer.Body.Close()
+		c.finish(lease, upstream.Answered, verdict.Load, start, nil)
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(held)))
+		c.w.WriteHeader(answer.Header.StatusCode())
+		_, _ = c.w.Write(held)
+		c.answered(answer.Header.StatusCode())
+		return nil
+	}
+	c.stream(lease, start, answer, held, verdict)
+	return nil
+}
+
+// sentError makes sure that the failure of an answer's body counts as one
+// after the request was sent.
+func sentError(err error) error {
+	var x *exchange.Error
+	if errors.As(err, &x) {
+		return err
+	}
+	return &exchange.Error{Stage: exchange.StageBody, Sent: true, Cause: err}
+}
+
+func (c *call) stream(lease *upstream.Lease, start time.Time, answer *exchange.Answer, held []byte, verdict Verdict) {
+	if answer.Length >= 0 {
+		c.w.Header().Set("Content-Length", strconv.Itoa(answer.Length))
+	}
+	c.w.WriteHeader(answer.Header.StatusCode())
+	_, err := c.w.Write(held)
+	if err == nil {
+		_, err = io.Copy(c.w, answer.Body)
+	}
+	_ = answer.Body.Close()
+	if err != nil {
+		result := upstream.Broken
+		if c.r.Context().Err() != nil {
+			result = upstream.Abandoned
+		}
+		c.finish(lease, result, verdict.Load, start, err)
+		c.log("answer broke off", outcome.ReasonTruncated, http.StatusBadGateway)
+		// The only way to tell the client that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	c.finish(lease, upstream.Answered, verdict.Load, start, nil)
+	c.answered(answer.Header.StatusCode())
+}
+
+func (c *call) copyHeader(answer *exchange.Answer) {
+	out := c.w.Header()
+	// The library would guess a type, and add a date.
+	out["Content-Type"] = nil
+	out["Date"] = nil
+	listed := connectionListed([]string{string(answer.Header.Peek("Connection"))})
+	for name, value := range answer.Header.All() {
+		n := http.CanonicalHeaderKey(string(name))
+		if isHopByHop(n, listed) {
+			continue
+		}
+		out[n] = append(out[n], string(value))
+	}
+}
+
+// abortBody makes reading the client's body return.
+func (c *call) abortBody() {
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// fail answers in the box's own name.
+func (c *call) fail(f *outcome.Failure) {
+	s := c.server
+	s.Count("failed." + string(f.Reason))
+	c.log("not answered: "+f.Detail, f.Reason, f.Status())
+	if f.Reason == outcome.ReasonCancelled {
+		// Nobody reads an answer.
+		panic(http.ErrAbortHandler)
+	}
+	h := c.w.Header()
+	for name := range h {
+		if name != "Connection" {
+			delete(h, name)
+		}
+	}
+	s.Dialect.WriteFailure(h, &c.meta, f)
+	h.Set("Content-Type", "text/plain")
+	text := string(f.Reason) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	c.w.WriteHeader(f.Status())
+	_, _ = io.WriteString(c.w, text)
+}
+
+func (c *call) answered(status int) {
+	s := c.server
+	s.Observe("request."+c.service, s.Now().Sub(c.start))
+	s.Count("answered")
+	clean := len(c.steps) == 1 && status < 500
+	if clean && s.Random()%sampleAnswered != 0 {
+		return
+	}
+	c.log("answered", "", status)
+}
+
+// log writes the one line of a request: what came in, which configuration
+// decided, and each upstream that was tried with what was known of it.
+func (c *call) log(text string, reason outcome.Reason, status int) {
+	fields := map[string]any{
+		"request": c.meta.ID, "status": status, "took_ms": c.server.Now().Sub(c.start).Milliseconds(),
+		"config": c.version, "service": c.service,
+	}
+	if reason != "" {
+		fields["reason"] = reason
+	}
+	if c.route != nil {
+		fields["route"] = c.route.Name
+		fields["timeout_ms"] = c.timeout().Milliseconds()
+	}
+	for i, t := range c.steps {
+		n := "try" + strconv.Itoa(i+1)
+		fields[n] = t.server + " " + t.result.String()
+		fields[n+"_home"] = t.home
+		fields[n+"_busy"] = int(t.busy + 0.5)
+		fields[n+"_ms"] = t.took.Milliseconds()
+		if t.remote {
+			fields[n+"_remote"] = true
+		}
+		if t.problem != nil {
+			fields[n+"_error"] = t.problem.Error()
+		}
+	}
+	c.server.Log.Info(text, fields)
+}
--- /dev/null
+++ b/pkg/ingress/ingress_forward.go
@@ -0,0 +1,255 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/upstream"
+)
+
+// hopByHop lists headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Content-Length",
+}
+
+// forward sends the request until it is answered or may not be sent again.
+func (c *call) forward() *outcome.Failure {
+	var last *outcome.Failure
+	for range maxTries {
+		if failure := c.outOfTime(); failure != nil {
+			return orElse(last, failure)
+		}
+		lease, failure := c.choose()
+		if failure != nil {
+			return orElse(last, failure)
+		}
+		failure = c.try(lease)
+		if failure == nil {
+			return nil
+		}
+		last = failure
+		if !c.mayTryAgain(failure) {
+			return last
+		}
+	}
+	return last
+}
+
+func orElse(last, failure *outcome.Failure) *outcome.Failure {
+	if last != nil {
+		return last
+	}
+	return failure
+}
+
+// outOfTime says that nothing can be sent any more.
+func (c *call) outOfTime() *outcome.Failure {
+	if c.r.Context().Err() != nil {
+		return outcome.NewNotRun(outcome.ReasonCancelled, "the client left")
+	}
+	if c.deadline.Sub(c.server.Now()) < leastTime {
+		return outcome.NewNotRun(outcome.ReasonDeadline, "").WithRetryAfter(notReadyRetry)
+	}
+	return nil
+}
+
+func (c *call) choose() (*upstream.Lease, *outcome.Failure) {
+	lease, err := c.server.Set.Choose(&upstream.Request{
+		Service: c.service, Key: c.key, RegionAllowed: c.route.RegionAllowed, Tried: c.tried,
+	})
+	if err == nil {
+		return lease, nil
+	}
+	var choice *upstream.ChoiceError
+	if errors.As(err, &choice) && choice.Reason == upstream.Full {
+		return nil, outcome.NewNotRun(outcome.ReasonNoCapacity, c.service).WithRetryAfter(c.comeBack())
+	}
+	return nil, outcome.NewNotRun(outcome.ReasonNoServer, c.service).WithRetryAfter(c.comeBack())
+}
+
+// Bounds of when a refused client is asked to come back.
+const (
+	soonest = 100 * time.Millisecond
+	latest  = 500 * time.Millisecond
+)
+
+// comeBack spreads refused clients over a while, so that they do not return
+// all at once.
+func (c *call) comeBack() time.Duration {
+	return soonest + time.Duration(c.server.Random()%uint64(latest-soonest))
+}
+
+// mayTryAgain reports whether the request may be sent to another upstream.
+// What was certainly not run may; what may have run only if it may run more
+// than once. A repeat that reaches an upstream is taken from the budget.
+func (c *call) mayTryAgain(f *outcome.Failure) bool {
+	if f.Reason == outcome.ReasonCancelled || !c.body.replayable() {
+		return false
+	}
+	if f.Outcome != outcome.NotRun && !c.route.Idempotent() {
+		return false
+	}
+	if c.sent == 0 {
+		// Nothing has reached an upstream, so this is no repeat.
+		return true
+	}
+	if c.sent >= max(1, c.route.MaxAttempts) {
+		return false
+	}
+	if !c.server.Budget.Spend(c.service) {
+		c.server.Count("retry.denied")
+		return false
+	}
+	c.server.Count("retry.sent")
+	return true
+}
+
+// try sends the request to one upstream and passes its answer on.
+func (c *call) try(lease *upstream.Lease) *outcome.Failure {
+	s := c.server
+	start := s.Now()
+	c.tried = append(c.tried, lease.ID)
+	pool := s.Pool(&lease.Server)
+	answer, err := pool.Do(c.ctx, c.request(lease, start))
+	if err != nil {
+		return c.failed(lease, start, err)
+	}
+	c.sent++
+	verdict := s.Dialect.ReadAnswer(&answer.Header)
+	switch {
+	case verdict.Stale, verdict.NotRun:
+		return c.rejected(lease, start, answer, verdict)
+	case answer.Header.StatusCode() < 300 && !verdict.Signed:
+		_ = answer.Body.Close()
+		c.finish(lease, upstream.Broken, nil, start, nil)
+		return outcome.NewUnknown(outcome.ReasonMalformed, "a success without a signature")
+	}
+	return c.receive(lease, start, answer, verdict)
+}
+
+// rejected handles an upstream's word that it did not run the request.
+func (c *call) rejected(lease *upstream.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
+	// The body is read so that the connection can be used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, 4<<10))
+	_ = answer.Body.Close()
+	result := upstream.Shed
+	if verdict.Stale {
+		result = upstream.Stale
+	}
+	c.finish(lease, result, verdict.Load, start, nil)
+	return outcome.NewNotRun(outcome.ReasonShed, lease.ID).WithRetryAfter(c.comeBack())
+}
+
+// failed says what may be told of an exchange that failed.
+func (c *call) failed(lease *upstream.Lease, start time.Time, err error) *outcome.Failure {
+	var x *exchange.Error
+	sent := !errors.As(err, &x) || x.Sent
+	if sent {
+		c.sent++
+	}
+	late := errors.Is(err, context.DeadlineExceeded)
+	gone := c.r.Context().Err() != nil
+	switch {
+	case gone:
+		c.finish(lease, upstream.Abandoned, nil, start, err)
+	case !sent:
+		c.finish(lease, upstream.Unreachable, nil, start, err)
+	case late:
+		c.finish(lease, upstream.Late, nil, start, err)
+	default:
+		c.finish(lease, upstream.Broken, nil, start, err)
+	}
+	return classify(sent, late, gone, err)
+}
+
+func classify(sent, late, gone bool, err error) *outcome.Failure {
+	switch {
+	case gone && !sent:
+		return outcome.NewNotRun(outcome.ReasonCancelled, "the client left")
+	case gone:
+		return outcome.NewUnknown(outcome.ReasonCancelled, "the client left")
+	case !sent && late:
+		return outcome.NewNotRun(outcome.ReasonDeadline, err.Error()).WithRetryAfter(notReadyRetry)
+	case !sent:
+		return outcome.NewNotRun(outcome.ReasonConnect, err.Error()).WithRetryAfter(notReadyRetry)
+	case late:
+		return outcome.NewUnknown(outcome.ReasonTimeout, err.Error())
+	}
+	return outcome.NewUnknown(outcome.ReasonConnectionLost, err.Error())
+}
+
+// request prepares the exchange.
+func (c *call) request(lease *upstream.Lease, now time.Time) *exchange.Request {
+	h := &fasthttp.RequestHeader{}
+	h.SetMethod(c.r.Method)
+	h.SetRequestURI(c.r.RequestURI)
+	h.SetNoDefaultContentType(true)
+	h.SetHost(c.r.Host)
+	listed := connectionListed(c.r.Header["Connection"])
+	for name, values := range c.r.Header {
+		if isHopByHop(name, listed) || c.server.Dialect.Internal(name) {
+			continue
+		}
+		for _, v := range values {
+			h.Add(name, v)
+		}
+	}
+	c.server.Dialect.WriteRequest(h, &c.meta, c.deadline.Sub(now), &lease.Server)
+	x := &exchange.Request{Header: h, Body: c.body.whole, MaxIdle: idleOnce}
+	x.Match = func(h *fasthttp.ResponseHeader) bool { return c.server.Dialect.Belongs(h, &c.meta) }
+	if c.route.Idempotent() {
+		x.MaxIdle = idleRepeatable
+	}
+	if c.body.stream != nil {
+		x.Stream, x.Length = c.body.stream, c.body.length
+		x.AbortStream = c.abortBody
+	}
+	return x
+}
+
+// connectionListed returns the headers that a Connection header names.
+func connectionListed(values []string) []string {
+	var listed []string
+	for _, v := range values {
+		for _, name := range strings.Split(v, ",") {
+			listed = append(listed, strings.TrimSpace(name))
+		}
+	}
+	return listed
+}
+
+func isHopByHop(name string, listed []string) bool {
+	for _, h := range hopByHop {
+		if name == h {
+			return true
+		}
+	}
+	for _, h := range listed {
+		if strings.EqualFold(name, h) {
+			return true
+		}
+	}
+	return false
+}
+
+// finish ends the use of the upstream and notes it for the log.
+func (c *call) finish(lease *upstream.Lease, result upstream.Result, load *upstream.Load, start time.Time, err error) {
+	lease.Done(result, load)
+	c.server.Count("upstream." + result.String())
+	if lease.Remote {
+		c.server.Count("upstream.remote")
+	}
+	c.steps = append(c.steps, step{
+		server: lease.ID, result: result, home: lease.Home, busy: lease.Busy, remote: lease.Remote,
+		took: c.server.Now().Sub(start), problem: err,
+	})
+}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 )
@@ -18,20 +21,31 @@
 
 // AsyncHandler is an apex/log handler that writes in the background.
 type AsyncHandler struct {
-	out     io.Writer
+	out io.Writer
+	// Format writes an entry as one line.
+	Format  func(*log.Entry) string
 	lines   chan string
 	dropped atomic.Int64
+	// told is how many of the dropped lines were told of.
+	told int64
 }
 
-// NewAsyncHandler makes a handler; call Run to have it write.
+// NewAsyncHandler makes a handler of plain text; call Run to have it write.
 func NewAsyncHandler(out io.Writer) *AsyncHandler {
-	return &AsyncHandler{out: out, lines: make(chan string, QueueLength)}
+	return &AsyncHandler{out: out, Format: FormatText, lines: make(chan string, QueueLength)}
+}
+
+// NewAsyncJSONHandler makes a handler that writes a JSON object a line.
+func NewAsyncJSONHandler(out io.Writer) *AsyncHandler {
+	h := NewAsyncHandler(out)
+	h.Format = FormatJSON
+	return h
 }
 
 // HandleLog implements log.Handler. It never blocks.
 func (h *AsyncHandler) HandleLog(e *log.Entry) error {
 	select {
-	case h.lines <- format(e):
+	case h.lines <- h.Format(e):
 	default:
 		h.dropped.Add(1)
 	}
@@ -46,23 +60,43 @@
 	for {
 		select {
 		case line := <-h.lines:
-			_, _ = io.WriteString(h.out, line)
+			h.write(line)
 		case <-ctx.Done():
-			h.flush()
+			h.write("")
 			return
 		}
 	}
 }
 
-func (h *AsyncHandler) flush() {
+// maxWrite bounds what is written at once, in bytes.
+const maxWrite = 64 << 10
+
+// write writes the line and all that wait behind it, at once as far as they
+// fit, since each write has a price of its own.
+func (h *AsyncHandler) write(line string) {
+	var b strings.Builder
+	b.WriteString(line)
 	for {
 		select {
-		case line := <-h.lines:
-			_, _ = io.WriteString(h.out, line)
+		case next := <-h.lines:
+			if b.Len()+len(next) > maxWrite {
+				_, _ = io.WriteString(h.out, b.String())
+				b.Reset()
+			}
+			b.WriteString(next)
+			continue
 		default:
-			return
 		}
+		break
 	}
+	if dropped := h.dropped.Load(); dropped > h.told {
+		b.WriteString(h.Format(&log.Entry{
+			Timestamp: time.Now(), Level: log.WarnLevel, Message: "log: lines dropped",
+			Fields: log.Fields{"lines": dropped - h.told},
+		}))
+		h.told = dropped
+	}
+	_, _ = io.WriteString(h.out, b.String())
 }
 
 // New returns a logger that writes at the level and above.
@@ -101,18 +135,66 @@
 	p.logger.WithFields(fields).Debug(p.prefix + text)
 }
 
-func format(e *log.Entry) string {
+// ParseLevel returns the named level, info for an unknown one.
+func ParseLevel(name string) log.Level {
+	level, err := log.ParseLevel(name)
+	if err != nil {
+		return log.InfoLevel
+	}
+	return level
+}
+
+// FormatJSON writes an entry as a JSON object: the request's id first where
+// there is one, then time, level and text, then the other fields by name.
+func FormatJSON(e *log.Entry) string {
 	var b strings.Builder
-	b.WriteString(e.Timestamp.UTC().Format("2006-01-02T15:04:05.000Z "))
-	b.WriteString(e.Level.String())
-	b.WriteByte(' ')
-	b.WriteString(e.Message)
+	b.WriteByte('{')
+	if id, ok := e.Fields["request"]; ok {
+		writeJSON(&b, "request", id)
+		b.WriteByte(',')
+	}
+	writeJSON(&b, "time", e.Timestamp.UTC().Format("2006-01-02T15:04:05.000Z"))
+	b.WriteByte(',')
+	writeJSON(&b, "level", e.Level.String())
+	b.WriteByte(',')
+	writeJSON(&b, "text", e.Message)
+	for _, n := range fieldNames(e) {
+		if n != "request" {
+			b.WriteByte(',')
+			writeJSON(&b, n, e.Fields[n])
+		}
+	}
+	b.WriteString("}\n")
+	return b.String()
+}
+
+func writeJSON(b *strings.Builder, name string, value any) {
+	b.WriteString(strconv.Quote(name))
+	b.WriteByte(':')
+	text, err := json.Marshal(value)
+	if err != nil {
+		text = []byte(strconv.Quote(fmt.Sprint(value)))
+	}
+	b.Write(text)
+}
+
+func fieldNames(e *log.Entry) []string {
 	names := make([]string, 0, len(e.Fields))
 	for n := range e.Fields {
 		names = append(names, n)
 	}
 	sort.Strings(names)
-	for _, n := range names {
+	return names
+}
+
+// FormatText writes an entry as plain text.
+func FormatText(e *log.Entry) string {
+	var b strings.Builder
+	b.WriteString(e.Timestamp.UTC().Format("2006-01-02T15:04:05.000Z "))
+	b.WriteString(e.Level.String())
+	b.WriteByte(' ')
+	b.WriteString(e.Message)
+	for _, n := range fieldNames(e) {
 		fmt.Fprintf(&b, " %s=%v", n, e.Fields[n])
 	}
 	b.WriteByte('\n')
--- /dev/null
+++ b/pkg/objects/follower.go
@@ -0,0 +1,142 @@
+package objects
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Tuning of a follower.
+const (
+	// answerTime bounds a call beyond what it was asked to wait.
+	answerTime = 1200 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a failure, which
+	// doubles each time and is spread by chance over half to all of itself.
+	firstRetry   = 150 * time.Millisecond
+	longestRetry = 1500 * time.Millisecond
+	// maxPages bounds one list.
+	maxPages = 10_000
+)
+
+// Follower keeps a Mirror up to date.
+type Follower struct {
+	Client *Client
+	Mirror *Mirror
+	// Wait is how long a watch may go without news.
+	Wait time.Duration
+	// Random returns a number in [0, 1).
+	Random func() float64
+	// Succeeded is called after each call that was answered, Failed after
+	// each that was not.
+	Succeeded func()
+	Failed    func(err error)
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	// relist asks for a list in place of the next watch.
+	relist bool
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	failures := 0
+	listed := false
+	for ctx.Err() == nil {
+		err := f.step(ctx, &listed)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			failures = 0
+			f.Succeeded()
+			continue
+		}
+		var compacted *CompactedError
+		if errors.As(err, &compacted) {
+			listed = false
+			if failures == 0 {
+				failures++
+				continue
+			}
+		}
+		f.Failed(err)
+		f.pause(ctx, failures)
+		failures++
+	}
+}
+
+// Restart ends the call that is waiting, which may hear nothing any more, and
+// begins with a whole list.
+func (f *Follower) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relist = true
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+func (f *Follower) step(ctx context.Context, listed *bool) error {
+	bound := answerTime
+	f.mu.Lock()
+	if f.relist {
+		*listed = false
+		f.relist = false
+	}
+	if *listed {
+		bound += f.Wait
+	}
+	callContext, cancel := context.WithTimeout(ctx, bound)
+	f.cancel = cancel
+	f.mu.Unlock()
+	defer cancel()
+	if !*listed {
+		if err := f.list(callContext); err != nil {
+			return err
+		}
+		*listed = true
+		return nil
+	}
+	events, at, err := f.Client.Watch(callContext, f.Mirror.Kind, f.Mirror.Version().At, f.Wait)
+	if err != nil {
+		return err
+	}
+	f.Mirror.Apply(events, at)
+	return nil
+}
+
+// list reads all pages. The revision of the first one counts, since what has
+// changed after it may be missing from the pages.
+func (f *Follower) list(ctx context.Context) error {
+	var items []Object
+	var at uint64
+	after := ""
+	for page := range maxPages {
+		p, err := f.Client.List(ctx, f.Mirror.Kind, after)
+		if err != nil {
+			return err
+		}
+		if page == 0 {
+			at = p.At
+		}
+		items = append(items, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			break
+		}
+		after = p.Items[len(p.Items)-1].Name
+	}
+	f.Mirror.Load(items, at)
+	return nil
+}
+
+func (f *Follower) pause(ctx context.Context, failures int) {
+	d := min(firstRetry<<min(failures, 10), longestRetry)
+	d = time.Duration(float64(d) * (0.5 + f.Random()/2))
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/objects/mirror.go
@@ -0,0 +1,136 @@
+package objects
+
+import (
+	"bytes"
+	"hash/fnv"
+	"sort"
+	"strconv"
+	"sync"
+)
+
+// Mirror is this box's copy of all objects of one kind. It takes in lists and
+// events from the store and lists from other boxes, in any order, and never
+// goes back to an older list.
+type Mirror struct {
+	Kind string
+	// Changed is called with each object that changed, gone or not, in the
+	// order of changes; Loaded after each whole list. Both run under the
+	// mirror's lock and must not call it.
+	Changed func(o Object, gone bool)
+	Loaded  func()
+
+	mu     sync.Mutex
+	items  map[string]Object
+	at     uint64
+	synced bool
+	digest uint64
+}
+
+// Version tells boxes whose mirror is newer.
+type Version struct {
+	// At is the store's revision up to which changes are known.
+	At uint64 `json:"at"`
+	// Digest is equal on mirrors with equal objects.
+	Digest uint64 `json:"digest"`
+}
+
+// NewMirror makes an empty mirror.
+func NewMirror(kind string) *Mirror {
+	return &Mirror{Kind: kind, Changed: func(Object, bool) {}, Loaded: func() {}, items: map[string]Object{}}
+}
+
+// Load takes in a whole list. One that is older than what is known changes
+// nothing; the return value tells.
+func (m *Mirror) Load(items []Object, at uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.synced && at < m.at {
+		return false
+	}
+	listed := map[string]bool{}
+	for _, o := range items {
+		listed[o.Name] = true
+		m.put(o)
+	}
+	for name, o := range m.items {
+		if !listed[name] {
+			delete(m.items, name)
+			m.Changed(o, true)
+		}
+	}
+	m.advance(at)
+	m.synced = true
+	m.Loaded()
+	return true
+}
+
+// Apply takes in events that lead up to the revision.
+func (m *Mirror) Apply(events []Event, at uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range events {
+		known, ok := m.items[e.Object.Name]
+		switch {
+		case e.Gone && ok && (e.Object.Revision == 0 || known.Revision <= e.Object.Revision):
+			delete(m.items, e.Object.Name)
+			m.Changed(known, true)
+		case !e.Gone && (ok || e.Object.Revision > m.at || !m.synced):
+			// An object that a newer list no longer held is not revived.
+			m.put(e.Object)
+		}
+	}
+	m.advance(at)
+}
+
+func (m *Mirror) put(o Object) {
+	known, ok := m.items[o.Name]
+	if ok && known.Revision >= o.Revision {
+		return
+	}
+	m.items[o.Name] = o
+	if ok && bytes.Equal(known.Spec, o.Spec) {
+		return
+	}
+	m.Changed(o, false)
+}
+
+func (m *Mirror) advance(at uint64) {
+	m.at = max(m.at, at)
+	names := make([]string, 0, len(m.items))
+	for name := range m.items {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	h := fnv.New64a()
+	for _, name := range names {
+		_, _ = h.Write([]byte(name))
+		_, _ = h.Write([]byte(strconv.FormatUint(m.items[name].Revision, 10)))
+	}
+	m.digest = h.Sum64()
+}
+
+// Version returns how new the mirror is.
+func (m *Mirror) Version() Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Version{At: m.at, Digest: m.digest}
+}
+
+// Synced reports whether a whole list was ever taken in.
+func (m *Mirror) Synced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.synced
+}
+
+// Items returns all objects by name, and the revision.
+func (m *Mirror) Items() ([]Object, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Object, 0, len(m.items))
+	for _, o := range m.items {
+		list = append(list, o)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list, m.at
+}
--- /dev/null
+++ b/pkg/objects/objects.go
@@ -0,0 +1,81 @@
+// Package objects follows the platform's store: lists, watches, and what to
+// do when these fail. How the store is spoken to is a Client's matter, a set
+// of function fields that an adapter fills.
+//
+// Example: the store forgets its history while a watch is cut. The follower
+// hears CompactedError at its next watch, lists anew, and the Mirror tells
+// only what differs.
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Object is one object of the store.
+type Object struct {
+	Name string `json:"name"`
+	// Revision is the store's, of the object's last change.
+	Revision uint64          `json:"revision"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Event is one change of an object.
+type Event struct {
+	Object Object
+	Gone   bool
+}
+
+// Page is a part of a list.
+type Page struct {
+	Items []Object
+	// More is true if the list goes on after the last item's name.
+	More bool
+	// At is the store's revision.
+	At uint64
+}
+
+// Client reaches the store.
+type Client struct {
+	// List returns the objects of a kind with names after the given one.
+	List func(ctx context.Context, kind, after string) (Page, error)
+	// Watch returns what has changed since a revision, as soon as something
+	// has or after the wait, and the revision to go on from.
+	Watch func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error)
+}
+
+// ================================================================
+// Errors
+// ================================================================
+
+// CompactedError says that the store no longer knows what has changed since.
+type CompactedError struct{}
+
+// Error implements error.
+func (e *CompactedError) Error() string { return "objects: the history is gone" }
+
+// UnavailableError says that the store did not do what it was asked.
+type UnavailableError struct {
+	// Status is the store's HTTP status, 0 if there was no answer.
+	Status int
+	Cause  error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("objects: unavailable (status %d): %v", e.Status, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// MalformedError says that the store's answer could not be read.
+type MalformedError struct{ Cause error }
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "objects: malformed answer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -33,6 +33,7 @@
 	ReasonTooLarge         Reason = "too_large"
 	ReasonNoSuchService    Reason = "no_such_service"
 	ReasonKeyRequired      Reason = "idempotency_key_required"
+	ReasonNoRoute          Reason = "no_route"
 	ReasonNotReady         Reason = "not_ready"
 	ReasonBoxLeaving       Reason = "box_leaving"
 	ReasonNoCapacity       Reason = "no_capacity"
@@ -66,6 +67,7 @@
 	{ReasonTooLarge, 413, "the request's headers are larger than a box accepts"},
 	{ReasonNoSuchService, 404, "no service of that name is in force"},
 	{ReasonKeyRequired, 400, "the request may not be repeated and carries no Idempotency-Key"},
+	{ReasonNoRoute, 404, "no route of the host begins the path"},
 	{ReasonNotReady, 503, "the box has no configuration yet"},
 	{ReasonBoxLeaving, 503, "the box is stopping and takes no new requests; look up again"},
 	{ReasonNoCapacity, 503, "every slot that the request may use is taken"},
--- /dev/null
+++ b/pkg/routing/configuration.go
@@ -0,0 +1,159 @@
+// Package routing holds the configuration that operators own as one whole and
+// finds the route of a request in it. It has no input or output: a Table is
+// built once for each configuration and never changes, so a request sees one
+// configuration from its beginning to its end.
+package routing
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind says how a request may be treated when it fails.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Upload requests have large bodies and run at most once.
+	Upload Kind = "upload"
+)
+
+// Configuration is everything that operators set, at one version.
+type Configuration struct {
+	// Version only rises; 0 means that there is none.
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Route sends the requests of one host under one path prefix to services.
+type Route struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string    `json:"path_prefix"`
+	Kind       Kind      `json:"kind"`
+	Backends   []Backend `json:"backends"`
+	// Timeout is the longest time for which a request is held; 0 for none.
+	Timeout time.Duration `json:"timeout"`
+	// TargetLatency is the time within which an answer is worth most.
+	TargetLatency time.Duration `json:"target_latency"`
+	// MaxAttempts bounds the upstreams that one request is sent to.
+	MaxAttempts int `json:"max_attempts"`
+	// Priority is the rank of the requests; 0 is highest.
+	Priority int `json:"priority"`
+	// AllowedRegions bounds where requests may run; empty allows all regions.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	// SessionAffinity asks that equal keys go to the same upstream.
+	SessionAffinity bool `json:"session_affinity,omitempty"`
+}
+
+// Backend is one service of a route with its weight.
+type Backend struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Service holds what all upstreams of one service have in common.
+type Service struct {
+	Name           string `json:"name"`
+	HealthPath     string `json:"health_path,omitempty"`
+	MaxConnections int    `json:"max_connections"`
+	// ColdStart is how long an upstream is cold after its start.
+	ColdStart time.Duration `json:"cold_start"`
+	// ColdPerSecond is how many requests a second a cold upstream bears.
+	ColdPerSecond float64 `json:"cold_per_second"`
+}
+
+// Limits bounds what a client may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int64         `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	IdleTimeout   time.Duration `json:"idle_timeout"`
+}
+
+// DefaultLimits hold until a configuration sets others.
+var DefaultLimits = Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     64 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// ConfigurationError says what makes a configuration unfit.
+type ConfigurationError struct {
+	// Where names the route or service.
+	Where   string
+	Problem string
+}
+
+// Error implements error.
+func (e *ConfigurationError) Error() string {
+	return fmt.Sprintf("configuration: %s: %s", e.Where, e.Problem)
+}
+
+// Idempotent reports whether the route's requests may run more than once.
+func (r *Route) Idempotent() bool { return r.Kind == Safe }
+
+// RegionAllowed reports whether the route's requests may run in the region.
+func (r *Route) RegionAllowed(region string) bool {
+	if len(r.AllowedRegions) == 0 {
+		return true
+	}
+	for _, allowed := range r.AllowedRegions {
+		if allowed == region {
+			return true
+		}
+	}
+	return false
+}
+
+// Check returns a *ConfigurationError for the first fault, or nil.
+func (c *Configuration) Check() error {
+	if c.Version == 0 {
+		return &ConfigurationError{Where: "version", Problem: "missing"}
+	}
+	services := map[string]bool{}
+	for _, s := range c.Services {
+		services[s.Name] = true
+	}
+	for i := range c.Routes {
+		if err := c.Routes[i].check(services); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	switch {
+	case r.Host == "":
+		return &ConfigurationError{Where: r.Name, Problem: "no host"}
+	case r.PathPrefix == "" || r.PathPrefix[0] != '/':
+		return &ConfigurationError{Where: r.Name, Problem: "the path prefix does not begin with a slash"}
+	case len(r.Backends) == 0:
+		return &ConfigurationError{Where: r.Name, Problem: "no service"}
+	case r.Kind != Safe && r.Kind != Unsafe && r.Kind != Upload:
+		return &ConfigurationError{Where: r.Name, Problem: fmt.Sprintf("unknown kind %q", r.Kind)}
+	}
+	total := 0.0
+	for _, b := range r.Backends {
+		if !services[b.Service] {
+			return &ConfigurationError{Where: r.Name, Problem: fmt.Sprintf("unknown service %q", b.Service)}
+		}
+		if b.Weight < 0 {
+			return &ConfigurationError{Where: r.Name, Problem: "negative weight"}
+		}
+		total += b.Weight
+	}
+	if total <= 0 {
+		return &ConfigurationError{Where: r.Name, Problem: "the weights add up to nothing"}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"sort"
+	"strings"
+)
+
+// Table finds routes in one configuration. It never changes.
+type Table struct {
+	Configuration *Configuration
+	hosts         map[string][]*Route
+	services      map[string]*Service
+	// routesOf lists the routes that may send to a service.
+	routesOf map[string][]*Route
+}
+
+// NewTable prepares a configuration for look-ups. The error is a
+// *ConfigurationError.
+func NewTable(c *Configuration) (*Table, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	t := &Table{
+		Configuration: c,
+		hosts:         map[string][]*Route{},
+		services:      map[string]*Service{},
+		routesOf:      map[string][]*Route{},
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+		for _, b := range r.Backends {
+			t.routesOf[b.Service] = append(t.routesOf[b.Service], r)
+		}
+	}
+	for _, routes := range t.hosts {
+		// The longest prefix comes first.
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].PathPrefix) > len(routes[j].PathPrefix)
+		})
+	}
+	return t, nil
+}
+
+// Find returns the route with the longest path prefix of the host, or nil.
+// The host may carry a port.
+func (t *Table) Find(host, path string) *Route {
+	for _, r := range t.hosts[hostName(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HostRoutes returns the routes of a host.
+func (t *Table) HostRoutes(host string) []*Route { return t.hosts[hostName(host)] }
+
+// Service returns what is known of a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services lists the services.
+func (t *Table) Services() []Service { return t.Configuration.Services }
+
+func hostName(host string) string {
+	if cut := strings.LastIndexByte(host, ':'); cut >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:cut]
+	}
+	return strings.ToLower(host)
+}
--- a/pkg/settings/decoder.go
+++ b/pkg/settings/decoder.go
@@ -75,6 +75,8 @@
 		d.sequence(key, n, v)
 	case v.Kind() == reflect.Int:
 		d.integer(key, n, v)
+	case v.Kind() == reflect.Float64:
+		d.float(key, n, v)
 	default:
 		d.text(key, n, v)
 	}
@@ -140,6 +142,15 @@
 	v.SetInt(parsed)
 }
 
+func (d *decoder) float(key string, n *yaml.Node, v reflect.Value) {
+	parsed, err := strconv.ParseFloat(n.Value, 64)
+	if n.Kind != yaml.ScalarNode || err != nil {
+		d.fault(key, fmt.Sprintf("%q", n.Value), "a number")
+		return
+	}
+	v.SetFloat(parsed)
+}
+
 func (d *decoder) text(key string, n *yaml.Node, v reflect.Value) {
 	if n.Kind != yaml.ScalarNode {
 		d.fault(key, "not a single value", "text")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -23,22 +23,59 @@
 	Zones        []topology.Zone  `yaml:"zones" required:"true"`
 	ClientBlocks []topology.Block `yaml:"client_blocks"`
 	LogLevel     string           `yaml:"log_level"`
+	LogFormat    string           `yaml:"log_format"`
 	LookupTTL    time.Duration    `yaml:"lookup_ttl"`
 	Limits       Limits           `yaml:"limits"`
+	Bounds       Bounds           `yaml:"bounds"`
 }
 
-// Addresses are the four endpoints of a box, each an IP number and port.
+// Protocols of the platform.
+const (
+	// ProtocolBoxes is the platform's object API with a list of boxes; the
+	// box gives out slots and is driven by operators' calls.
+	ProtocolBoxes = "boxes"
+	// ProtocolObjects is a store of objects only, with the configuration and
+	// the backend servers in it.
+	ProtocolObjects = "objects"
+)
+
+// Bounds are what is promised of the fleet as a whole.
+type Bounds struct {
+	// Contact is how long a box may be out of touch with the platform before
+	// it is not bound by what the platform told meanwhile.
+	Contact time.Duration `yaml:"contact"`
+	// Grace is how long a stopping box has before it is killed.
+	Grace time.Duration `yaml:"grace"`
+	// RetryRatio and RetrySlack bound repeats within RetryWindow.
+	RetryRatio  float64       `yaml:"retry_ratio"`
+	RetrySlack  float64       `yaml:"retry_slack"`
+	RetryWindow time.Duration `yaml:"retry_window"`
+	// ColdOverage and ColdSlack bound the requests to a cold backend server.
+	ColdOverage float64 `yaml:"cold_overage"`
+	ColdSlack   float64 `yaml:"cold_slack"`
+	// MaxShift bounds the share of requests that change region within
+	// ShiftWindow.
+	MaxShift    float64       `yaml:"max_shift"`
+	ShiftWindow time.Duration `yaml:"shift_window"`
+}
+
+// Addresses are the endpoints of a box, each an IP number and port. Operators
+// belongs to the protocol boxes, Ready and Directory to the protocol objects.
 type Addresses struct {
 	Callers   string `yaml:"callers" json:"callers"`
 	Peers     string `yaml:"peers" json:"peers"`
 	Operators string `yaml:"operators" json:"operators"`
 	Admin     string `yaml:"admin" json:"admin"`
+	Ready     string `yaml:"ready" json:"ready,omitempty"`
+	Directory string `yaml:"directory" json:"directory,omitempty"`
 }
 
 // Platform tells where the platform's object API is.
 type Platform struct {
 	Address string        `yaml:"address" required:"true"`
 	Timeout time.Duration `yaml:"timeout"`
+	// Protocol is ProtocolBoxes or ProtocolObjects.
+	Protocol string `yaml:"protocol"`
 }
 
 // Limits bounds what a box holds in memory.
@@ -61,7 +98,8 @@
 	return Settings{
 		LogLevel:  "info",
 		LookupTTL: 5 * time.Second,
-		Platform:  Platform{Timeout: 2 * time.Second},
+		LogFormat: "text",
+		Platform:  Platform{Timeout: 2 * time.Second, Protocol: ProtocolBoxes},
 		Limits: Limits{
 			HeaderBytes:       16 << 10,
 			BufferedBodyBytes: 64 << 10,
@@ -69,6 +107,17 @@
 			OnceAge:           10 * time.Minute,
 			QueueWait:         100 * time.Millisecond,
 		},
+		Bounds: Bounds{
+			Contact:     4 * time.Second,
+			Grace:       6 * time.Second,
+			RetryRatio:  0.2,
+			RetrySlack:  50,
+			RetryWindow: 10 * time.Second,
+			ColdOverage: 1,
+			ColdSlack:   0,
+			MaxShift:    0.1,
+			ShiftWindow: 2 * time.Second,
+		},
 	}
 }
 
@@ -133,5 +182,7 @@
 		Peers:     pick(a.Peers, other.Peers),
 		Operators: pick(a.Operators, other.Operators),
 		Admin:     pick(a.Admin, other.Admin),
+		Ready:     pick(a.Ready, other.Ready),
+		Directory: pick(a.Directory, other.Directory),
 	}
 }
--- a/pkg/settings/settings_check.go
+++ b/pkg/settings/settings_check.go
@@ -24,8 +24,8 @@
 	if !zones[s.Zone] {
 		d.fault("zone", fmt.Sprintf("%q", s.Zone), "one of the zones listed under zones")
 	}
-	d.checkAddresses("listen", s.Listen, true)
-	d.checkAddresses("advertise", s.Advertise, false)
+	d.checkAddresses("listen", s.Listen, s.Platform.Protocol)
+	d.checkAddresses("advertise", s.Advertise, "")
 	d.checkAddress("platform.address", s.Platform.Address)
 	for i, a := range s.Seeds {
 		d.checkAddress(fmt.Sprintf("seeds[%d]", i), a)
@@ -44,6 +44,17 @@
 	default:
 		d.fault("log_level", fmt.Sprintf("%q", s.LogLevel), "debug, info, warn or error")
 	}
+	switch s.LogFormat {
+	case "text", "json":
+	default:
+		d.fault("log_format", fmt.Sprintf("%q", s.LogFormat), "text or json")
+	}
+	switch s.Platform.Protocol {
+	case ProtocolBoxes, ProtocolObjects:
+	default:
+		d.fault("platform.protocol", fmt.Sprintf("%q", s.Platform.Protocol), "boxes or objects")
+	}
+	d.checkBounds(s.Bounds)
 	d.checkDuration("lookup_ttl", s.LookupTTL, time.Second, time.Hour)
 	d.checkDuration("platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
 	d.checkDuration("limits.once_age", s.Limits.OnceAge, time.Second, 24*time.Hour)
@@ -59,10 +70,15 @@
 	}
 }
 
-func (d *decoder) checkAddresses(key string, a Addresses, needed bool) {
-	for _, e := range []struct{ name, address string }{
-		{"callers", a.Callers}, {"peers", a.Peers}, {"operators", a.Operators}, {"admin", a.Admin},
+// checkAddresses checks the endpoints; those that the protocol needs may not
+// be missing.
+func (d *decoder) checkAddresses(key string, a Addresses, protocol string) {
+	for _, e := range []struct{ name, address, neededBy string }{
+		{"callers", a.Callers, ""}, {"peers", a.Peers, ""}, {"admin", a.Admin, ""},
+		{"operators", a.Operators, ProtocolBoxes},
+		{"ready", a.Ready, ProtocolObjects}, {"directory", a.Directory, ProtocolObjects},
 	} {
+		needed := protocol != "" && (e.neededBy == "" || e.neededBy == protocol)
 		if e.address == "" && !needed {
 			continue
 		}
@@ -70,6 +86,26 @@
 	}
 }
 
+// checkBounds looks at the bounds of the fleet.
+func (d *decoder) checkBounds(b Bounds) {
+	d.checkDuration("bounds.contact", b.Contact, 500*time.Millisecond, time.Hour)
+	d.checkDuration("bounds.grace", b.Grace, time.Second, time.Hour)
+	d.checkDuration("bounds.retry_window", b.RetryWindow, time.Second, time.Hour)
+	d.checkDuration("bounds.shift_window", b.ShiftWindow, 100*time.Millisecond, time.Hour)
+	for _, e := range []struct {
+		name        string
+		value, most float64
+	}{
+		{"retry_ratio", b.RetryRatio, 10}, {"retry_slack", b.RetrySlack, 1e9},
+		{"cold_overage", b.ColdOverage, 100}, {"cold_slack", b.ColdSlack, 1e9},
+		{"max_shift", b.MaxShift, 1},
+	} {
+		if e.value < 0 || e.value > e.most {
+			d.fault("bounds."+e.name, fmt.Sprint(e.value), fmt.Sprintf("0 to %g", e.most))
+		}
+	}
+}
+
 func (d *decoder) checkAddress(key, address string) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		d.fault(key, fmt.Sprintf("%q", address), "IP number and port such as 10.0.0.7:7001")
--- /dev/null
+++ b/pkg/steering/steering.go
@@ -0,0 +1,238 @@
+// Package steering wires one box together: it follows the platform's store,
+// exchanges heartbeats with other boxes, keeps the configuration and the
+// backend servers in force, and opens the ports. It decides nothing itself.
+package steering
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/directory"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/ingress"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/retry"
+	"github.com/stoneworks/stoneworks/pkg/routing"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/timer"
+	"github.com/stoneworks/stoneworks/pkg/topology"
+	"github.com/stoneworks/stoneworks/pkg/upstream"
+)
+
+// Adapter is what a platform's adapter brings.
+type Adapter struct {
+	// Kinds are the names of the kinds of objects in the store.
+	Kinds Kinds
+	// Store makes the client of the store.
+	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string)) *objects.Client
+	// Configuration, Server read objects of the store.
+	Configuration func(o objects.Object) (*routing.Configuration, error)
+	Server        func(o objects.Object) (upstream.Server, error)
+	// Dialect names the headers.
+	Dialect *ingress.Dialect
+	// Readiness and Directory serve the platform's and clients' questions.
+	Readiness func(ready func() bool) HTTPHandler
+	Directory func(resolve func(directory.Query) directory.Answer) HTTPHandler
+}
+
+// Kinds are the names of the kinds of objects in the store.
+type Kinds struct {
+	Configuration string
+	Servers       string
+	Evacuations   string
+}
+
+// Node is one box.
+type Node struct {
+	Settings *settings.Settings
+	Topology *topology.Map
+	Timers   *timer.Service
+	Metrics  metrics.Registry
+
+	Members   *gossip.Table
+	Set       *upstream.Set
+	Budget    *retry.Budget
+	Directory *directory.Directory
+	Ingress   *ingress.Server
+
+	adapter   *Adapter
+	handler   *logging.AsyncHandler
+	log       *logging.Part
+	started   time.Time
+	table     atomic.Pointer[routing.Table]
+	mirrors   map[string]*objects.Mirror
+	followers []*objects.Follower
+	seeds     atomic.Pointer[[]string]
+
+	// storeAnswered and storeTrouble are when the store last answered and
+	// last failed, in nanoseconds since the start.
+	storeAnswered atomic.Int64
+	storeTrouble  atomic.Int64
+	storeLost     atomic.Bool
+
+	leaving  atomic.Bool
+	closed   atomic.Bool
+	ready    atomic.Bool
+	inFlight atomic.Int64
+
+	mu    sync.Mutex
+	pools map[string]*exchange.Pool
+	// behind counts for how many heartbeats a mirror has been behind others'.
+	behind map[string]int
+
+	ports      *ports
+	background *conc.WaitGroup
+	context    context.Context
+	stop       context.CancelFunc
+}
+
+// New makes a box. Nothing runs before Start.
+func New(s *settings.Settings, adapter *Adapter, handler *logging.AsyncHandler) *Node {
+	logger := logging.New(handler, logging.ParseLevel(s.LogLevel))
+	n := &Node{
+		Settings: s,
+		Topology: topology.New(s.Zones, nil),
+		Timers:   timer.New(),
+		Metrics:  metrics.NewRegistry(),
+		adapter:  adapter,
+		handler:  handler,
+		log:      logging.For(logger, "box"),
+		started:  time.Now(),
+		mirrors:  map[string]*objects.Mirror{},
+		pools:    map[string]*exchange.Pool{},
+		behind:   map[string]int{},
+		ports:    &ports{},
+	}
+	n.background = conc.NewWaitGroup()
+	n.context, n.stop = context.WithCancel(context.Background())
+	n.seeds.Store(&s.Seeds)
+	n.newMembers(logging.For(logger, "members"))
+	n.newSet(logging.For(logger, "upstream"))
+	n.Budget = retry.NewBudget(retry.Terms{
+		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
+	}, n.boxes, time.Now)
+	n.Directory = &directory.Directory{
+		TTL: min(preferredTTL, s.LookupTTL), RegionOf: n.Topology.RegionOf,
+		Self: n.Members.Self, Members: n.Members.Members, RegionAllowed: n.hostAllowed,
+	}
+	n.newIngress(logging.For(logger, "request"))
+	n.newFollowers(logging.For(logger, "store"))
+	return n
+}
+
+const (
+	// preferredTTL is how long clients keep an answer of the directory,
+	// where the settings allow as much: long enough to ask seldom, short
+	// enough to leave a stopping box in time.
+	preferredTTL = 3 * time.Second
+	// settleTime is how long a box listens to others before it trusts its
+	// count of them.
+	settleTime = 4 * gossip.Interval
+)
+
+// boxes returns among how many boxes shared bounds are divided.
+func (n *Node) boxes() int {
+	if time.Since(n.started) < settleTime {
+		return 0
+	}
+	return n.Members.Count()
+}
+
+func (n *Node) newMembers(log *logging.Part) {
+	s := n.Settings
+	self := gossip.Record{
+		Box: s.Box, Zone: s.Zone, Clients: s.Advertise.Callers, Peers: s.Advertise.Peers,
+		Started: n.started.UnixNano(),
+	}
+	n.Members = gossip.NewTable(self, time.Now, rand.IntN)
+	n.Members.Seeds = func() []string { return *n.seeds.Load() }
+	n.Members.Changed = func(r gossip.Record, what string) {
+		log.Info("box "+what, map[string]any{"box": r.Box, "zone": r.Zone, "beat": r.Beat})
+	}
+}
+
+func (n *Node) newSet(log *logging.Part) {
+	b := n.Settings.Bounds
+	n.Set = upstream.NewSet(upstream.Terms{
+		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
+		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: b.Contact,
+	}, n.Topology.RegionOf(n.Settings.Zone), n.Topology.RegionOf, n.boxes, time.Now)
+	n.Set.Changed = func(v upstream.Server, what string) {
+		log.Info("server "+what, map[string]any{
+			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "cold_ms": v.Cold.Milliseconds(),
+		})
+	}
+}
+
+func (n *Node) newIngress(log *logging.Part) {
+	n.Ingress = &ingress.Server{
+		Dialect:  n.adapter.Dialect,
+		Table:    n.table.Load,
+		Current:  n.current,
+		Leaving:  n.leaving.Load,
+		Closed:   n.closed.Load,
+		Splitter: routing.NewSplitter(),
+		Set:      n.Set,
+		Budget:   n.Budget,
+		Pool:     n.pool,
+		Now:      time.Now,
+		Random:   rand.Uint64,
+		Log:      log,
+		Count:    func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
+		Observe: func(name string, d time.Duration) {
+			metrics.GetOrRegisterTimer(name, n.Metrics).Update(d)
+		},
+	}
+}
+
+// age returns how long this life of the box has lasted.
+func (n *Node) age() time.Duration { return time.Since(n.started) }
+
+// current reports whether the store answered lately, so that what is not in
+// the configuration does not exist.
+func (n *Node) current() bool {
+	return n.age()-time.Duration(n.storeAnswered.Load()) < n.Settings.Bounds.Contact
+}
+
+// trusted reports whether what the store lists, or no longer lists, is to be
+// believed: it has had no trouble for a while.
+func (n *Node) trusted() bool {
+	trouble := n.storeTrouble.Load()
+	return trouble == 0 || n.age()-time.Duration(trouble) > n.Settings.Bounds.Contact
+}
+
+// hostAllowed reports whether any route of the host may run in the region.
+func (n *Node) hostAllowed(host, region string) bool {
+	t := n.table.Load()
+	if t == nil {
+		return true
+	}
+	routes := t.HostRoutes(host)
+	for _, r := range routes {
+		if !r.RegionAllowed(region) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready reports whether the box can serve requests.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.leaving.Load() }
+
+// checkReady looks whether the box can serve requests: it has a configuration
+// and backend servers.
+func (n *Node) checkReady() {
+	ready := n.table.Load() != nil && n.Set.HasServers() && n.mirrors[n.adapter.Kinds.Evacuations].Synced()
+	if ready != n.ready.Swap(ready) {
+		n.log.Info("readiness changed", map[string]any{"ready": ready})
+	}
+}
--- /dev/null
+++ b/pkg/steering/steering_ports.go
@@ -0,0 +1,303 @@
+package steering
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/routing"
+	"github.com/stoneworks/stoneworks/pkg/upstream"
+)
+
+// HTTPHandler serves HTTP.
+type HTTPHandler = http.Handler
+
+const (
+	// dialTime bounds the opening of a connection to a backend server.
+	dialTime = 600 * time.Millisecond
+	// unackedTime bounds how long sent bytes may stay unacknowledged: a
+	// machine without power says nothing.
+	unackedTime = 1500 * time.Millisecond
+	// tcpUserTimeout is Linux's socket option TCP_USER_TIMEOUT, see tcp(7).
+	tcpUserTimeout = 18
+	// idleConnections bounds the idle connections kept to one backend server.
+	idleConnections = 16
+)
+
+// ListenError says that a port cannot be opened.
+type ListenError struct {
+	Port    string
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return "listen." + e.Port + ": " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// ports are the box's open sockets.
+type ports struct {
+	datagrams *net.UDPConn
+	clients   net.Listener
+	servers   []*http.Server
+
+	mu sync.Mutex
+	// front serves clients; it is replaced when limits change, and then
+	// serves only the connections that it has.
+	front   *http.Server
+	fronts  []*http.Server
+	intake  *intake
+	limits  routing.Limits
+	handler http.Handler
+}
+
+// intake is a listener that is handed its connections.
+type intake struct {
+	net.Listener
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *intake) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *intake) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// limit makes a server with the limits serve new connections.
+func (p *ports) limit(limits routing.Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.handler == nil || limits == p.limits {
+		p.limits = limits
+		return
+	}
+	p.limits = limits
+	p.replaceFront()
+}
+
+func (p *ports) replaceFront() {
+	old := p.intake
+	p.front = &http.Server{
+		Handler:           p.handler,
+		ReadHeaderTimeout: p.limits.HeaderTimeout,
+		IdleTimeout:       p.limits.IdleTimeout,
+		// The library adds some for its own bookkeeping.
+		MaxHeaderBytes: p.limits.HeaderBytes,
+		ErrorLog:       nil,
+	}
+	p.fronts = append(p.fronts, p.front)
+	p.intake = &intake{Listener: p.clients, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	server, in := p.front, p.intake
+	go func() { _ = server.Serve(in) }()
+	if old != nil {
+		_ = old.Close()
+	}
+}
+
+// serveClients hands the clients' connections to the server in force.
+func (p *ports) serveClients(handler http.Handler) {
+	p.mu.Lock()
+	p.handler = handler
+	if p.limits == (routing.Limits{}) {
+		p.limits = routing.DefaultLimits
+	}
+	p.replaceFront()
+	p.mu.Unlock()
+	for {
+		c, err := p.clients.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		p.hand(c)
+	}
+}
+
+func (p *ports) hand(c net.Conn) {
+	for {
+		p.mu.Lock()
+		in := p.intake
+		p.mu.Unlock()
+		select {
+		case in.accepted <- c:
+			return
+		case <-in.closed:
+			p.mu.Lock()
+			same := in == p.intake
+			p.mu.Unlock()
+			if same {
+				_ = c.Close()
+				return
+			}
+		}
+	}
+}
+
+// shut stops taking connections and waits for requests that are on their way.
+func (p *ports) shut(ctx context.Context) {
+	_ = p.clients.Close()
+	p.mu.Lock()
+	fronts := p.fronts
+	p.mu.Unlock()
+	for _, s := range fronts {
+		_ = s.Shutdown(ctx)
+	}
+}
+
+func (p *ports) close() {
+	if p.datagrams != nil {
+		_ = p.datagrams.Close()
+	}
+	if p.clients != nil {
+		_ = p.clients.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range append(p.servers, p.fronts...) {
+		_ = s.Close()
+	}
+}
+
+// ----------------------------------------------------------------
+// Opening
+// ----------------------------------------------------------------
+
+// listen opens all ports. The error is a *ListenError.
+func (n *Node) listen() error {
+	a := n.Settings.Listen
+	address, err := net.ResolveUDPAddr("udp4", a.Peers)
+	if err == nil {
+		n.ports.datagrams, err = net.ListenUDP("udp4", address)
+	}
+	if err != nil {
+		return &ListenError{Port: "peers", Address: a.Peers, Cause: err}
+	}
+	if n.ports.clients, err = net.Listen("tcp4", a.Callers); err != nil {
+		return &ListenError{Port: "callers", Address: a.Callers, Cause: err}
+	}
+	peers := http.NewServeMux()
+	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
+	admin := http.NewServeMux()
+	admin.HandleFunc("GET /metrics", n.serveMetrics)
+	for _, p := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"peers", a.Peers, peers},
+		{"admin", a.Admin, admin},
+		{"ready", a.Ready, n.adapter.Readiness(n.Ready)},
+		{"directory", a.Directory, n.adapter.Directory(n.Directory.Resolve)},
+	} {
+		if err := n.serve(p.name, p.address, p.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) serve(name, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return &ListenError{Port: name, Address: address, Cause: err}
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: routing.DefaultLimits.HeaderTimeout, IdleTimeout: time.Minute}
+	n.ports.servers = append(n.ports.servers, s)
+	n.background.Go(func() { _ = s.Serve(l) })
+	return nil
+}
+
+// serveMetrics tells all counters and timers as lines of text.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WriteOnce(n.Metrics, w)
+}
+
+// ----------------------------------------------------------------
+// Connections to others
+// ----------------------------------------------------------------
+
+// dialer opens connections that notice a machine without power.
+func (n *Node) dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTime,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
+			})
+		},
+	}
+}
+
+func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return n.dialer().DialContext(ctx, "tcp4", address)
+}
+
+func (n *Node) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
+	metrics.GetOrRegisterCounter("upstream.connections", n.Metrics).Inc(1)
+	return n.dialPeer(ctx, address)
+}
+
+// pool returns the connections to a backend server. Each life of a server has
+// its own, so that no connection to an earlier one at the address is used.
+func (n *Node) pool(v *upstream.Server) *exchange.Pool {
+	key := v.ID + " " + v.Address
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.pools[key]
+	if p == nil {
+		p = exchange.NewPool(v.Address, idleConnections, n.dialUpstream)
+		n.pools[key] = p
+	}
+	return p
+}
+
+// dropPools closes the connections to servers that are gone.
+func (n *Node) dropPools() {
+	keep := map[string]bool{}
+	for _, v := range n.Set.List() {
+		keep[v.ID+" "+v.Address] = true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for key, p := range n.pools {
+		if !keep[key] {
+			p.Close()
+			delete(n.pools, key)
+		}
+	}
+}
+
+// counting counts the requests on their way.
+func counting(in *atomic.Int64, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		in.Add(1)
+		defer in.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/pkg/steering/steering_run.go
@@ -0,0 +1,87 @@
+package steering
+
+import (
+	"context"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+)
+
+const (
+	// dropPoolsEvery is how often connections to servers that are gone close.
+	dropPoolsEvery = 5 * time.Second
+	// closeShare is at which part of the grace a stopping box takes nothing
+	// new: by then clients have left it, and what it holds can still end.
+	closeShare = 0.4
+	// endMargin is how long before the end of the grace the box ends.
+	endMargin = 250 * time.Millisecond
+	// drainPoll is how often a stopping box looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Start opens the ports and starts all work. The error is a *ListenError.
+func (n *Node) Start() error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.Timers.Every(gossip.Interval, n.beat)
+	n.Timers.Every(dropPoolsEvery, n.dropPools)
+	n.background.Go(func() { n.Timers.Run(n.context) })
+	n.background.Go(n.receiveDatagrams)
+	n.background.Go(func() { n.ports.serveClients(counting(&n.inFlight, n.Ingress)) })
+	for _, f := range n.followers {
+		n.background.Go(func() { f.Run(n.context) })
+	}
+	n.beat()
+	n.log.Info("started", map[string]any{"box": n.Settings.Box, "zone": n.Settings.Zone, "life": n.started.UnixNano()})
+	return nil
+}
+
+// Reload takes over what may change while the box runs: the seeds.
+func (n *Node) Reload(s *settings.Settings) {
+	n.seeds.Store(&s.Seeds)
+	n.log.Info("settings reloaded", map[string]any{"seeds": len(s.Seeds)})
+}
+
+// Leave stops the box as planned: it is no longer ready nor named, asks its
+// clients to close, takes nothing new after a while, and ends when it has
+// answered all that it holds.
+func (n *Node) Leave(ctx context.Context) {
+	grace := n.Settings.Bounds.Grace
+	start := time.Now()
+	n.leaving.Store(true)
+	n.beat()
+	n.log.Info("leaving", map[string]any{"in_flight": n.inFlight.Load(), "grace": grace.String()})
+	n.sleep(ctx, time.Duration(closeShare*float64(grace)))
+	n.closed.Store(true)
+	left := grace - endMargin - time.Since(start)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	n.ports.shut(ctx)
+	for n.inFlight.Load() > 0 && ctx.Err() == nil {
+		n.sleep(ctx, drainPoll)
+	}
+	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": time.Since(start).Milliseconds()})
+}
+
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Stop ends all work at once.
+func (n *Node) Stop() {
+	n.stop()
+	n.ports.close()
+	n.mu.Lock()
+	for _, p := range n.pools {
+		p.Close()
+	}
+	n.mu.Unlock()
+	n.background.Wait()
+}
--- /dev/null
+++ b/pkg/steering/steering_store.go
@@ -0,0 +1,129 @@
+package steering
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/routing"
+	"github.com/stoneworks/stoneworks/pkg/upstream"
+)
+
+// idleWatch is how long a watch may go without news where another one notices
+// that the store has fallen silent.
+const idleWatch = 25 * time.Second
+
+// probeShare is which part of the time of contact the watch of the
+// configuration waits. It is the one that notices a store that has fallen
+// silent, and has to do so, and to list anew, within that time.
+const probeShare = 0.6
+
+func (n *Node) newFollowers(log *logging.Part) {
+	kinds := n.adapter.Kinds
+	client := n.adapter.Store(n.Settings.Platform.Address, n.dialPeer, func(verb string) {
+		metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
+	})
+	for _, kind := range []string{kinds.Configuration, kinds.Servers, kinds.Evacuations} {
+		n.mirrors[kind] = objects.NewMirror(kind)
+	}
+	n.mirrors[kinds.Configuration].Changed = func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) }
+	n.mirrors[kinds.Servers].Changed = func(o objects.Object, gone bool) { n.serverChanged(log, o, gone) }
+	evacuated := map[string]bool{}
+	n.mirrors[kinds.Evacuations].Changed = func(o objects.Object, gone bool) {
+		n.evacuationChanged(log, evacuated, o, gone)
+	}
+	probe := time.Duration(probeShare * float64(n.Settings.Bounds.Contact))
+	for kind, wait := range map[string]time.Duration{
+		kinds.Configuration: probe, kinds.Servers: idleWatch, kinds.Evacuations: idleWatch,
+	} {
+		n.followers = append(n.followers, n.newFollower(client, kind, wait, log))
+	}
+}
+
+func (n *Node) newFollower(client *objects.Client, kind string, wait time.Duration, log *logging.Part) *objects.Follower {
+	f := &objects.Follower{Client: client, Mirror: n.mirrors[kind], Wait: wait, Random: rand.Float64}
+	f.Succeeded = func() {
+		n.storeAnswered.Store(int64(n.age()))
+		if kind == n.adapter.Kinds.Configuration && n.storeLost.Swap(false) {
+			log.Info("store answers again", nil)
+			n.restartOthers(kind)
+		}
+		n.checkReady()
+	}
+	f.Failed = func(err error) {
+		n.storeTrouble.Store(int64(n.age()))
+		if kind == n.adapter.Kinds.Configuration && !n.storeLost.Swap(true) {
+			log.Warn("store does not answer", map[string]any{"kind": kind, "error": err.Error()})
+		}
+	}
+	return f
+}
+
+// restartOthers makes the followers of the other kinds list anew: their
+// watches may hang.
+func (n *Node) restartOthers(kind string) {
+	for _, f := range n.followers {
+		if f.Mirror.Kind != kind {
+			f.Restart()
+		}
+	}
+}
+
+// configurationChanged puts a configuration in force if it is newer.
+func (n *Node) configurationChanged(log *logging.Part, o objects.Object, gone bool) {
+	if gone {
+		return
+	}
+	c, err := n.adapter.Configuration(o)
+	if err != nil {
+		log.Warn("configuration not understood", map[string]any{"name": o.Name, "revision": o.Revision, "error": err.Error()})
+		return
+	}
+	old := n.table.Load()
+	if old != nil && c.Version <= old.Configuration.Version {
+		return
+	}
+	t, err := routing.NewTable(c)
+	if err != nil {
+		log.Warn("configuration refused", map[string]any{"version": c.Version, "error": err.Error()})
+		return
+	}
+	terms := map[string]upstream.ServiceTerms{}
+	for _, s := range c.Services {
+		terms[s.Name] = upstream.ServiceTerms{ColdStart: s.ColdStart, ColdPerSecond: s.ColdPerSecond}
+	}
+	n.Set.SetServices(terms)
+	n.table.Store(t)
+	n.ports.limit(c.Limits)
+	log.Info("configuration in force", map[string]any{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes)})
+}
+
+func (n *Node) serverChanged(log *logging.Part, o objects.Object, gone bool) {
+	if gone {
+		n.Set.Remove(o.Name, n.trusted())
+		return
+	}
+	v, err := n.adapter.Server(o)
+	if err != nil {
+		log.Warn("server not understood", map[string]any{"name": o.Name, "error": err.Error()})
+		return
+	}
+	n.Set.Put(v)
+}
+
+func (n *Node) evacuationChanged(log *logging.Part, evacuated map[string]bool, o objects.Object, gone bool) {
+	if gone {
+		delete(evacuated, o.Name)
+	} else {
+		evacuated[o.Name] = true
+	}
+	zones := make([]string, 0, len(evacuated))
+	for zone := range evacuated {
+		zones = append(zones, zone)
+	}
+	n.Set.SetEvacuated(zones)
+	log.Info("evacuations changed", map[string]any{"zone": o.Name, "taken_back": gone, "revision": o.Revision})
+}
--- /dev/null
+++ b/pkg/upstream/choose.go
@@ -0,0 +1,190 @@
+package upstream
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Tuning of the choice.
+const (
+	// homeBound is how much of its slots a home may have taken before a key
+	// goes to its next home. Above 1, since waiting a little for a server
+	// that knows the key is quicker than one that does not.
+	homeBound = 1.2
+	// fullBound is how much of its slots a server may have taken before it
+	// gets nothing at all.
+	fullBound = 2.5
+)
+
+// Lease is one request's use of one server. Done must be called once.
+type Lease struct {
+	Server
+	// Remote is true if the server is in another region than the box.
+	Remote bool
+	// Cold is true if the server was cold.
+	Cold bool
+	// Home is the server's place in the order of the key's homes, from 0.
+	Home int
+	// Busy is how many requests the server held, as far as was known.
+	Busy float64
+
+	set    *Set
+	server *server
+	start  time.Time
+}
+
+// candidate is a server that may get the request.
+type candidate struct {
+	*server
+	score uint64
+	busy  float64
+	cold  bool
+}
+
+// fill is how much of its slots the server has taken.
+func (c *candidate) fill() float64 { return c.busy / float64(max(1, c.Slots)) }
+
+// Choose picks the server for a request. The error is a *ChoiceError.
+func (s *Set) Choose(r *Request) (*Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	g := s.services[r.Service]
+	if g == nil {
+		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
+	}
+	near, far := s.candidates(g, r, now)
+	best, place := pick(near, far)
+	if best == nil {
+		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
+	}
+	if best.fill() >= fullBound {
+		return nil, &ChoiceError{Reason: Full, Service: r.Service}
+	}
+	return s.lease(best, place, now), nil
+}
+
+// candidates returns the servers of the region in which the key has its home,
+// and all others, each in the order of the key's homes.
+func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []*candidate) {
+	stays := fraction(mix(r.Key+1)) < s.localShareOf(g, r, now)
+	typical := g.typicalLatency()
+	for _, v := range g.servers {
+		if !s.usable(v) || !r.RegionAllowed(v.region) || slices.Contains(r.Tried, v.ID) {
+			continue
+		}
+		c := &candidate{server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(now), cold: now.Before(v.coldUntil)}
+		if c.cold && !s.mayWarm(v, now) {
+			continue
+		}
+		if s.avoid(v, typical, now) || c.cold {
+			// Last in the order, but better than nothing.
+			c.score = 0
+			c.busy += float64(v.Slots) * homeBound
+		}
+		if (v.region == s.Region) == stays {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	byHome(near)
+	byHome(far)
+	return near, far
+}
+
+func byHome(list []*candidate) {
+	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
+}
+
+// pick takes the first home that is not loaded, or the least loaded.
+func pick(near, far []*candidate) (best *candidate, place int) {
+	for i, c := range near {
+		if c.fill() < homeBound {
+			return c, i
+		}
+	}
+	for _, list := range [][]*candidate{near, far} {
+		for i, c := range list {
+			if best == nil || c.fill() < best.fill() {
+				best, place = c, i
+			}
+		}
+	}
+	return best, place
+}
+
+// avoid reports whether the server should rest: it failed lately, or is much
+// slower than its group.
+func (s *Set) avoid(v *server, typical time.Duration, now time.Time) bool {
+	if v.health.resting(now) {
+		return true
+	}
+	slow := v.health.answers >= 3 && v.health.latency > max(slowFloor, slowFactor*typical)
+	if !slow {
+		return false
+	}
+	// It gets one request after each rest, to see whether it has recovered.
+	v.health.restUntil = now.Add(slowRest)
+	return false
+}
+
+// typicalLatency is the median of the servers' moving averages.
+func (g *group) typicalLatency() time.Duration {
+	list := make([]time.Duration, 0, len(g.servers))
+	for _, v := range g.servers {
+		if v.health.latency > 0 {
+			list = append(list, v.health.latency)
+		}
+	}
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+func (s *Set) lease(c *candidate, place int, now time.Time) *Lease {
+	v := c.server
+	v.load.own++
+	if c.cold {
+		v.coldSends = append(v.coldSends, now)
+	}
+	return &Lease{
+		Server: v.Server, Remote: v.region != s.Region, Cold: c.cold, Home: place, Busy: c.busy,
+		set: s, server: v, start: now,
+	}
+}
+
+// Done ends the lease with the result and with what the server said of its
+// load, nil if it said nothing.
+func (l *Lease) Done(result Result, load *Load) {
+	s, v := l.set, l.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	if load != nil {
+		v.load.told(*load, now)
+	}
+	v.load.own--
+	rests := false
+	switch result {
+	case Answered:
+		v.health.succeeded(now.Sub(l.start))
+	case Shed:
+		// It is full, whatever was believed before.
+		v.load.others = max(v.load.others, float64(v.Slots)*homeBound)
+		v.load.at = now
+	case Unreachable:
+		rests = v.health.failed(now, failuresToEject)
+	case Broken, Late:
+		rests = v.health.failed(now, 1)
+	case Stale:
+		v.stale = true
+		s.Changed(v.Server, "stale")
+	}
+	if rests {
+		s.Changed(v.Server, "resting")
+	}
+}
--- /dev/null
+++ b/pkg/upstream/health.go
@@ -0,0 +1,87 @@
+package upstream
+
+import "time"
+
+// Tuning of what a box makes of failures and of load.
+const (
+	// failuresToEject is how many exchanges in a row must fail before a
+	// server rests; a connection that does not come up counts as that many.
+	failuresToEject = 2
+	// firstRest and longestRest bound the rest, which doubles each time.
+	firstRest   = 500 * time.Millisecond
+	longestRest = 8 * time.Second
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 0.2
+	// slowFactor is how many times longer than its group's typical server a
+	// server must take to count as slow, and slowFloor how long at least.
+	slowFactor = 3
+	slowFloor  = 300 * time.Millisecond
+	// slowRest is for how long a slow server gets nothing before it is tried.
+	slowRest = 1500 * time.Millisecond
+	// loadFades is the time within which a told load no longer counts.
+	loadFades = time.Second
+	// coldMargin is added to how long a server is said to be cold.
+	coldMargin = 300 * time.Millisecond
+)
+
+// health is what a box makes of the exchanges with one server.
+type health struct {
+	failures  int
+	rests     int
+	restUntil time.Time
+	// latency is a moving average, 0 before the first answer.
+	latency time.Duration
+	answers int
+}
+
+// succeeded takes in an answer.
+func (h *health) succeeded(latency time.Duration) {
+	h.failures = 0
+	h.rests = 0
+	h.answers++
+	if h.latency == 0 {
+		h.latency = latency
+		return
+	}
+	h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
+}
+
+// failed takes in a failure of some weight and reports whether the server
+// rests from now on.
+func (h *health) failed(now time.Time, weight int) bool {
+	h.failures += weight
+	if h.failures < failuresToEject {
+		return false
+	}
+	rest := min(firstRest<<min(h.rests, 10), longestRest)
+	h.rests++
+	h.failures = 0
+	h.restUntil = now.Add(rest)
+	return true
+}
+
+func (h *health) resting(now time.Time) bool { return now.Before(h.restUntil) }
+
+// loadEstimate is how busy a server is: this box's own requests, and those of
+// others as far as the server has lately told.
+type loadEstimate struct {
+	own    int
+	others float64
+	at     time.Time
+}
+
+// told takes in what the server said, while own requests of this box, this
+// one included, were at the server.
+func (l *loadEstimate) told(load Load, now time.Time) {
+	l.others = max(0, float64(load.Running+load.Waiting-l.own))
+	l.at = now
+}
+
+// busy returns how many requests the server holds, as far as is known.
+func (l *loadEstimate) busy(now time.Time) float64 {
+	age := now.Sub(l.at)
+	if age >= loadFades {
+		return float64(l.own)
+	}
+	return float64(l.own) + l.others*(1-float64(age)/float64(loadFades))
+}
--- /dev/null
+++ b/pkg/upstream/set.go
@@ -0,0 +1,279 @@
+package upstream
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Terms are the bounds that hold for choices, from the settings.
+type Terms struct {
+	// ColdOverage and ColdSlack bound what a cold server gets in any second
+	// from all boxes together: its rate x ColdOverage + ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+	// MaxShift is the largest share of a region's requests that may change
+	// the region in which they run within ShiftWindow.
+	MaxShift    float64
+	ShiftWindow time.Duration
+	// Forget is for how long a server is kept that vanished from the list
+	// while the list could not be trusted.
+	Forget time.Duration
+}
+
+// ServiceTerms are what a configuration says of a service's cold servers.
+type ServiceTerms struct {
+	ColdStart     time.Duration
+	ColdPerSecond float64
+}
+
+// Set holds the backend servers of all services.
+type Set struct {
+	Terms Terms
+	// Region is the box's own region.
+	Region string
+	// RegionOf returns the region of a zone.
+	RegionOf func(zone string) string
+	// Boxes returns among how many boxes a cold server's rate is divided; 0
+	// when that is not known.
+	Boxes func() int
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
+	// Changed is told what the set came to believe of a server.
+	Changed func(server Server, what string)
+
+	mu        sync.Mutex
+	servers   map[string]*server
+	services  map[string]*group
+	evacuated map[string]bool
+	terms     map[string]ServiceTerms
+	started   bool
+}
+
+// server is a backend server with what this box knows of it.
+type server struct {
+	Server
+	region string
+	hash   uint64
+	group  *group
+
+	// missing is when the server vanished from a list that is not trusted.
+	missing time.Time
+	// stale: the address belongs to another server now.
+	stale bool
+
+	coldUntil time.Time
+	coldSends []time.Time
+
+	health health
+	load   loadEstimate
+}
+
+// group is the servers of one service.
+type group struct {
+	service string
+	servers []*server
+	locals  map[string]*localShare
+}
+
+// NewSet makes a set without servers.
+func NewSet(terms Terms, region string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
+	return &Set{
+		Terms: terms, Region: region, RegionOf: regionOf, Boxes: boxes, Now: now,
+		Changed:   func(Server, string) {},
+		servers:   map[string]*server{},
+		services:  map[string]*group{},
+		evacuated: map[string]bool{},
+		terms:     map[string]ServiceTerms{},
+	}
+}
+
+// SetServices sets what the configuration says of the services.
+func (s *Set) SetServices(terms map[string]ServiceTerms) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.terms = terms
+}
+
+// ----------------------------------------------------------------
+// The list of servers
+// ----------------------------------------------------------------
+
+// Replace puts a whole list in the place of what was known. With trusted
+// false, servers that are not on the list are kept for Terms.Forget: a
+// platform that has just come back may have lost entries of servers that are
+// well.
+func (s *Set) Replace(list []Server, trusted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[string]bool{}
+	for _, v := range list {
+		listed[v.ID] = true
+		s.put(v)
+	}
+	for id := range s.servers {
+		if !listed[id] {
+			s.remove(id, trusted)
+		}
+	}
+	s.started = true
+}
+
+// Put adds or changes one server.
+func (s *Set) Put(v Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(v)
+}
+
+// Remove drops a server that is no longer listed; see Replace.
+func (s *Set) Remove(id string, trusted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(id, trusted)
+}
+
+func (s *Set) put(v Server) {
+	old := s.servers[v.ID]
+	if old == nil {
+		old = &server{hash: Hash(v.ID)}
+		s.servers[v.ID] = old
+		s.Changed(v, "listed")
+	}
+	if old.Server != v && v.Draining && !old.Draining {
+		s.Changed(v, "draining")
+	}
+	s.heat(old, v)
+	old.Server = v
+	old.region = s.RegionOf(v.Zone)
+	old.missing = time.Time{}
+	s.join(old)
+}
+
+// heat works out until when a server is cold. What is told may have been on
+// its way for a while, so it is counted from now, with a margin for clocks
+// that run apart.
+func (s *Set) heat(old *server, v Server) {
+	if v.Cold <= 0 || v.Cold == old.Cold {
+		return
+	}
+	s.chill(old, v.Cold)
+}
+
+func (s *Set) chill(old *server, d time.Duration) {
+	until := s.Now().Add(d + coldMargin)
+	if until.After(old.coldUntil) {
+		old.coldUntil = until
+		s.Changed(old.Server, "cold")
+	}
+}
+
+// join puts the server into its service's group, in the order of IDs.
+func (s *Set) join(v *server) {
+	if v.group != nil && v.group.service == v.Service {
+		return
+	}
+	s.leave(v)
+	g := s.services[v.Service]
+	if g == nil {
+		g = &group{service: v.Service, locals: map[string]*localShare{}}
+		s.services[v.Service] = g
+	}
+	at := sort.Search(len(g.servers), func(i int) bool { return g.servers[i].ID >= v.ID })
+	g.servers = append(g.servers, nil)
+	copy(g.servers[at+1:], g.servers[at:])
+	g.servers[at] = v
+	v.group = g
+}
+
+func (s *Set) leave(v *server) {
+	if v.group == nil {
+		return
+	}
+	for i, other := range v.group.servers {
+		if other == v {
+			v.group.servers = append(v.group.servers[:i:i], v.group.servers[i+1:]...)
+			break
+		}
+	}
+	v.group = nil
+}
+
+func (s *Set) remove(id string, trusted bool) {
+	v := s.servers[id]
+	if v == nil {
+		return
+	}
+	if trusted || v.Draining {
+		s.leave(v)
+		delete(s.servers, id)
+		s.Changed(v.Server, "gone")
+		return
+	}
+	if v.missing.IsZero() {
+		v.missing = s.Now()
+		s.Changed(v.Server, "missing")
+	}
+}
+
+// Expire drops servers that have been missing for too long. Call it from time
+// to time.
+func (s *Set) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, v := range s.servers {
+		if !v.missing.IsZero() && s.Now().Sub(v.missing) > s.Terms.Forget {
+			s.remove(id, true)
+		}
+	}
+}
+
+// SetEvacuated sets the zones whose servers get nothing. Servers of a zone
+// that is taken back are taken to be cold: they may have been emptied.
+func (s *Set) SetEvacuated(zones []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	evacuated := map[string]bool{}
+	for _, z := range zones {
+		evacuated[z] = true
+	}
+	for _, v := range s.servers {
+		if s.evacuated[v.Zone] && !evacuated[v.Zone] {
+			s.chill(v, s.terms[v.Service].ColdStart)
+		}
+	}
+	s.evacuated = evacuated
+}
+
+// List returns the servers that are listed, by ID.
+func (s *Set) List() []Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Server, 0, len(s.servers))
+	for _, v := range s.servers {
+		if v.missing.IsZero() {
+			out := v.Server
+			out.Cold = max(0, v.coldUntil.Sub(s.Now()))
+			list = append(list, out)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// HasServers reports whether any service has a server that may get requests.
+func (s *Set) HasServers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.servers {
+		if s.usable(v) {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether the server may get requests at all.
+func (s *Set) usable(v *server) bool {
+	return !v.Draining && !v.stale && !s.evacuated[v.Zone]
+}
--- /dev/null
+++ b/pkg/upstream/upstream.go
@@ -0,0 +1,117 @@
+// Package upstream chooses the backend server for each request. It has no
+// input or output: it is told which servers there are, what they said of
+// their load and how exchanges ended, and answers with a Lease on one server.
+//
+// A request's affinity key has a home, found by rendezvous hashing, so that
+// all boxes send equal keys to the same server without talking to each other.
+// A home that is loaded passes the key on to its next home.
+package upstream
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+)
+
+// Server is one backend server as the platform lists it. Every start of a
+// server has an ID of its own.
+type Server struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Slots is how many requests it works on at once.
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining,omitempty"`
+	// Cold is for how much longer it stays cold, counted from when it was told.
+	Cold time.Duration `json:"cold,omitempty"`
+}
+
+// Load is what a server said of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Result is how an exchange ended, as far as the server is concerned.
+type Result int
+
+// The results of exchanges.
+const (
+	// Answered: the server gave a whole answer.
+	Answered Result = iota
+	// Shed: the server said that it did not run the request.
+	Shed
+	// Unreachable: no connection came up; nothing was sent.
+	Unreachable
+	// Broken: the exchange failed after something was sent.
+	Broken
+	// Late: no answer came in time.
+	Late
+	// Stale: another server has the address now.
+	Stale
+	// Abandoned: the client left; this says nothing of the server.
+	Abandoned
+)
+
+// resultNames are the results' names in logs, by value.
+var resultNames = [...]string{"answered", "shed", "unreachable", "broken", "late", "stale", "abandoned"}
+
+// String returns the result's name in logs.
+func (r Result) String() string { return resultNames[r] }
+
+// Reason says why no server was chosen.
+type Reason string
+
+// The reasons.
+const (
+	// NoServer: no server may take the request.
+	NoServer Reason = "no_server"
+	// Full: every server that may take it has more than it can do.
+	Full Reason = "full"
+)
+
+// ChoiceError is a request for which no server was found.
+type ChoiceError struct {
+	Reason  Reason
+	Service string
+}
+
+// Error implements error.
+func (e *ChoiceError) Error() string { return fmt.Sprintf("upstream: %s: %s", e.Service, e.Reason) }
+
+// Request is what a choice looks at.
+type Request struct {
+	Service string
+	// Key is the hash of the affinity key; requests without one give a random
+	// number.
+	Key uint64
+	// RegionAllowed reports whether the request may run in a region.
+	RegionAllowed func(region string) bool
+	// Tried lists the servers that the request was already sent to.
+	Tried []string
+}
+
+// Hash is the one hash of affinity keys: equal on all boxes.
+func Hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x over the whole word.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// fraction maps a hash to [0, 1).
+func fraction(x uint64) float64 { return float64(x>>11) / (1 << 53) }
