Two homes a key in place of a walk through all servers

Cause: under load a request whose home was taken went on to the next servers in line, none of which knew its key; each such run took three times as long and pushed other keys out, so a busy region became a cold one and stayed so. Ruled out: too few slots (warm demand is about half of them), the retry budget (repeats were within it). Change: a key has two homes; the first is taken until its slots are, then the less loaded of the two; only where both are two and a half times full may another region's home do it, if idle.

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -8,12 +8,18 @@
 
 // Tuning of the choice.
 const (
-	// homeBound is how much of its slots a home may have taken before a key
-	// goes to its next home. Above 1, since waiting a little for a server
-	// that knows the key is quicker than one that does not.
-	homeBound = 1.2
-	// fullBound is how much of its slots a server may have taken before it
-	// gets nothing at all.
+	// homes is how many servers a key has: enough to even out what hashing
+	// leaves uneven, few enough that each of them goes on knowing the key.
+	homes = 2
+	// homeBound is how much of its slots the first home may have taken before
+	// the second is considered.
+	homeBound = 1.0
+	// homeStep is by how much of its slots the second home must be less
+	// loaded to be taken, so that a key does not go to and fro.
+	homeStep = 0.2
+	// fullBound is how much of its slots a home may have taken before its
+	// keys go elsewhere. It is well above 1: a server that does not know the
+	// key takes far longer than waiting for one that does.
 	fullBound = 2.5
 )
 
@@ -81,7 +87,7 @@
 		if s.avoid(v, typical, now) || c.cold {
 			// Last in the order, but better than nothing.
 			c.score = 0
-			c.busy += float64(v.Slots) * homeBound
+			c.busy += float64(v.Slots) * fullBound
 		}
 		if (v.region == s.Region) == stays {
 			near = append(near, c)
@@ -98,18 +104,29 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
 }
 
-// pick takes the first home that is not loaded, or the least loaded.
+// pick takes one of the key's homes, or where these are full, one elsewhere
+// that is idle enough to do the work although it does not know the key.
 func pick(near, far []*candidate) (best *candidate, place int) {
-	for i, c := range near {
-		if c.fill() < homeBound {
-			return c, i
-		}
+	best, place = pickHome(near)
+	if best != nil && best.fill() < fullBound {
+		return best, place
+	}
+	other, otherPlace := pickHome(far)
+	if best == nil || (other != nil && other.fill() < homeBound) {
+		return other, otherPlace
 	}
-	for _, list := range [][]*candidate{near, far} {
-		for i, c := range list {
-			if best == nil || c.fill() < best.fill() {
-				best, place = c, i
-			}
+	return best, place
+}
+
+// pickHome takes the first home unless it is loaded and the next is less so.
+func pickHome(list []*candidate) (best *candidate, place int) {
+	for i, c := range list[:min(len(list), homes)] {
+		if best == nil {
+			best = c
+			continue
+		}
+		if best.fill() >= homeBound && c.fill()+homeStep < best.fill() {
+			best, place = c, i
 		}
 	}
 	return best, place
