Busy servers keep their keys

Change: work time is compared without waiting; lateness counts only against a server that answers nothing; a repeat goes to the key's other home or nowhere.

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -46,6 +46,9 @@
 	score uint64
 	busy  float64
 	cold  bool
+	// tried: the request was already sent to it. It keeps its place, so that
+	// what a busy home refuses does not go to a server that is no home.
+	tried bool
 }
 
 // fill is how much of its slots the server has taken.
@@ -62,10 +65,10 @@
 	}
 	near, far := s.candidates(g, r, now)
 	best, place := pick(near, far)
-	if best == nil {
+	if best == nil && len(near)+len(far) == 0 {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
-	if best.fill() >= fullBound {
+	if best == nil || best.fill() >= fullBound {
 		return nil, &ChoiceError{Reason: Full, Service: r.Service}
 	}
 	return s.lease(best, place, now), nil
@@ -77,10 +80,13 @@
 	stays := fraction(mix(r.Key+1)) < s.localShareOf(g, r, now)
 	typical := g.typicalLatency()
 	for _, v := range g.servers {
-		if !s.usable(v) || !r.RegionAllowed(v.region) || slices.Contains(r.Tried, v.ID) {
+		if !s.usable(v) || !r.RegionAllowed(v.region) {
 			continue
 		}
-		c := &candidate{server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(now), cold: now.Before(v.coldUntil)}
+		c := &candidate{
+			server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(now),
+			cold: now.Before(v.coldUntil), tried: slices.Contains(r.Tried, v.ID),
+		}
 		if c.cold && !s.mayWarm(v, now) {
 			continue
 		}
@@ -121,8 +127,11 @@
 // pickHome takes the first home unless it is loaded and the next is less so.
 func pickHome(list []*candidate) (best *candidate, place int) {
 	for i, c := range list[:min(len(list), homes)] {
+		if c.tried {
+			continue
+		}
 		if best == nil {
-			best = c
+			best, place = c, i
 			continue
 		}
 		if best.fill() >= homeBound && c.fill()+homeStep < best.fill() {
@@ -188,15 +197,21 @@
 	rests := false
 	switch result {
 	case Answered:
-		v.health.succeeded(now.Sub(l.start))
+		v.health.heard = now
+		v.health.succeeded(l.workTime(now))
 	case Shed:
+		v.health.heard = now
 		// It is full, whatever was believed before.
 		v.load.others = max(v.load.others, float64(v.Slots)*homeBound)
 		v.load.at = now
 	case Unreachable:
 		rests = v.health.failed(now, failuresToEject)
-	case Broken, Late:
+	case Broken:
 		rests = v.health.failed(now, 1)
+	case Late:
+		if now.Sub(v.health.heard) > silence {
+			rests = v.health.failed(now, 1)
+		}
 	case Stale:
 		v.stale = true
 		s.Changed(v.Server, "stale")
@@ -205,3 +220,10 @@
 		s.Changed(v.Server, "resting")
 	}
 }
+
+// workTime is how long the server took, without the time for which the
+// request must have waited for a slot.
+func (l *Lease) workTime(now time.Time) time.Duration {
+	fill := l.Busy / float64(max(1, l.Slots))
+	return time.Duration(float64(now.Sub(l.start)) / max(1, fill))
+}
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -6,20 +6,28 @@
 const (
 	// failuresToEject is how many exchanges in a row must fail before a
 	// server rests; a connection that does not come up counts as that many.
-	failuresToEject = 2
+	failuresToEject = 3
+	// silence is for how long a server must not have answered anything before
+	// a request that got no answer in time counts against it. A server that
+	// is only busy goes on answering, and must keep its keys: elsewhere they
+	// are not known, and would cost more than waiting.
+	silence = time.Second
 	// firstRest and longestRest bound the rest, which doubles each time.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 8 * time.Second
 	// latencyWeight is the weight of a new latency in the moving average.
 	latencyWeight = 0.2
 	// slowFactor is how many times longer than its group's typical server a
-	// server must take to count as slow, and slowFloor how long at least.
+	// server must take to count as slow, and slowFloor how long at least. What
+	// is compared is the time without that of waiting for a slot.
 	slowFactor = 3
 	slowFloor  = 300 * time.Millisecond
 	// slowRest is for how long a slow server gets nothing before it is tried.
 	slowRest = 1500 * time.Millisecond
-	// loadFades is the time within which a told load no longer counts.
-	loadFades = time.Second
+	// loadHolds is how long a told load counts in full, and loadFades when it
+	// no longer counts at all.
+	loadHolds = 500 * time.Millisecond
+	loadFades = 2 * time.Second
 	// coldMargin is added to how long a server is said to be cold.
 	coldMargin = 300 * time.Millisecond
 )
@@ -29,9 +37,12 @@
 	failures  int
 	rests     int
 	restUntil time.Time
-	// latency is a moving average, 0 before the first answer.
+	// latency is a moving average of the time without waiting for a slot, 0
+	// before the first answer.
 	latency time.Duration
 	answers int
+	// heard is when the server last answered anything.
+	heard time.Time
 }
 
 // succeeded takes in an answer.
@@ -80,8 +91,6 @@
 // busy returns how many requests the server holds, as far as is known.
 func (l *loadEstimate) busy(now time.Time) float64 {
 	age := now.Sub(l.at)
-	if age >= loadFades {
-		return float64(l.own)
-	}
-	return float64(l.own) + l.others*(1-float64(age)/float64(loadFades))
+	left := float64(loadFades-age) / float64(loadFades-loadHolds)
+	return float64(l.own) + l.others*max(0, min(1, left))
 }
