--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -28,8 +28,11 @@
 	forgetAfter = time.Minute
 	// fanOut bounds the boxes that one heartbeat goes to.
 	fanOut = 16
-	// relayed is how many other records a heartbeat carries.
-	relayed = 2
+	// relayed is how many other records a heartbeat carries, and relayEvery:
+	// only one in so many carries any. They are for boxes that cannot hear
+	// each other, and for those that have just started.
+	relayed    = 3
+	relayEvery = 4
 	// deadEvery: one in so many heartbeats also goes to silent boxes, so that
 	// boxes find each other again after a cut.
 	deadEvery = 4
@@ -128,7 +131,9 @@
 		shuffle(silent, t.Random)
 		to = append(to, silent[:min(len(silent), fanOut)]...)
 	}
-	m.Others = t.sample()
+	if t.beats%relayEvery == 0 {
+		m.Others = t.sample()
+	}
 	return m, to
 }
 
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
@@ -64,7 +65,7 @@
 
 func (c *call) choose() (*upstream.Lease, *outcome.Failure) {
 	lease, err := c.server.Set.Choose(&upstream.Request{
-		Service: c.service, Key: c.key, RegionAllowed: c.route.RegionAllowed, Tried: c.tried,
+		Service: c.service, Key: c.key, Heavy: c.route.Kind == routing.Upload, RegionAllowed: c.route.RegionAllowed, Tried: c.tried,
 	})
 	if err == nil {
 		return lease, nil
@@ -121,6 +122,9 @@
 	pool := s.Pool(&lease.Server)
 	answer, err := pool.Do(c.ctx, c.request(lease, start))
 	if err != nil {
+		if wasSent(err) {
+			c.sent++
+		}
 		return c.failed(lease, start, err)
 	}
 	c.sent++
@@ -151,11 +155,7 @@
 
 // failed says what may be told of an exchange that failed.
 func (c *call) failed(lease *upstream.Lease, start time.Time, err error) *outcome.Failure {
-	var x *exchange.Error
-	sent := !errors.As(err, &x) || x.Sent
-	if sent {
-		c.sent++
-	}
+	sent := wasSent(err)
 	late := errors.Is(err, context.DeadlineExceeded)
 	gone := c.r.Context().Err() != nil
 	switch {
@@ -171,6 +171,13 @@
 	return classify(sent, late, gone, err)
 }
 
+// wasSent reports whether any byte of the request may have reached the
+// upstream.
+func wasSent(err error) bool {
+	var x *exchange.Error
+	return !errors.As(err, &x) || x.Sent
+}
+
 func classify(sent, late, gone bool, err error) *outcome.Failure {
 	switch {
 	case gone && !sent:
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -15,6 +15,9 @@
 	// doubles each time and is spread by chance over half to all of itself.
 	firstRetry   = 150 * time.Millisecond
 	longestRetry = 1500 * time.Millisecond
+	// gather is the pause after news, so that changes that come together are
+	// told by one call.
+	gather = 250 * time.Millisecond
 	// maxPages bounds one list.
 	maxPages = 10_000
 )
@@ -103,6 +106,9 @@
 		return err
 	}
 	f.Mirror.Apply(events, at)
+	if len(events) > 0 {
+		f.sleep(ctx, gather)
+	}
 	return nil
 }
 
@@ -132,7 +138,10 @@
 
 func (f *Follower) pause(ctx context.Context, failures int) {
 	d := min(firstRetry<<min(failures, 10), longestRetry)
-	d = time.Duration(float64(d) * (0.5 + f.Random()/2))
+	f.sleep(ctx, time.Duration(float64(d)*(0.5+f.Random()/2)))
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -23,7 +23,7 @@
 	items  map[string]Object
 	at     uint64
 	synced bool
-	digest uint64
+	digest uint32
 }
 
 // Version tells boxes whose mirror is newer.
@@ -31,7 +31,7 @@
 	// At is the store's revision up to which changes are known.
 	At uint64 `json:"at"`
 	// Digest is equal on mirrors with equal objects.
-	Digest uint64 `json:"digest"`
+	Digest uint32 `json:"digest"`
 }
 
 // NewMirror makes an empty mirror.
@@ -101,12 +101,12 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	h := fnv.New64a()
+	h := fnv.New32a()
 	for _, name := range names {
 		_, _ = h.Write([]byte(name))
 		_, _ = h.Write([]byte(strconv.FormatUint(m.items[name].Revision, 10)))
 	}
-	m.digest = h.Sum64()
+	m.digest = h.Sum32()
 }
 
 // Version returns how new the mirror is.
--- /dev/null
+++ b/pkg/objects/objects_test.go
@@ -0,0 +1,271 @@
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func object(name string, revision uint64) Object {
+	return Object{Name: name, Revision: revision, Spec: json.RawMessage(fmt.Sprint(revision))}
+}
+
+// storeModel is a store with its whole history.
+type storeModel struct {
+	items  map[string]Object
+	at     uint64
+	events []Event
+}
+
+func (s *storeModel) change(name string, gone bool) {
+	s.at++
+	o := object(name, s.at)
+	if gone {
+		if _, ok := s.items[name]; !ok {
+			return
+		}
+		delete(s.items, name)
+	} else {
+		s.items[name] = o
+	}
+	s.events = append(s.events, Event{Object: o, Gone: gone})
+}
+
+func (s *storeModel) list() []Object {
+	var list []Object
+	for _, o := range s.items {
+		list = append(list, o)
+	}
+	return list
+}
+
+func (s *storeModel) since(at uint64) []Event {
+	var list []Event
+	for _, e := range s.events {
+		if e.Object.Revision > at {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// TestMirrorFollowsInAnyOrder: lists that are old, and lists of other boxes
+// between events, never take a mirror back, and it ends equal to the store.
+func TestMirrorFollowsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &storeModel{items: map[string]Object{}}
+		m := NewMirror("things")
+		seen := map[string]uint64{}
+		m.Changed = func(o Object, gone bool) {
+			if o.Revision < seen[o.Name] {
+				t.Fatalf("%s went back from %d to %d", o.Name, seen[o.Name], o.Revision)
+			}
+			seen[o.Name] = o.Revision
+		}
+		type oldList struct {
+			items []Object
+			at    uint64
+		}
+		var lists []oldList
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				s.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "gone"))
+				lists = append(lists, oldList{s.list(), s.at})
+			case 1:
+				if m.Synced() {
+					m.Apply(s.since(m.Version().At), s.at)
+				}
+			case 2:
+				if len(lists) > 0 {
+					l := lists[rapid.IntRange(0, len(lists)-1).Draw(t, "list")]
+					m.Load(l.items, l.at)
+				}
+			case 3:
+				m.Load(s.list(), s.at)
+			}
+		}
+		m.Load(s.list(), s.at)
+		items, at := m.Items()
+		if at != s.at || len(items) != len(s.items) {
+			t.Fatalf("mirror has %v at %d, store %v at %d", items, at, s.items, s.at)
+		}
+		for _, o := range items {
+			if s.items[o.Name].Revision != o.Revision {
+				t.Fatalf("%s is at %d, in the store at %d", o.Name, o.Revision, s.items[o.Name].Revision)
+			}
+		}
+	})
+}
+
+func TestDigestTellsEqualMirrors(t *testing.T) {
+	is := is.New(t)
+	a, b := NewMirror("things"), NewMirror("things")
+	a.Load([]Object{object("x", 1), object("y", 2)}, 2)
+	b.Load([]Object{object("x", 1)}, 1)
+	is.True(a.Version().Digest != b.Version().Digest)
+	b.Apply([]Event{{Object: object("y", 2)}}, 7)
+	is.Equal(a.Version().Digest, b.Version().Digest)
+}
+
+// script is a client whose answers a test gives one after the other.
+type script struct {
+	mu    sync.Mutex
+	calls []string
+	list  func() (Page, error)
+	watch func(ctx context.Context, since uint64) ([]Event, uint64, error)
+}
+
+func (s *script) client() *Client {
+	note := func(call string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls = append(s.calls, call)
+	}
+	return &Client{
+		List: func(_ context.Context, _, after string) (Page, error) {
+			note("list " + after)
+			return s.list()
+		},
+		Watch: func(ctx context.Context, _ string, since uint64, _ time.Duration) ([]Event, uint64, error) {
+			note(fmt.Sprint("watch ", since))
+			return s.watch(ctx, since)
+		},
+	}
+}
+
+func follow(s *script, wait time.Duration) (*Follower, func()) {
+	f := &Follower{Client: s.client(), Mirror: NewMirror("things"), Wait: wait, Random: func() float64 { return 0 }}
+	f.Succeeded = func() {}
+	f.Failed = func(error) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	return f, func() { cancel(); <-done }
+}
+
+func eventually(is *is.I, what func() bool) {
+	is.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if what() {
+			return
+		}
+	}
+	is.Fail()
+}
+
+func has(f *Follower, name string) func() bool {
+	return func() bool {
+		items, _ := f.Mirror.Items()
+		for _, o := range items {
+			if o.Name == name {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func blocked(ctx context.Context) ([]Event, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, &UnavailableError{Cause: ctx.Err()}
+}
+
+func TestFollowerReadsAllPagesAndResumes(t *testing.T) {
+	is := is.New(t)
+	pages := []Page{
+		{Items: []Object{object("a", 1)}, More: true, At: 5},
+		{Items: []Object{object("b", 2)}, At: 9},
+	}
+	s := &script{}
+	s.list = func() (Page, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p := pages[0]
+		pages = pages[1:]
+		return p, nil
+	}
+	s.watch = func(ctx context.Context, since uint64) ([]Event, uint64, error) {
+		if since == 5 {
+			return []Event{{Object: object("c", 6)}}, 6, nil
+		}
+		return blocked(ctx)
+	}
+	f, stop := follow(s, time.Minute)
+	eventually(is, has(f, "c"))
+	stop()
+	// It goes on from the first page's revision, and from the last event's.
+	is.Equal(s.calls[:3], []string{"list ", "list a", "watch 5"})
+}
+
+func TestFollowerListsAnewWhenHistoryIsGone(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	lists := 0
+	s.list = func() (Page, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		lists++
+		if lists == 1 {
+			return Page{Items: []Object{object("a", 1)}, At: 1}, nil
+		}
+		return Page{Items: []Object{object("b", 9)}, At: 9}, nil
+	}
+	s.watch = func(ctx context.Context, since uint64) ([]Event, uint64, error) {
+		if since == 1 {
+			return nil, 0, &CompactedError{}
+		}
+		return blocked(ctx)
+	}
+	f, stop := follow(s, time.Minute)
+	defer stop()
+	eventually(is, has(f, "b"))
+	is.True(!has(f, "a")())
+}
+
+func TestFollowerLeavesAWatchThatIsSilent(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	s.list = func() (Page, error) { return Page{At: 1}, nil }
+	watches := 0
+	s.watch = func(ctx context.Context, _ uint64) ([]Event, uint64, error) {
+		s.mu.Lock()
+		watches++
+		n := watches
+		s.mu.Unlock()
+		if n == 2 {
+			return []Event{{Object: object("late", 2)}}, 2, nil
+		}
+		return blocked(ctx)
+	}
+	f, stop := follow(s, 10*time.Millisecond)
+	defer stop()
+	eventually(is, has(f, "late"))
+}
+
+func TestRestartedFollowerListsAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	lists := 0
+	s.list = func() (Page, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		lists++
+		if lists == 1 {
+			return Page{At: 1}, nil
+		}
+		return Page{Items: []Object{object("news", 2)}, At: 2}, nil
+	}
+	s.watch = func(ctx context.Context, _ uint64) ([]Event, uint64, error) { return blocked(ctx) }
+	f, stop := follow(s, time.Hour)
+	defer stop()
+	eventually(is, f.Mirror.Synced)
+	f.Restart()
+	eventually(is, has(f, "news"))
+}
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -169,7 +169,7 @@
 	n.Set = upstream.NewSet(upstream.Terms{
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: time.Duration(forgetShare * float64(b.Drain)),
-	}, n.Topology.RegionOf(n.Settings.Zone), n.Topology.RegionOf, n.boxes, time.Now)
+	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, time.Now)
 	n.Set.Changed = func(v upstream.Server, what string) {
 		log.Info("server "+what, map[string]any{
 			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "cold_ms": v.Cold.Milliseconds(),
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -78,7 +78,8 @@
 // candidates returns the servers of the region in which the key has its home,
 // and all others, each in the order of the key's homes.
 func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []*candidate) {
-	stays := fraction(mix(r.Key+1)) < s.localShareOf(g, r, now)
+	share := s.localShareOf(g, r, now)
+	stays := fraction(mix(r.Key+1)) < g.shareOfKind(share, r.Heavy)
 	typical := g.typicalLatency()
 	for _, v := range g.servers {
 		if !s.usable(v) || !r.RegionAllowed(v.region) {
@@ -104,9 +105,24 @@
 	}
 	byHome(near)
 	byHome(far)
+	if r.Heavy {
+		s.zoneFirst(near)
+	}
 	return near, far
 }
 
+// zoneFirst puts the first home in this box's zone before the others, so that
+// the body stays in the zone unless that home is loaded.
+func (s *Set) zoneFirst(list []*candidate) {
+	for i, c := range list {
+		if c.Zone == s.Zone && c.score > 0 {
+			copy(list[1:i+1], list[:i])
+			list[0] = c
+			return
+		}
+	}
+}
+
 func byHome(list []*candidate) {
 	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
 }
--- a/pkg/upstream/region.go
+++ b/pkg/upstream/region.go
@@ -38,6 +38,27 @@
 	return l.value
 }
 
+// heavyWeight is the weight of a new request in the share of heavy ones.
+const heavyWeight = 0.005
+
+// shareOfKind divides the share of keys that stay in the region between heavy
+// requests and others: heavy ones stay first. The sum remains the same.
+func (g *group) shareOfKind(share float64, heavy bool) float64 {
+	sample := 0.0
+	if heavy {
+		sample = 1
+	}
+	g.heavy += heavyWeight * (sample - g.heavy)
+	heavyShare := 1.0
+	if g.heavy > share {
+		heavyShare = share / g.heavy
+	}
+	if heavy {
+		return heavyShare
+	}
+	return (share - g.heavy*heavyShare) / (1 - min(g.heavy, 0.99))
+}
+
 // regionSlots sums up the slots of regions.
 type regionSlots struct {
 	total   float64
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -30,7 +30,8 @@
 // Set holds the backend servers of all services.
 type Set struct {
 	Terms Terms
-	// Region is the box's own region.
+	// Zone and Region are the box's own.
+	Zone   string
 	Region string
 	// RegionOf returns the region of a zone.
 	RegionOf func(zone string) string
@@ -74,12 +75,14 @@
 	service string
 	servers []*server
 	locals  map[string]*localShare
+	// heavy is the share of heavy requests, as a moving average.
+	heavy float64
 }
 
 // NewSet makes a set without servers.
-func NewSet(terms Terms, region string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
+func NewSet(terms Terms, zone string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
 	return &Set{
-		Terms: terms, Region: region, RegionOf: regionOf, Boxes: boxes, Now: now,
+		Terms: terms, Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
 		Changed:   func(Server, string) {},
 		servers:   map[string]*server{},
 		services:  map[string]*group{},
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -87,6 +87,9 @@
 	// Key is the hash of the affinity key; requests without one give a random
 	// number.
 	Key uint64
+	// Heavy requests carry large bodies; they are kept near where that costs
+	// nothing else.
+	Heavy bool
 	// RegionAllowed reports whether the request may run in a region.
 	RegionAllowed func(region string) bool
 	// Tried lists the servers that the request was already sent to.
--- /dev/null
+++ b/test/machines/fleet.go
@@ -0,0 +1,220 @@
+package machines
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/steering"
+	"github.com/stoneworks/stoneworks/pkg/topology"
+	"github.com/stoneworks/stoneworks/platform"
+)
+
+// Fleet is some boxes with a store and backend servers.
+type Fleet struct {
+	Store   *Store
+	Boxes   []*Box
+	Servers map[string]*Server
+	zones   []topology.Zone
+	network string
+	log     io.Writer
+}
+
+// Box is one box of a fleet.
+type Box struct {
+	*steering.Node
+	IP string
+	// Clients, Ready and Directory are its addresses.
+	Clients   string
+	Ready     string
+	Directory string
+	endLog    context.CancelFunc
+}
+
+// Zones are the zones of every fleet.
+var Zones = []topology.Zone{
+	{Zone: "east-a", Region: "east"}, {Zone: "east-b", Region: "east"}, {Zone: "west-a", Region: "west"},
+}
+
+// NewFleet starts a store in a network of its own, such as "127.90.1"; each
+// test takes another. Log lines go to log.
+func NewFleet(network string, log io.Writer) (*Fleet, error) {
+	store, err := NewStore(network + ".200")
+	if err != nil {
+		return nil, err
+	}
+	return &Fleet{Store: store, Servers: map[string]*Server{}, zones: Zones, network: network, log: log}, nil
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, b := range f.Boxes {
+		b.Stop()
+		b.endLog()
+	}
+	for _, s := range f.Servers {
+		s.Close()
+	}
+	f.Store.Close()
+}
+
+// AddServer starts a backend server and lists it in the store.
+func (f *Fleet) AddServer(id, service, zone string, slots int, work time.Duration) (*Server, error) {
+	s, err := NewServer(f.network+".100", id, slots, work)
+	if err != nil {
+		return nil, err
+	}
+	f.Servers[id] = s
+	f.List(s, service, zone, "ready", 0)
+	return s, nil
+}
+
+// List writes a server's entry.
+func (f *Fleet) List(s *Server, service, zone, state string, cold time.Duration) {
+	f.Store.Put("servers", s.ID, map[string]any{
+		"service": service, "address": s.Address, "zone": zone, "slots": s.Slots, "state": state,
+		"cold-remaining-ms": cold.Milliseconds(), "version": "v1", "call-seq": 1,
+	})
+}
+
+// Route is a route of a fleet's configuration.
+type Route struct {
+	Prefix, Kind, Service string
+	TimeoutMS             int
+	Regions               []string
+}
+
+// Configure puts a configuration of the host shop.example in the store.
+func (f *Fleet) Configure(version int, routes ...Route) {
+	paths := []map[string]any{}
+	services := map[string]bool{}
+	for _, r := range routes {
+		services[r.Service] = true
+		paths = append(paths, map[string]any{
+			"name": r.Prefix, "path-prefix": r.Prefix, "kind": r.Kind, "service": r.Service, "timeout-ms": r.TimeoutMS,
+			"target-latency-ms": 500, "max-attempts": 2, "session-affinity": true, "allowed-regions": r.Regions,
+		})
+	}
+	list := []map[string]any{}
+	for s := range services {
+		list = append(list, map[string]any{"name": s, "health-path": "/health", "max-conns": 100, "cold-start-s": 1, "cold-per-s": 5})
+	}
+	f.Store.Put("config", "main", map[string]any{
+		"version": fmt.Sprintf("%08x", version), "services": list,
+		"limits": map[string]any{"max-header-bytes": 8192, "max-body-bytes": 1 << 20, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
+		"hosts":  []map[string]any{{"host": "shop.example", "paths": paths}},
+	})
+}
+
+// AddBox starts a box in a zone.
+func (f *Fleet) AddBox(zone string) (*Box, error) {
+	n := len(f.Boxes) + 1
+	ip := fmt.Sprintf("%s.%d", f.network, n)
+	s := settings.Defaults()
+	s.Box = fmt.Sprintf("box-%d", n)
+	s.Zone = zone
+	s.Listen = settings.Addresses{
+		Callers: ip + ":8101", Peers: ip + ":8102", Admin: ip + ":8103", Ready: ip + ":8104", Directory: ip + ":8105",
+	}
+	s.Advertise = s.Listen
+	s.Platform.Address = f.Store.Address
+	s.Platform.Protocol = settings.ProtocolObjects
+	s.Seeds = []string{f.network + ".1:8102"}
+	s.Zones = f.zones
+	s.Bounds.Contact = 1500 * time.Millisecond
+	s.Bounds.Grace = 2 * time.Second
+	s.Bounds.ColdOverage, s.Bounds.ColdSlack = 1.5, 5
+	handler := logging.NewAsyncJSONHandler(f.log)
+	logContext, endLog := context.WithCancel(context.Background())
+	go handler.Run(logContext)
+	node := steering.New(&s, platform.Adapter(), handler)
+	if err := node.Start(); err != nil {
+		endLog()
+		node.Stop()
+		return nil, err
+	}
+	b := &Box{Node: node, IP: ip, endLog: endLog, Clients: s.Listen.Callers, Ready: s.Listen.Ready, Directory: s.Listen.Directory}
+	f.Boxes = append(f.Boxes, b)
+	return b, nil
+}
+
+// Answer is what a client got.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Problem is what broke the exchange, nil if the answer is whole.
+	Problem error
+	// Last is true if the box announced that it closes the connection.
+	Last bool
+	Took time.Duration
+}
+
+// Client sends requests over one connection at a time.
+type Client struct {
+	Address string
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+// Close closes the connection.
+func (c *Client) Close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// Do sends a request and reads its answer. Extra lines of the header end with
+// a line break each.
+func (c *Client) Do(method, target, id, body, extra string) *Answer {
+	start := time.Now()
+	if err := c.Send(method, target, id, body, extra); err != nil {
+		return &Answer{Problem: err, Took: time.Since(start)}
+	}
+	a := c.Read()
+	a.Took = time.Since(start)
+	return a
+}
+
+// Send sends a request.
+func (c *Client) Send(method, target, id, body, extra string) error {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp4", c.Address, time.Second)
+		if err != nil {
+			return err
+		}
+		c.conn, c.reader = conn, bufio.NewReader(conn)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: %s\r\n", method, target, id)
+	if !strings.Contains(extra, "Transfer-Encoding") && (body != "" || method == "POST") {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString(extra + "\r\n" + body)
+	_, err := io.WriteString(c.conn, b.String())
+	return err
+}
+
+// Read reads one answer; a problem closes the connection.
+func (c *Client) Read() *Answer {
+	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.Close()
+		return &Answer{Problem: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil || response.Close {
+		c.Close()
+	}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: string(text), Problem: err, Last: response.Close}
+}
--- /dev/null
+++ b/test/machines/machines_test.go
@@ -0,0 +1,427 @@
+package machines
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// network gives each test loopback addresses of its own.
+var network atomic.Int64
+
+var (
+	read   = Route{Prefix: "/read/", Kind: "safe", Service: "shop", TimeoutMS: 1500}
+	buy    = Route{Prefix: "/buy/", Kind: "unsafe", Service: "shop", TimeoutMS: 1500}
+	upload = Route{Prefix: "/up/", Kind: "upload", Service: "shop", TimeoutMS: 3000}
+)
+
+func newFleet(t *testing.T, boxes int, servers ...string) *Fleet {
+	t.Helper()
+	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	f.Configure(1, read, buy, upload)
+	for _, id := range servers {
+		zone, _, _ := strings.Cut(id, ".")
+		if _, err := f.AddServer(id, "shop", zone, 4, 20*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range boxes {
+		if _, err := f.AddBox(Zones[i%len(Zones)].Zone); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(servers) > 0 {
+		eventually(t, "all boxes are ready", func() bool {
+			for _, b := range f.Boxes {
+				if !b.Node.Ready() {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	return f
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("in vain: %s", what)
+}
+
+func TestRequestsReachServersUnaltered(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	for i, r := range []struct{ method, target, body, extra, want string }{
+		{"GET", "/read/a%2Fb/?x=1&y=%20", "", "X-Stoneworks-Request-Timeout-Ms: 900\r\n", ""},
+		{"POST", "/buy/1", "the body", "Connection: X-Private\r\nX-Private: 1\r\n", "the body"},
+		{"POST", "/up/1", strings.Repeat("0123456789", 20000), "X-Stoneworks-Expect-Instance: forged\r\n", strings.Repeat("0123456789", 20000)},
+		{"POST", "/up/2", "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n", "Transfer-Encoding: chunked\r\n", "hello world"},
+		{"DELETE", "/buy/2", "", "", ""},
+	} {
+		id := fmt.Sprint("id-", i)
+		a := c.Do(r.method, r.target, id, r.body, r.extra)
+		is.NoErr(a.Problem)
+		is.Equal(a.Status, 200)
+		is.Equal(a.Body, AnswerBody(id))
+		is.Equal(a.Header.Get("X-Stoneworks-Response-Signature"), "east-a.1")
+		runs := f.Servers["east-a.1"].Runs()
+		is.Equal(len(runs), i+1)
+		run := runs[i]
+		is.Equal(run.Method, r.method)
+		is.Equal(run.Target, r.target)
+		is.Equal(run.Host, "shop.example")
+		is.Equal(run.Body, r.want)
+		is.Equal(run.ID, id)
+		is.True(run.Timeout != "")
+	}
+	is.Equal(f.Servers["east-a.1"].Connections(), 1) // kept connections are used again
+}
+
+// TestSpoiledAnswers: whatever a server does with an answer, the client gets
+// the whole right one or learns that it did not; what may not be repeated runs
+// once, and 503 is only said of what did not run.
+func TestSpoiledAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fault  Fault
+		target string
+		status []int
+		runs   int
+	}{
+		{"cut body, safe", CutBody, "/read/1", []int{200}, 2},
+		{"cut body, unsafe", CutBody, "/buy/1", []int{502}, 1},
+		{"no answer, safe", CutAnswer, "/read/1", []int{200}, 2},
+		{"no answer, unsafe", CutAnswer, "/buy/1", []int{502}, 1},
+		{"no length", Unframed, "/buy/1", []int{200}, 1},
+		{"one too many", Extra, "/buy/1", []int{200}, 1},
+		{"another's answer first", Foreign, "/buy/1", []int{200}, 1},
+		{"garbage, safe", Garbage, "/read/1", []int{200}, 2},
+		{"garbage, unsafe", Garbage, "/buy/1", []int{502}, 1},
+		{"early refusal", Early, "/buy/1", []int{200, 503}, -1},
+		{"silence, unsafe", Mute, "/buy/1", []int{504}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, "east-a.1", "east-a.2")
+			// Requests give the right to repeats.
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			for i := range 20 {
+				is.Equal(client.Do("GET", "/read/1", fmt.Sprint("warm-", i), "", "").Status, 200)
+			}
+			var spoiled atomic.Int64
+			for _, s := range f.Servers {
+				s.SetFault(func(r *Run) Fault {
+					if r.ID == "judged" && spoiled.Add(1) == 1 {
+						return c.fault
+					}
+					return NoFault
+				})
+			}
+			method, body := "GET", ""
+			if strings.HasPrefix(c.target, "/buy") {
+				method, body = "POST", strings.Repeat("x", 3000)
+			}
+			a := client.Do(method, c.target, "judged", body, "")
+			is.NoErr(a.Problem)
+			is.True(contains(c.status, a.Status))
+			if a.Status == 200 {
+				is.Equal(a.Body, AnswerBody("judged"))
+			}
+			ran := 0
+			for _, s := range f.Servers {
+				for _, r := range s.Runs() {
+					if r.ID == "judged" {
+						ran++
+					}
+				}
+			}
+			if c.runs >= 0 {
+				is.Equal(ran, c.runs)
+			}
+			if a.Status == 503 {
+				is.Equal(ran, 0)
+				is.True(a.Header.Get("Retry-After") != "")
+			}
+			// The connection to the server is not poisoned for those that follow.
+			for i := range 5 {
+				id := fmt.Sprint("after-", i)
+				is.Equal(client.Do("GET", "/read/1", id, "", "").Body, AnswerBody(id))
+			}
+		})
+	}
+}
+
+func contains(list []int, v int) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return false
+}
+
+func TestNothingIsDeniedBeforeTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+	is.NoErr(err)
+	defer f.Close()
+	f.Store.SetTreat(func(string, string) Mode { return Busy })
+	b, err := f.AddBox("east-a")
+	is.NoErr(err)
+	c := &Client{Address: b.Clients}
+	defer c.Close()
+	a := c.Do("GET", "/read/1", "id", "", "")
+	is.Equal(a.Status, 503)
+	is.True(a.Header.Get("Retry-After") != "")
+	is.Equal(status(t, "http://"+b.Ready+"/-/ready"), 503)
+	f.Configure(1, read)
+	_, err = f.AddServer("east-a.1", "shop", "east-a", 4, time.Millisecond)
+	is.NoErr(err)
+	f.Store.SetTreat(nil)
+	eventually(t, "ready", func() bool { return status(t, "http://"+b.Ready+"/-/ready") == 200 })
+	is.Equal(c.Do("GET", "/read/1", "id", "", "").Status, 200)
+	is.Equal(c.Do("GET", "/none/1", "id", "", "").Status, 404)
+}
+
+func status(t *testing.T, url string) int {
+	t.Helper()
+	answer, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return answer.StatusCode
+}
+
+func TestBadInputIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	for _, c := range []struct {
+		method, target, id, body, extra string
+		status                          int
+	}{
+		{"GET", "/read/1", "", "", "", 400},
+		{"GET", "/read/1", "id", "", "X-Stoneworks-Request-Timeout-Ms: soon\r\n", 400},
+		{"GET", "/read/1", "id", "", "X-Long: " + strings.Repeat("x", 20000) + "\r\n", 431},
+		{"POST", "/up/1", "id", strings.Repeat("x", 1<<20+1), "", 413},
+		{"GET", "/read/1", "id", "", "Content-Length: 1\r\nTransfer-Encoding: odd\r\n", 501},
+		{"POST", "/up/1", "id", "zz\r\n", "Transfer-Encoding: chunked\r\n", 400},
+	} {
+		client := &Client{Address: f.Boxes[0].Clients}
+		a := client.Do(c.method, c.target, c.id, c.body, c.extra)
+		client.Close()
+		is.Equal(a.Status, c.status)
+		is.True(a.Took < time.Second)
+	}
+	is.Equal(len(f.Servers["east-a.1"].Runs()), 0)
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	is.Equal(c.Do("GET", "/read/1", "id", "", "").Status, 200)
+}
+
+func TestClientThatLeavesEndsItsRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	s := f.Servers["east-a.1"]
+	s.Work = 3 * time.Second
+	c := &Client{Address: f.Boxes[0].Clients}
+	is.NoErr(c.Send("GET", "/read/1", "leaver", "", ""))
+	eventually(t, "the request runs", func() bool { return len(s.Runs()) == 1 })
+	c.Close()
+	eventually(t, "the slot is free", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.busy == 0
+	})
+	is.True(time.Since(s.Runs()[0].At) < 500*time.Millisecond)
+	is.Equal(s.Runs()[0].Ended, false)
+}
+
+func TestRequestsEndAtTheirTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	f.Servers["east-a.1"].Work = 5 * time.Second
+	for _, c := range []struct {
+		extra string
+		least time.Duration
+	}{
+		{"", 1500 * time.Millisecond},
+		{"X-Stoneworks-Request-Timeout-Ms: 300\r\n", 300 * time.Millisecond},
+		{"X-Stoneworks-Request-Timeout-Ms: 9000\r\n", 1500 * time.Millisecond},
+	} {
+		client := &Client{Address: f.Boxes[0].Clients}
+		a := client.Do("POST", "/buy/1", "id", "", c.extra)
+		client.Close()
+		is.Equal(a.Status, 504)
+		is.True(a.Took >= c.least-20*time.Millisecond)
+		is.True(a.Took < c.least+400*time.Millisecond)
+	}
+}
+
+// TestBoxThatTheStoreTurnsAwayLearnsFromOthers: drains, evacuations and
+// configurations reach it all the same.
+func TestBoxThatTheStoreTurnsAwayLearnsFromOthers(t *testing.T) {
+	for _, mode := range []Mode{Busy, Many, Silent, Resetting} {
+		t.Run(fmt.Sprint("mode ", int(mode)), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 3, "east-a.1", "east-a.2", "east-b.1")
+			turnedAway := f.Boxes[2]
+			eventually(t, "the boxes know each other", func() bool { return turnedAway.Members.Count() == 3 })
+			f.Store.SetTreat(func(ip, _ string) Mode {
+				if ip == turnedAway.IP {
+					return mode
+				}
+				return Serving
+			})
+			f.List(f.Servers["east-a.1"], "shop", "east-a", "draining", 0)
+			f.Store.Put("evacuations", "east-b", map[string]any{})
+			f.Configure(2, read, Route{Prefix: "/new/", Kind: "safe", Service: "shop"})
+			start := time.Now()
+			c := &Client{Address: turnedAway.Clients}
+			defer c.Close()
+			eventually(t, "the new route is served", func() bool { return c.Do("GET", "/new/1", "id", "", "").Status == 200 })
+			time.Sleep(time.Until(start.Add(2500 * time.Millisecond)))
+			before := [2]int{f.Servers["east-a.1"].Arrivals(), f.Servers["east-b.1"].Arrivals()}
+			for i := range 40 {
+				is.Equal(c.Do("GET", fmt.Sprint("/new/", i), "id", "", "").Status, 200)
+			}
+			is.Equal([2]int{f.Servers["east-a.1"].Arrivals(), f.Servers["east-b.1"].Arrivals()}, before)
+		})
+	}
+}
+
+// TestStoreThatForgetsIsListedAnew: what changed while the history was lost is
+// known soon after.
+func TestStoreThatForgetsIsListedAnew(t *testing.T) {
+	f := newFleet(t, 1, "east-a.1")
+	f.Store.SetTreat(func(string, string) Mode { return Silent })
+	f.Configure(7, Route{Prefix: "/new/", Kind: "safe", Service: "shop"})
+	time.Sleep(200 * time.Millisecond)
+	f.Store.Compact()
+	f.Store.SetTreat(nil)
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	eventually(t, "the new route is served", func() bool { return c.Do("GET", "/new/1", "id", "", "").Status == 200 })
+}
+
+func TestServerAtAnothersAddressGetsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	old := f.Servers["east-a.1"]
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	is.Equal(c.Do("GET", "/read/1", "before", "", "").Status, 200)
+	old.ID = "another-life"
+	is.Equal(c.Do("POST", "/buy/1", "id", "", "").Status, 503)
+	is.Equal(len(old.Runs()), 1)
+}
+
+func TestDirectoryNamesNearLiveBoxes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, "east-a.1", "west-a.1")
+	ask := func(box int, region, zone string) []string {
+		answer, err := http.Get("http://" + f.Boxes[box].Directory + "/-/resolve?name=shop.example&region=" + region + "&zone=" + zone)
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = answer.Body.Close() }()
+		if answer.StatusCode != http.StatusOK {
+			return nil
+		}
+		var body struct {
+			Addresses []string `json:"addresses"`
+			TTL       int      `json:"ttl-s"`
+		}
+		is.NoErr(json.NewDecoder(answer.Body).Decode(&body))
+		is.True(body.TTL >= 1)
+		return body.Addresses
+	}
+	eventually(t, "the boxes know each other", func() bool {
+		for i := range f.Boxes {
+			if len(ask(i, "west", "west-a")) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	is.Equal(ask(0, "west", "west-a"), []string{f.Boxes[2].Clients, f.Boxes[5].Clients})
+	f.Boxes[2].Stop()
+	eventually(t, "a box that ended is not named", func() bool { return len(ask(0, "west", "west-a")) == 1 })
+}
+
+// TestLeavingBoxAnswersAllItHolds: a planned stop cuts no request, and the box
+// is neither ready nor named from its beginning.
+func TestLeavingBoxAnswersAllItHolds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, "east-a.1")
+	f.Servers["east-a.1"].Work = 600 * time.Millisecond
+	b := f.Boxes[1]
+	clients := make([]*Client, 4)
+	for i := range clients {
+		clients[i] = &Client{Address: b.Clients}
+		is.NoErr(clients[i].Send("GET", fmt.Sprint("/read/", i), fmt.Sprint("held-", i), "", ""))
+	}
+	eventually(t, "they run", func() bool { return len(f.Servers["east-a.1"].Runs()) == 4 })
+	left := make(chan struct{})
+	go func() { b.Leave(context.Background()); close(left) }()
+	eventually(t, "not ready", func() bool { return status(t, "http://"+b.Ready+"/-/ready") == 503 })
+	for i, c := range clients {
+		a := c.Read()
+		is.NoErr(a.Problem)
+		is.Equal(a.Body, AnswerBody(fmt.Sprint("held-", i)))
+	}
+	late := &Client{Address: b.Clients}
+	defer late.Close()
+	a := late.Do("GET", "/read/9", "late", "", "")
+	is.Equal(a.Status, 200)
+	is.True(a.Last)
+	select {
+	case <-left:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the box did not end within its grace")
+	}
+}
+
+// TestColdServerIsSpared: a server that starts cold gets nothing while others
+// can do the work.
+func TestColdServerIsSpared(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	cold, err := NewServer(f.network+".100", "east-a.2", 4, time.Millisecond)
+	is.NoErr(err)
+	f.Servers["east-a.2"] = cold
+	f.List(cold, "shop", "east-a", "ready", time.Second)
+	eventually(t, "it is listed", func() bool { return len(f.Boxes[0].Set.List()) == 2 })
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	for i := range 20 {
+		is.Equal(c.Do("GET", "/read/1", "id", "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", i)).Status, 200)
+	}
+	is.Equal(cold.Arrivals(), 0)
+	i := 0
+	eventually(t, "it gets its keys when it is warm", func() bool {
+		i++
+		c.Do("GET", "/read/1", "id", "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", i))
+		return cold.Arrivals() > 0
+	})
+}
--- /dev/null
+++ b/test/machines/server.go
@@ -0,0 +1,318 @@
+package machines
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how a server spoils an answer.
+type Fault int
+
+// The faults.
+const (
+	// NoFault answers as it should.
+	NoFault Fault = iota
+	// CutBody ends the connection in the middle of the answer.
+	CutBody
+	// CutAnswer runs the request and resets the connection without an answer.
+	CutAnswer
+	// Unframed answers without a length and ends the connection.
+	Unframed
+	// Extra sends a second answer after the whole one.
+	Extra
+	// Foreign sends the answer to another request before the right one.
+	Foreign
+	// Early answers a long request before it is read.
+	Early
+	// Garbage sends bytes that are not an answer.
+	Garbage
+	// Mute never answers.
+	Mute
+)
+
+// Run is one request that a server began to work on.
+type Run struct {
+	ID      string
+	Method  string
+	Target  string
+	Host    string
+	Body    string
+	Timeout string
+	At      time.Time
+	// Ended is false if the client's connection closed before.
+	Ended bool
+}
+
+// Server is a stand-in for a backend server.
+type Server struct {
+	ID      string
+	Address string
+	Slots   int
+	Queue   int
+	// Work is how long a request takes.
+	Work time.Duration
+
+	mu       sync.Mutex
+	fault    func(r *Run) Fault
+	busy     int
+	waiting  int
+	runs     []*Run
+	arrivals []time.Time
+	accepted int
+	free     chan struct{}
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+// NewServer starts a server on a free port of the IP number.
+func NewServer(ip, id string, slots int, work time.Duration) (*Server, error) {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		ID: id, Address: l.Addr().String(), Slots: slots, Queue: 3 * slots, Work: work,
+		free: make(chan struct{}, slots), listener: l, conns: map[net.Conn]bool{},
+	}
+	for range slots {
+		s.free <- struct{}{}
+	}
+	go s.accept()
+	return s, nil
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// SetFault sets how answers are spoiled from now on; nil spoils none.
+func (s *Server) SetFault(fault func(r *Run) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Runs returns the requests that were run.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Run, 0, len(s.runs))
+	for _, r := range s.runs {
+		list = append(list, *r)
+	}
+	return list
+}
+
+// Arrivals returns how many requests came, run or not.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrivals)
+}
+
+// Connections returns how many connections were ever opened.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.accepted++
+		s.mu.Unlock()
+		go func() {
+			s.serve(c)
+			_ = c.Close()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !s.answer(c, reader, request) {
+			return
+		}
+	}
+}
+
+// answer serves one request and reports whether the connection goes on.
+func (s *Server) answer(c net.Conn, reader *bufio.Reader, request *http.Request) bool {
+	run := &Run{
+		ID: request.Header.Get("X-Stoneworks-Request-Id"), Method: request.Method, Target: request.RequestURI,
+		Host: request.Host, Timeout: request.Header.Get("X-Stoneworks-Request-Timeout-Ms"), At: time.Now(),
+	}
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	fault := NoFault
+	if s.fault != nil {
+		fault = s.fault(run)
+	}
+	s.mu.Unlock()
+	if fault == Early {
+		s.refuse(c, run, http.StatusServiceUnavailable, true)
+		// It goes on reading the body for a while, as a server may.
+		_, _ = io.Copy(io.Discard, request.Body)
+		return true
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return false
+	}
+	run.Body = string(body)
+	if expected := request.Header.Get("X-Stoneworks-Expect-Instance"); expected != "" && expected != s.ID {
+		s.refuse(c, run, http.StatusMisdirectedRequest, false)
+		return true
+	}
+	if !s.enter() {
+		s.refuse(c, run, http.StatusServiceUnavailable, true)
+		return true
+	}
+	defer s.leave()
+	return s.run(c, reader, run, fault)
+}
+
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	if s.busy+s.waiting >= s.Slots+s.Queue {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	<-s.free
+	s.mu.Lock()
+	s.waiting--
+	s.busy++
+	s.mu.Unlock()
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	s.busy--
+	s.mu.Unlock()
+	s.free <- struct{}{}
+}
+
+func (s *Server) run(c net.Conn, reader *bufio.Reader, run *Run, fault Fault) bool {
+	s.mu.Lock()
+	s.runs = append(s.runs, run)
+	s.mu.Unlock()
+	if !s.work(c, reader) {
+		return false
+	}
+	s.mu.Lock()
+	run.Ended = true
+	s.mu.Unlock()
+	return s.spoil(c, run, fault)
+}
+
+// work waits for as long as the request takes, or until its client leaves.
+func (s *Server) work(c net.Conn, reader *bufio.Reader) bool {
+	end := time.Now().Add(s.Work)
+	_ = c.SetReadDeadline(end)
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	_, err := reader.Peek(1)
+	if err == nil {
+		// More was sent than should be; the answer comes first.
+		time.Sleep(time.Until(end))
+		return true
+	}
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// AnswerBody is the body of a whole answer to the request.
+func AnswerBody(id string) string { return "the answer to " + id + strings.Repeat(".", 2000) }
+
+func (s *Server) spoil(c net.Conn, run *Run, fault Fault) bool {
+	body := AnswerBody(run.ID)
+	switch fault {
+	case CutBody:
+		s.head(c, run.ID, http.StatusOK, len(body), true, "")
+		_, _ = io.WriteString(c, body[:100])
+		return false
+	case CutAnswer:
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	case Unframed:
+		s.head(c, run.ID, http.StatusOK, -1, true, "Connection: close\r\n")
+		_, _ = io.WriteString(c, body)
+		return false
+	case Garbage:
+		_, _ = io.WriteString(c, "these bytes are no answer\r\n\r\n")
+		return false
+	case Mute:
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case Foreign:
+		s.whole(c, "another-request")
+	}
+	s.whole(c, run.ID)
+	if fault == Extra {
+		s.whole(c, run.ID)
+	}
+	return true
+}
+
+func (s *Server) whole(c net.Conn, id string) {
+	body := AnswerBody(id)
+	s.head(c, id, http.StatusOK, len(body), true, "")
+	_, _ = io.WriteString(c, body)
+}
+
+// refuse answers that the request was not run.
+func (s *Server) refuse(c net.Conn, run *Run, status int, notRun bool) {
+	extra := ""
+	if notRun {
+		extra = "X-Stoneworks-Not-Executed: 1\r\n"
+	}
+	s.head(c, run.ID, status, 0, false, extra)
+}
+
+func (s *Server) head(c net.Conn, id string, status, length int, signed bool, extra string) {
+	s.mu.Lock()
+	load := fmt.Sprintf("%d,%d,%d", s.busy, s.waiting, s.Slots)
+	s.mu.Unlock()
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	fmt.Fprintf(&b, "X-Stoneworks-Request-Id: %s\r\nX-Stoneworks-Server-Load: %s\r\n", id, load)
+	if signed {
+		fmt.Fprintf(&b, "X-Stoneworks-Response-Signature: %s\r\n", s.ID)
+	}
+	if length >= 0 {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
+	}
+	b.WriteString(extra + "\r\n")
+	_, _ = io.WriteString(c, b.String())
+}
--- /dev/null
+++ b/test/machines/store.go
@@ -0,0 +1,265 @@
+// Package machines has stand-ins for what the users' machines bring: the
+// platform's store and backend servers, by their published protocol.
+package machines
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is how the store treats a call.
+type Mode int
+
+// The modes.
+const (
+	// Serving answers.
+	Serving Mode = iota
+	// Busy answers 503, Many 429.
+	Busy
+	Many
+	// Silent says nothing; Resetting breaks the connection.
+	Silent
+	Resetting
+)
+
+// pageSize is how many objects a page of a list holds.
+const pageSize = 5
+
+// Store is a stand-in for the platform's store.
+type Store struct {
+	Address string
+	// Treat returns the mode for a caller's call, by its IP number; nil
+	// serves all. Guarded by SetTreat.
+	treat func(ip, path string) Mode
+
+	mu       sync.Mutex
+	objects  map[string]map[string]*storedObject
+	at       uint64
+	events   []storedEvent
+	oldest   uint64
+	changed  chan struct{}
+	calls    int
+	server   *http.Server
+	silenced chan struct{}
+}
+
+type metadata struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+type storedObject struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+type storedEvent struct {
+	kind   string
+	object storedObject
+	gone   bool
+}
+
+// NewStore starts a store on a free port of the IP number.
+func NewStore(ip string) (*Store, error) {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		Address: l.Addr().String(), objects: map[string]map[string]*storedObject{},
+		changed: make(chan struct{}), silenced: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/objects/{kind}", s.serve)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Close stops the store.
+func (s *Store) Close() {
+	close(s.silenced)
+	_ = s.server.Close()
+}
+
+// SetTreat sets how calls are treated from now on; nil serves all.
+func (s *Store) SetTreat(treat func(ip, path string) Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.treat = treat
+	s.wake()
+}
+
+// Put makes or replaces an object. The spec is anything that JSON can hold.
+func (s *Store) Put(kind, name string, spec any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]*storedObject{}
+	}
+	s.at++
+	o := &storedObject{Metadata: metadata{Name: name, Revision: s.at}, Spec: text}
+	s.objects[kind][name] = o
+	s.events = append(s.events, storedEvent{kind: kind, object: *o})
+	s.wake()
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	if o == nil {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.at++
+	s.events = append(s.events, storedEvent{kind: kind, object: *o, gone: true})
+	s.wake()
+}
+
+// Compact forgets the history and cuts the watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = nil
+	s.oldest = s.at
+	s.at++
+	s.wake()
+}
+
+// Calls returns how many calls came.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	if s.refused(w, r) {
+		return
+	}
+	kind, q := r.PathValue("kind"), r.URL.Query()
+	if q.Get("watch") == "" {
+		s.serveList(w, kind, q.Get("after"))
+		return
+	}
+	since, _ := strconv.ParseUint(q.Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait-ms"))
+	s.serveWatch(w, r, kind, since, time.Duration(wait)*time.Millisecond)
+}
+
+// refused treats the call as the test wants.
+func (s *Store) refused(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	treat := s.treat
+	s.mu.Unlock()
+	if treat == nil {
+		return false
+	}
+	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
+	switch treat(ip, r.URL.Path) {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Many:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case Silent:
+		select {
+		case <-s.silenced:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	case Resetting:
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Store) serveList(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(s.objects[kind]))
+	for name := range s.objects[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	page := names[:min(len(names), pageSize)]
+	items := make([]*storedObject, 0, len(page))
+	for _, name := range page {
+		items = append(items, s.objects[kind][name])
+	}
+	writeJSON(w, map[string]any{"items": items, "more": len(names) > len(page), "at": s.at})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string, since uint64, wait time.Duration) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		events, gone := s.eventsSince(kind, since)
+		at, changed := s.at, s.changed
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			writeJSON(w, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+			if s.refused(w, r) {
+				return
+			}
+		case <-timeout.C:
+			writeJSON(w, map[string]any{"events": []any{}, "at": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) eventsSince(kind string, since uint64) (events []map[string]any, gone bool) {
+	if since < s.oldest {
+		return nil, true
+	}
+	for _, e := range s.events {
+		if e.kind == kind && (e.object.Metadata.Revision > since || e.gone && e.object.Metadata.Revision >= since) {
+			events = append(events, map[string]any{"object": e.object, "gone": e.gone})
+		}
+	}
+	return events, false
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
+}
