--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -112,14 +112,19 @@
 }
 
 // zoneFirst puts the first home in this box's zone before the others, so that
-// the body stays in the zone unless that home is loaded.
+// the body stays in the zone, unless all slots of that home are taken and the
+// region's first home is less loaded.
 func (s *Set) zoneFirst(list []*candidate) {
 	for i, c := range list {
-		if c.Zone == s.Zone && c.score > 0 {
-			copy(list[1:i+1], list[:i])
-			list[0] = c
+		if c.Zone != s.Zone || c.score == 0 {
+			continue
+		}
+		if c.fill() >= 1 && list[0].fill() < c.fill() {
 			return
 		}
+		copy(list[1:i+1], list[:i])
+		list[0] = c
+		return
 	}
 }
 
