--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -63,6 +63,7 @@
 	kind   string
 	object storedObject
 	gone   bool
+	at     uint64
 }
 
 // NewStore starts a store on a free port of the IP number.
@@ -110,7 +111,7 @@
 	s.at++
 	o := &storedObject{Metadata: metadata{Name: name, Revision: s.at}, Spec: text}
 	s.objects[kind][name] = o
-	s.events = append(s.events, storedEvent{kind: kind, object: *o})
+	s.events = append(s.events, storedEvent{kind: kind, object: *o, at: s.at})
 	s.wake()
 }
 
@@ -124,7 +125,7 @@
 	}
 	delete(s.objects[kind], name)
 	s.at++
-	s.events = append(s.events, storedEvent{kind: kind, object: *o, gone: true})
+	s.events = append(s.events, storedEvent{kind: kind, object: *o, gone: true, at: s.at})
 	s.wake()
 }
 
@@ -248,7 +249,7 @@
 		return nil, true
 	}
 	for _, e := range s.events {
-		if e.kind == kind && (e.object.Metadata.Revision > since || e.gone && e.object.Metadata.Revision >= since) {
+		if e.kind == kind && e.at > since {
 			events = append(events, map[string]any{"object": e.object, "gone": e.gone})
 		}
 	}
