Requests given up at a slow server count as slow

Change: an exchange that was given up counts as one that took at least as long; a slow server rests 4 s between trials, since every box tries it. Test: TestSlowServerIsSparedThoughNothingEnds (failed before).

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -238,7 +238,10 @@
 		rests = v.health.failed(now, failuresToEject)
 	case Broken:
 		rests = v.health.failed(now, 1)
+	case Abandoned:
+		v.health.unfinished(l.workTime(now))
 	case Late:
+		v.health.unfinished(l.workTime(now))
 		if now.Sub(v.health.heard) > silence {
 			rests = v.health.failed(now, 1)
 		}
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -15,15 +15,19 @@
 	// firstRest and longestRest bound the rest, which doubles each time.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 8 * time.Second
-	// latencyWeight is the weight of a new latency in the moving average.
-	latencyWeight = 0.2
+	// latencyWeight is the weight of a new latency in the moving average, and
+	// recoveryWeight that of one below half of it: a server that has recovered
+	// should be known soon, although it gets few requests.
+	latencyWeight  = 0.2
+	recoveryWeight = 0.5
 	// slowFactor is how many times longer than its group's typical server a
 	// server must take to count as slow, and slowFloor how long at least. What
 	// is compared is the time without that of waiting for a slot.
 	slowFactor = 3
 	slowFloor  = 300 * time.Millisecond
-	// slowRest is for how long a slow server gets nothing before it is tried.
-	slowRest = 1500 * time.Millisecond
+	// slowRest is for how long a slow server gets nothing before it is tried
+	// with one request. All boxes try it.
+	slowRest = 4 * time.Second
 	// loadHolds is how long a told load counts in full, and loadFades when it
 	// no longer counts at all.
 	loadHolds = 500 * time.Millisecond
@@ -49,12 +53,27 @@
 func (h *health) succeeded(latency time.Duration) {
 	h.failures = 0
 	h.rests = 0
+	h.took(latency)
+}
+
+// unfinished takes in an exchange that was given up after some time: it would
+// have taken at least as long.
+func (h *health) unfinished(latency time.Duration) {
+	if latency >= h.latency {
+		h.took(latency)
+	}
+}
+
+func (h *health) took(latency time.Duration) {
 	h.answers++
+	weight := latencyWeight
+	if latency < h.latency/2 {
+		weight = recoveryWeight
+	}
 	if h.latency == 0 {
-		h.latency = latency
-		return
+		weight = 1
 	}
-	h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
+	h.latency += time.Duration(weight * float64(latency-h.latency))
 }
 
 // failed takes in a failure of some weight and reports whether the server
--- a/pkg/upstream/set_test.go
+++ b/pkg/upstream/set_test.go
@@ -233,3 +233,43 @@
 	s.Remove(lease.ID, true)
 	is.True(!lease.Usable())
 }
+
+// TestSlowServerIsSparedThoughNothingEnds: requests at a slow server are given
+// up before they end, by their clients or for their time. That must tell as
+// much as slow answers do. (On a recorded day servers that took eight times as
+// long went on getting their keys for ten seconds.)
+func TestSlowServerIsSparedThoughNothingEnds(t *testing.T) {
+	for _, result := range []Result{Late, Abandoned} {
+		t.Run(result.String(), func(t *testing.T) {
+			is := is.New(t)
+			s, c := newTestSet(1)
+			s.Replace(servers("east-a", 6, 4), true)
+			use := func(key uint64) (slow bool) {
+				lease, err := choose(s, key)
+				is.NoErr(err)
+				if lease.ID == "east-a-3" {
+					c.advance(2 * time.Second)
+					lease.Done(result, &Load{Running: 1, Slots: 4})
+					return true
+				}
+				c.advance(100 * time.Millisecond)
+				lease.Done(Answered, nil)
+				return false
+			}
+			slow := 0
+			for key := range uint64(60) {
+				if use(key) {
+					slow++
+				}
+			}
+			is.True(slow <= 6)
+			before := slow
+			for key := range uint64(60) {
+				if use(key) {
+					slow++
+				}
+			}
+			is.True(slow-before <= 3) // one after each rest
+		})
+	}
+}
