Few boxes of each zone watch the store; the others learn from them

Change: two boxes of a zone watch, by name among those that the store answers; they announce news to their zone at once, and the others pull what has changed since their own revision. Whoever misses them for three heartbeats takes over. The first list may be stale, since the watch that follows brings what it lacks; after trouble a watch goes on where it was in place of a list. Connections leave from the box's own address: the tests of boxes that the store turns away had been vacuous, since the stand-in saw another address; they pass in truth.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -139,6 +139,37 @@
 	return m, to
 }
 
+// Announce returns a heartbeat out of turn, and the addresses of the live
+// boxes of this box's zone.
+func (t *Table) Announce() (Message, []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Beat++
+	var to []string
+	now := t.Now()
+	for _, e := range t.sorted() {
+		if e.Zone == t.self.Zone && now.Sub(e.heard) <= SuspectAfter {
+			to = append(to, e.Peers)
+		}
+	}
+	return Message{From: t.self}, to
+}
+
+// Ahead returns how many boxes of this box's zone come before it by name, have
+// been heard within the time, and had the store answer them.
+func (t *Table) Ahead(within time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ahead := 0
+	now := t.Now()
+	for _, e := range t.members {
+		if e.Zone == t.self.Zone && e.Box < t.self.Box && e.Untroubled && !e.Leaving && now.Sub(e.heard) <= within {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // addresses returns where live boxes are, and where silent ones and seeds
 // that are not known may be.
 func (t *Table) addresses() (live, silent []string) {
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -18,6 +18,9 @@
 	// gather is the pause after news, so that changes that come together are
 	// told by one call.
 	gather = 250 * time.Millisecond
+	// idlePause is how often a follower that is not allowed looks whether it
+	// is again; Hurry tells it sooner.
+	idlePause = 500 * time.Millisecond
 	// maxPages bounds one list.
 	maxPages = 10_000
 )
@@ -30,6 +33,9 @@
 	Wait time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// Allowed reports whether this box is to ask the store; nil means that it
+	// is. It is asked before each call but the first list.
+	Allowed func() bool
 	// Succeeded is called after each call that was answered, Failed after
 	// each that was not.
 	Succeeded func()
@@ -37,8 +43,6 @@
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
-	// relist asks for a list in place of the next watch.
-	relist bool
 	// hurry ends a pause after a failure.
 	hurry chan struct{}
 }
@@ -59,12 +63,18 @@
 	}
 }
 
-// Run follows until the context ends.
+// Run follows until the context ends. It begins with a list that may be stale;
+// from then on it watches, and lists anew only if the history is gone.
 func (f *Follower) Run(ctx context.Context) {
 	failures := 0
-	listed := false
+	state := following{stale: true}
 	for ctx.Err() == nil {
-		err := f.step(ctx, &listed)
+		if f.Allowed != nil && f.Mirror.Synced() && !f.Allowed() {
+			state.listed = true
+			f.sleep(ctx, idlePause)
+			continue
+		}
+		err := f.step(ctx, &state)
 		if ctx.Err() != nil {
 			return
 		}
@@ -75,7 +85,7 @@
 		}
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
-			listed = false
+			state = following{}
 			if failures == 0 {
 				failures++
 				continue
@@ -87,36 +97,38 @@
 	}
 }
 
-// Restart ends the call that is waiting, which may hear nothing any more, and
-// begins with a whole list.
+// following is how far a follower has come.
+type following struct {
+	// listed: the mirror holds a list to go on from.
+	listed bool
+	// stale: the next list may be.
+	stale bool
+}
+
+// Restart ends the call that is waiting, which may hear nothing any more.
 func (f *Follower) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.relist = true
 	if f.cancel != nil {
 		f.cancel()
 	}
 }
 
-func (f *Follower) step(ctx context.Context, listed *bool) error {
+func (f *Follower) step(ctx context.Context, state *following) error {
 	bound := answerTime
-	f.mu.Lock()
-	if f.relist {
-		*listed = false
-		f.relist = false
-	}
-	if *listed {
+	if state.listed {
 		bound += f.Wait
 	}
 	callContext, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
-	defer cancel()
-	if !*listed {
-		if err := f.list(callContext); err != nil {
+	if !state.listed {
+		if err := f.list(callContext, state.stale); err != nil {
 			return err
 		}
-		*listed = true
+		state.listed = true
 		return nil
 	}
 	events, at, err := f.Client.Watch(callContext, f.Mirror.Kind, f.Mirror.Version().At, f.Wait)
@@ -132,12 +144,12 @@
 
 // list reads all pages. The revision of the first one counts, since what has
 // changed after it may be missing from the pages.
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context, stale bool) error {
 	var items []Object
 	var at uint64
 	after := ""
 	for page := range maxPages {
-		p, err := f.Client.List(ctx, f.Mirror.Kind, after)
+		p, err := f.Client.List(ctx, f.Mirror.Kind, after, stale)
 		if err != nil {
 			return err
 		}
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -24,8 +24,22 @@
 	at     uint64
 	synced bool
 	digest uint32
+	// changes are the last changes in their order, with the revision up to
+	// which the mirror was brought with each; those up to forgotten are not
+	// all there any more.
+	changes   []change
+	forgotten uint64
 }
 
+// change is a change of one object.
+type change struct {
+	event Event
+	at    uint64
+}
+
+// maxChanges bounds the changes that a mirror remembers for other boxes.
+const maxChanges = 1024
+
 // Version tells boxes whose mirror is newer.
 type Version struct {
 	// At is the store's revision up to which changes are known.
@@ -55,11 +69,14 @@
 	for name, o := range m.items {
 		if !listed[name] {
 			delete(m.items, name)
-			m.Changed(o, true)
+			m.note(o, true)
 		}
 	}
 	m.advance(at)
-	m.synced = true
+	if !m.synced {
+		m.synced = true
+		m.forgotten = at
+	}
 	m.Loaded()
 	return true
 }
@@ -73,7 +90,7 @@
 		switch {
 		case e.Gone && ok && (e.Object.Revision == 0 || known.Revision <= e.Object.Revision):
 			delete(m.items, e.Object.Name)
-			m.Changed(known, true)
+			m.note(known, true)
 		case !e.Gone && (ok || e.Object.Revision > m.at || !m.synced):
 			// An object that a newer list no longer held is not revived.
 			m.put(e.Object)
@@ -89,13 +106,49 @@
 	}
 	m.items[o.Name] = o
 	if ok && bytes.Equal(known.Spec, o.Spec) {
+		m.remember(o, false)
 		return
 	}
-	m.Changed(o, false)
+	m.note(o, false)
+}
+
+// note remembers a change and tells of it.
+func (m *Mirror) note(o Object, gone bool) {
+	m.remember(o, gone)
+	m.Changed(o, gone)
+}
+
+// remember keeps a change for other boxes. Its revision is not known yet; see
+// advance.
+func (m *Mirror) remember(o Object, gone bool) {
+	m.changes = append(m.changes, change{event: Event{Object: o, Gone: gone}})
+	if len(m.changes) > maxChanges {
+		m.forgotten = m.changes[0].at
+		m.changes = append(m.changes[:0], m.changes[1:]...)
+	}
+}
+
+// EventsSince returns what has changed since a revision, and the revision up
+// to which that leads; ok is false if that is not known any more.
+func (m *Mirror) EventsSince(at uint64) (events []Event, upTo uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.synced || at < m.forgotten {
+		return nil, 0, false
+	}
+	for _, c := range m.changes {
+		if c.at > at {
+			events = append(events, c.event)
+		}
+	}
+	return events, m.at, true
 }
 
 func (m *Mirror) advance(at uint64) {
 	m.at = max(m.at, at)
+	for i := len(m.changes) - 1; i >= 0 && m.changes[i].at == 0; i-- {
+		m.changes[i].at = m.at
+	}
 	names := make([]string, 0, len(m.items))
 	for name := range m.items {
 		names = append(names, name)
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -24,8 +24,8 @@
 
 // Event is one change of an object.
 type Event struct {
-	Object Object
-	Gone   bool
+	Object Object `json:"object"`
+	Gone   bool   `json:"gone,omitempty"`
 }
 
 // Page is a part of a list.
@@ -39,8 +39,10 @@
 
 // Client reaches the store.
 type Client struct {
-	// List returns the objects of a kind with names after the given one.
-	List func(ctx context.Context, kind, after string) (Page, error)
+	// List returns the objects of a kind with names after the given one. A
+	// stale list is cheaper and may be seconds old; a watch that goes on from
+	// its revision brings what it lacks.
+	List func(ctx context.Context, kind, after string, stale bool) (Page, error)
 	// Watch returns what has changed since a revision, as soon as something
 	// has or after the wait, and the revision to go on from.
 	Watch func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error)
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -78,6 +78,10 @@
 	storeAnswered atomic.Int64
 	storeTrouble  atomic.Int64
 	storeLost     atomic.Bool
+	// watching: this box is one that asks the store; news: it has some that
+	// it has not announced yet.
+	watching atomic.Bool
+	news     atomic.Bool
 
 	leaving  atomic.Bool
 	closed   atomic.Bool
@@ -86,8 +90,10 @@
 
 	mu    sync.Mutex
 	pools map[string]*exchange.Pool
-	// behind counts for how many heartbeats a mirror has been behind others'.
-	behind map[string]int
+	// behind counts for how many heartbeats a mirror has been behind others',
+	// and pulling tells which mirrors are being pulled.
+	behind  map[string]int
+	pulling map[string]bool
 
 	ports      *ports
 	background *conc.WaitGroup
@@ -110,8 +116,10 @@
 		mirrors:  map[string]*objects.Mirror{},
 		pools:    map[string]*exchange.Pool{},
 		behind:   map[string]int{},
+		pulling:  map[string]bool{},
 		ports:    &ports{},
 	}
+	n.watching.Store(true)
 	n.background = conc.NewWaitGroup()
 	n.context, n.stop = context.WithCancel(context.Background())
 	n.seeds.Store(&s.Seeds)
@@ -201,27 +209,28 @@
 // age returns how long this life of the box has lasted.
 func (n *Node) age() time.Duration { return time.Since(n.started) }
 
-// current reports whether the store answered lately, so that what is not in
-// the configuration does not exist.
+// current reports whether the store answered lately, this box or one that
+// tells this box of it, so that what is not in the configuration does not
+// exist.
 func (n *Node) current() bool {
+	return n.answeredLately() || !n.watching.Load() && n.anyUntroubled()
+}
+
+// answeredLately reports whether the store has answered this box lately.
+func (n *Node) answeredLately() bool {
 	return n.age()-time.Duration(n.storeAnswered.Load()) < n.Settings.Bounds.Contact
 }
 
-// untroubled reports whether this box has had no trouble with the store for a
-// while.
+// untroubled reports whether the store has answered this box without fail for
+// a while.
 func (n *Node) untroubled() bool {
 	trouble := n.storeTrouble.Load()
-	return trouble == 0 || n.age()-time.Duration(trouble) > n.Settings.Bounds.Contact
+	return n.answeredLately() && (trouble == 0 || n.age()-time.Duration(trouble) > n.Settings.Bounds.Contact)
 }
 
-// trustsList reports whether a server that the store no longer lists is to be
-// taken as gone: the store has had no trouble lately, for this box or for any
-// other that is live. A store that was down for all may have lost entries of
-// servers that are well.
-func (n *Node) trustsList() bool {
-	if n.untroubled() {
-		return true
-	}
+// anyUntroubled reports whether the store has answered any other live box
+// without fail.
+func (n *Node) anyUntroubled() bool {
 	for _, m := range n.Members.Members() {
 		if m.Live() && m.Untroubled {
 			return true
@@ -230,6 +239,12 @@
 	return false
 }
 
+// trustsList reports whether a server that the store no longer lists is to be
+// taken as gone: the store has had no trouble lately, for this box or for any
+// other that is live. A store that was down for all may have lost entries of
+// servers that are well.
+func (n *Node) trustsList() bool { return n.untroubled() || n.anyUntroubled() }
+
 // hostAllowed reports whether any route of the host may run in the region.
 func (n *Node) hostAllowed(host, region string) bool {
 	t := n.table.Load()
--- a/pkg/steering/steering_peers.go
+++ b/pkg/steering/steering_peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/gossip"
@@ -31,27 +32,51 @@
 
 // mirrorBody is a mirror on the wire.
 type mirrorBody struct {
-	At    uint64           `json:"at"`
-	Items []objects.Object `json:"items"`
+	At uint64 `json:"at"`
+	// Whole: Items are all objects; else Events are what has changed.
+	Whole  bool             `json:"whole,omitempty"`
+	Items  []objects.Object `json:"items,omitempty"`
+	Events []objects.Event  `json:"events,omitempty"`
 }
 
+// beat sends the next heartbeat.
 func (n *Node) beat() {
+	n.Members.Expire()
+	n.Set.Expire()
+	n.checkReady()
+	n.refreshSelf()
+	n.send(n.Members.Beat())
+	n.chooseRole()
+	for kind, m := range n.mirrors {
+		n.catchUp(kind, m, false)
+	}
+}
+
+// announce tells the zone's other boxes of news from the store at once.
+func (n *Node) announce() {
+	if !n.watching.Load() || !n.news.Swap(false) {
+		return
+	}
+	n.refreshSelf()
+	n.send(n.Members.Announce())
+}
+
+func (n *Node) refreshSelf() {
 	versions := map[string]objects.Version{}
 	for kind, m := range n.mirrors {
 		if m.Synced() {
 			versions[kind] = m.Version()
 		}
 	}
-	n.Members.Expire()
-	n.Set.Expire()
-	n.checkReady()
 	n.Members.Update(func(self *gossip.Record) {
 		self.Versions = versions
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
-		self.Untroubled = n.untroubled()
+		self.Untroubled = n.watching.Load() && n.untroubled()
 	})
-	m, to := n.Members.Beat()
+}
+
+func (n *Node) send(m gossip.Message, to []string) {
 	text, err := json.Marshal(m)
 	if err != nil {
 		return
@@ -59,7 +84,6 @@
 	for _, address := range to {
 		n.sendDatagram(address, text)
 	}
-	n.catchUp()
 }
 
 func (n *Node) sendDatagram(address string, text []byte) {
@@ -87,6 +111,11 @@
 		if n.Members.Receive(&m) {
 			n.answerNewcomer(from)
 		}
+		if len(m.From.Versions) > 0 && (!n.watching.Load() || n.storeLost.Load()) {
+			for kind, mirror := range n.mirrors {
+				n.catchUp(kind, mirror, true)
+			}
+		}
 	}
 }
 
@@ -98,39 +127,46 @@
 	}
 }
 
-// catchUp pulls mirrors from a box whose mirror has been newer for a while.
-func (n *Node) catchUp() {
-	members := n.Members.Members()
-	for kind, m := range n.mirrors {
-		source := newest(members, kind, m)
-		n.mu.Lock()
-		if source == "" {
-			n.behind[kind] = 0
-		} else {
-			n.behind[kind]++
-		}
-		due := n.behind[kind] >= pullAfter || source != "" && n.storeLost.Load()
-		if due {
-			n.behind[kind] = 0
-		}
-		n.mu.Unlock()
-		if due {
-			n.background.Go(func() { n.pull(source, m) })
-		}
+// catchUp pulls a mirror from a box that has a newer one: at once, or when it
+// has been newer for a while.
+func (n *Node) catchUp(kind string, m *objects.Mirror, atOnce bool) {
+	source := n.newest(kind, m)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if source == "" {
+		n.behind[kind] = 0
+		return
+	}
+	if !atOnce {
+		n.behind[kind]++
+	}
+	if n.pulling[kind] || !atOnce && n.behind[kind] < pullAfter {
+		return
 	}
+	n.behind[kind] = 0
+	n.pulling[kind] = true
+	n.background.Go(func() {
+		n.pull(source, m)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.pulling[kind] = false
+	})
 }
 
 // newest returns where the newest mirror is that differs from this box's own,
-// or "".
-func newest(members []gossip.Member, kind string, m *objects.Mirror) string {
+// or "". A box of the own zone is taken if it has any that is newer.
+func (n *Node) newest(kind string, m *objects.Mirror) string {
 	own := m.Version()
-	best, source := own.At, ""
-	for _, member := range members {
+	best, source, near := own.At, "", false
+	for _, member := range n.Members.Members() {
 		v, ok := member.Versions[kind]
-		if !ok || !member.Live() || v.Digest == own.Digest || v.At <= best {
+		if !ok || !member.Live() || v.Digest == own.Digest || v.At <= own.At {
 			continue
 		}
-		best, source = v.At, member.Peers
+		isNear := member.Zone == n.Settings.Zone
+		if isNear && !near || isNear == near && v.At > best {
+			best, source, near = v.At, member.Peers, isNear
+		}
 	}
 	return source
 }
@@ -138,14 +174,19 @@
 func (n *Node) pull(source string, m *objects.Mirror) {
 	ctx, cancel := context.WithTimeout(n.context, pullTime)
 	defer cancel()
-	body, err := n.fetchMirror(ctx, source, m.Kind)
+	body, err := n.fetchMirror(ctx, source, m)
 	if err != nil {
 		n.log.Warn("box did not hand over its mirror", map[string]any{"from": source, "kind": m.Kind, "error": err.Error()})
 		return
 	}
-	if m.Load(body.Items, body.At) {
-		n.log.Info("caught up through another box", map[string]any{"from": source, "kind": m.Kind, "revision": body.At})
+	if body.Whole {
+		m.Load(body.Items, body.At)
+	} else {
+		m.Apply(body.Events, body.At)
 	}
+	n.log.Info("caught up through another box", map[string]any{
+		"from": source, "kind": m.Kind, "revision": body.At, "whole": body.Whole, "changes": len(body.Events),
+	})
 	n.checkReady()
 }
 
@@ -158,8 +199,12 @@
 // Error implements error.
 func (e *PeerError) Error() string { return fmt.Sprintf("peer %s: status %d", e.Address, e.Status) }
 
-func (n *Node) fetchMirror(ctx context.Context, source, kind string) (*mirrorBody, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source+pathMirror+kind, nil)
+func (n *Node) fetchMirror(ctx context.Context, source string, m *objects.Mirror) (*mirrorBody, error) {
+	address := "http://" + source + pathMirror + m.Kind
+	if m.Synced() {
+		address += "?since=" + strconv.FormatUint(m.Version().At, 10)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -182,7 +227,16 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	items, at := m.Items()
+	body := mirrorBody{}
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	known := false
+	if err == nil {
+		body.Events, body.At, known = m.EventsSince(since)
+	}
+	if !known {
+		body.Whole = true
+		body.Items, body.At = m.Items()
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(mirrorBody{At: at, Items: items})
+	_ = json.NewEncoder(w).Encode(body)
 }
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -245,7 +246,8 @@
 // dialer opens connections that notice a machine without power.
 func (n *Node) dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: dialTime,
+		Timeout:   dialTime,
+		LocalAddr: n.localAddress(),
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
 				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
@@ -254,6 +256,16 @@
 	}
 }
 
+// localAddress makes connections leave from the box's own IP number, by which
+// others know it.
+func (n *Node) localAddress() net.Addr {
+	address, err := netip.ParseAddrPort(n.Settings.Advertise.Peers)
+	if err != nil {
+		return nil
+	}
+	return &net.TCPAddr{IP: address.Addr().AsSlice()}
+}
+
 func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	return n.dialer().DialContext(ctx, "tcp4", address)
 }
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -11,6 +11,8 @@
 const (
 	// dropPoolsEvery is how often connections to servers that are gone close.
 	dropPoolsEvery = 5 * time.Second
+	// announceEvery is how soon news from the store are told to the zone.
+	announceEvery = 100 * time.Millisecond
 	// closeShare is at which part of the grace a stopping box takes nothing
 	// new: by then clients have left it, and what it holds can still end.
 	closeShare = 0.4
@@ -26,6 +28,7 @@
 		return err
 	}
 	n.Timers.Every(gossip.Interval, n.beat)
+	n.Timers.Every(announceEvery, n.announce)
 	n.Timers.Every(dropPoolsEvery, n.dropPools)
 	n.background.Go(func() { n.Timers.Run(n.context) })
 	n.background.Go(n.receiveDatagrams)
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/routing"
@@ -29,11 +30,18 @@
 	for _, kind := range []string{kinds.Configuration, kinds.Servers, kinds.Evacuations} {
 		n.mirrors[kind] = objects.NewMirror(kind)
 	}
-	n.mirrors[kinds.Configuration].Changed = func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) }
-	n.mirrors[kinds.Servers].Changed = func(o objects.Object, gone bool) { n.serverChanged(log, o, gone) }
+	n.mirrors[kinds.Configuration].Changed = func(o objects.Object, gone bool) {
+		n.configurationChanged(log, o, gone)
+		n.news.Store(true)
+	}
+	n.mirrors[kinds.Servers].Changed = func(o objects.Object, gone bool) {
+		n.serverChanged(log, o, gone)
+		n.news.Store(true)
+	}
 	evacuated := map[string]bool{}
 	n.mirrors[kinds.Evacuations].Changed = func(o objects.Object, gone bool) {
 		n.evacuationChanged(log, evacuated, o, gone)
+		n.news.Store(true)
 	}
 	probe := time.Duration(probeShare * float64(n.Settings.Bounds.Contact))
 	for kind, wait := range map[string]time.Duration{
@@ -45,6 +53,7 @@
 
 func (n *Node) newFollower(client *objects.Client, kind string, wait time.Duration, log *logging.Part) *objects.Follower {
 	f := objects.NewFollower(client, n.mirrors[kind], wait, rand.Float64)
+	f.Allowed = n.watching.Load
 	f.Succeeded = func() {
 		n.storeAnswered.Store(int64(n.age()))
 		if kind != n.adapter.Kinds.Configuration {
@@ -58,6 +67,9 @@
 		n.checkReady()
 	}
 	f.Failed = func(err error) {
+		if !n.watching.Load() {
+			return
+		}
 		n.storeTrouble.Store(int64(n.age()))
 		if kind == n.adapter.Kinds.Configuration && !n.storeLost.Swap(true) {
 			log.Warn("store does not answer", map[string]any{"kind": kind, "error": err.Error()})
@@ -66,6 +78,33 @@
 	return f
 }
 
+// Roles. Few boxes of each zone watch the store; the others learn from them.
+// With more than one, a box that ends is no gap; what all of a zone miss, they
+// learn from other zones.
+const (
+	watchersPerZone = 2
+	// watcherSilence is how long a watching box may be silent before another
+	// takes over: three heartbeats, some of which may be lost.
+	watcherSilence = 3 * gossip.Interval
+)
+
+// chooseRole decides whether this box watches the store.
+func (n *Node) chooseRole() {
+	watching := n.Members.Ahead(watcherSilence) < watchersPerZone
+	if watching == n.watching.Swap(watching) {
+		return
+	}
+	n.log.Info("role changed", map[string]any{"watches_store": watching})
+	n.storeLost.Store(false)
+	for _, f := range n.followers {
+		if watching {
+			f.Hurry()
+		} else {
+			f.Restart()
+		}
+	}
+}
+
 // hurryProbe ends the pause of the follower of the configuration.
 func (n *Node) hurryProbe() {
 	for _, f := range n.followers {
