Heartbeats for many boxes: the own zone always, others by chance, records passed on

Cause: with 85 boxes each heartbeat reached 16 by chance, and boxes took each other for silent about a hundred times a minute each; roles and the directory followed. Change: every heartbeat goes to the own zone, and to twelve boxes of others; within the zone it passes on what was heard of other zones; boxes of other zones may be silent for longer; a newcomer is told of all boxes.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -21,18 +21,24 @@
 	// Interval is the time between two heartbeats of a box.
 	Interval = 500 * time.Millisecond
 	// SuspectAfter is how long a box may be silent before it is not named to
-	// clients any more.
-	SuspectAfter = 5 * Interval
+	// clients any more; SuspectFarAfter the same for one of another zone,
+	// whose heartbeats come by chance where boxes are many.
+	SuspectAfter    = 5 * Interval
+	SuspectFarAfter = 8 * Interval
 	// forgetAfter is how long a silent box counts among those that may still
 	// be sending requests.
 	forgetAfter = time.Minute
-	// fanOut bounds the boxes that one heartbeat goes to.
-	fanOut = 16
-	// relayed is how many other records a heartbeat carries, and relayEvery:
-	// only one in so many carries any. They are for boxes that cannot hear
-	// each other, and for those that have just started.
-	relayed    = 3
+	// zoneFanOut and farFanOut bound the boxes of the own zone and of others
+	// that one heartbeat goes to.
+	zoneFanOut = 16
+	farFanOut  = 12
+	// relayed bounds the records that a heartbeat within the zone carries of
+	// boxes of other zones, as they were heard since the one before.
+	relayed = 12
+	// relayEvery: one in so many heartbeats to other zones carries records of
+	// this zone's boxes, relayedFar at most, for boxes that cannot hear them.
 	relayEvery = 4
+	relayedFar = 3
 	// deadEvery: one in so many heartbeats also goes to silent boxes, so that
 	// boxes find each other again after a cut.
 	deadEvery = 4
@@ -71,15 +77,23 @@
 	Others []Record `json:"others,omitempty"`
 }
 
+// Envelope is a message and the addresses that it goes to.
+type Envelope struct {
+	Message Message
+	To      []string
+}
+
 // Member is another box as this one sees it.
 type Member struct {
 	Record
 	// Silent is how long its heartbeats have not risen.
 	Silent time.Duration
+	// bound is how long it may be silent.
+	bound time.Duration
 }
 
 // Live reports whether the box may be named to clients.
-func (m *Member) Live() bool { return m.Silent <= SuspectAfter }
+func (m *Member) Live() bool { return m.Silent <= m.bound }
 
 // Table holds what is known of all boxes.
 type Table struct {
@@ -102,6 +116,16 @@
 	Record
 	heard  time.Time
 	silent bool
+	// fresh: it was heard from itself since this box's last heartbeat.
+	fresh bool
+}
+
+// bound is how long the box may be silent.
+func (t *Table) bound(e *entry) time.Duration {
+	if e.Zone == t.self.Zone {
+		return SuspectAfter
+	}
+	return SuspectFarAfter
 }
 
 // NewTable makes a table that knows only this box.
@@ -119,29 +143,57 @@
 	change(&t.self)
 }
 
-// Beat returns the next heartbeat and the addresses that it goes to.
-func (t *Table) Beat() (Message, []string) {
+// Beat returns the next heartbeat: one message for the own zone, which passes
+// on what was heard of other zones, and one for some boxes of those.
+func (t *Table) Beat() []Envelope {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.Beat++
 	t.beats++
-	m := Message{From: t.self}
-	live, silent := t.addresses()
-	shuffle(live, t.Random)
-	to := live[:min(len(live), fanOut)]
+	zone, far, silent := t.addresses()
+	shuffle(zone, t.Random)
+	shuffle(far, t.Random)
+	to := far[:min(len(far), farFanOut)]
 	if t.beats%deadEvery == 1 {
 		shuffle(silent, t.Random)
-		to = append(to, silent[:min(len(silent), fanOut)]...)
+		to = append(to, silent[:min(len(silent), farFanOut)]...)
 	}
+	near, others := t.heard()
+	farMessage := Message{From: t.self}
 	if t.beats%relayEvery == 0 {
-		m.Others = t.sample()
+		farMessage.Others = near[:min(len(near), relayedFar)]
+	}
+	return []Envelope{
+		{Message: Message{From: t.self, Others: others[:min(len(others), relayed)]}, To: zone[:min(len(zone), zoneFanOut)]},
+		{Message: farMessage, To: to},
 	}
-	return m, to
+}
+
+// Introduce returns messages for a box that was not known: all live boxes, in
+// parts that fit datagrams.
+func (t *Table) Introduce() []Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	messages := []Message{{From: t.self}}
+	for _, e := range t.sorted() {
+		if t.Now().Sub(e.heard) > t.bound(e) {
+			continue
+		}
+		last := &messages[len(messages)-1]
+		if len(last.Others) == relayed {
+			messages = append(messages, Message{From: t.self})
+			last = &messages[len(messages)-1]
+		}
+		r := e.Record
+		r.Versions = nil
+		last.Others = append(last.Others, r)
+	}
+	return messages
 }
 
 // Announce returns a heartbeat out of turn, and the addresses of the live
 // boxes of this box's zone.
-func (t *Table) Announce() (Message, []string) {
+func (t *Table) Announce() Envelope {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.Beat++
@@ -152,7 +204,7 @@
 			to = append(to, e.Peers)
 		}
 	}
-	return Message{From: t.self}, to
+	return Envelope{Message: Message{From: t.self}, To: to}
 }
 
 // Ahead returns how many boxes of this box's zone come before it by name, have
@@ -170,9 +222,9 @@
 	return ahead
 }
 
-// addresses returns where live boxes are, and where silent ones and seeds
-// that are not known may be.
-func (t *Table) addresses() (live, silent []string) {
+// addresses returns where live boxes are, of the own zone and of others, and
+// where silent ones and seeds that are not known may be.
+func (t *Table) addresses() (zone, far, silent []string) {
 	known := map[string]bool{t.self.Peers: true}
 	now := t.Now()
 	for _, e := range t.sorted() {
@@ -180,10 +232,13 @@
 			continue
 		}
 		known[e.Peers] = true
-		if now.Sub(e.heard) <= SuspectAfter {
-			live = append(live, e.Peers)
-		} else {
+		switch {
+		case now.Sub(e.heard) > t.bound(e):
 			silent = append(silent, e.Peers)
+		case e.Zone == t.self.Zone:
+			zone = append(zone, e.Peers)
+		default:
+			far = append(far, e.Peers)
 		}
 	}
 	for _, seed := range t.Seeds() {
@@ -192,24 +247,29 @@
 			silent = append(silent, seed)
 		}
 	}
-	return live, silent
+	return zone, far, silent
 }
 
-func (t *Table) sample() []Record {
-	var others []Record
-	now := t.Now()
+// heard returns the records that came from boxes themselves since the last
+// heartbeat, of the own zone and of others, in an order of chance.
+func (t *Table) heard() (near, others []Record) {
 	for _, e := range t.sorted() {
-		if now.Sub(e.heard) <= Interval*2 {
-			others = append(others, e.Record)
+		if !e.fresh {
+			continue
 		}
-	}
-	shuffle(others, t.Random)
-	others = others[:min(len(others), relayed)]
-	for i := range others {
+		e.fresh = false
+		r := e.Record
 		// What a box's mirrors hold is asked of that box itself.
-		others[i].Versions = nil
+		r.Versions = nil
+		if e.Zone == t.self.Zone {
+			near = append(near, r)
+		} else {
+			others = append(others, r)
+		}
 	}
-	return others
+	shuffle(near, t.Random)
+	shuffle(others, t.Random)
+	return near, others
 }
 
 func (t *Table) sorted() []*entry {
@@ -239,7 +299,7 @@
 	}
 	old := t.members[r.Box]
 	if old == nil {
-		t.members[r.Box] = &entry{Record: *r, heard: t.Now()}
+		t.members[r.Box] = &entry{Record: *r, heard: t.Now(), fresh: direct}
 		t.Changed(*r, "seen")
 		return true
 	}
@@ -253,6 +313,7 @@
 		old.Versions = versions
 	}
 	old.heard = t.Now()
+	old.fresh = old.fresh || direct
 	if old.silent || restarted {
 		old.silent = false
 		t.Changed(*r, "back")
@@ -267,7 +328,7 @@
 	now := t.Now()
 	list := make([]Member, 0, len(t.members))
 	for _, e := range t.sorted() {
-		list = append(list, Member{Record: e.Record, Silent: now.Sub(e.heard)})
+		list = append(list, Member{Record: e.Record, Silent: now.Sub(e.heard), bound: t.bound(e)})
 	}
 	return list
 }
@@ -299,7 +360,7 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	for _, e := range t.sorted() {
-		if !e.silent && now.Sub(e.heard) > SuspectAfter {
+		if !e.silent && now.Sub(e.heard) > t.bound(e) {
 			e.silent = true
 			t.Changed(e.Record, "silent")
 		}
--- a/pkg/steering/steering_peers.go
+++ b/pkg/steering/steering_peers.go
@@ -45,7 +45,9 @@
 	n.Set.Expire()
 	n.checkReady()
 	n.refreshSelf()
-	n.send(n.Members.Beat())
+	for _, e := range n.Members.Beat() {
+		n.send(e)
+	}
 	n.chooseRole()
 	for kind, m := range n.mirrors {
 		n.catchUp(kind, m, false)
@@ -76,12 +78,15 @@
 	})
 }
 
-func (n *Node) send(m gossip.Message, to []string) {
-	text, err := json.Marshal(m)
+func (n *Node) send(e gossip.Envelope) {
+	if len(e.To) == 0 {
+		return
+	}
+	text, err := json.Marshal(e.Message)
 	if err != nil {
 		return
 	}
-	for _, address := range to {
+	for _, address := range e.To {
 		n.sendDatagram(address, text)
 	}
 }
@@ -119,11 +124,14 @@
 	}
 }
 
-// answerNewcomer tells a box that was not known of this one at once.
+// answerNewcomer tells a box that was not known of this one, and of the
+// others, at once.
 func (n *Node) answerNewcomer(to *net.UDPAddr) {
-	text, err := json.Marshal(gossip.Message{From: n.Members.Self()})
-	if err == nil {
-		_, _ = n.ports.datagrams.WriteToUDP(text, to)
+	for _, m := range n.Members.Introduce() {
+		text, err := json.Marshal(m)
+		if err == nil {
+			_, _ = n.ports.datagrams.WriteToUDP(text, to)
+		}
 	}
 }
 
