--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -16,10 +16,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sourcegraph/conc"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/stoneworks/stoneworks/pkg/box"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/steering"
 	"github.com/stoneworks/stoneworks/platform"
 )
 
@@ -37,6 +39,8 @@
 
   stoneworksd --config box.yaml           run until SIGTERM
   stoneworksd --config box.yaml --check   check the settings and exit
+  stoneworksd --config box.yaml --print   print the settings in force and exit
+  stoneworksd --metrics                   print the table of metrics and exit
   stoneworksd --version                   print the version and exit
 
 SIGTERM or SIGINT: leave as planned; no request is cut. A second one stops at once.
@@ -52,6 +56,8 @@
 	flags.SetOutput(stderr)
 	flags.Usage = func() { fmt.Fprint(stderr, usage) }
 	path := flags.String("config", "", "the settings file; without it, the one that the platform names")
+	metricTable := flags.Bool("metrics", false, "print the table of metrics and exit")
+	effective := flags.Bool("print", false, "print the settings in force, defaults included, and exit")
 	version := flags.Bool("version", false, "print the version and exit")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("STONEWORKSD")); err != nil {
@@ -61,6 +67,10 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
+	if *metricTable {
+		steering.WriteMetricTable(stdout)
+		return ExitOK
+	}
 	if *version {
 		fmt.Fprintln(stdout, "stoneworksd "+buildVersion())
 		return ExitOK
@@ -73,6 +83,9 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
+	if *effective {
+		return printSettings(s, stdout, stderr)
+	}
 	if *check {
 		fmt.Fprintln(stdout, "settings: ok")
 		return ExitOK
@@ -83,6 +96,17 @@
 	return run(s, stdout, stderr, customize)
 }
 
+// printSettings prints the settings with their defaults. They hold no secrets.
+func printSettings(s *settings.Settings, stdout, stderr io.Writer) int {
+	text, err := yaml.Marshal(s)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	_, _ = stdout.Write(text)
+	return ExitOK
+}
+
 // buildVersion returns the revision that the program was built from.
 func buildVersion() string {
 	info, ok := debug.ReadBuildInfo()
--- /dev/null
+++ b/pkg/steering/steering_metrics.go
@@ -0,0 +1,79 @@
+package steering
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Metric describes a family of figures.
+type Metric struct {
+	// Name is the family's name; a last part in capitals stands for several.
+	Name string
+	// Unit is what is counted or measured.
+	Unit    string
+	Meaning string
+}
+
+// MetricTable is the one list of figures that a box tells on its metrics
+// address. docs/METRICS.md is made from it.
+var MetricTable = []Metric{
+	{"answered", "requests", "answered by an upstream"},
+	{"failed.REASON", "requests", "answered by the box itself, by reason; callers.md lists them"},
+	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
+	{"retry.sent", "requests", "sent to a second upstream after a first had got them"},
+	{"retry.denied", "requests", "not sent again, since the budget was spent"},
+	{"store.list", "calls", "lists asked of the store, page by page"},
+	{"store.watch", "calls", "watches asked of the store"},
+	{"upstream.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, broken, late, stale, abandoned, withdrawn"},
+	{"upstream.connections", "connections", "opened to upstreams"},
+	{"upstream.remote", "exchanges", "with upstreams of other regions"},
+}
+
+// quantiles are those told of times.
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+// serveMetrics tells all figures, a line each: the name with its unit, and the
+// value.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writeMetrics(w, n.Metrics)
+}
+
+func writeMetrics(w io.Writer, registry metrics.Registry) {
+	var lines []string
+	registry.Each(func(name string, metric any) {
+		flat := "stoneworks_" + strings.ReplaceAll(name, ".", "_")
+		switch m := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s_total %d", flat, m.Count()))
+		case metrics.Timer:
+			t := m.Snapshot()
+			lines = append(lines, fmt.Sprintf("%s_total %d", flat, t.Count()))
+			for _, q := range quantiles {
+				ms := t.Percentile(q) / float64(time.Millisecond)
+				lines = append(lines, fmt.Sprintf("%s_milliseconds{quantile=\"%g\"} %.3f", flat, q, ms))
+			}
+		}
+	})
+	sort.Strings(lines)
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+}
+
+// WriteMetricTable writes the table of figures as a page.
+func WriteMetricTable(w io.Writer) {
+	fmt.Fprint(w, "# Metrics\n\nWritten by `stoneworksd --metrics`; a test keeps it so. A box tells them on its\n"+
+		"admin address under /metrics, a line each: `stoneworks_` and the name with `_`\n"+
+		"for dots, then `_total` for what is counted and `_milliseconds` for times.\n\n"+
+		"| Name | Unit | Meaning |\n|---|---|---|\n")
+	for _, m := range MetricTable {
+		fmt.Fprintf(w, "| `%s` | %s | %s |\n", m.Name, m.Unit, m.Meaning)
+	}
+}
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -234,11 +234,6 @@
 	return nil
 }
 
-// serveMetrics tells all counters and timers as lines of text.
-func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	metrics.WriteOnce(n.Metrics, w)
-}
-
 // ----------------------------------------------------------------
 // Connections to others
 // ----------------------------------------------------------------
--- /dev/null
+++ b/pkg/steering/steering_test.go
@@ -0,0 +1,34 @@
+package steering
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+)
+
+func TestMetricsPageIsUpToDate(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	is.NoErr(err)
+	var b strings.Builder
+	WriteMetricTable(&b)
+	is.Equal(string(page), b.String())
+}
+
+func TestMetricsCarryTheirUnits(t *testing.T) {
+	is := is.New(t)
+	registry := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("answered", registry).Inc(3)
+	metrics.GetOrRegisterTimer("request.shop", registry).Update(20 * time.Millisecond)
+	var b strings.Builder
+	writeMetrics(&b, registry)
+	is.Equal(b.String(), "stoneworks_answered_total 3\n"+
+		"stoneworks_request_shop_milliseconds{quantile=\"0.5\"} 20.000\n"+
+		"stoneworks_request_shop_milliseconds{quantile=\"0.9\"} 20.000\n"+
+		"stoneworks_request_shop_milliseconds{quantile=\"0.99\"} 20.000\n"+
+		"stoneworks_request_shop_total 1\n")
+}
