--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 
 SHAPE ?= sonotheque
 PROMISE ?=
+SEED ?= 1
 BIN := bin
 # The mechanisms that test/control can switch off, one for each promise.
 CONTROLS := no-once careless-not-run reuse-any ignore-leaving exit-at-once no-cap own-view any-revision
@@ -33,8 +34,9 @@
 	go test -timeout 30m ./...
 	@echo 'known red, not run here:'; cat KNOWN-RED.txt
 
-demo: build ## run a whole deployment: SHAPE=sonotheque or SHAPE=sabarmati
-	$(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN)
+demo: build ## run a whole deployment: SHAPE=sonotheque, SHAPE=sabarmati or SHAPE=machines
+	@if [ "$(SHAPE)" = machines ]; then $(BIN)/stoneworks-machines --bin $(BIN) --seed $(SEED); \
+	else $(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN); fi
 
 prove: build ## prove what must always hold: PROMISE=4 for one
 	STONEWORKS_PROVE=1 go test ./test/prove -run 'TestPromise$(PROMISE)' -count=1 -v -timeout 20m | grep -E '^(PROMISE|ok|FAIL)|promise [0-9]'
--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,53 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+)
+
+func newDirectory(members ...gossip.Record) *Directory {
+	now := time.Unix(1000, 0)
+	table := gossip.NewTable(gossip.Record{Box: "self", Zone: "east-a", Clients: "self", Ready: true},
+		func() time.Time { return now }, func(int) int { return 0 })
+	for _, m := range members {
+		table.Receive(&gossip.Message{From: m})
+	}
+	return &Directory{
+		TTL: 3 * time.Second, RegionOf: func(zone string) string { return zone[:len(zone)-2] },
+		Self: table.Self, Members: table.Members, RegionAllowed: func(_, region string) bool { return region != "north" },
+	}
+}
+
+func box(name, zone string) gossip.Record {
+	return gossip.Record{Box: name, Zone: zone, Clients: name, Ready: true}
+}
+
+func TestNearBoxesAreNamed(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(box("a2", "east-a"), box("b1", "east-b"), box("w1", "west-a"), box("w2", "west-a"), box("n1", "north-a"))
+	is.Equal(d.Resolve(Query{Region: "east", Zone: "east-a"}).Addresses, []string{"a2", "self"})
+	is.Equal(d.Resolve(Query{Region: "east", Zone: "east-b"}).Addresses, []string{"a2", "b1", "self"}) // one is too few
+	is.Equal(d.Resolve(Query{Region: "west", Zone: "west-b"}).Addresses, []string{"w1", "w2"})
+	is.Equal(d.Resolve(Query{Region: "south", Zone: "south-a"}).Addresses, []string{"a2", "b1", "self", "w1", "w2"}) // not where they may not run
+	is.Equal(d.Resolve(Query{Region: "east", Zone: "east-a"}).TTL, 3*time.Second)
+}
+
+func TestLeavingAndUnreadyBoxesAreNotNamed(t *testing.T) {
+	is := is.New(t)
+	leaving, unready := box("l", "east-a"), box("u", "east-a")
+	leaving.Leaving = true
+	unready.Ready = false
+	d := newDirectory(leaving, unready)
+	is.Equal(d.Resolve(Query{Region: "east", Zone: "east-a"}).Addresses, []string{"self"})
+}
+
+func TestNobodyIsNamedIfThereIsNobody(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	d.Self = func() gossip.Record { return gossip.Record{} }
+	is.Equal(len(d.Resolve(Query{}).Addresses), 0)
+}
--- a/pkg/trace/trace.go
+++ b/pkg/trace/trace.go
@@ -105,7 +105,8 @@
 }
 
 // concerns reports whether the line tells what one of the request's lines was
-// decided by.
+// decided by: of servers, those that the request was sent to, or where it was
+// sent to none, all of its service.
 func concerns(l Line, found []Line, before time.Duration) bool {
 	if l.Fields["request"] != nil {
 		return false
@@ -118,7 +119,7 @@
 		if server == "" && !strings.HasPrefix(l.Text, "members: ") {
 			return true
 		}
-		if server != "" && tried(f, server) {
+		if server != "" && (tried(f, server) || f.Fields["try1"] == nil && l.Fields["service"] == f.Fields["service"]) {
 			return true
 		}
 	}
