--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 )
@@ -16,8 +18,10 @@
 	// closeShare is at which part of the grace a stopping box takes nothing
 	// new: by then clients have left it, and what it holds can still end.
 	closeShare = 0.4
-	// endMargin is how long before the end of the grace the box ends.
-	endMargin = 250 * time.Millisecond
+	// endMargin is how long before the end of the grace the box stops waiting
+	// for requests, and stopTime how long it then waits for its own work.
+	endMargin = 500 * time.Millisecond
+	stopTime  = 200 * time.Millisecond
 	// drainPoll is how often a stopping box looks whether it is done.
 	drainPoll = 20 * time.Millisecond
 )
@@ -77,7 +81,8 @@
 	}
 }
 
-// Stop ends all work at once.
+// Stop ends all work at once. It waits for the box's own goroutines, but not
+// for longer than a stopping box has.
 func (n *Node) Stop() {
 	n.stop()
 	n.ports.close()
@@ -86,5 +91,16 @@
 		p.Close()
 	}
 	n.mu.Unlock()
-	n.background.Wait()
+	done := make(chan struct{})
+	var waiting conc.WaitGroup
+	waiting.Go(func() {
+		n.background.Wait()
+		close(done)
+	})
+	timer := time.NewTimer(stopTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
 }
