A box whose clock was set back between two lives is known

Change: what a box says itself counts, and what others say once the known life is silent. Test: TestClockSetBackBetweenLives, which failed before.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -303,7 +303,7 @@
 		t.Changed(*r, "seen")
 		return true
 	}
-	if !r.newer(&old.Record) {
+	if !t.accepts(r, old, direct) {
 		return false
 	}
 	restarted := r.Started != old.Started
@@ -321,6 +321,16 @@
 	return restarted
 }
 
+// accepts reports whether the record replaces what is known. What a box says
+// itself of a new life counts even if its clock was set back in between, and
+// so does what others say once the life that is known has fallen silent.
+func (t *Table) accepts(r *Record, old *entry, direct bool) bool {
+	if r.newer(&old.Record) {
+		return true
+	}
+	return r.Started != old.Started && (direct || t.Now().Sub(old.heard) > t.bound(old))
+}
+
 // Members returns the other boxes by name.
 func (t *Table) Members() []Member {
 	t.mu.Lock()
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -179,3 +179,17 @@
 	t.Log(silent, "taken for silent")
 	is.True(silent <= 90*89*100/2000) // fewer than one in 2,000 of box, other box and heartbeat
 }
+
+// TestClockSetBackBetweenLives: a box that starts again with an earlier time of
+// day than its last life is known all the same.
+func TestClockSetBackBetweenLives(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6)
+	f.beat(12)
+	f.start("box-4")
+	f.boxes["box-4"].Update(func(self *Record) { self.Started -= int64(time.Hour) })
+	f.beat(int(SuspectAfter/Interval) + 2)
+	for name := range f.boxes {
+		is.Equal(f.live(name), 5)
+	}
+}
