--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -65,7 +65,8 @@
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
 	near, far := s.candidates(g, r, now)
-	best, place := pick(near, far)
+	s.spill.request(&s.Terms, now)
+	best, place := s.pick(near, far, now)
 	if best == nil && len(near)+len(far) == 0 {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
@@ -134,13 +135,16 @@
 
 // pick takes one of the key's homes, or where these are full, one elsewhere
 // that is idle enough to do the work although it does not know the key.
-func pick(near, far []*candidate) (best *candidate, place int) {
+func (s *Set) pick(near, far []*candidate, now time.Time) (best *candidate, place int) {
 	best, place = pickHome(near)
 	if best != nil && best.fill() < fullBound {
 		return best, place
 	}
 	other, otherPlace := pickHome(far)
-	if best == nil || (other != nil && other.fill() < idleBound) {
+	if best == nil {
+		return other, otherPlace
+	}
+	if other != nil && other.fill() < idleBound && s.spill.allow(&s.Terms, now) {
 		return other, otherPlace
 	}
 	return best, place
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -48,7 +48,7 @@
 	services  map[string]*group
 	evacuated map[string]bool
 	terms     map[string]ServiceTerms
-	started   bool
+	spill     spillGuard
 }
 
 // server is a backend server with what this box knows of it.
@@ -119,7 +119,6 @@
 			s.remove(id, trusted)
 		}
 	}
-	s.started = true
 }
 
 // Put adds or changes one server.
--- a/pkg/upstream/set_test.go
+++ b/pkg/upstream/set_test.go
@@ -273,3 +273,39 @@
 		})
 	}
 }
+
+// TestBurstLeavesItsRegionSlowly: when a region is full and another is idle,
+// the share that leaves it rises no faster than the cap on shifts.
+func TestBurstLeavesItsRegionSlowly(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(append(servers("east-a", 2, 4), servers("west-a", 2, 4)...), true)
+	var leases []*Lease
+	for key := range uint64(200) {
+		if lease, err := choose(s, mix(key)); err == nil && !lease.Remote {
+			leases = append(leases, lease) // the region is full from now on
+		} else if err == nil {
+			lease.Done(Answered, nil)
+		}
+	}
+	is.True(len(leases) >= 16)
+	c.advance(10 * time.Second)
+	last := 0.0
+	for range 8 {
+		remote, asked := 0, 0
+		for step := range 400 {
+			c.advance(5 * time.Millisecond)
+			asked++
+			if lease, err := choose(s, mix(uint64(step))); err == nil {
+				if lease.Remote {
+					remote++
+				}
+				lease.Done(Answered, nil)
+			}
+		}
+		share := float64(remote) / float64(asked)
+		is.True(share-last <= 0.15)
+		last = share
+	}
+	is.True(last > 0.3) // it does rise
+}
