One hash for both forms; what nothing reads is removed

Found reading the change: upstream wrote decide's hash again, and a callback of mirrors, a list of routes by service and an accessor had no reader. Behaviour stays as it is.

--- a/pkg/decide/snapshot.go
+++ b/pkg/decide/snapshot.go
@@ -5,9 +5,9 @@
 package decide
 
 import (
-	"hash/fnv"
 	"sort"
 
+	"github.com/stoneworks/stoneworks/pkg/hashing"
 	"github.com/stoneworks/stoneworks/pkg/membership"
 	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/topology"
@@ -175,21 +175,6 @@
 }
 
 // Hash is the one hash of decisions: equal on all boxes, for ever.
-func Hash(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
-	}
-	return mix(h.Sum64())
-}
+func Hash(parts ...string) uint64 { return hashing.Of(parts...) }
 
-// mix spreads the bits of x over the whole word.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
+func mix(x uint64) uint64 { return hashing.Mix(x) }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -59,7 +59,7 @@
 	WriteFailure func(h http.Header, m *Meta, f *outcome.Failure)
 }
 
-// Server serves clients. All fields are needed but Pauses.
+// Server serves clients. All fields are needed.
 type Server struct {
 	Dialect *Dialect
 	// Table returns the configuration in force, nil if there is none yet.
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -14,10 +14,8 @@
 type Mirror struct {
 	Kind string
 	// Changed is called with each object that changed, gone or not, in the
-	// order of changes; Loaded after each whole list. Both run under the
-	// mirror's lock and must not call it.
+	// order of changes. It runs under the mirror's lock and must not call it.
 	Changed func(o Object, gone bool)
-	Loaded  func()
 
 	mu     sync.Mutex
 	items  map[string]Object
@@ -50,7 +48,7 @@
 
 // NewMirror makes an empty mirror.
 func NewMirror(kind string) *Mirror {
-	return &Mirror{Kind: kind, Changed: func(Object, bool) {}, Loaded: func() {}, items: map[string]Object{}}
+	return &Mirror{Kind: kind, Changed: func(Object, bool) {}, items: map[string]Object{}}
 }
 
 // Load takes in a whole list. One that is older than what is known changes
@@ -77,7 +75,6 @@
 		m.synced = true
 		m.forgotten = at
 	}
-	m.Loaded()
 	return true
 }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -10,8 +10,6 @@
 	Configuration *Configuration
 	hosts         map[string][]*Route
 	services      map[string]*Service
-	// routesOf lists the routes that may send to a service.
-	routesOf map[string][]*Route
 }
 
 // NewTable prepares a configuration for look-ups. The error is a
@@ -24,7 +22,6 @@
 		Configuration: c,
 		hosts:         map[string][]*Route{},
 		services:      map[string]*Service{},
-		routesOf:      map[string][]*Route{},
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -33,9 +30,6 @@
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
-		for _, b := range r.Backends {
-			t.routesOf[b.Service] = append(t.routesOf[b.Service], r)
-		}
 	}
 	for _, routes := range t.hosts {
 		// The longest prefix comes first.
@@ -63,9 +57,6 @@
 // Service returns what is known of a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services lists the services.
-func (t *Table) Services() []Service { return t.Configuration.Services }
-
 func hostName(host string) string {
 	if cut := strings.LastIndexByte(host, ':'); cut >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:cut]
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -9,8 +9,9 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/hashing"
 )
 
 // Server is one backend server as the platform lists it. Every start of a
@@ -99,24 +100,9 @@
 }
 
 // Hash is the one hash of affinity keys: equal on all boxes.
-func Hash(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
-	}
-	return mix(h.Sum64())
-}
+func Hash(parts ...string) uint64 { return hashing.Of(parts...) }
 
-// mix spreads the bits of x over the whole word.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
+func mix(x uint64) uint64 { return hashing.Mix(x) }
 
 // fraction maps a hash to [0, 1).
 func fraction(x uint64) float64 { return float64(x>>11) / (1 << 53) }
