--- a/pkg/upstream/region.go
+++ b/pkg/upstream/region.go
@@ -7,29 +7,14 @@
 // of ShiftWindow; the rest of the cap is left to what requests do by chance.
 const shareStep = 0.3
 
-// localFill is how much of a region's slots its own clients may take before
-// the region hands keys to others: half, so that a burst finds room.
-const localFill = 0.5
-
 // localShare is the share of a region's keys that have their home in that
-// region; the others have it elsewhere. A region keeps at least its part of
-// all slots, and more while its servers tell that they have room. The share
-// moves no faster than the cap on shifts allows.
+// region; the others have it elsewhere. It follows the regions' slots, but no
+// faster than the cap on shifts allows.
 type localShare struct {
 	value float64
 	at    time.Time
 }
 
-// target returns the share to move to, given the region's part of the slots
-// and how full its servers are.
-func (l *localShare) target(part float64, fill *recentMean, now time.Time) float64 {
-	mean, known := fill.mean(now)
-	if !known || part >= 1 {
-		return part
-	}
-	return min(1, max(part, l.value*localFill/max(mean, 0.01)))
-}
-
 // localShareOf returns the share of this region's keys that stay in the
 // region, among the regions that are allowed.
 func (s *Set) localShareOf(g *group, r *Request, now time.Time) float64 {
@@ -37,17 +22,16 @@
 	if regions == "" {
 		return 1
 	}
-	part := 1.0
+	target := 1.0
 	if mean := slots.total / float64(slots.regions); own < mean {
-		part = own / mean
+		target = own / mean
 	}
 	l := g.locals[regions]
 	if l == nil {
-		l = &localShare{value: part, at: now}
+		l = &localShare{value: target, at: now}
 		g.locals[regions] = l
-		return part
+		return target
 	}
-	target := l.target(part, &g.localFill, now)
 	step := shareStep * s.Terms.MaxShift * now.Sub(l.at).Seconds() / s.Terms.ShiftWindow.Seconds()
 	l.value += max(-step, min(step, target-l.value))
 	l.at = now
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -75,8 +75,6 @@
 	service string
 	servers []*server
 	locals  map[string]*localShare
-	// localFill is how full the servers of the box's region tell to be.
-	localFill recentMean
 	// heavy is the share of heavy requests, as a moving average.
 	heavy float64
 }
