--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -226,7 +226,6 @@
 	now := s.Now()
 	if load != nil {
 		v.load.told(*load, now)
-		l.noteFill(*load, now)
 	}
 	v.load.own--
 	rests := false
@@ -260,15 +259,6 @@
 	}
 }
 
-// noteFill takes in how full the server was beside this request: a server
-// that holds a request is never seen empty by it.
-func (l *Lease) noteFill(load Load, now time.Time) {
-	if g := l.server.group; g != nil {
-		others := max(0, load.Running+load.Waiting-1)
-		g.fill.add(float64(others)/float64(max(1, l.Slots)), now)
-	}
-}
-
 // workTime is how long the server took, without the time for which the
 // request must have waited for a slot.
 func (l *Lease) workTime(now time.Time) time.Duration {
--- a/pkg/upstream/region.go
+++ b/pkg/upstream/region.go
@@ -7,33 +7,14 @@
 // of ShiftWindow; the rest of the cap is left to what requests do by chance.
 const shareStep = 0.3
 
-// keptFill is how much of a region's slots its own clients may take before the
-// region hands keys to others. It is well below a half, so that a burst finds
-// room before the share has followed it.
-const keptFill = 0.35
-
 // localShare is the share of a region's keys that have their home in that
-// region; the others have it elsewhere. It is the region's part of all slots,
-// which loads all regions alike, and more while all are far from full. It
-// moves no faster than the cap on shifts allows.
+// region; the others have it elsewhere. It follows the regions' slots, but no
+// faster than the cap on shifts allows.
 type localShare struct {
 	value float64
 	at    time.Time
 }
 
-// keptShare returns the share that a region keeps, given its part of the slots
-// and how full servers tell to be.
-func keptShare(part float64, fill *recentMean, now time.Time) float64 {
-	mean, known := fill.mean(now)
-	if !known || mean >= keptFill {
-		return part
-	}
-	return min(1, part*keptFill/max(mean, leastFill))
-}
-
-// leastFill is the least fill that is counted with.
-const leastFill = 0.05
-
 // localShareOf returns the share of this region's keys that stay in the
 // region, among the regions that are allowed.
 func (s *Set) localShareOf(g *group, r *Request, now time.Time) float64 {
@@ -41,17 +22,16 @@
 	if regions == "" {
 		return 1
 	}
-	part := 1.0
+	target := 1.0
 	if mean := slots.total / float64(slots.regions); own < mean {
-		part = own / mean
+		target = own / mean
 	}
 	l := g.locals[regions]
 	if l == nil {
-		l = &localShare{value: part, at: now}
+		l = &localShare{value: target, at: now}
 		g.locals[regions] = l
-		return part
+		return target
 	}
-	target := keptShare(part, &g.fill, now)
 	step := shareStep * s.Terms.MaxShift * now.Sub(l.at).Seconds() / s.Terms.ShiftWindow.Seconds()
 	l.value += max(-step, min(step, target-l.value))
 	l.at = now
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -75,8 +75,6 @@
 	service string
 	servers []*server
 	locals  map[string]*localShare
-	// fill is how full its servers tell to be.
-	fill recentMean
 	// heavy is the share of heavy requests, as a moving average.
 	heavy float64
 }
