The directory names large boxes first

Cause: on the grown deployments a zone has two boxes of 0.8 cores and 200 Mbit/s and seven to twelve of 0.16 cores and 10 Mbit/s, and clients were told of all of them alike. A box with few requests also knows little of its servers' load. Ruled out: a jump of the region's share (0.58 to 0.66 remote in each full window, by a whole region's logs); a larger local share (two tries, reverted). Change: boxes tell in heartbeats about how many requests a second they bear, from the cores and the link of their settings; the directory leaves out those with less than half of the largest one's, but names two at least. The smaller sites have boxes of one size: nothing changes there.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -45,29 +45,29 @@
 
 // Resolve names the boxes of the client's zone; where these are too few, all
 // of its region; and where there are none, those of the other regions that
-// may take the host's requests.
+// may take the host's requests. Boxes much smaller than others are left out.
 func (d *Directory) Resolve(q Query) Answer {
-	var zone, region, far, any []string
+	var zone, region, far, any []gossip.Record
 	for _, r := range d.serving() {
 		here := d.RegionOf(r.Zone)
 		switch {
 		case r.Zone == q.Zone:
-			zone = append(zone, r.Clients)
-			region = append(region, r.Clients)
+			zone = append(zone, r)
+			region = append(region, r)
 		case here == q.Region:
-			region = append(region, r.Clients)
+			region = append(region, r)
 		case d.RegionAllowed(q.Host, here):
-			far = append(far, r.Clients)
+			far = append(far, r)
 		default:
-			any = append(any, r.Clients)
+			any = append(any, r)
 		}
 	}
-	for _, list := range [][]string{zone, region} {
+	for _, list := range [][]gossip.Record{zone, region} {
 		if len(list) >= enough {
 			return d.answer(list)
 		}
 	}
-	for _, list := range [][]string{region, far, any} {
+	for _, list := range [][]gossip.Record{region, far, any} {
 		if len(list) > 0 {
 			return d.answer(list)
 		}
@@ -89,7 +89,34 @@
 	return list
 }
 
-func (d *Directory) answer(list []string) Answer {
-	sort.Strings(list)
-	return Answer{Addresses: list[:min(len(list), MaxAddresses)], TTL: d.TTL}
+func (d *Directory) answer(list []gossip.Record) Answer {
+	var addresses []string
+	for _, r := range largest(list) {
+		addresses = append(addresses, r.Clients)
+	}
+	sort.Strings(addresses)
+	return Answer{Addresses: addresses[:min(len(addresses), MaxAddresses)], TTL: d.TTL}
+}
+
+// largeShare is how much of the largest box's capacity another must have to be
+// named beside it. Clients choose among the named boxes by chance, so a much
+// smaller one would get as much as the others; and a few boxes with many
+// requests each know more of backend servers' load, and use connections more
+// often, than many with few.
+const largeShare = 0.5
+
+// largest returns the boxes that are not much smaller than the largest one, at
+// least as many as an answer should name.
+func largest(list []gossip.Record) []gossip.Record {
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Capacity != list[j].Capacity {
+			return list[i].Capacity > list[j].Capacity
+		}
+		return list[i].Box < list[j].Box
+	})
+	size := len(list)
+	for size > enough && list[size-1].Capacity < largeShare*list[0].Capacity {
+		size--
+	}
+	return list[:size]
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -45,6 +45,24 @@
 	is.Equal(d.Resolve(Query{Region: "east", Zone: "east-a"}).Addresses, []string{"self"})
 }
 
+func TestMuchSmallerBoxesAreNotNamedBesideLargeOnes(t *testing.T) {
+	is := is.New(t)
+	sized := func(name string, capacity float64) gossip.Record {
+		r := box(name, "west-a")
+		r.Capacity = capacity
+		return r
+	}
+	large, nearlyAsLarge, small, smaller := sized("w1", 1600), sized("w2", 900), sized("w3", 125), sized("w4", 100)
+	resolve := func(members ...gossip.Record) []string {
+		return newDirectory(members...).Resolve(Query{Region: "west", Zone: "west-a"}).Addresses
+	}
+	is.Equal(resolve(large, nearlyAsLarge, small, smaller), []string{"w1", "w2"})
+	is.Equal(resolve(large, small, smaller), []string{"w1", "w3"}) // one is too few
+	is.Equal(resolve(small, smaller), []string{"w3", "w4"})        // where there is no large one
+	unknown := sized("w5", 0)
+	is.Equal(resolve(unknown, sized("w6", 0)), []string{"w5", "w6"})
+}
+
 func TestNobodyIsNamedIfThereIsNobody(t *testing.T) {
 	is := is.New(t)
 	d := newDirectory()
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -53,6 +53,9 @@
 	Peers   string `json:"peers"`
 	// Started tells the lives of a box apart, in nanoseconds of its clock.
 	Started int64 `json:"started"`
+	// Capacity is about how many requests a second the box bears; 0 if that is
+	// not known.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Beat rises with each heartbeat of a life.
 	Beat    uint64 `json:"beat"`
 	Ready   bool   `json:"ready,omitempty"`
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -27,6 +27,15 @@
 	LookupTTL    time.Duration    `yaml:"lookup_ttl"`
 	Limits       Limits           `yaml:"limits"`
 	Bounds       Bounds           `yaml:"bounds"`
+	Machine      Machine          `yaml:"machine"`
+}
+
+// Machine tells what the box's machine can bear; 0 where that is not known.
+type Machine struct {
+	// Cores is the part of a processor's cores that the box may use.
+	Cores float64 `yaml:"cores"`
+	// LinkMbps is the bandwidth of its link, in megabits a second.
+	LinkMbps float64 `yaml:"link_mbps"`
 }
 
 // Protocols of the platform.
--- a/pkg/settings/settings_check.go
+++ b/pkg/settings/settings_check.go
@@ -55,6 +55,7 @@
 		d.fault("platform.protocol", fmt.Sprintf("%q", s.Platform.Protocol), "boxes or objects")
 	}
 	d.checkBounds(s.Bounds)
+	d.checkMachine(s.Machine)
 	d.checkDuration("lookup_ttl", s.LookupTTL, time.Second, time.Hour)
 	d.checkDuration("platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
 	d.checkDuration("limits.once_age", s.Limits.OnceAge, time.Second, 24*time.Hour)
@@ -86,6 +87,22 @@
 	}
 }
 
+// checkMachine looks at what the machine can bear.
+func (d *decoder) checkMachine(m Machine) {
+	if m.Cores < 0 || m.Cores > maxCores {
+		d.fault("machine.cores", fmt.Sprint(m.Cores), fmt.Sprintf("0 to %d", maxCores))
+	}
+	if m.LinkMbps < 0 || m.LinkMbps > maxLinkMbps {
+		d.fault("machine.link_mbps", fmt.Sprint(m.LinkMbps), fmt.Sprintf("0 to %d", maxLinkMbps))
+	}
+}
+
+// maxCores and maxLinkMbps bound what a machine may be said to have.
+const (
+	maxCores    = 4096
+	maxLinkMbps = 10_000_000
+)
+
 // checkBounds looks at the bounds of the fleet.
 func (d *decoder) checkBounds(b Bounds) {
 	d.checkDuration("bounds.contact", b.Contact, 500*time.Millisecond, time.Hour)
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -39,6 +39,17 @@
 	is.Equal(faults.Faults[0].Line, 2)
 }
 
+func TestMachineIsChecked(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("box.yaml", []byte(good+"machine: {cores: 0.16, link_mbps: 10}\n"))
+	is.NoErr(err)
+	is.Equal(s.Machine, Machine{Cores: 0.16, LinkMbps: 10})
+	_, err = Parse("box.yaml", []byte(good+"machine: {cores: -1, link_mbps: much}\n"))
+	var faults *Error
+	is.True(errors.As(err, &faults))
+	is.Equal(len(faults.Faults), 2)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
 	f.Add([]byte("a: [b, {c: d}]"))
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -163,7 +163,7 @@
 	s := n.Settings
 	self := gossip.Record{
 		Box: s.Box, Zone: s.Zone, Clients: s.Advertise.Callers, Peers: s.Advertise.Peers,
-		Started: n.started.UnixNano(),
+		Started: n.started.UnixNano(), Capacity: capacityOf(s.Machine),
 	}
 	n.Members = gossip.NewTable(self, time.Now, rand.IntN)
 	n.Members.Seeds = func() []string { return *n.seeds.Load() }
--- a/pkg/steering/steering_test.go
+++ b/pkg/steering/steering_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
 func TestMetricsPageIsUpToDate(t *testing.T) {
@@ -32,3 +34,11 @@
 		"stoneworks_request_shop_milliseconds{quantile=\"0.99\"} 20.000\n"+
 		"stoneworks_request_shop_total 1\n")
 }
+
+func TestCapacityIsThatOfTheScarcerPart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(capacityOf(settings.Machine{Cores: 0.8, LinkMbps: 200}), 1600.0)
+	is.Equal(capacityOf(settings.Machine{Cores: 0.16, LinkMbps: 10}), 125.0)
+	is.Equal(capacityOf(settings.Machine{Cores: 0.5}), 1000.0)
+	is.Equal(capacityOf(settings.Machine{}), 0.0)
+}
