A slot of an abandoned exchange stays taken until its server must have noticed

Ruled out: the views and grants of pkg/slots (300,000 random schedules hold); a request sent after a freeze past its deadline (exchange looks again before it writes). Change: Permit.Abandon keeps the slot for 100 ms. A stream that its caller left is abandoned too. TestBrokenBodyIsTheCallers frees slots at once by the new seam: what it asserts of ejection is unchanged.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -54,6 +54,8 @@
 	// MayAdmit reports whether the server may take a new request; a seam
 	// for tests.
 	MayAdmit func(s *ServerStatus) bool
+	// After calls a function once some time has passed; a seam for tests.
+	After func(d time.Duration, do func())
 
 	mu      sync.Mutex
 	servers []*server
@@ -88,6 +90,7 @@
 		Now:         now,
 		QueueWait:   queueWait,
 		MayAdmit:    mayAdmit,
+		After:       func(d time.Duration, do func()) { time.AfterFunc(d, do) },
 		serviceTime: firstServiceTime,
 	}
 }
--- a/pkg/admission/admission_pick.go
+++ b/pkg/admission/admission_pick.go
@@ -86,16 +86,43 @@
 	done    bool
 }
 
+// NoticeTime is for how long a server may go on working on a request whose
+// connection was closed: the close has to reach it, and it has to look.
+const NoticeTime = 100 * time.Millisecond
+
 // Release gives the slot back; only the first call counts.
 func (p *Permit) Release(result Result) {
+	if p.end(result) {
+		p.free()
+	}
+}
+
+// Abandon ends an exchange whose request was sent and not answered to its end.
+// The slot is given back when the server must have noticed. Of this and
+// Release only the first call counts.
+func (p *Permit) Abandon(result Result) {
+	if p.end(result) {
+		p.gate.After(NoticeTime, p.free)
+	}
+}
+
+// free gives the slot to the request that has waited longest.
+func (p *Permit) free() {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.server.InUse--
+	p.gate.serveQueue()
+}
+
+// end notes the result, and reports whether it is the first one.
+func (p *Permit) end(result Result) (first bool) {
 	g := p.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p.done {
-		return
+		return false
 	}
 	p.done = true
-	p.server.InUse--
 	switch result {
 	case Succeeded:
 		p.server.failures, p.server.ejections = 0, 0
@@ -107,7 +134,7 @@
 			g.countFailure(p.server)
 		}
 	}
-	g.serveQueue()
+	return true
 }
 
 func (g *Gate) countFailure(s *server) {
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -56,6 +56,34 @@
 	})
 }
 
+// TestSlotOfAnAbandonedExchangeStaysTaken is the failure in which a server
+// worked on more than its slots: it had not yet noticed that nobody waited for
+// the first request when the next one came.
+func TestSlotOfAnAbandonedExchangeStaysTaken(t *testing.T) {
+	is := is.New(t)
+	g, _ := newTestGate(ServerConfig{Name: "a", Share: 1})
+	var due []func()
+	var pause time.Duration
+	g.After = func(d time.Duration, do func()) {
+		pause = d
+		due = append(due, do)
+	}
+	p, failure := g.Acquire(context.Background(), Request{})
+	is.True(failure == nil)
+	p.Abandon(TimedOut)
+	is.Equal(g.Status()[0].InUse, 1)
+	_, failure = g.Acquire(context.Background(), Request{})
+	is.True(failure != nil)
+	is.Equal(len(due), 1)
+	is.Equal(pause, NoticeTime)
+	due[0]()
+	is.Equal(g.Status()[0].InUse, 0)
+	p.Release(Succeeded) // only the first end counts
+	is.Equal(g.Status()[0].InUse, 0)
+	_, failure = g.Acquire(context.Background(), Request{})
+	is.True(failure == nil)
+}
+
 func TestRefusalNamesWhenToComeBack(t *testing.T) {
 	is := is.New(t)
 	g, _ := newTestGate(ServerConfig{Name: "a", Share: 1})
--- a/pkg/entry/entry_local.go
+++ b/pkg/entry/entry_local.go
@@ -95,7 +95,7 @@
 func (e *Entry) failed(r *Request, permit *admission.Permit, err error) *outcome.Failure {
 	if r.body.broken.Load() {
 		// What the caller sent is at fault, not the backend server.
-		permit.Release(admission.Unused)
+		permit.Abandon(admission.Unused)
 		return outcome.NewUnknown(outcome.ReasonBadRequest, "the request's body broke off or is misframed")
 	}
 	f := e.Classify(err)
@@ -106,7 +106,11 @@
 	case outcome.ReasonTimeout:
 		result = admission.TimedOut
 	}
-	permit.Release(result)
+	if f.Outcome == outcome.NotRun {
+		permit.Release(result)
+	} else {
+		permit.Abandon(result)
+	}
 	return f
 }
 
@@ -126,20 +130,32 @@
 		return a, nil
 	}
 	a.Length = got.Length
-	a.Stream = &slotStream{ReadCloser: got.Body, release: func() { permit.Release(admission.Succeeded) }}
+	a.Stream = &slotStream{ReadCloser: got.Body, permit: permit}
 	return a, nil
 }
 
 // slotStream gives the slot back when the stream is closed.
 type slotStream struct {
 	io.ReadCloser
-	release func()
+	permit *admission.Permit
+	whole  bool
+}
+
+// Read implements io.Reader.
+func (s *slotStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	s.whole = s.whole || errors.Is(err, io.EOF)
+	return n, err
 }
 
 // Close implements io.Closer.
 func (s *slotStream) Close() error {
 	err := s.ReadCloser.Close()
-	s.release()
+	if s.whole {
+		s.permit.Release(admission.Succeeded)
+	} else {
+		s.permit.Abandon(admission.Succeeded)
+	}
 	return err
 }
 
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"github.com/stoneworks/stoneworks/pkg/admission"
+	"github.com/stoneworks/stoneworks/pkg/decide"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 )
 
@@ -99,6 +105,7 @@
 	is := is.New(t)
 	gate := admission.NewGate(time.Now, 0)
 	gate.Update([]admission.ServerConfig{{Name: "a", Share: 1}, {Name: "b", Share: 1}})
+	gate.After = func(_ time.Duration, do func()) { do() }
 	e := &Entry{Classify: Classify}
 	for range 10 {
 		permit, failure := gate.Acquire(context.Background(), admission.Request{})
@@ -118,3 +125,64 @@
 	_, _ = aborted.Read(nil)
 	is.True(!aborted.broken.Load())
 }
+
+// TestServerIsNotOverusedAfterTimeouts: a server with one slot that takes a
+// while to notice a closed connection never holds two requests.
+func TestServerIsNotOverusedAfterTimeouts(t *testing.T) {
+	is := is.New(t)
+	server := &slowToNotice{notices: 20 * time.Millisecond}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go server.serve(l)
+	gate := admission.NewGate(time.Now, 0)
+	gate.Update([]admission.ServerConfig{{Name: "a", Address: l.Addr().String(), Share: 1}})
+	pool := exchange.NewPool(l.Addr().String(), 1, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	})
+	e := &Entry{
+		Now: time.Now, Log: logging.For(logging.New(logging.NewAsyncJSONHandler(io.Discard), logging.ParseLevel("error")), "test"),
+		Gate:       func(string) *admission.Gate { return gate },
+		ServerPool: func(string, int) *exchange.Pool { return pool },
+		MaySend:    func() bool { return true }, Budget: NewBudget(), Classify: Classify,
+	}
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		r := &Request{ctx: ctx, ID: "id", Service: "s", Method: "GET", Path: "/", Deadline: time.Now().Add(10 * time.Millisecond), view: &decide.ServiceView{}, body: &requestBody{}, raw: rawHeaders{header: &fasthttp.RequestHeader{}}}
+		_, failure := e.local(r, "")
+		is.True(failure != nil)
+		cancel()
+	}
+	is.True(server.total.Load() > 1)
+	is.Equal(server.peak.Load(), int64(1))
+}
+
+// slowToNotice is a server that works until it notices that its client left,
+// and some time more.
+type slowToNotice struct {
+	notices           time.Duration
+	busy, peak, total atomic.Int64
+}
+
+func (s *slowToNotice) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			buffer := make([]byte, 4096)
+			if n, _ := c.Read(buffer); n == 0 {
+				return
+			}
+			s.total.Add(1)
+			busy := s.busy.Add(1)
+			defer s.busy.Add(-1)
+			for old := s.peak.Load(); busy > old && !s.peak.CompareAndSwap(old, busy); old = s.peak.Load() {
+			}
+			_, _ = c.Read(buffer)
+			time.Sleep(s.notices)
+		}()
+	}
+}
