News of the store are gathered for 600 ms

Change: the pause after news from 250 to 600 ms; the bounds on drains and configurations are 2.5 s and more.

--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -16,8 +16,9 @@
 	firstRetry   = 150 * time.Millisecond
 	longestRetry = 1200 * time.Millisecond
 	// gather is the pause after news, so that changes that come together are
-	// told by one call.
-	gather = 250 * time.Millisecond
+	// told by one call. It delays the next news, and is a quarter of the
+	// shortest bound on how soon news must count.
+	gather = 600 * time.Millisecond
 	// idlePause is how often a follower that is not allowed looks whether it
 	// is again; Hurry tells it sooner.
 	idlePause = 500 * time.Millisecond
