A soak: real processes, struck from outside, judged by what clients and servers saw

Change: test/soak draws a plan from a seed (20 kinds, overlapping and in series), strikes boxes by signals, links by loopback proxies, the store and the servers through the stand-ins, and checks twelve promises; each check has a control. test/processes holds what it shares with test/load. The fault proxy can keep the source's number, stand-in servers note who sent a request.

--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,17 @@
 
 SHAPE ?= sonotheque
 PROMISE ?=
-SEED ?= 1
+SEED ?=
 BIN := bin
 # The mechanisms that test/control can switch off, one for each promise.
 CONTROLS := no-once careless-not-run reuse-any ignore-leaving exit-at-once no-cap own-view any-revision
 STATICCHECK := go tool staticcheck
 
-.PHONY: help build check fmt test demo prove prove-controls bench generate
+# Of the soak: how many fresh seeds, and how many boxes in each.
+RUNS ?= 10
+BOXES ?= 6
+
+.PHONY: help build check fmt test demo soak prove prove-controls bench generate
 
 help: ## list the verbs
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -35,9 +39,12 @@
 	@echo 'known red, not run here:'; cat KNOWN-RED.txt
 
 demo: build ## run a whole deployment: SHAPE=sonotheque, SHAPE=sabarmati or SHAPE=machines
-	@if [ "$(SHAPE)" = machines ]; then $(BIN)/stoneworks-machines --bin $(BIN) --seed $(SEED); \
+	@if [ "$(SHAPE)" = machines ]; then $(BIN)/stoneworks-machines --bin $(BIN) --seed $(or $(SEED),1); \
 	else $(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN); fi
 
+soak: build ## strike real processes from outside: RUNS=10 fresh seeds, or SEED=n again; BOXES=6
+	$(BIN)/stoneworks-soak --bin $(BIN) --seed $(or $(SEED),0) --runs $(RUNS) --boxes $(BOXES)
+
 prove: build ## prove what must always hold: PROMISE=4 for one
 	STONEWORKS_PROVE=1 go test ./test/prove -run 'TestPromise$(PROMISE)' -count=1 -v -timeout 20m | grep -E '^(PROMISE|ok|FAIL)|promise [0-9]'
 
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -33,7 +33,11 @@
 
 // Proxy passes connections from its own address on to a target.
 type Proxy struct {
+	// Target is where connections go; see SetTarget.
 	Target string
+	// KeepSource makes connections leave from the IP number of whoever opened
+	// them, which has to be one of this machine. Set it before the first one.
+	KeepSource bool
 	// Hits counts the pieces of data and connections that met a fault.
 	Hits atomic.Int64
 
@@ -60,6 +64,25 @@
 // Close stops taking connections.
 func (p *Proxy) Close() { _ = p.listener.Close() }
 
+// SetTarget sends connections that are opened from now on elsewhere.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Target = target
+}
+
+// dial opens the connection to the target.
+func (p *Proxy) dial(source string) (net.Conn, error) {
+	p.mu.Lock()
+	target := p.Target
+	p.mu.Unlock()
+	dialer := net.Dialer{}
+	if p.KeepSource {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	return dialer.Dial("tcp", target)
+}
+
 // Set replaces the rule, which gives the fault of connections from a source.
 func (p *Proxy) Set(rule func(source string) Fault) {
 	p.mu.Lock()
@@ -98,7 +121,7 @@
 		reset(c)
 		return
 	}
-	t, err := net.Dial("tcp", p.Target)
+	t, err := p.dial(source)
 	if err != nil {
 		reset(c)
 		return
--- a/test/load/load.go
+++ b/test/load/load.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/stoneworks/stoneworks/test/machines"
+	"github.com/stoneworks/stoneworks/test/processes"
 )
 
 // The load.
@@ -55,7 +56,7 @@
 	bin, dir string
 	store    *machines.Store
 	fleet    *machines.Fleet
-	boxes    []*process
+	boxes    []*processes.Box
 	random   *rand.Rand
 	stdout   io.Writer
 
@@ -92,7 +93,7 @@
 
 func (p *player) close() {
 	for _, b := range p.boxes {
-		b.end()
+		b.End()
 	}
 	if p.fleet != nil {
 		p.fleet.Close()
@@ -116,41 +117,28 @@
 			}
 		}
 	}
+	options := processes.Options{
+		Bin: p.bin, Dir: p.dir, Network: network, Store: p.store.Address,
+		Drain: 2500 * time.Millisecond, Contact: 3 * time.Second, Grace: 4 * time.Second,
+	}
 	for i := range boxCount {
-		b, err := start(p.bin, p.dir, network, p.store.Address, machines.Zones[i%len(machines.Zones)].Zone, i+1)
+		b, err := processes.NewBox(options, machines.Zones[i%len(machines.Zones)].Zone, i+1)
 		if err != nil {
 			return err
 		}
+		if err := b.Start(); err != nil {
+			return err
+		}
 		p.boxes = append(p.boxes, b)
 	}
 	for _, b := range p.boxes {
-		if !ready(b.ip) {
-			return &NotReadyError{Box: b.name}
+		if err := b.WaitReady(startTime); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-// NotReadyError says that a box did not become ready.
-type NotReadyError struct{ Box string }
-
-// Error implements error.
-func (e *NotReadyError) Error() string { return e.Box + " did not become ready" }
-
-func ready(ip string) bool {
-	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		answer, err := http.Get("http://" + ip + ":8104/-/ready")
-		if err != nil {
-			continue
-		}
-		_ = answer.Body.Close()
-		if answer.StatusCode == http.StatusOK {
-			return true
-		}
-	}
-	return false
-}
-
 // ----------------------------------------------------------------
 // Playing
 // ----------------------------------------------------------------
@@ -171,7 +159,7 @@
 // client sends requests until the end, to the boxes in turn when one fails.
 func (p *player) client(number int, random *rand.Rand, end time.Time) {
 	box := number % boxCount
-	c := &machines.Client{Address: p.boxes[box].ip + ":8101"}
+	c := &machines.Client{Address: p.boxes[box].Clients()}
 	defer func() { c.Close() }()
 	for n := 0; time.Now().Before(end); n++ {
 		r := routes[random.Intn(len(routes))]
@@ -180,7 +168,7 @@
 		if answer.Problem != nil || answer.Status >= 500 {
 			c.Close()
 			box = (box + 1) % boxCount
-			c = &machines.Client{Address: p.boxes[box].ip + ":8101"}
+			c = &machines.Client{Address: p.boxes[box].Clients()}
 		}
 		time.Sleep(pause)
 	}
@@ -209,21 +197,21 @@
 		do   func()
 	}{
 		{"draining " + server.ID, func() { p.fleet.List(server, "shop", "east-a", "draining", 0) }},
-		{"the store turns " + turnedAway.name + " away", func() {
+		{"the store turns " + turnedAway.Name + " away", func() {
 			p.store.SetTreat(func(ip, _ string) machines.Mode {
-				if ip == turnedAway.ip {
+				if ip == turnedAway.IP {
 					return machines.Busy
 				}
 				return machines.Serving
 			})
 		}},
 		{"evacuating east-b", func() { p.store.Put("evacuations", "east-b", map[string]any{}) }},
-		{"freezing " + frozen.name, func() { frozen.signal(syscall.SIGSTOP) }},
+		{"freezing " + frozen.Name, func() { frozen.Signal(syscall.SIGSTOP) }},
 		{"a new configuration", func() { p.fleet.Configure(2, routes...) }},
-		{"waking " + frozen.name, func() { frozen.signal(syscall.SIGCONT) }},
-		{"killing " + killed.name, func() { killed.signal(syscall.SIGKILL) }},
+		{"waking " + frozen.Name, func() { frozen.Signal(syscall.SIGCONT) }},
+		{"killing " + killed.Name, func() { killed.Signal(syscall.SIGKILL) }},
 		{"taking east-b back", func() { p.store.Delete("evacuations", "east-b") }},
-		{"stopping " + stopped.name, func() { stopped.signal(syscall.SIGTERM) }},
+		{"stopping " + stopped.Name, func() { stopped.Signal(syscall.SIGTERM) }},
 	} {
 		time.Sleep(troublePause)
 		if time.Now().After(end) {
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -78,8 +78,12 @@
 
 // List writes a server's entry.
 func (f *Fleet) List(s *Server, service, zone, state string, cold time.Duration) {
+	address := s.Address
+	if s.Advertised != "" {
+		address = s.Advertised
+	}
 	f.Store.Put("servers", s.ID, map[string]any{
-		"service": service, "address": s.Address, "zone": zone, "slots": s.Slots, "state": state,
+		"service": service, "address": address, "zone": zone, "slots": s.Slots, "state": state,
 		"cold-remaining-ms": cold.Milliseconds(), "version": "v1", "call-seq": 1,
 	})
 }
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -50,12 +50,28 @@
 	Ended bool
 }
 
+// Arrival is one request that reached a server, run or not.
+type Arrival struct {
+	ID string
+	// From is the IP number that sent it.
+	From string
+	At   time.Time
+}
+
+func sourceOf(c net.Conn) string {
+	ip, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	return ip
+}
+
 // Server is a stand-in for a backend server.
 type Server struct {
 	ID      string
 	Address string
-	Slots   int
-	Queue   int
+	// Advertised is the address that is listed, if it is another one: that of
+	// a proxy.
+	Advertised string
+	Slots      int
+	Queue      int
 	// Work is how long a request takes.
 	Work time.Duration
 
@@ -64,7 +80,7 @@
 	busy     int
 	waiting  int
 	runs     []*Run
-	arrivals []time.Time
+	arrivals []Arrival
 	accepted int
 	free     chan struct{}
 	listener net.Listener
@@ -123,6 +139,13 @@
 	return len(s.arrivals)
 }
 
+// ArrivalLog returns the requests that came, run or not.
+func (s *Server) ArrivalLog() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
 // Connections returns how many connections were ever opened.
 func (s *Server) Connections() int {
 	s.mu.Lock()
@@ -170,7 +193,7 @@
 		Host: request.Host, Timeout: request.Header.Get("X-Stoneworks-Request-Timeout-Ms"), At: time.Now(),
 	}
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, time.Now())
+	s.arrivals = append(s.arrivals, Arrival{ID: run.ID, From: sourceOf(c), At: run.At})
 	fault := NoFault
 	if s.fault != nil {
 		fault = s.fault(run)
--- /dev/null
+++ b/test/soak/check.go
@@ -0,0 +1,294 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+)
+
+// ================================================================
+// The promises, each checked from what clients and servers saw. A check has a
+// control in check_test.go: a history that breaks it.
+// ================================================================
+
+// The bounds that the boxes of a soak run with.
+const (
+	boundContact = 2 * time.Second
+	boundDrain   = 2500 * time.Millisecond
+	boundConfig  = 2500 * time.Millisecond
+	boundGrace   = 4 * time.Second
+	// boundLate is how much later than its route's time an answer may come.
+	boundLate = 500 * time.Millisecond
+	// pace is added to bounds in time: this machine runs many processes, and
+	// its clock is not a simulated one.
+	pace        = 400 * time.Millisecond
+	maxAttempts = 2
+	retryRatio  = 0.2
+	retrySlack  = 50
+	retryWindow = 10 * time.Second
+	// leastRecovered is the share of requests that must be answered once all
+	// faults are over.
+	leastRecovered = 0.95
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Check  string
+	Detail string
+}
+
+// Check is one promise.
+type Check struct {
+	Name string
+	// Find returns what broke it, one line each.
+	Find func(h *History) []string
+}
+
+// Checks are all promises.
+var Checks = []Check{
+	{"whole", whole},
+	{"at-most-once", atMostOnce},
+	{"refused-not-run", refusedNotRun},
+	{"unaltered", unaltered},
+	{"attempts", attempts},
+	{"retry-budget", retryBudget},
+	{"in-time", inTime},
+	{"planned-stop", plannedStop},
+	{"drain", drain},
+	{"configuration", configuration},
+	{"no-regress", noRegress},
+	{"recovery", recovery},
+}
+
+// Judge returns all violations.
+func Judge(h *History) []Violation {
+	var list []Violation
+	for _, c := range Checks {
+		for _, detail := range c.Find(h) {
+			list = append(list, Violation{Check: c.Name, Detail: detail})
+		}
+	}
+	return list
+}
+
+// whole: a success is the whole answer of a server to this very request.
+func whole(h *History) (found []string) {
+	for _, r := range h.Requests {
+		if r.Status >= 200 && r.Status < 300 && (!r.Whole || !r.Signed) {
+			found = append(found, fmt.Sprintf("%s: a success that is not the whole answer", r.ID))
+		}
+	}
+	return found
+}
+
+// runsOf returns how often each request was run.
+func (h *History) runsOf() map[string]int {
+	runs := map[string]int{}
+	for _, list := range h.Runs {
+		for _, r := range list {
+			runs[r.ID]++
+		}
+	}
+	return runs
+}
+
+// atMostOnce: what may not be repeated runs once at most.
+func atMostOnce(h *History) (found []string) {
+	runs := h.runsOf()
+	for _, r := range h.Requests {
+		if r.Kind != "safe" && runs[r.ID] > 1 {
+			found = append(found, fmt.Sprintf("%s (%s) ran %d times", r.ID, r.Kind, runs[r.ID]))
+		}
+	}
+	return found
+}
+
+// refusedNotRun: 429, 503, 408 and 421 say that the request has not run.
+func refusedNotRun(h *History) (found []string) {
+	runs := h.runsOf()
+	for _, r := range h.Requests {
+		switch r.Status {
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			if r.Kind != "safe" && runs[r.ID] > 0 {
+				found = append(found, fmt.Sprintf("%s was refused with %d, and ran", r.ID, r.Status))
+			}
+		}
+	}
+	return found
+}
+
+// unaltered: servers run only what clients sent, as they sent it.
+func unaltered(h *History) (found []string) {
+	sent := map[string]*Request{}
+	for _, list := range [][]Request{h.Requests, h.Left} {
+		for i := range list {
+			sent[list[i].ID] = &list[i]
+		}
+	}
+	for server, list := range h.Runs {
+		for _, run := range list {
+			r := sent[run.ID]
+			if r == nil {
+				found = append(found, fmt.Sprintf("%s ran %q, which nobody sent", server, run.ID))
+			} else if run.Method != r.Method || run.Target != r.Target || run.Body != r.Body {
+				found = append(found, fmt.Sprintf("%s ran %s altered: %s %s", server, run.ID, run.Method, run.Target))
+			}
+		}
+	}
+	return found
+}
+
+// attempts: one attempt of a client reaches few servers.
+func attempts(h *History) (found []string) {
+	for id, list := range h.arrivalsByID() {
+		if len(list) > maxAttempts {
+			found = append(found, fmt.Sprintf("%s reached servers %d times", id, len(list)))
+		}
+	}
+	return found
+}
+
+// arrivalsByID returns the times of arrival of each request, in order.
+func (h *History) arrivalsByID() map[string][]time.Time {
+	byID := map[string][]time.Time{}
+	for _, list := range h.Arrivals {
+		for _, a := range list {
+			byID[a.ID] = append(byID[a.ID], a.At)
+		}
+	}
+	for _, list := range byID {
+		sort.Slice(list, func(i, j int) bool { return list[i].Before(list[j]) })
+	}
+	return byID
+}
+
+// retryBudget: in any window, all boxes together repeat little.
+func retryBudget(h *History) (found []string) {
+	var repeats, first []time.Time
+	for _, list := range h.arrivalsByID() {
+		repeats = append(repeats, list[1:]...)
+	}
+	for _, r := range h.Requests {
+		first = append(first, r.Sent)
+	}
+	byTime := func(list []time.Time) { sort.Slice(list, func(i, j int) bool { return list[i].Before(list[j]) }) }
+	byTime(repeats)
+	byTime(first)
+	for _, end := range repeats {
+		sent, again := within(first, end), within(repeats, end)
+		if float64(again) > retryRatio*float64(sent)+retrySlack {
+			return []string{fmt.Sprintf("%d repeats for %d requests in %s", again, sent, retryWindow)}
+		}
+	}
+	return nil
+}
+
+// within counts the moments in the window that ends with end.
+func within(sorted []time.Time, end time.Time) int {
+	from := sort.Search(len(sorted), func(i int) bool { return sorted[i].After(end.Add(-retryWindow)) })
+	to := sort.Search(len(sorted), func(i int) bool { return sorted[i].After(end) })
+	return to - from
+}
+
+// inTime: a box that runs gives its final answer by its route's time.
+func inTime(h *History) (found []string) {
+	for _, r := range h.Requests {
+		took := r.Ended.Sub(r.Sent)
+		if r.Status == 0 || took <= r.Timeout+boundLate+pace || h.struck(r.Box, r.Sent, r.Ended, BoxPause, BoxKill, BoxStop) {
+			continue
+		}
+		found = append(found, fmt.Sprintf("%s was answered with %d after %s", r.ID, r.Status, took.Round(time.Millisecond)))
+	}
+	return found
+}
+
+// plannedStop: a box that is stopped as planned answers what it has passed on.
+func plannedStop(h *History) (found []string) {
+	arrivals := h.arrivalsByID()
+	for _, r := range h.Requests {
+		if r.Status != 0 || len(arrivals[r.ID]) == 0 || !h.struck(r.Box, r.Sent, r.Ended, BoxStop) {
+			continue
+		}
+		if h.struck(r.Box, r.Sent.Add(-boundContact), r.Ended, BoxKill, BoxPause) || r.Ended.Sub(r.Sent) > r.Timeout {
+			continue
+		}
+		found = append(found, fmt.Sprintf("%s reached a server, and its connection to %s ended without an answer", r.ID, r.Box))
+	}
+	return found
+}
+
+// storeKinds are the faults in which a box may not hear of changes in time.
+var storeKinds = []Kind{StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut}
+
+// touched reports whether the box or the store was struck from the time of
+// contact before from on, so that bounds in time do not bind the box.
+func (h *History) touched(box string, from, to time.Time) bool {
+	from = from.Add(-boundContact)
+	return h.struck(box, from, to, BoxStop, BoxKill, BoxPause) || h.struck("", from, to, storeKinds...)
+}
+
+// drain: a server that leaves gets nothing after a while.
+func drain(h *History) (found []string) {
+	for _, d := range h.Departures {
+		for _, a := range h.Arrivals[d.Server] {
+			after := a.At.Sub(d.At)
+			if after <= boundDrain+pace || h.touched(a.From, d.At, a.At) || h.struck("", d.At, a.At, LinkDelay, LinkSilent, LinkOneWay) {
+				continue
+			}
+			found = append(found, fmt.Sprintf("%s reached %s through %s %s after it left", a.ID, d.Server, a.From, after.Round(time.Millisecond)))
+		}
+	}
+	return found
+}
+
+// configuration: a configuration is in force some time after it was taken.
+func configuration(h *History) (found []string) {
+	for i, c := range h.Configurations {
+		until := time.Time{}
+		if i+1 < len(h.Configurations) {
+			until = h.Configurations[i+1].At
+		}
+		for _, p := range h.Probes {
+			late := p.At.Sub(c.At) > boundConfig+pace
+			if p.Version != c.Version || !late || !until.IsZero() && p.At.After(until) || h.touched(p.Box, c.At, p.At) {
+				continue
+			}
+			if p.Status == http.StatusNotFound {
+				found = append(found, fmt.Sprintf("%s does not know version %d after %s", p.Box, c.Version, p.At.Sub(c.At).Round(time.Millisecond)))
+			}
+		}
+	}
+	return found
+}
+
+// noRegress: a life of a box that followed a version follows no older one.
+func noRegress(h *History) (found []string) {
+	type life struct {
+		box  string
+		life int
+	}
+	newest := map[life]int{}
+	probes := append([]Probe(nil), h.Probes...)
+	sort.SliceStable(probes, func(i, j int) bool { return probes[i].At.Before(probes[j].At) })
+	for _, p := range probes {
+		if p.Status != http.StatusOK {
+			continue
+		}
+		key := life{p.Box, p.Life}
+		if p.Version < newest[key] {
+			found = append(found, fmt.Sprintf("%s followed version %d after %d", p.Box, p.Version, newest[key]))
+		}
+		newest[key] = max(newest[key], p.Version)
+	}
+	return found
+}
+
+// recovery: once all faults are over, requests are answered.
+func recovery(h *History) []string {
+	r := h.Recovery
+	if r.Sent == 0 || float64(r.Answered) < leastRecovered*float64(r.Sent) {
+		return []string{fmt.Sprintf("%d of %d requests answered after all faults were over", r.Answered, r.Sent)}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/soak/check_test.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/test/machines"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// calm is a history in which nothing is broken: one request of each kind.
+func calm() *History {
+	h := &History{Runs: map[string][]machines.Run{}, Arrivals: map[string][]machines.Arrival{}}
+	for i, kind := range []string{"safe", "unsafe", "upload"} {
+		id := fmt.Sprint("r", i)
+		sent := after(time.Duration(i) * time.Second)
+		h.Requests = append(h.Requests, Request{
+			ID: id, Kind: kind, Method: "POST", Target: "/x/" + id, Body: id, Box: "b1", Life: 1, Timeout: time.Second,
+			Sent: sent, Ended: sent.Add(20 * time.Millisecond), Status: 200, Whole: true, Signed: true,
+		})
+		h.Runs["s1"] = append(h.Runs["s1"], machines.Run{ID: id, Method: "POST", Target: "/x/" + id, Body: id, At: sent})
+		h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: id, From: "b1", At: sent})
+	}
+	h.Configurations = []Acknowledged{{Version: 1, At: start}}
+	h.Probes = []Probe{{Box: "b1", Life: 1, Version: 1, At: after(5 * time.Second), Status: 200}}
+	h.Recovery.Sent, h.Recovery.Answered = 100, 100
+	return h
+}
+
+// TestEachCheckCanFail is the control of the checks: what breaks a promise is
+// found by its check, and by no other.
+func TestEachCheckCanFail(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Judge(calm()), nil)
+	controls := map[string]func(h *History){
+		"whole":        func(h *History) { h.Requests[0].Whole = false },
+		"at-most-once": func(h *History) { h.Runs["s2"] = h.Runs["s1"][1:2] },
+		"refused-not-run": func(h *History) {
+			h.Requests[2].Status = 503
+		},
+		"unaltered": func(h *History) { h.Runs["s1"][0].Body = "another" },
+		"attempts": func(h *History) {
+			for _, s := range []string{"s2", "s3"} {
+				h.Arrivals[s] = h.Arrivals["s1"][:1]
+			}
+		},
+		"retry-budget": func(h *History) {
+			for i := range retrySlack + 2 {
+				a := machines.Arrival{ID: fmt.Sprint("x", i), From: "b1", At: start}
+				h.Arrivals["s1"] = append(h.Arrivals["s1"], a, a)
+			}
+		},
+		"in-time": func(h *History) { h.Requests[0].Ended = h.Requests[0].Sent.Add(2 * time.Second) },
+		"planned-stop": func(h *History) {
+			h.Requests[0].Status = 0
+			h.Spans = []Span{{Kind: BoxStop, What: "b1", From: start}}
+		},
+		"drain": func(h *History) {
+			h.Departures = []Departure{{Server: "s1", At: start.Add(-time.Second)}}
+			h.Arrivals["s1"][2].At = after(2500 * time.Millisecond)
+		},
+		"configuration": func(h *History) { h.Probes[0].Status = 404 },
+		"no-regress": func(h *History) {
+			h.Configurations = append(h.Configurations, Acknowledged{Version: 2, At: after(time.Second)})
+			h.Probes = []Probe{
+				{Box: "b1", Life: 1, Version: 2, At: after(2 * time.Second), Status: 200},
+				{Box: "b1", Life: 1, Version: 1, At: after(3 * time.Second), Status: 200},
+			}
+		},
+		"recovery": func(h *History) { h.Recovery.Answered = 50 },
+	}
+	for _, c := range Checks {
+		spoil := controls[c.Name]
+		if spoil == nil {
+			t.Errorf("%s has no control", c.Name)
+			continue
+		}
+		h := calm()
+		spoil(h)
+		found := Judge(h)
+		if len(found) == 0 {
+			t.Errorf("%s does not find what breaks it", c.Name)
+		}
+		for _, v := range found {
+			is.Equal(v.Check, c.Name)
+		}
+	}
+}
+
+// TestExcuses: bounds in time do not bind a box that was struck.
+func TestExcuses(t *testing.T) {
+	is := is.New(t)
+	h := calm()
+	h.Requests[0].Ended = h.Requests[0].Sent.Add(2 * time.Second)
+	h.Probes[0].Status = 404
+	h.Spans = []Span{{Kind: BoxPause, What: "b1", From: start, To: after(10 * time.Second)}}
+	is.Equal(Judge(h), nil)
+	h.Spans[0].What = "b2"
+	is.Equal(len(Judge(h)), 2)
+}
+
+func TestPlansReplay(t *testing.T) {
+	is := is.New(t)
+	is.Equal(NewPlan(7, 6, defaultLength), NewPlan(7, 6, defaultLength))
+	seen := map[Kind]bool{}
+	for seed := range int64(60) {
+		for _, e := range NewPlan(seed, 6, defaultLength).Events {
+			is.True(e.At >= firstEvent && e.At <= defaultLength-lastEvent)
+			seen[e.Kind] = true
+		}
+	}
+	is.Equal(len(seen), len(kinds))
+}
--- /dev/null
+++ b/test/soak/clients.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/test/machines"
+	"github.com/stoneworks/stoneworks/test/processes"
+)
+
+// ================================================================
+// Clients: some for each box, which keep a connection until the box closes it
+// or is gone, and one that asks each box which configuration it follows.
+// ================================================================
+
+const (
+	clientsEach = 3
+	clientPause = 25 * time.Millisecond
+	probePause  = 150 * time.Millisecond
+	keys        = 40
+	clientWaits = 3 * time.Second
+	// goneShare of the requests are left before they are answered, after
+	// goneAfter.
+	goneShare = 0.02
+	goneAfter = 8 * time.Millisecond
+)
+
+// routes are those that every configuration has.
+var routes = []machines.Route{
+	{Prefix: "/read/", Kind: "safe", Service: "shop", TimeoutMS: 1200},
+	{Prefix: "/buy/", Kind: "unsafe", Service: "shop", TimeoutMS: 1200},
+	{Prefix: "/up/", Kind: "upload", Service: "desk", TimeoutMS: 2000},
+}
+
+// markerRoute is a route that only one version of the configuration has.
+func markerRoute(version int) machines.Route {
+	return machines.Route{Prefix: fmt.Sprintf("/version-%d/", version), Kind: "safe", Service: "shop", TimeoutMS: 1200}
+}
+
+var (
+	nextMu sync.Mutex
+	next   int
+)
+
+// newID returns an id that no other request of this process has.
+func newID() string {
+	nextMu.Lock()
+	defer nextMu.Unlock()
+	next++
+	return fmt.Sprintf("r%d", next)
+}
+
+func (r *run) startClients(group *conc.WaitGroup, end time.Time) {
+	for _, b := range r.boxes {
+		for range clientsEach {
+			random := rand.New(rand.NewSource(r.random.Int63()))
+			group.Go(func() { r.client(b, random, end) })
+		}
+		group.Go(func() { r.prober(b, end) })
+	}
+}
+
+// client sends requests to one box until the end. It goes on using its
+// connection until that breaks or the box asks for its end.
+func (r *run) client(b *processes.Box, random *rand.Rand, end time.Time) {
+	c := &machines.Client{Address: b.Clients()}
+	defer c.Close()
+	for time.Now().Before(end) {
+		route := routes[random.Intn(len(routes))]
+		q := Request{
+			ID: newID(), Kind: route.Kind, Method: "GET", Target: route.Prefix + fmt.Sprint(random.Intn(1000)),
+			Box: b.IP, Life: b.Life(), Timeout: time.Duration(route.TimeoutMS) * time.Millisecond,
+		}
+		if route.Kind != "safe" {
+			q.Method, q.Body = "POST", "body of "+q.ID
+		}
+		q.Sent = time.Now()
+		if random.Float64() < goneShare {
+			r.leave(c, &q, random)
+		} else {
+			r.ask(c, &q, random)
+		}
+		r.note(func(h *History) { h.Requests = append(h.Requests, q) })
+		time.Sleep(clientPause)
+	}
+}
+
+func (r *run) ask(c *machines.Client, q *Request, random *rand.Rand) {
+	answer := c.Do(q.Method, q.Target, q.ID, q.Body, extraOf(random))
+	q.Ended = time.Now()
+	if answer.Problem != nil {
+		c.Close()
+		return
+	}
+	q.Status = answer.Status
+	q.Whole = answer.Body == machines.AnswerBody(q.ID)
+	q.Signed = answer.Header.Get("X-Stoneworks-Response-Signature") != ""
+}
+
+// leave sends a request and closes the connection before the answer.
+func (r *run) leave(c *machines.Client, q *Request, random *rand.Rand) {
+	if c.Send(q.Method, q.Target, q.ID, q.Body, extraOf(random)) == nil {
+		time.Sleep(goneAfter)
+	}
+	c.Close()
+	// The client knows nothing of it, as if it had waited too long.
+	q.Ended = q.Sent.Add(q.Timeout + time.Nanosecond)
+}
+
+func extraOf(random *rand.Rand) string {
+	return fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\nX-Stoneworks-Request-Timeout-Ms: %d\r\n", random.Intn(keys), clientWaits.Milliseconds())
+}
+
+// prober asks the box for the paths of the newest configuration and of the one
+// before, in turn.
+func (r *run) prober(b *processes.Box, end time.Time) {
+	c := &machines.Client{Address: b.Clients()}
+	defer c.Close()
+	for n := 0; time.Now().Before(end); n++ {
+		newest := 0
+		r.note(func(h *History) { newest = h.Configurations[len(h.Configurations)-1].Version })
+		version := max(1, newest-n%2)
+		life, at := b.Life(), time.Now()
+		q := Request{
+			ID: newID(), Kind: "safe", Method: "GET", Target: markerRoute(version).Prefix, Box: b.IP, Life: life,
+			Timeout: time.Second + 200*time.Millisecond, Sent: at,
+		}
+		answer := c.Do(q.Method, q.Target, q.ID, "", "X-Stoneworks-Request-Timeout-Ms: 1000\r\n")
+		q.Ended = time.Now()
+		if answer.Problem != nil {
+			c.Close()
+		} else {
+			q.Status = answer.Status
+			q.Whole = answer.Status != http.StatusOK || answer.Body == machines.AnswerBody(q.ID)
+			q.Signed = answer.Header.Get("X-Stoneworks-Response-Signature") != ""
+		}
+		r.note(func(h *History) {
+			// It is no part of what is asked of the recovery.
+			if q.Status == http.StatusOK {
+				h.Requests = append(h.Requests, q)
+			} else {
+				h.Left = append(h.Left, q)
+			}
+			if life == b.Life() {
+				h.Probes = append(h.Probes, Probe{Box: b.IP, Life: life, Version: version, At: at, Status: q.Status})
+			}
+		})
+		time.Sleep(probePause)
+	}
+}
--- /dev/null
+++ b/test/soak/plan.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"math/rand"
+	"sort"
+	"time"
+)
+
+// ================================================================
+// What happens in a run: drawn from its seed alone, so that a seed replays.
+// ================================================================
+
+// Kind is a kind of fault or of planned work.
+type Kind string
+
+// The kinds. Those of boxes are signals from outside; those of links are done
+// by loopback proxies; those of the store and of servers by the stand-ins.
+const (
+	BoxStop      Kind = "box-stop"
+	BoxKill      Kind = "box-kill"
+	BoxPause     Kind = "box-pause"
+	BoxReload    Kind = "box-reload"
+	StoreBusy    Kind = "store-busy"
+	StoreMany    Kind = "store-many"
+	StoreSilent  Kind = "store-silent"
+	StoreReset   Kind = "store-reset"
+	StoreForgets Kind = "store-forgets"
+	StoreCut     Kind = "store-cut"
+	ServerDrain  Kind = "server-drain"
+	ServerCrash  Kind = "server-crash"
+	ServerReuse  Kind = "server-reuse"
+	ServerSpoils Kind = "server-spoils"
+	LinkDelay    Kind = "link-delay"
+	LinkReset    Kind = "link-reset"
+	LinkSilent   Kind = "link-silent"
+	LinkOneWay   Kind = "link-one-way"
+	Configure    Kind = "configure"
+	Evacuate     Kind = "evacuate"
+)
+
+// kinds lists all kinds; a plan draws from it.
+var kinds = []Kind{
+	BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
+	ServerDrain, ServerCrash, ServerReuse, ServerSpoils, LinkDelay, LinkReset, LinkSilent, LinkOneWay, Configure, Evacuate,
+}
+
+// Event is one thing that happens.
+type Event struct {
+	At   time.Duration
+	Kind Kind
+	// Target is the number of the box, server or zone that it strikes, modulo
+	// how many there are.
+	Target int
+	For    time.Duration
+}
+
+// Plan is all that happens in a run.
+type Plan struct {
+	Seed   int64
+	Boxes  int
+	Length time.Duration
+	Events []Event
+}
+
+// Bounds of a plan.
+const (
+	firstEvent   = 1 * time.Second
+	lastEvent    = 2500 * time.Millisecond // before the end
+	leastEvents  = 8
+	mostEvents   = 20
+	shortest     = 300 * time.Millisecond
+	longest      = 3500 * time.Millisecond
+	seriesShare  = 0.25
+	seriesPause  = 350 * time.Millisecond
+	seriesLength = 3
+)
+
+// NewPlan draws a plan. Events overlap, and some come in series.
+func NewPlan(seed int64, boxes int, length time.Duration) *Plan {
+	random := rand.New(rand.NewSource(seed))
+	p := &Plan{Seed: seed, Boxes: boxes, Length: length}
+	window := length - firstEvent - lastEvent
+	for range leastEvents + random.Intn(mostEvents-leastEvents) {
+		e := Event{
+			At:     firstEvent + time.Duration(random.Int63n(int64(window))),
+			Kind:   kinds[random.Intn(len(kinds))],
+			Target: random.Intn(1 << 16),
+			For:    shortest + time.Duration(random.Int63n(int64(longest-shortest))),
+		}
+		p.Events = append(p.Events, e)
+		if random.Float64() >= seriesShare {
+			continue
+		}
+		for i := 1; i < seriesLength; i++ {
+			e.At = min(e.At+seriesPause, length-lastEvent)
+			e.Target++
+			p.Events = append(p.Events, e)
+		}
+	}
+	sort.SliceStable(p.Events, func(i, j int) bool { return p.Events[i].At < p.Events[j].At })
+	return p
+}
--- /dev/null
+++ b/test/soak/soak.go
@@ -0,0 +1,270 @@
+// Package soak runs boxes as separate processes against stand-ins of the
+// users' machines, strikes them from outside while clients use them, and
+// checks what must always hold. What happens is drawn from a seed.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/test/faultproxy"
+	"github.com/stoneworks/stoneworks/test/machines"
+	"github.com/stoneworks/stoneworks/test/processes"
+)
+
+// The deployment of a run.
+const (
+	serversEach   = 2 // of each service in each zone
+	slots         = 4
+	work          = 15 * time.Millisecond
+	startTime     = 15 * time.Second
+	settleTime    = 3500 * time.Millisecond
+	recoveryTime  = 1500 * time.Millisecond
+	lateRunTime   = 300 * time.Millisecond
+	defaultLength = 14 * time.Second
+)
+
+var services = []string{"shop", "desk"}
+
+// Options are those of one run.
+type Options struct {
+	Bin string
+	// Dir takes settings and logs.
+	Dir string
+	// Network is the first three numbers of all addresses of the run.
+	Network string
+	Plan    *Plan
+	Out     io.Writer
+}
+
+// run is one run on its way.
+type run struct {
+	Options
+	recorder
+	fleet   *machines.Fleet
+	boxes   []*processes.Box
+	store   *faultproxy.Proxy
+	servers []*listedServer
+	random  *rand.Rand
+	version int
+	began   time.Time
+	// stopping: the run is over, and boxes that end are not started again.
+	stopping chan struct{}
+	striking conc.WaitGroup
+}
+
+// Run plays one plan and returns what was broken. The error says that the run
+// could not be played.
+func Run(o Options) ([]Violation, error) {
+	r := &run{Options: o, random: rand.New(rand.NewSource(o.Plan.Seed)), stopping: make(chan struct{})}
+	defer r.close()
+	if err := r.prepare(); err != nil {
+		return nil, err
+	}
+	r.play()
+	h := r.collect()
+	found := Judge(h)
+	fmt.Fprintf(o.Out, "seed %d: %d events, %d requests (%s), %d probes, %d broken\n",
+		o.Plan.Seed, len(o.Plan.Events), len(h.Requests), statuses(h), len(h.Probes), len(found))
+	return found, nil
+}
+
+// statuses counts the requests by their status; 0 stands for no answer.
+func statuses(h *History) string {
+	counts := map[int]int{}
+	for _, q := range h.Requests {
+		counts[q.Status]++
+	}
+	var parts []string
+	for _, status := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d: %d", status, counts[status]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (r *run) close() {
+	for _, b := range r.boxes {
+		b.End()
+	}
+	for _, s := range r.servers {
+		s.link.Clear()
+		s.link.Close()
+	}
+	if r.store != nil {
+		r.store.Clear()
+		r.store.Close()
+	}
+	if r.fleet != nil {
+		r.fleet.Close()
+	}
+}
+
+// prepare starts the store, the servers, the proxies and the boxes.
+func (r *run) prepare() (err error) {
+	if r.fleet, err = machines.NewFleet(r.Network, io.Discard); err != nil {
+		return err
+	}
+	if r.store, err = faultproxy.New(r.Network+".201:0", r.fleet.Store.Address); err != nil {
+		return err
+	}
+	r.store.KeepSource = true
+	for _, z := range machines.Zones {
+		for _, service := range services {
+			for range serversEach {
+				if err := r.addServer(service, z.Zone); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	r.configure()
+	options := processes.Options{
+		Bin: r.Bin, Dir: r.Dir, Network: r.Network, Store: r.store.Address(),
+		Drain: boundDrain, Contact: boundContact, Grace: boundGrace,
+	}
+	for i := range r.Plan.Boxes {
+		b, err := processes.NewBox(options, machines.Zones[i%len(machines.Zones)].Zone, i+1)
+		if err != nil {
+			return err
+		}
+		if err := b.Start(); err != nil {
+			return err
+		}
+		r.boxes = append(r.boxes, b)
+	}
+	for _, b := range r.boxes {
+		if err := b.WaitReady(startTime); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play strikes while clients send, then lets the system recover.
+func (r *run) play() {
+	r.began = time.Now()
+	end := r.began.Add(r.Plan.Length)
+	var clients conc.WaitGroup
+	r.startClients(&clients, end)
+	for _, e := range r.Plan.Events {
+		time.Sleep(time.Until(r.began.Add(e.At)))
+		r.strike(e)
+	}
+	clients.Wait()
+	r.striking.Wait()
+	for _, b := range r.boxes {
+		_ = b.WaitReady(startTime)
+	}
+	time.Sleep(settleTime)
+	r.recover()
+	close(r.stopping)
+	time.Sleep(lateRunTime)
+}
+
+// recover counts what is answered after all faults are over.
+func (r *run) recover() {
+	before := 0
+	r.note(func(h *History) { before = len(h.Requests) })
+	var clients conc.WaitGroup
+	r.startClients(&clients, time.Now().Add(recoveryTime))
+	clients.Wait()
+	r.note(func(h *History) {
+		for _, q := range h.Requests[before:] {
+			h.Recovery.Sent++
+			if q.Status == 200 {
+				h.Recovery.Answered++
+			}
+		}
+	})
+}
+
+// collect adds what servers saw.
+func (r *run) collect() *History {
+	h := &r.history
+	h.Runs = map[string][]machines.Run{}
+	h.Arrivals = map[string][]machines.Arrival{}
+	for id, s := range r.fleet.Servers {
+		h.Runs[id] = s.Runs()
+		h.Arrivals[id] = s.ArrivalLog()
+	}
+	return h
+}
+
+// ----------------------------------------------------------------
+// The program
+// ----------------------------------------------------------------
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("stoneworks-soak", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	bin := flags.String("bin", "bin", "where the programs are")
+	seed := flags.Int64("seed", 0, "play this seed only; 0 draws fresh ones")
+	runs := flags.Int("runs", 10, "how many fresh seeds to play, one after the other")
+	boxes := flags.Int("boxes", 6, "how many boxes to run")
+	length := flags.Duration("for", defaultLength, "how long clients send in each run")
+	network := flags.String("network", "127.94.0", "the first three numbers of all addresses")
+	plan := flags.Bool("plan", false, "print what happens, too")
+	if err := flags.Parse(args); err != nil {
+		return 2
+	}
+	seeds := []int64{*seed}
+	if *seed == 0 {
+		seeds = nil
+		for range *runs {
+			seeds = append(seeds, 1+rand.Int63n(1_000_000))
+		}
+	}
+	broken := 0
+	for _, s := range seeds {
+		p := NewPlan(s, *boxes, *length)
+		if *plan {
+			printPlan(stdout, p)
+		}
+		ok, err := playOne(p, *bin, *network, stdout)
+		if err != nil {
+			fmt.Fprintf(stderr, "seed %d: %v\n", s, err)
+			return 1
+		}
+		if !ok {
+			broken++
+		}
+	}
+	fmt.Fprintf(stdout, "soak: %d seeds, %d with a promise broken\n", len(seeds), broken)
+	if broken > 0 {
+		return 1
+	}
+	return 0
+}
+
+// playOne plays a seed. The logs of one that broke a promise are kept.
+func playOne(p *Plan, bin, network string, stdout io.Writer) (ok bool, err error) {
+	dir, err := os.MkdirTemp("", "stoneworks-soak-")
+	if err != nil {
+		return false, err
+	}
+	found, err := Run(Options{Bin: bin, Dir: dir, Network: network, Plan: p, Out: stdout})
+	if err == nil && len(found) == 0 {
+		return true, os.RemoveAll(dir)
+	}
+	for _, v := range found {
+		fmt.Fprintf(stdout, "BROKEN %s: %s\n", v.Check, v.Detail)
+	}
+	fmt.Fprintf(stdout, "logs in %s; again: make soak SEED=%d\n", dir, p.Seed)
+	return false, err
+}
+
+func printPlan(out io.Writer, p *Plan) {
+	for _, e := range p.Events {
+		fmt.Fprintf(out, "  %6.2f s  %-13s %d for %.1f s\n", e.At.Seconds(), e.Kind, e.Target%p.Boxes, e.For.Seconds())
+	}
+}
