--- a/pkg/upstream/upstream.go
+++ b/pkg/backend/backend.go
@@ -1,11 +1,11 @@
-// Package upstream chooses the backend server for each request. It has no
+// Package backend chooses the backend server for each request. It has no
 // input or output: it is told which servers there are, what they said of
 // their load and how exchanges ended, and answers with a Lease on one server.
 //
 // A request's affinity key has a home, found by rendezvous hashing, so that
 // all boxes send equal keys to the same server without talking to each other.
 // A home that is loaded passes the key on to its next home.
-package upstream
+package backend
 
 import (
 	"fmt"
@@ -82,7 +82,7 @@
 }
 
 // Error implements error.
-func (e *ChoiceError) Error() string { return fmt.Sprintf("upstream: %s: %s", e.Service, e.Reason) }
+func (e *ChoiceError) Error() string { return fmt.Sprintf("backend: %s: %s", e.Service, e.Reason) }
 
 // Request is what a choice looks at.
 type Request struct {
--- a/pkg/upstream/cold.go
+++ b/pkg/backend/cold.go
@@ -1,4 +1,4 @@
-package upstream
+package backend
 
 import (
 	"math"
@@ -10,8 +10,8 @@
 
 // mayWarm reports whether this box may send one more request to a cold
 // server. The bound holds for the sum over all boxes, which do not ask each
-// other: each has its part of it, and where there are more boxes than
-// requests, only the first in an order that the server's hash gives may send.
+// other: each has its part of it, and where that is less than one request
+// nobody may send.
 func (s *Set) mayWarm(v *server, now time.Time) bool {
 	part := s.coldPart(v)
 	if part < 1 {
--- a/pkg/upstream/spill.go
+++ b/pkg/backend/spill.go
@@ -1,4 +1,4 @@
-package upstream
+package backend
 
 import "time"
 
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -1,7 +1,7 @@
 // Package ingress is the request path of a box: it reads a client's request,
 // finds its route, chooses a backend server, sends the request there, and
 // passes the answer back. The decisions are those of packages routing,
-// upstream and retry; the wire to backend servers is package exchange's; what
+// backend and retry; the wire to backend servers is package exchange's; what
 // headers are called is a Dialect's. This package puts the steps in order and
 // says what a client may be told when one of them fails.
 package ingress
@@ -13,12 +13,12 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
 // Meta is what a client's headers say of a request.
@@ -30,26 +30,26 @@
 	Timeout time.Duration
 }
 
-// Verdict is what an upstream's headers say of its answer.
+// Verdict is what a backend server's headers say of its answer.
 type Verdict struct {
-	// NotRun: the upstream did not run the request and will not.
+	// NotRun: the backend server did not run the request and will not.
 	NotRun bool
-	// Stale: the upstream is not the one that was expected.
+	// Stale: the backend server is not the one that was expected.
 	Stale bool
-	// Signed: the answer is an upstream's own.
+	// Signed: the answer is a backend server's own.
 	Signed bool
 	// Load is what it said of its load, or nil.
-	Load *upstream.Load
+	Load *backend.Load
 }
 
 // Dialect names the headers of a deployment. All fields are needed.
 type Dialect struct {
 	// ReadRequest reads a client's headers; the error names a malformed one.
 	ReadRequest func(h http.Header) (Meta, error)
-	// WriteRequest sets the headers for an upstream: what is left of the time,
-	// and which upstream is expected.
-	WriteRequest func(h *fasthttp.RequestHeader, m *Meta, left time.Duration, server *upstream.Server)
-	// ReadAnswer reads an upstream's headers.
+	// WriteRequest sets the headers for a backend server: what is left of the time,
+	// and which backend server is expected.
+	WriteRequest func(h *fasthttp.RequestHeader, m *Meta, left time.Duration, server *backend.Server)
+	// ReadAnswer reads a backend server's headers.
 	ReadAnswer func(h *fasthttp.ResponseHeader) Verdict
 	// Belongs reports whether an answer is the one to the request.
 	Belongs func(h *fasthttp.ResponseHeader, m *Meta) bool
@@ -72,10 +72,10 @@
 	Closed  func() bool
 
 	Splitter *routing.Splitter
-	Set      *upstream.Set
+	Set      *backend.Set
 	Budget   *retry.Budget
-	// Pool returns the connections to an upstream.
-	Pool func(server *upstream.Server) *exchange.Pool
+	// Pool returns the connections to a backend server.
+	Pool func(server *backend.Server) *exchange.Pool
 	Now  func() time.Time
 	// Random returns a random number, for requests without a key.
 	Random func() uint64
@@ -90,7 +90,7 @@
 	// bufferedBody bounds a body that is held whole, so that it can be sent
 	// again; a larger one is passed on as it comes. In bytes.
 	bufferedBody = 1 << 20
-	// maxTries bounds how often one request looks for an upstream, those that
+	// maxTries bounds how often one request looks for a backend server, those that
 	// could not be reached included.
 	maxTries = 4
 	// leastTime is the least time that must be left to send a request.
@@ -129,7 +129,7 @@
 // step is one try, for the log.
 type step struct {
 	server  string
-	result  upstream.Result
+	result  backend.Result
 	home    int
 	busy    float64
 	remote  bool
@@ -186,7 +186,7 @@
 	c.service = c.route.Backends[s.Splitter.Pick(c.route)].Service
 	c.key = s.Random()
 	if c.route.SessionAffinity && meta.Key != "" {
-		c.key = upstream.Hash(c.route.Host, c.route.PathPrefix, meta.Key)
+		c.key = backend.Hash(c.route.Host, c.route.PathPrefix, meta.Key)
 	}
 	s.Budget.Request(c.service)
 	return nil
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
-	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
 // bufferedAnswer bounds an answer that is held whole before any of it is
@@ -18,7 +18,7 @@
 
 // receive reads the answer and passes it on. A large one is passed on while
 // it comes; if it breaks off, the client's connection does too.
-func (c *call) receive(lease *upstream.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
+func (c *call) receive(lease *backend.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
 	held, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswer+1))
 	if err != nil {
 		_ = answer.Body.Close()
@@ -27,7 +27,7 @@
 	c.copyHeader(answer)
 	if len(held) <= bufferedAnswer {
 		_ = answer.Body.Close()
-		c.finish(lease, upstream.Answered, verdict.Load, start, nil)
+		c.finish(lease, backend.Answered, verdict.Load, start, nil)
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(held)))
 		c.w.WriteHeader(answer.Header.StatusCode())
 		_, _ = c.w.Write(held)
@@ -48,7 +48,7 @@
 	return &exchange.Error{Stage: exchange.StageBody, Sent: true, Cause: err}
 }
 
-func (c *call) stream(lease *upstream.Lease, start time.Time, answer *exchange.Answer, held []byte, verdict Verdict) {
+func (c *call) stream(lease *backend.Lease, start time.Time, answer *exchange.Answer, held []byte, verdict Verdict) {
 	if answer.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.Itoa(answer.Length))
 	}
@@ -59,16 +59,16 @@
 	}
 	_ = answer.Body.Close()
 	if err != nil {
-		result := upstream.Broken
+		result := backend.Broken
 		if c.r.Context().Err() != nil {
-			result = upstream.Abandoned
+			result = backend.Abandoned
 		}
 		c.finish(lease, result, verdict.Load, start, err)
 		c.log("answer broke off", outcome.ReasonTruncated, http.StatusBadGateway)
 		// The only way to tell the client that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
-	c.finish(lease, upstream.Answered, verdict.Load, start, nil)
+	c.finish(lease, backend.Answered, verdict.Load, start, nil)
 	c.answered(answer.Header.StatusCode())
 }
 
@@ -127,7 +127,7 @@
 }
 
 // log writes the one line of a request: what came in, which configuration
-// decided, and each upstream that was tried with what was known of it.
+// decided, and each backend server that was tried with what was known of it.
 func (c *call) log(text string, reason outcome.Reason, status int) {
 	fields := map[string]any{
 		"request": c.meta.ID, "status": status, "took_ms": c.server.Now().Sub(c.start).Milliseconds(),
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -9,10 +9,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
 // hopByHop lists headers that concern one connection only.
@@ -63,15 +63,15 @@
 	return nil
 }
 
-func (c *call) choose() (*upstream.Lease, *outcome.Failure) {
-	lease, err := c.server.Set.Choose(&upstream.Request{
+func (c *call) choose() (*backend.Lease, *outcome.Failure) {
+	lease, err := c.server.Set.Choose(&backend.Request{
 		Service: c.service, Key: c.key, Heavy: c.route.Kind == routing.Upload, RegionAllowed: c.route.RegionAllowed, Tried: c.tried,
 	})
 	if err == nil {
 		return lease, nil
 	}
-	var choice *upstream.ChoiceError
-	if errors.As(err, &choice) && choice.Reason == upstream.Full {
+	var choice *backend.ChoiceError
+	if errors.As(err, &choice) && choice.Reason == backend.Full {
 		return nil, outcome.NewNotRun(outcome.ReasonNoCapacity, c.service).WithRetryAfter(c.comeBack())
 	}
 	return nil, outcome.NewNotRun(outcome.ReasonNoServer, c.service).WithRetryAfter(c.comeBack())
@@ -89,9 +89,9 @@
 	return soonest + time.Duration(c.server.Random()%uint64(latest-soonest))
 }
 
-// mayTryAgain reports whether the request may be sent to another upstream.
+// mayTryAgain reports whether the request may be sent to another backend server.
 // What was certainly not run may; what may have run only if it may run more
-// than once. A repeat that reaches an upstream is taken from the budget.
+// than once. A repeat that reaches a backend server is taken from the budget.
 func (c *call) mayTryAgain(f *outcome.Failure) bool {
 	if f.Reason == outcome.ReasonCancelled || !c.body.replayable() {
 		return false
@@ -100,7 +100,7 @@
 		return false
 	}
 	if c.sent == 0 {
-		// Nothing has reached an upstream, so this is no repeat.
+		// Nothing has reached a backend server, so this is no repeat.
 		return true
 	}
 	if c.sent >= max(1, c.route.MaxAttempts) {
@@ -114,8 +114,8 @@
 	return true
 }
 
-// try sends the request to one upstream and passes its answer on.
-func (c *call) try(lease *upstream.Lease) *outcome.Failure {
+// try sends the request to one backend server and passes its answer on.
+func (c *call) try(lease *backend.Lease) *outcome.Failure {
 	s := c.server
 	start := s.Now()
 	c.tried = append(c.tried, lease.ID)
@@ -134,47 +134,47 @@
 		return c.rejected(lease, start, answer, verdict)
 	case answer.Header.StatusCode() < 300 && !verdict.Signed:
 		_ = answer.Body.Close()
-		c.finish(lease, upstream.Broken, nil, start, nil)
+		c.finish(lease, backend.Broken, nil, start, nil)
 		return outcome.NewUnknown(outcome.ReasonMalformed, "a success without a signature")
 	}
 	return c.receive(lease, start, answer, verdict)
 }
 
-// rejected handles an upstream's word that it did not run the request.
-func (c *call) rejected(lease *upstream.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
+// rejected handles a backend server's word that it did not run the request.
+func (c *call) rejected(lease *backend.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
 	// The body is read so that the connection can be used again.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, 4<<10))
 	_ = answer.Body.Close()
-	result := upstream.Shed
+	result := backend.Shed
 	if verdict.Stale {
-		result = upstream.Stale
+		result = backend.Stale
 	}
 	c.finish(lease, result, verdict.Load, start, nil)
 	return outcome.NewNotRun(outcome.ReasonShed, lease.ID).WithRetryAfter(c.comeBack())
 }
 
 // failed says what may be told of an exchange that failed.
-func (c *call) failed(lease *upstream.Lease, start time.Time, err error) *outcome.Failure {
+func (c *call) failed(lease *backend.Lease, start time.Time, err error) *outcome.Failure {
 	sent := wasSent(err)
 	late := errors.Is(err, context.DeadlineExceeded)
 	gone := c.r.Context().Err() != nil
 	switch {
 	case gone:
-		c.finish(lease, upstream.Abandoned, nil, start, err)
+		c.finish(lease, backend.Abandoned, nil, start, err)
 	case isWithdrawn(err):
-		c.finish(lease, upstream.Withdrawn, nil, start, err)
+		c.finish(lease, backend.Withdrawn, nil, start, err)
 	case !sent:
-		c.finish(lease, upstream.Unreachable, nil, start, err)
+		c.finish(lease, backend.Unreachable, nil, start, err)
 	case late:
-		c.finish(lease, upstream.Late, nil, start, err)
+		c.finish(lease, backend.Late, nil, start, err)
 	default:
-		c.finish(lease, upstream.Broken, nil, start, err)
+		c.finish(lease, backend.Broken, nil, start, err)
 	}
 	return classify(sent, late, gone, err)
 }
 
 // wasSent reports whether any byte of the request may have reached the
-// upstream.
+// backend server.
 func wasSent(err error) bool {
 	var x *exchange.Error
 	return !errors.As(err, &x) || x.Sent
@@ -202,7 +202,7 @@
 }
 
 // request prepares the exchange.
-func (c *call) request(lease *upstream.Lease, now time.Time) *exchange.Request {
+func (c *call) request(lease *backend.Lease, now time.Time) *exchange.Request {
 	h := &fasthttp.RequestHeader{}
 	h.SetMethod(c.r.Method)
 	h.SetRequestURI(c.r.RequestURI)
@@ -256,12 +256,12 @@
 	return false
 }
 
-// finish ends the use of the upstream and notes it for the log.
-func (c *call) finish(lease *upstream.Lease, result upstream.Result, load *upstream.Load, start time.Time, err error) {
+// finish ends the use of the backend server and notes it for the log.
+func (c *call) finish(lease *backend.Lease, result backend.Result, load *backend.Load, start time.Time, err error) {
 	lease.Done(result, load)
-	c.server.Count("upstream." + result.String())
+	c.server.Count("backend." + result.String())
 	if lease.Remote {
-		c.server.Count("upstream.remote")
+		c.server.Count("backend.remote")
 	}
 	c.steps = append(c.steps, step{
 		server: lease.ID, result: result, home: lease.Home, busy: lease.Busy, remote: lease.Remote,
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -43,13 +43,13 @@
 	Timeout time.Duration `json:"timeout"`
 	// TargetLatency is the time within which an answer is worth most.
 	TargetLatency time.Duration `json:"target_latency"`
-	// MaxAttempts bounds the upstreams that one request is sent to.
+	// MaxAttempts bounds the backend servers that one request is sent to.
 	MaxAttempts int `json:"max_attempts"`
 	// Priority is the rank of the requests; 0 is highest.
 	Priority int `json:"priority"`
 	// AllowedRegions bounds where requests may run; empty allows all regions.
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
-	// SessionAffinity asks that equal keys go to the same upstream.
+	// SessionAffinity asks that equal keys go to the same backend server.
 	SessionAffinity bool `json:"session_affinity,omitempty"`
 }
 
@@ -59,14 +59,14 @@
 	Weight  float64 `json:"weight"`
 }
 
-// Service holds what all upstreams of one service have in common.
+// Service holds what all backend servers of one service have in common.
 type Service struct {
 	Name           string `json:"name"`
 	HealthPath     string `json:"health_path,omitempty"`
 	MaxConnections int    `json:"max_connections"`
-	// ColdStart is how long an upstream is cold after its start.
+	// ColdStart is how long a backend server is cold after its start.
 	ColdStart time.Duration `json:"cold_start"`
-	// ColdPerSecond is how many requests a second a cold upstream bears.
+	// ColdPerSecond is how many requests a second a cold backend server bears.
 	ColdPerSecond float64 `json:"cold_per_second"`
 }
 
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
+	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/directory"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
@@ -25,7 +26,6 @@
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
-	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
 // Adapter is what a platform's adapter brings.
@@ -36,7 +36,7 @@
 	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string)) *objects.Client
 	// Configuration, Server read objects of the store.
 	Configuration func(o objects.Object) (*routing.Configuration, error)
-	Server        func(o objects.Object) (upstream.Server, error)
+	Server        func(o objects.Object) (backend.Server, error)
 	// Dialect names the headers.
 	Dialect *ingress.Dialect
 	// Readiness and Directory serve the platform's and clients' questions.
@@ -59,7 +59,7 @@
 	Metrics  metrics.Registry
 
 	Members   *gossip.Table
-	Set       *upstream.Set
+	Set       *backend.Set
 	Budget    *retry.Budget
 	Directory *directory.Directory
 	Ingress   *ingress.Server
@@ -124,7 +124,7 @@
 	n.context, n.stop = context.WithCancel(context.Background())
 	n.seeds.Store(&s.Seeds)
 	n.newMembers(logging.For(logger, "members"))
-	n.newSet(logging.For(logger, "upstream"))
+	n.newSet(logging.For(logger, "backend"))
 	n.Budget = retry.NewBudget(retry.Terms{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
 	}, n.boxes, time.Now)
@@ -146,11 +146,20 @@
 	// is kept that vanished while the store could not be trusted. It must end
 	// within that time: the server may have left in truth.
 	forgetShare = 0.7
+	// entryReturn is within what the entry of a server that lives is back in
+	// the store, once that answers again.
+	entryReturn = 2 * time.Second
 	// settleTime is how long a box listens to others before it trusts its
 	// count of them.
 	settleTime = 4 * gossip.Interval
 )
 
+// forgetAfter is for how long a server is kept that vanished while the store
+// could not be trusted, given the time in which servers drain.
+func forgetAfter(drain time.Duration) time.Duration {
+	return min(entryReturn, time.Duration(forgetShare*float64(drain)))
+}
+
 // boxes returns among how many boxes shared bounds are divided.
 func (n *Node) boxes() int {
 	if time.Since(n.started) < settleTime {
@@ -174,11 +183,11 @@
 
 func (n *Node) newSet(log *logging.Part) {
 	b := n.Settings.Bounds
-	n.Set = upstream.NewSet(upstream.Terms{
+	n.Set = backend.NewSet(backend.Terms{
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
-		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: time.Duration(forgetShare * float64(b.Drain)),
+		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
 	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, time.Now)
-	n.Set.Changed = func(v upstream.Server, what string) {
+	n.Set.Changed = func(v backend.Server, what string) {
 		log.Info("server "+what, map[string]any{
 			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "cold_ms": v.Cold.Milliseconds(),
 		})
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -23,16 +23,16 @@
 // MetricTable is the one list of figures that a box tells on its metrics
 // address. docs/METRICS.md is made from it.
 var MetricTable = []Metric{
-	{"answered", "requests", "answered by an upstream"},
+	{"answered", "requests", "answered by a backend server"},
 	{"failed.REASON", "requests", "answered by the box itself, by reason; callers.md lists them"},
 	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
-	{"retry.sent", "requests", "sent to a second upstream after a first had got them"},
+	{"retry.sent", "requests", "sent to a second backend server after a first had got them"},
 	{"retry.denied", "requests", "not sent again, since the budget was spent"},
 	{"store.list", "calls", "lists asked of the store, page by page"},
 	{"store.watch", "calls", "watches asked of the store"},
-	{"upstream.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, broken, late, stale, abandoned, withdrawn"},
-	{"upstream.connections", "connections", "opened to upstreams"},
-	{"upstream.remote", "exchanges", "with upstreams of other regions"},
+	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, broken, late, stale, abandoned, withdrawn"},
+	{"backend.connections", "connections", "opened to backend servers"},
+	{"backend.remote", "exchanges", "with backend servers of other regions"},
 }
 
 // quantiles are those told of times.
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -13,9 +13,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
 // HTTPHandler serves HTTP.
@@ -265,20 +265,20 @@
 	return n.dialer().DialContext(ctx, "tcp4", address)
 }
 
-func (n *Node) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
-	metrics.GetOrRegisterCounter("upstream.connections", n.Metrics).Inc(1)
+func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) {
+	metrics.GetOrRegisterCounter("backend.connections", n.Metrics).Inc(1)
 	return n.dialPeer(ctx, address)
 }
 
 // pool returns the connections to a backend server. Each life of a server has
 // its own, so that no connection to an earlier one at the address is used.
-func (n *Node) pool(v *upstream.Server) *exchange.Pool {
+func (n *Node) pool(v *backend.Server) *exchange.Pool {
 	key := v.ID + " " + v.Address
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.pools[key]
 	if p == nil {
-		p = exchange.NewPool(v.Address, idleConnections, n.dialUpstream)
+		p = exchange.NewPool(v.Address, idleConnections, n.dialServer)
 		n.pools[key] = p
 	}
 	return p
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -6,11 +6,11 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/upstream"
 )
 
 // idleWatch is how long a watch may go without news where another one notices
@@ -144,9 +144,9 @@
 		log.Warn("configuration refused", map[string]any{"version": c.Version, "error": err.Error()})
 		return
 	}
-	terms := map[string]upstream.ServiceTerms{}
+	terms := map[string]backend.ServiceTerms{}
 	for _, s := range c.Services {
-		terms[s.Name] = upstream.ServiceTerms{ColdStart: s.ColdStart, ColdPerSecond: s.ColdPerSecond}
+		terms[s.Name] = backend.ServiceTerms{ColdStart: s.ColdStart, ColdPerSecond: s.ColdPerSecond}
 	}
 	n.Set.SetServices(terms)
 	n.table.Store(t)
--- a/pkg/steering/steering_test.go
+++ b/pkg/steering/steering_test.go
@@ -42,3 +42,9 @@
 	is.Equal(capacityOf(settings.Machine{Cores: 0.5}), 1000.0)
 	is.Equal(capacityOf(settings.Machine{}), 0.0)
 }
+
+func TestVanishedServersAreKeptNoLongerThanTheirEntriesNeed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(forgetAfter(2500*time.Millisecond), 1750*time.Millisecond)
+	is.Equal(forgetAfter(4*time.Second), 2*time.Second)
+}
--- a/test/machines/walks_test.go
+++ b/test/machines/walks_test.go
@@ -50,7 +50,7 @@
 				f.List(s, "shop", "east-a", "draining", 0)
 				waitFor(func() bool { return !f.Boxes[0].Set.HasServers() })
 			},
-			causes: []string{"upstream: server draining", "request: not answered", "reason=no_backend_server"},
+			causes: []string{"backend: server draining", "request: not answered", "reason=no_backend_server"},
 		},
 		{
 			name: "unknown", target: "/buy/1", status: 502,
