A slow server is found to have recovered; a choice without sorting

Cause: a server that is much slower than its group rests, and gets one request after each rest. That request was counted as used up by any choice that looked at the server, though it went to another home, so a server that had been slow got nothing for about as many rests as there are servers. Besides, each choice made a list of all servers on the heap, sorted it, and counted the regions' slots anew. Ruled out: that recovery is too seldom tried (every 4 s, by each box). Change: the rest begins when the request is sent there. The homes are picked without sorting, the typical latency is kept for 100 ms, the regions' slots until a server changes. Figures: TestSlowServerIsFoundToHaveRecovered fails before, holds after.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -47,6 +46,8 @@
 	score uint64
 	busy  float64
 	cold  bool
+	// slow: the request would find out whether the server has recovered.
+	slow bool
 	// tried: the request was already sent to it. It keeps its place, so that
 	// what a busy home refuses does not go to a server that is no home.
 	tried bool
@@ -77,23 +78,25 @@
 }
 
 // candidates returns the servers of the region in which the key has its home,
-// and all others, each in the order of the key's homes.
-func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []*candidate) {
+// and all others, each with the key's homes first, in their order. The lists
+// are good until the next call.
+func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []candidate) {
 	share := s.localShareOf(g, r, now)
 	stays := fraction(mix(r.Key+1)) < g.shareOfKind(share, r.Heavy)
-	typical := g.typicalLatency()
+	typical := g.typicalLatency(now)
+	near, far = s.near[:0], s.far[:0]
 	for _, v := range g.servers {
 		if !s.usable(v) || !r.RegionAllowed(v.region) {
 			continue
 		}
-		c := &candidate{
-			server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(now),
+		c := candidate{
+			server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(now), slow: v.health.slow(typical),
 			cold: now.Before(v.coldUntil), tried: slices.Contains(r.Tried, v.ID),
 		}
 		if c.cold && !s.mayWarm(v, now) {
 			continue
 		}
-		if s.avoid(v, typical, now) || c.cold {
+		if v.health.resting(now) || c.cold {
 			// Last in the order, but better than nothing.
 			c.score = 0
 			c.busy += float64(v.Slots) * fullBound
@@ -104,38 +107,50 @@
 			far = append(far, c)
 		}
 	}
-	byHome(near)
-	byHome(far)
+	s.near, s.far = near, far
+	homesFirst(near)
+	homesFirst(far)
 	if r.Heavy {
 		s.zoneFirst(near)
 	}
 	return near, far
 }
 
+// homesFirst puts the key's homes at the front, in their order. The rest of
+// the list, which may be long, needs none.
+func homesFirst(list []candidate) {
+	for place := range min(homes, len(list)) {
+		best := place
+		for i := place + 1; i < len(list); i++ {
+			if list[i].score > list[best].score {
+				best = i
+			}
+		}
+		list[place], list[best] = list[best], list[place]
+	}
+}
+
 // zoneFirst puts the first home in this box's zone before the others, so that
 // the body stays in the zone, unless all slots of that home are taken and the
 // region's first home is less loaded.
-func (s *Set) zoneFirst(list []*candidate) {
-	for i, c := range list {
-		if c.Zone != s.Zone || c.score == 0 {
-			continue
-		}
-		if c.fill() >= 1 && list[0].fill() < c.fill() {
-			return
+func (s *Set) zoneFirst(list []candidate) {
+	at := -1
+	for i := range list {
+		if list[i].Zone == s.Zone && list[i].score > 0 && (at < 0 || list[i].score > list[at].score) {
+			at = i
 		}
-		copy(list[1:i+1], list[:i])
-		list[0] = c
+	}
+	if at < 0 || list[at].fill() >= 1 && list[0].fill() < list[at].fill() {
 		return
 	}
-}
-
-func byHome(list []*candidate) {
-	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
+	c := list[at]
+	copy(list[1:at+1], list[:at])
+	list[0] = c
 }
 
 // pick takes one of the key's homes, or where these are full, one elsewhere
 // that is idle enough to do the work although it does not know the key.
-func (s *Set) pick(near, far []*candidate, now time.Time) (best *candidate, place int) {
+func (s *Set) pick(near, far []candidate, now time.Time) (best *candidate, place int) {
 	best, place = pickHome(near)
 	if best != nil && best.fill() < fullBound {
 		return best, place
@@ -151,8 +166,9 @@
 }
 
 // pickHome takes the first home unless it is loaded and the next is less so.
-func pickHome(list []*candidate) (best *candidate, place int) {
-	for i, c := range list[:min(len(list), homes)] {
+func pickHome(list []candidate) (best *candidate, place int) {
+	for i := range list[:min(len(list), homes)] {
+		c := &list[i]
 		if c.tried {
 			continue
 		}
@@ -167,34 +183,26 @@
 	return best, place
 }
 
-// avoid reports whether the server should rest: it failed lately, or is much
-// slower than its group.
-func (s *Set) avoid(v *server, typical time.Duration, now time.Time) bool {
-	if v.health.resting(now) {
-		return true
-	}
-	slow := v.health.answers >= 3 && v.health.latency > max(slowFloor, slowFactor*typical)
-	if !slow {
-		return false
-	}
-	// It gets one request after each rest, to see whether it has recovered.
-	v.health.restUntil = now.Add(slowRest)
-	return false
-}
+// typicalEvery is how often the typical latency of a group is worked out anew.
+const typicalEvery = 100 * time.Millisecond
 
 // typicalLatency is the median of the servers' moving averages.
-func (g *group) typicalLatency() time.Duration {
+func (g *group) typicalLatency(now time.Time) time.Duration {
+	if now.Sub(g.typicalAt) < typicalEvery {
+		return g.typical
+	}
 	list := make([]time.Duration, 0, len(g.servers))
 	for _, v := range g.servers {
 		if v.health.latency > 0 {
 			list = append(list, v.health.latency)
 		}
 	}
-	if len(list) == 0 {
-		return 0
+	g.typical, g.typicalAt = 0, now
+	if len(list) > 0 {
+		slices.Sort(list)
+		g.typical = list[len(list)/2]
 	}
-	slices.Sort(list)
-	return list[len(list)/2]
+	return g.typical
 }
 
 func (s *Set) lease(c *candidate, place int, now time.Time) *Lease {
@@ -203,6 +211,10 @@
 	if c.cold {
 		v.coldSends = append(v.coldSends, now)
 	}
+	if c.slow {
+		// It gets one request after each rest, to see whether it has recovered.
+		v.health.restUntil = now.Add(slowRest)
+	}
 	return &Lease{
 		Server: v.Server, Remote: v.region != s.Region, Cold: c.cold, Home: place, Busy: c.busy,
 		set: s, server: v, start: now,
@@ -252,6 +264,9 @@
 	case Withdrawn:
 	case Stale:
 		v.stale = true
+		if v.group != nil {
+			v.group.changed = true
+		}
 		s.Changed(v.Server, "stale")
 	}
 	if rests {
--- a/pkg/backend/health.go
+++ b/pkg/backend/health.go
@@ -24,7 +24,9 @@
 	// server must take to count as slow, and slowFloor how long at least. What
 	// is compared is the time without that of waiting for a slot.
 	slowFactor = 3
-	slowFloor  = 300 * time.Millisecond
+	// leastAnswers is how many answers make a latency.
+	leastAnswers = 3
+	slowFloor    = 300 * time.Millisecond
 	// slowRest is for how long a slow server gets nothing before it is tried
 	// with one request. All boxes try it.
 	slowRest = 4 * time.Second
@@ -76,6 +78,11 @@
 	h.latency += time.Duration(weight * float64(latency-h.latency))
 }
 
+// slow reports whether the server is much slower than is typical of its group.
+func (h *health) slow(typical time.Duration) bool {
+	return h.answers >= leastAnswers && h.latency > max(slowFloor, slowFactor*typical)
+}
+
 // failed takes in a failure of some weight and reports whether the server
 // rests from now on.
 func (h *health) failed(now time.Time, weight int) bool {
--- a/pkg/backend/region.go
+++ b/pkg/backend/region.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // shareStep is how much of a region's keys may move to or from other regions
 // in a second, as a part of the cap on shifts. A shift is judged over windows
@@ -18,12 +22,12 @@
 // localShareOf returns the share of this region's keys that stay in the
 // region, among the regions that are allowed.
 func (s *Set) localShareOf(g *group, r *Request, now time.Time) float64 {
-	slots, own, regions := s.slotsByRegion(g, r)
+	mean, own, regions := s.slotsOf(g, r)
 	if regions == "" {
 		return 1
 	}
 	target := 1.0
-	if mean := slots.total / float64(slots.regions); own < mean {
+	if own < mean {
 		target = own / mean
 	}
 	l := g.locals[regions]
@@ -59,34 +63,47 @@
 	return (share - g.heavy*heavyShare) / (1 - min(g.heavy, 0.99))
 }
 
-// regionSlots sums up the slots of regions.
+// regionSlots is how many slots the servers of a region have that may get
+// requests.
 type regionSlots struct {
-	total   float64
-	regions int
+	region string
+	slots  float64
 }
 
-// slotsByRegion returns the slots of all allowed regions, those of this
-// region, and a name for the set of regions.
-func (s *Set) slotsByRegion(g *group, r *Request) (all regionSlots, own float64, regions string) {
-	seen := map[string]float64{}
-	order := []string{}
+// countSlots works out the slots of each region.
+func (s *Set) countSlots(g *group) {
+	g.changed = false
+	slots := map[string]float64{}
 	for _, v := range g.servers {
-		if !r.RegionAllowed(v.region) {
-			continue
-		}
-		if _, ok := seen[v.region]; !ok {
-			order = append(order, v.region)
+		if s.usable(v) {
+			slots[v.region] += float64(v.Slots)
+		} else {
+			slots[v.region] += 0
 		}
-		if !s.usable(v) {
-			seen[v.region] += 0
+	}
+	g.regions = g.regions[:0]
+	for _, region := range slices.Sorted(maps.Keys(slots)) {
+		g.regions = append(g.regions, regionSlots{region, slots[region]})
+	}
+}
+
+// slotsOf returns the mean of the slots of the allowed regions, the slots of
+// this region, and a name for the set of regions.
+func (s *Set) slotsOf(g *group, r *Request) (mean, own float64, regions string) {
+	if g.changed {
+		s.countSlots(g)
+	}
+	total, count := 0.0, 0.0
+	for _, e := range g.regions {
+		if !r.RegionAllowed(e.region) {
 			continue
 		}
-		seen[v.region] += float64(v.Slots)
-		all.total += float64(v.Slots)
-	}
-	all.regions = len(order)
-	for _, region := range order {
-		regions += region + " "
+		total += e.slots
+		count++
+		regions += e.region + " "
+		if e.region == s.Region {
+			own = e.slots
+		}
 	}
-	return all, seen[s.Region], regions
+	return total / max(1, count), own, regions
 }
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -43,7 +43,9 @@
 	// Changed is told what the set came to believe of a server.
 	Changed func(server Server, what string)
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// near and far are the room of candidates.
+	near, far []candidate
 	servers   map[string]*server
 	services  map[string]*group
 	evacuated map[string]bool
@@ -74,7 +76,14 @@
 type group struct {
 	service string
 	servers []*server
+	// regions are the regions of its servers by name, to be counted anew if
+	// changed is true.
+	regions []regionSlots
+	changed bool
 	locals  map[string]*localShare
+	// typical is the typical latency as of typicalAt.
+	typical   time.Duration
+	typicalAt time.Time
 	// heavy is the share of heavy requests, as a moving average.
 	heavy float64
 }
@@ -150,6 +159,7 @@
 	old.region = s.RegionOf(v.Zone)
 	old.missing = time.Time{}
 	s.join(old)
+	old.group.changed = true
 }
 
 // heat works out until when a server is cold. What is told may have been on
@@ -198,6 +208,7 @@
 			break
 		}
 	}
+	v.group.changed = true
 	v.group = nil
 }
 
@@ -245,6 +256,9 @@
 		}
 	}
 	s.evacuated = evacuated
+	for _, g := range s.services {
+		g.changed = true
+	}
 }
 
 // List returns the servers that are listed, by ID.
--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -309,3 +309,46 @@
 	}
 	is.True(last > 0.3) // it does rise
 }
+
+// TestSlowServerIsFoundToHaveRecovered is the failure in which a server that
+// had been slow got nothing any more: its one request after each rest was
+// counted as used up by requests that went elsewhere.
+func TestSlowServerIsFoundToHaveRecovered(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 6, 4), true)
+	const slowServer = "east-a-0"
+	play := func(length, slowTook time.Duration) (atSlow int) {
+		for end := c.at.Add(length); c.at.Before(end); c.advance(20 * time.Millisecond) {
+			lease, err := choose(s, Hash(fmt.Sprint(c.at.UnixNano())))
+			is.NoErr(err)
+			took := 200 * time.Millisecond
+			if lease.ID == slowServer {
+				atSlow++
+				took = slowTook
+			}
+			// The answer comes at once, but tells of the time that it took.
+			lease.start = lease.start.Add(-took)
+			lease.Done(Answered, nil)
+		}
+		return atSlow
+	}
+	is.True(play(2*time.Second, 200*time.Millisecond) > 5)
+	atSlow := play(12*time.Second, 3*time.Second)
+	is.True(atSlow < 20) // of 600, 100 of them with their home there
+	play(10*time.Second, 200*time.Millisecond)
+	is.True(play(4*time.Second, 200*time.Millisecond) > 10) // of 200
+}
+
+func BenchmarkChooseAmongMany(b *testing.B) {
+	s, _ := newTestSet(1)
+	s.Replace(append(servers("east-a", 120, 6), servers("west-a", 250, 6)...), true)
+	b.ReportAllocs()
+	for i := range b.N {
+		lease, err := choose(s, Hash(fmt.Sprint(i%300)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		lease.Done(Answered, nil)
+	}
+}
