Forgotten connections shorten the rest; a box that wakes sends nothing on old grants

Where backend servers forget idle connections sooner than they say, a request that may run only once and meets such a connection ends in 502: it was sent, and nothing tells that it did not run. Change: a box learns from a connection that breaks right after a request was sent on it for how long connections may rest, for ten seconds and for requests that may run only once.

A box asked whether it had stood still before it took or opened a connection, and trusted a context to notice its deadline: one that wakes runs on before its timers have. And its own tick, spawned before the freeze, could run after it and make it look awake. Change: asked right before the first byte is written; deadlines are compared with the clock; the timer service's silence falls only after a pause was told. TestNothingIsSentAfterTheDeadline and TestSilenceFallsOnlyAfterAPauseWasTold fail before.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -76,7 +76,6 @@
 	// confirmed is false while this box may not use its part of the slots,
 	// because the process stood still and others may have taken it over.
 	confirmed atomic.Bool
-	lastTick  atomic.Int64
 	// hadExcess is set while this box is above its part of some server.
 	hadExcess atomic.Bool
 	// asked is set when other boxes were asked for their configuration.
@@ -165,7 +164,6 @@
 	b.Entry = b.newEntry()
 	b.operators = b.newOperators()
 	b.confirmed.Store(true)
-	b.lastTick.Store(int64(b.age()))
 	b.refreshSelf()
 	b.rebuild()
 	return b
--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -17,7 +17,6 @@
 	probeEvery   = time.Second
 	planEvery    = 250 * time.Millisecond
 	expireEvery  = 10 * time.Second
-	tickEvery    = 100 * time.Millisecond
 	// standstill is how long the timers may have been silent before the box
 	// distrusts its own part of the slots.
 	standstill = 1500 * time.Millisecond
@@ -86,7 +85,6 @@
 		b.log.Debug("peer did not answer", map[string]any{"address": address, "error": err})
 	}
 	b.Timers.OnPause(b.stoodStill)
-	b.Timers.Every(tickEvery, func() { b.lastTick.Store(int64(b.age())) })
 	b.Timers.Every(peer.Beat, b.beat)
 	b.Timers.Every(rebuildEvery, b.rebuild)
 	b.Timers.Every(planEvery, b.plan)
@@ -182,14 +180,13 @@
 		b.sleep(b.context, rebuildEvery)
 	}
 	b.rebuild()
-	b.lastTick.Store(int64(b.age()))
 	b.confirmed.Store(true)
 	b.log.Info("part of the slots confirmed", nil)
 }
 
 // maySend reports whether this box's part of the slots is certainly its own.
 func (b *Box) maySend() bool {
-	return b.confirmed.Load() && b.age()-time.Duration(b.lastTick.Load()) < standstill
+	return b.Timers.Silence() < standstill && b.confirmed.Load()
 }
 
 // ----------------------------------------------------------------
--- a/pkg/entry/entry_local.go
+++ b/pkg/entry/entry_local.go
@@ -47,10 +47,6 @@
 			permit.Release(admission.Broken)
 		}
 	}()
-	if !e.MaySend() {
-		permit.Release(admission.Unused)
-		return nil, outcome.NewNotRun(outcome.ReasonNotReady, "this box stood still; its part of the slots is being confirmed").WithRetryAfter(time.Second)
-	}
 	h := r.outgoing(e.Now(), r.Path)
 	h.SetHost(permit.Server.Address)
 	idle := idleOnce
@@ -58,7 +54,15 @@
 		idle = idleRepeatable
 	}
 	pool := e.ServerPool(permit.Server.Address, permit.Server.Share)
-	got, err := pool.Do(r.ctx, r.exchangeRequest(h, idle))
+	x := r.exchangeRequest(h, idle)
+	// Asked as late as can be: the box may stand still at any moment.
+	x.Wanted = e.MaySend
+	got, err := pool.Do(r.ctx, x)
+	var withdrawn *exchange.WithdrawnError
+	if errors.As(err, &withdrawn) {
+		permit.Release(admission.Unused)
+		return nil, outcome.NewNotRun(outcome.ReasonNotReady, "this box stood still; its part of the slots is being confirmed").WithRetryAfter(time.Second)
+	}
 	if err != nil {
 		return nil, e.failed(r, permit, err)
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -69,6 +69,9 @@
 	// MaxIdle is the longest time for which a connection that is used again
 	// may have been idle. The other side may just be closing it.
 	MaxIdle time.Duration
+	// Once: the request may run only once, so that it must not meet a
+	// connection that the other side has forgotten; see IdleLimit.
+	Once bool
 	// Match reports whether an answer belongs to this request; nil takes any.
 	// An answer that does not is read to its end and left out.
 	Match func(*fasthttp.ResponseHeader) bool
@@ -101,6 +104,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdleConns bounds the connections kept for another exchange.
 	MaxIdleConns int
+	// Idle learns for how long connections may rest; nil learns nothing.
+	Idle *IdleLimit
 	// Reusable reports whether a connection may carry another exchange after
 	// one that ended so; Quiet whether it is still fit for it later. Both are
 	// seams for tests.
@@ -149,7 +154,9 @@
 	// keepAlive is for how long the other side keeps the connection idle, 0
 	// if it did not say.
 	keepAlive time.Duration
-	used      bool
+	// used: it has carried an exchange before, and then rested for rested.
+	used   bool
+	rested time.Duration
 }
 
 // keepAliveMargin is how much sooner than the other side this side gives an
@@ -193,6 +200,7 @@
 		}
 		if c.fresh(maxIdle) && p.Quiet(c.Conn) {
 			c.used = true
+			c.rested = time.Since(c.idleSince)
 			c.written = 0
 			return c, nil
 		}
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -27,7 +27,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Stage: StageConnect, Cause: err}
 	}
-	c, err := p.get(ctx, req.MaxIdle)
+	maxIdle := req.MaxIdle
+	if req.Once {
+		maxIdle = p.Idle.Bound(maxIdle)
+	}
+	c, err := p.get(ctx, maxIdle)
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Cause: err}
 	}
@@ -40,10 +44,14 @@
 		x.abort = req.AbortStream
 	}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
-	answer, err := x.start(req)
-	if err != nil {
+	sent := time.Now()
+	answer, failure := x.start(req)
+	if failure != nil {
+		if forgotten(c, failure, time.Since(sent)) {
+			p.Idle.Lost(c.rested)
+		}
 		x.end(false)
-		return nil, err
+		return nil, failure
 	}
 	return answer, nil
 }
@@ -70,8 +78,8 @@
 	x.abort()
 }
 
-func (x *running) start(req *Request) (*Answer, error) {
-	if err := x.ctx.Err(); err != nil {
+func (x *running) start(req *Request) (*Answer, *Error) {
+	if err := ended(x.ctx); err != nil {
 		// The process may have stood still since the connection was taken.
 		return nil, &Error{Stage: StageSend, Cause: err}
 	}
@@ -88,6 +96,18 @@
 	return answer, nil
 }
 
+// ended returns why the context has ended, nil if it has not. In a process that
+// wakes from a freeze, a context may not have noticed that its time is over.
+func ended(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // keepAliveOf returns the idle time that the other side announces, or 0.
 func keepAliveOf(h *fasthttp.ResponseHeader) time.Duration {
 	_, rest, found := strings.Cut(string(h.Peek("Keep-Alive")), "timeout=")
--- /dev/null
+++ b/pkg/exchange/exchange_test.go
@@ -0,0 +1,230 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+)
+
+// scripted is a connection that answers what it was given, and fails to write
+// after so many bytes.
+type scripted struct {
+	net.Conn
+	answer io.Reader
+	// room is how many bytes may be written; -1 for any number.
+	room   int
+	wrote  int
+	closed bool
+}
+
+var errBroken = errors.New("the connection broke")
+
+func (c *scripted) Read(p []byte) (int, error) { return c.answer.Read(p) }
+
+func (c *scripted) Write(p []byte) (int, error) {
+	if c.room >= 0 && c.wrote+len(p) > c.room {
+		n := max(0, c.room-c.wrote)
+		c.wrote += n
+		return n, errBroken
+	}
+	c.wrote += len(p)
+	return len(p), nil
+}
+
+func (c *scripted) Close() error                    { c.closed = true; return nil }
+func (c *scripted) SetDeadline(time.Time) error     { return nil }
+func (c *scripted) SetReadDeadline(time.Time) error { return nil }
+
+func poolOf(conns ...net.Conn) *Pool {
+	return NewPool("nowhere", len(conns), func(context.Context, string) (net.Conn, error) {
+		if len(conns) == 0 {
+			return nil, errBroken
+		}
+		c := conns[0]
+		conns = conns[1:]
+		return c, nil
+	})
+}
+
+func newRequest(body string) *Request {
+	h := &fasthttp.RequestHeader{}
+	h.SetMethod("POST")
+	h.SetRequestURI("/x")
+	h.SetHost("a.example")
+	return &Request{Header: h, Body: []byte(body), MaxIdle: time.Minute}
+}
+
+// TestOutcomeByBytesSent: Sent is false only if not one byte left, however far
+// the writing came.
+func TestOutcomeByBytesSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.IntRange(0, 20_000).Draw(t, "room")
+		body := rapid.IntRange(0, 20_000).Draw(t, "body")
+		c := &scripted{answer: bytes.NewReader(nil), room: room}
+		_, err := poolOf(c).Do(context.Background(), newRequest(string(make([]byte, body))))
+		var failure *Error
+		if !errors.As(err, &failure) {
+			t.Fatalf("%v", err)
+		}
+		if failure.Sent != (c.wrote > 0) {
+			t.Fatalf("sent=%t after %d bytes", failure.Sent, c.wrote)
+		}
+		if !c.closed {
+			t.Fatal("a connection with half a request on it is kept")
+		}
+	})
+}
+
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	c := &scripted{answer: bytes.NewReader(nil), room: -1}
+	pool := poolOf(c)
+	dial := pool.Dial
+	pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(30 * time.Millisecond)
+		return dial(ctx, address)
+	}
+	ctx, cancel := context.WithDeadline(neverEnding{}, time.Now().Add(10*time.Millisecond))
+	defer cancel()
+	_, err := pool.Do(lateContext{ctx}, newRequest(""))
+	var failure *Error
+	is.True(errors.As(err, &failure))
+	is.True(!failure.Sent)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.Equal(c.wrote, 0)
+}
+
+// neverEnding is a context without an end of its own.
+type neverEnding struct{ context.Context }
+
+func (neverEnding) Deadline() (time.Time, bool) { return time.Time{}, false }
+func (neverEnding) Done() <-chan struct{}       { return nil }
+func (neverEnding) Err() error                  { return nil }
+func (neverEnding) Value(any) any               { return nil }
+
+// lateContext is a context whose end is not noticed yet, as in a process that
+// wakes from a freeze before its timers have run.
+type lateContext struct{ context.Context }
+
+func (lateContext) Err() error            { return nil }
+func (lateContext) Done() <-chan struct{} { return nil }
+
+// FuzzAnswer: whatever bytes come, an answer that is read to its end has the
+// length that was announced, and a connection is kept only after such a one
+// with nothing behind it.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nto the end"))
+	f.Add([]byte("these bytes are no answer\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c := &scripted{answer: bytes.NewReader(text), room: -1}
+		pool := poolOf(c)
+		answer, err := pool.Do(context.Background(), newRequest(""))
+		if err != nil {
+			if !c.closed {
+				t.Fatal("kept after a failure")
+			}
+			return
+		}
+		got, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if err == nil && answer.Length >= 0 && len(got) != answer.Length {
+			t.Fatalf("%d bytes of %d make a whole answer", len(got), answer.Length)
+		}
+		if err != nil && !c.closed {
+			t.Fatal("kept after a body that broke off")
+		}
+		if !c.closed && (answer.Length < 0 && answer.Header.ContentLength() != -1) {
+			t.Fatal("kept after an answer that ends with its connection")
+		}
+	})
+}
+
+// TestForgottenConnectionsShortenTheRest: after a connection that was found
+// forgotten, a request that may run only once uses none that rested as long.
+func TestForgottenConnectionsShortenTheRest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	server := &forgetful{after: 80 * time.Millisecond}
+	go server.serve(l)
+	pool := NewPool(l.Addr().String(), 4, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	})
+	// The other side's end is not seen before the next request is sent.
+	pool.Quiet = func(net.Conn) bool { return true }
+	pool.Idle = NewIdleLimit(time.Now)
+	failed := 0
+	for range 6 {
+		r := newRequest("")
+		r.Once = true
+		answer, err := pool.Do(context.Background(), r)
+		if err != nil {
+			failed++
+			continue
+		}
+		_, _ = io.ReadAll(answer.Body)
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.Equal(failed, 1) // the first that met one; then they are not used
+}
+
+func TestIdleLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := NewIdleLimit(func() time.Time { return now })
+	is.Equal(l.Bound(4*time.Second), 4*time.Second)
+	l.Lost(time.Second)
+	is.Equal(l.Bound(4*time.Second), 500*time.Millisecond)
+	l.Lost(3 * time.Second) // says nothing new
+	is.Equal(l.Bound(4*time.Second), 500*time.Millisecond)
+	l.Lost(time.Millisecond)
+	is.Equal(l.Bound(4*time.Second), leastIdle)
+	now = now.Add(lostCounts)
+	is.Equal(l.Bound(4*time.Second), 4*time.Second)
+	var none *IdleLimit
+	none.Lost(time.Second)
+	is.Equal(none.Bound(time.Second), time.Second)
+}
+
+// forgetful is a server that closes connections that rest.
+type forgetful struct {
+	after time.Duration
+	mu    sync.Mutex
+}
+
+func (s *forgetful) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			buffer := make([]byte, 4096)
+			for {
+				_ = c.SetReadDeadline(time.Now().Add(s.after))
+				if n, err := c.Read(buffer); n == 0 || err != nil {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(2)+"\r\n\r\nok")
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/pkg/exchange/idle.go
@@ -0,0 +1,79 @@
+package exchange
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Tuning of IdleLimit.
+const (
+	// lostWithin is how soon after a request was sent its connection must break
+	// to count as one that the other side had forgotten; a server that fails
+	// while it works takes longer as a rule.
+	lostWithin = 250 * time.Millisecond
+	// lostShare is which part of the idle time of a forgotten connection
+	// others may rest from then on.
+	lostShare = 0.5
+	// lostCounts is for how long a forgotten connection counts.
+	lostCounts = 10 * time.Second
+	// leastIdle is the least that connections may rest.
+	leastIdle = 50 * time.Millisecond
+)
+
+// IdleLimit learns for how long connections may rest. Other sides forget idle
+// connections without a word, now and then sooner than they said; a request
+// that may run only once and meets such a connection cannot be sent again.
+// Several pools may share a limit. A nil limit limits nothing.
+type IdleLimit struct {
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
+
+	mu    sync.Mutex
+	limit time.Duration
+	until time.Time
+}
+
+// NewIdleLimit makes a limit that has learnt nothing.
+func NewIdleLimit(now func() time.Time) *IdleLimit { return &IdleLimit{Now: now} }
+
+// Lost notes a connection that was found forgotten after it had rested.
+func (l *IdleLimit) Lost(idle time.Duration) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	limit := max(leastIdle, time.Duration(lostShare*float64(idle)))
+	if now.Before(l.until) {
+		limit = min(limit, l.limit)
+	}
+	l.limit = limit
+	l.until = now.Add(lostCounts)
+}
+
+// Bound returns for how long a connection may have rested that otherwise may
+// have rested for the given time.
+func (l *IdleLimit) Bound(most time.Duration) time.Duration {
+	if l == nil {
+		return most
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Now().Before(l.until) {
+		return min(most, l.limit)
+	}
+	return most
+}
+
+// forgotten reports whether the failure of an exchange is that of a connection
+// which the other side had forgotten.
+func forgotten(c *connection, err *Error, took time.Duration) bool {
+	if !c.used || err.Stage != StageSend && err.Stage != StageHeader || took > lostWithin {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+}
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -218,7 +218,7 @@
 		}
 	}
 	c.server.Dialect.WriteRequest(h, &c.meta, c.deadline.Sub(now), &lease.Server)
-	x := &exchange.Request{Header: h, Body: c.body.whole, MaxIdle: idleOnce}
+	x := &exchange.Request{Header: h, Body: c.body.whole, MaxIdle: idleOnce, Once: !c.route.Idempotent()}
 	x.Wanted = lease.Usable
 	x.Match = func(h *fasthttp.ResponseHeader) bool { return c.server.Dialect.Belongs(h, &c.meta) }
 	if c.route.Idempotent() {
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -90,6 +90,7 @@
 
 	mu    sync.Mutex
 	pools map[string]*exchange.Pool
+	idle  *exchange.IdleLimit
 	// behind counts for how many heartbeats a mirror has been behind others',
 	// and pulling tells which mirrors are being pulled.
 	behind  map[string]int
@@ -115,6 +116,7 @@
 		started:  time.Now(),
 		mirrors:  map[string]*objects.Mirror{},
 		pools:    map[string]*exchange.Pool{},
+		idle:     exchange.NewIdleLimit(time.Now),
 		behind:   map[string]int{},
 		pulling:  map[string]bool{},
 		ports:    &ports{},
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -279,6 +279,7 @@
 	p := n.pools[key]
 	if p == nil {
 		p = exchange.NewPool(v.Address, idleConnections, n.dialServer)
+		p.Idle = n.idle
 		n.pools[key] = p
 	}
 	return p
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -74,12 +74,24 @@
 	}
 }
 
+// Silence returns for how long the service has not made a step. It falls only
+// when those who asked have been told of a pause.
+func (s *Service) Silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last.IsZero() {
+		return 0
+	}
+	return s.Now().Sub(s.last)
+}
+
 // Step runs what is due now, each call through spawn.
 func (s *Service) Step(spawn func(func())) {
 	now := s.Now()
 	for _, f := range s.pauseCalls(now) {
 		f()
 	}
+	s.stepped(now)
 	for _, sub := range s.due(now) {
 		spawn(func() {
 			defer s.finished(sub)
@@ -93,7 +105,6 @@
 	defer s.mu.Unlock()
 	gap := now.Sub(s.last)
 	first := s.last.IsZero()
-	s.last = now
 	if first || gap < PauseThreshold {
 		return nil
 	}
@@ -104,6 +115,12 @@
 	return calls
 }
 
+func (s *Service) stepped(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = now
+}
+
 func (s *Service) due(now time.Time) []*subscription {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/timer/timer_test.go
+++ b/pkg/timer/timer_test.go
@@ -41,3 +41,21 @@
 	}
 	is.Equal(len(held), 1)
 }
+
+// TestSilenceFallsOnlyAfterAPauseWasTold is the failure in which a process that
+// woke from a freeze took itself for awake before it had noticed the freeze.
+func TestSilenceFallsOnlyAfterAPauseWasTold(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := New()
+	s.Now = func() time.Time { return now }
+	var told time.Duration
+	s.OnPause(func(time.Duration) { told = s.Silence() })
+	is.Equal(s.Silence(), time.Duration(0))
+	s.Step(func(f func()) { f() })
+	now = now.Add(9 * time.Second)
+	is.Equal(s.Silence(), 9*time.Second)
+	s.Step(func(f func()) { f() })
+	is.Equal(told, 9*time.Second)
+	is.Equal(s.Silence(), time.Duration(0))
+}
