--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -9,6 +9,7 @@
 	"github.com/stoneworks/stoneworks/pkg/linger"
 	"github.com/stoneworks/stoneworks/pkg/membership"
 	"github.com/stoneworks/stoneworks/pkg/peer"
+	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
 // Intervals of the box's own work.
@@ -29,22 +30,7 @@
 	goodbyeTime = 2 * time.Second
 )
 
-// ListenError says that a port cannot be opened.
-type ListenError struct {
-	Port    string
-	Address string
-	Cause   error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string {
-	return "listen." + e.Port + ": " + e.Address + ": " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
-// Start opens the ports and starts all work. The error is a *ListenError.
+// Start opens the ports and starts all work. The error is a *settings.ListenError.
 func (b *Box) Start() error {
 	listeners, err := b.listen()
 	if err != nil {
@@ -72,7 +58,7 @@
 			for _, open := range listeners {
 				_ = open.Close()
 			}
-			return nil, &ListenError{Port: port, Address: address, Cause: err}
+			return nil, &settings.ListenError{Port: port, Address: address, Cause: err}
 		}
 		listeners[port] = l
 	}
--- /dev/null
+++ b/pkg/steering/steering_dial.go
@@ -0,0 +1,93 @@
+package steering
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+)
+
+// ================================================================
+// Connections to others: the store, other boxes, backend servers.
+// ================================================================
+
+const (
+	// dialTime bounds the opening of a connection to a backend server.
+	dialTime = 600 * time.Millisecond
+	// unackedTime bounds how long sent bytes may stay unacknowledged: a
+	// machine without power says nothing.
+	unackedTime = 1500 * time.Millisecond
+	// tcpUserTimeout is Linux's socket option TCP_USER_TIMEOUT, see tcp(7).
+	tcpUserTimeout = 18
+	// idleConnections bounds the idle connections kept to one backend server.
+	idleConnections = 16
+)
+
+// dialer opens connections that notice a machine without power.
+func (n *Node) dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:   dialTime,
+		LocalAddr: n.localAddress(),
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
+			})
+		},
+	}
+}
+
+// localAddress makes connections leave from the box's own IP number, by which
+// others know it.
+func (n *Node) localAddress() net.Addr {
+	address, err := netip.ParseAddrPort(n.Settings.Advertise.Peers)
+	if err != nil {
+		return nil
+	}
+	return &net.TCPAddr{IP: address.Addr().AsSlice()}
+}
+
+func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return n.dialer().DialContext(ctx, "tcp4", address)
+}
+
+func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) {
+	metrics.GetOrRegisterCounter("backend.connections", n.Metrics).Inc(1)
+	return n.dialPeer(ctx, address)
+}
+
+// pool returns the connections to a backend server. Each life of a server has
+// its own, so that no connection to an earlier one at the address is used.
+func (n *Node) pool(v *backend.Server) *exchange.Pool {
+	key := v.ID + " " + v.Address
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.pools[key]
+	if p == nil {
+		p = exchange.NewPool(v.Address, idleConnections, n.dialServer)
+		p.Idle = n.idle
+		n.pools[key] = p
+	}
+	return p
+}
+
+// dropPools closes the connections to servers that are gone.
+func (n *Node) dropPools() {
+	keep := map[string]bool{}
+	for _, v := range n.Set.List() {
+		keep[v.ID+" "+v.Address] = true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for key, p := range n.pools {
+		if !keep[key] {
+			p.Close()
+			delete(n.pools, key)
+		}
+	}
+}
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -5,49 +5,17 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
-	"github.com/stoneworks/stoneworks/pkg/backend"
-	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/routing"
+	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
 // HTTPHandler serves HTTP.
 type HTTPHandler = http.Handler
 
-const (
-	// dialTime bounds the opening of a connection to a backend server.
-	dialTime = 600 * time.Millisecond
-	// unackedTime bounds how long sent bytes may stay unacknowledged: a
-	// machine without power says nothing.
-	unackedTime = 1500 * time.Millisecond
-	// tcpUserTimeout is Linux's socket option TCP_USER_TIMEOUT, see tcp(7).
-	tcpUserTimeout = 18
-	// idleConnections bounds the idle connections kept to one backend server.
-	idleConnections = 16
-)
-
-// ListenError says that a port cannot be opened.
-type ListenError struct {
-	Port    string
-	Address string
-	Cause   error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string {
-	return "listen." + e.Port + ": " + e.Address + ": " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // ports are the box's open sockets.
 type ports struct {
 	datagrams *net.UDPConn
@@ -190,7 +158,7 @@
 // Opening
 // ----------------------------------------------------------------
 
-// listen opens all ports. The error is a *ListenError.
+// listen opens all ports. The error is a *settings.ListenError.
 func (n *Node) listen() error {
 	a := n.Settings.Listen
 	address, err := net.ResolveUDPAddr("udp4", a.Peers)
@@ -198,10 +166,10 @@
 		n.ports.datagrams, err = net.ListenUDP("udp4", address)
 	}
 	if err != nil {
-		return &ListenError{Port: "peers", Address: a.Peers, Cause: err}
+		return &settings.ListenError{Port: "peers", Address: a.Peers, Cause: err}
 	}
 	if n.ports.clients, err = net.Listen("tcp4", a.Callers); err != nil {
-		return &ListenError{Port: "callers", Address: a.Callers, Cause: err}
+		return &settings.ListenError{Port: "callers", Address: a.Callers, Cause: err}
 	}
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
@@ -226,7 +194,7 @@
 func (n *Node) serve(name, address string, handler http.Handler) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
-		return &ListenError{Port: name, Address: address, Cause: err}
+		return &settings.ListenError{Port: name, Address: address, Cause: err}
 	}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: routing.DefaultLimits.HeaderTimeout, IdleTimeout: time.Minute}
 	n.ports.servers = append(n.ports.servers, s)
@@ -234,73 +202,6 @@
 	return nil
 }
 
-// ----------------------------------------------------------------
-// Connections to others
-// ----------------------------------------------------------------
-
-// dialer opens connections that notice a machine without power.
-func (n *Node) dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:   dialTime,
-		LocalAddr: n.localAddress(),
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
-			})
-		},
-	}
-}
-
-// localAddress makes connections leave from the box's own IP number, by which
-// others know it.
-func (n *Node) localAddress() net.Addr {
-	address, err := netip.ParseAddrPort(n.Settings.Advertise.Peers)
-	if err != nil {
-		return nil
-	}
-	return &net.TCPAddr{IP: address.Addr().AsSlice()}
-}
-
-func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	return n.dialer().DialContext(ctx, "tcp4", address)
-}
-
-func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) {
-	metrics.GetOrRegisterCounter("backend.connections", n.Metrics).Inc(1)
-	return n.dialPeer(ctx, address)
-}
-
-// pool returns the connections to a backend server. Each life of a server has
-// its own, so that no connection to an earlier one at the address is used.
-func (n *Node) pool(v *backend.Server) *exchange.Pool {
-	key := v.ID + " " + v.Address
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	p := n.pools[key]
-	if p == nil {
-		p = exchange.NewPool(v.Address, idleConnections, n.dialServer)
-		p.Idle = n.idle
-		n.pools[key] = p
-	}
-	return p
-}
-
-// dropPools closes the connections to servers that are gone.
-func (n *Node) dropPools() {
-	keep := map[string]bool{}
-	for _, v := range n.Set.List() {
-		keep[v.ID+" "+v.Address] = true
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for key, p := range n.pools {
-		if !keep[key] {
-			p.Close()
-			delete(n.pools, key)
-		}
-	}
-}
-
 // counting counts the requests on their way.
 func counting(in *atomic.Int64, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -26,7 +26,7 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-// Start opens the ports and starts all work. The error is a *ListenError.
+// Start opens the ports and starts all work. The error is a *settings.ListenError.
 func (n *Node) Start() error {
 	if err := n.listen(); err != nil {
 		return err
