--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -6,8 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -203,10 +201,7 @@
 }
 
 // forgetful is a server that closes connections that rest.
-type forgetful struct {
-	after time.Duration
-	mu    sync.Mutex
-}
+type forgetful struct{ after time.Duration }
 
 func (s *forgetful) serve(l net.Listener) {
 	for {
@@ -223,7 +218,7 @@
 					_ = c.(*net.TCPConn).SetLinger(0)
 					return
 				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(2)+"\r\n\r\nok")
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			}
 		}()
 	}
