--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -214,6 +214,7 @@
 	if c.slow {
 		// It gets one request after each rest, to see whether it has recovered.
 		v.health.restUntil = now.Add(slowRest)
+		s.suspect(v, "slow")
 	}
 	return &Lease{
 		Server: v.Server, Remote: v.region != s.Region, Cold: c.cold, Home: place, Busy: c.busy,
@@ -245,6 +246,7 @@
 	case Answered:
 		v.health.heard = now
 		v.health.succeeded(l.workTime(now))
+		s.clear(v, now)
 	case Shed:
 		v.health.heard = now
 		// It is full, whatever was believed before.
@@ -270,10 +272,25 @@
 		s.Changed(v.Server, "stale")
 	}
 	if rests {
-		s.Changed(v.Server, "resting")
+		s.suspect(v, "resting")
 	}
 }
 
+// suspect tells that a server rests from now on.
+func (s *Set) suspect(v *server, what string) {
+	v.health.suspected = true
+	s.Changed(v.Server, what)
+}
+
+// clear tells that a server which rested is as good as others again.
+func (s *Set) clear(v *server, now time.Time) {
+	if !v.health.suspected || v.group == nil || v.health.slow(v.group.typicalLatency(now)) {
+		return
+	}
+	v.health.suspected = false
+	s.Changed(v.Server, "recovered")
+}
+
 // workTime is how long the server took, without the time for which the
 // request must have waited for a slot.
 func (l *Lease) workTime(now time.Time) time.Duration {
--- a/pkg/backend/health.go
+++ b/pkg/backend/health.go
@@ -47,6 +47,8 @@
 	// before the first answer.
 	latency time.Duration
 	answers int
+	// suspected: it rests, or has rested and not shown that it has recovered.
+	suspected bool
 	// heard is when the server last answered anything.
 	heard time.Time
 }
--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -318,6 +318,8 @@
 	s, c := newTestSet(1)
 	s.Replace(servers("east-a", 6, 4), true)
 	const slowServer = "east-a-0"
+	var told []string
+	s.Changed = func(v Server, what string) { told = append(told, v.ID+" "+what) }
 	play := func(length, slowTook time.Duration) (atSlow int) {
 		for end := c.at.Add(length); c.at.Before(end); c.advance(20 * time.Millisecond) {
 			lease, err := choose(s, Hash(fmt.Sprint(c.at.UnixNano())))
@@ -338,6 +340,8 @@
 	is.True(atSlow < 20) // of 600, 100 of them with their home there
 	play(10*time.Second, 200*time.Millisecond)
 	is.True(play(4*time.Second, 200*time.Millisecond) > 10) // of 200
+	is.Equal(told[0], "east-a-0 slow")
+	is.Equal(told[len(told)-1], "east-a-0 recovered")
 }
 
 func BenchmarkChooseAmongMany(b *testing.B) {
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -186,6 +186,8 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	l := NewIdleLimit(func() time.Time { return now })
+	learnt := 0
+	l.Learnt = func(_, _ time.Duration) { learnt++ }
 	is.Equal(l.Bound(4*time.Second), 4*time.Second)
 	l.Lost(time.Second)
 	is.Equal(l.Bound(4*time.Second), 500*time.Millisecond)
@@ -193,6 +195,7 @@
 	is.Equal(l.Bound(4*time.Second), 500*time.Millisecond)
 	l.Lost(time.Millisecond)
 	is.Equal(l.Bound(4*time.Second), leastIdle)
+	is.Equal(learnt, 2)
 	now = now.Add(lostCounts)
 	is.Equal(l.Bound(4*time.Second), 4*time.Second)
 	var none *IdleLimit
--- a/pkg/exchange/idle.go
+++ b/pkg/exchange/idle.go
@@ -30,6 +30,9 @@
 type IdleLimit struct {
 	// Now is the clock; it must be monotonic.
 	Now func() time.Time
+	// Learnt is told of a limit that has changed, and after which rest a
+	// connection was found forgotten.
+	Learnt func(limit, rested time.Duration)
 
 	mu    sync.Mutex
 	limit time.Duration
@@ -37,7 +40,9 @@
 }
 
 // NewIdleLimit makes a limit that has learnt nothing.
-func NewIdleLimit(now func() time.Time) *IdleLimit { return &IdleLimit{Now: now} }
+func NewIdleLimit(now func() time.Time) *IdleLimit {
+	return &IdleLimit{Now: now, Learnt: func(_, _ time.Duration) {}}
+}
 
 // Lost notes a connection that was found forgotten after it had rested.
 func (l *IdleLimit) Lost(idle time.Duration) {
@@ -48,9 +53,13 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	limit := max(leastIdle, time.Duration(lostShare*float64(idle)))
-	if now.Before(l.until) {
+	known := now.Before(l.until)
+	if known {
 		limit = min(limit, l.limit)
 	}
+	if !known || limit != l.limit {
+		l.Learnt(limit, idle)
+	}
 	l.limit = limit
 	l.until = now.Add(lostCounts)
 }
--- a/pkg/steering/steering_dial.go
+++ b/pkg/steering/steering_dial.go
@@ -11,6 +11,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/logging"
 )
 
 // ================================================================
@@ -52,6 +53,16 @@
 	return &net.TCPAddr{IP: address.Addr().AsSlice()}
 }
 
+// learnIdle logs for how long connections may rest where backend servers have
+// forgotten some.
+func (n *Node) learnIdle(log *logging.Part) {
+	n.idle.Learnt = func(limit, rested time.Duration) {
+		log.Info("a server forgot a connection", map[string]any{
+			"rested_ms": rested.Milliseconds(), "may_rest_ms": limit.Milliseconds(),
+		})
+	}
+}
+
 func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	return n.dialer().DialContext(ctx, "tcp4", address)
 }
