News of the store come from the own zone

A box that does not watch the store took each change from whichever box told it first, most often one of another zone, and as a whole list of 3,000 servers where that box had begun later. Change: heartbeats of other zones make it pull only when it has been behind for two beats; those of the own zone at once, as before, and those of all zones where it watches the store itself and that does not answer. Pulls are counted by where they come from (mirror.pulls.zone, mirror.pulls.far).

--- a/pkg/steering/steering_peers.go
+++ b/pkg/steering/steering_peers.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 )
@@ -117,7 +119,7 @@
 		if n.Members.Receive(&m) {
 			n.answerNewcomer(from)
 		}
-		if !n.watching.Load() || n.storeLost.Load() {
+		if n.learnsFrom(&m.From) {
 			n.catchUpWith(&m.From)
 		}
 	}
@@ -134,6 +136,17 @@
 	}
 }
 
+// learnsFrom reports whether this box takes a newer mirror of another one as
+// soon as it hears of it: of the own zone, whose watchers it relies on, or, if
+// it watches the store itself and that does not answer, of anywhere. What
+// other zones know sooner than the own one is left to the heartbeats.
+func (n *Node) learnsFrom(r *gossip.Record) bool {
+	if n.watching.Load() {
+		return n.storeLost.Load()
+	}
+	return r.Zone == n.Settings.Zone
+}
+
 // catchUpWith looks for a newer mirror if the box that has just spoken has one.
 // All others are not looked at: heartbeats are many.
 func (n *Node) catchUpWith(r *gossip.Record) {
@@ -147,7 +160,7 @@
 // catchUp pulls a mirror from a box that has a newer one: at once, or when it
 // has been newer for a while.
 func (n *Node) catchUp(kind string, m *objects.Mirror, atOnce bool) {
-	source := n.newest(kind, m)
+	source, near := n.newest(kind, m)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if source == "" {
@@ -163,6 +176,7 @@
 	n.behind[kind] = 0
 	n.pulling[kind] = true
 	n.background.Go(func() {
+		metrics.GetOrRegisterCounter(pullCounter(near), n.Metrics).Inc(1)
 		n.pull(source, m)
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -170,11 +184,20 @@
 	})
 }
 
+// pullCounter names the metric of pulls from the own zone, or from others.
+func pullCounter(near bool) string {
+	if near {
+		return "mirror.pulls.zone"
+	}
+	return "mirror.pulls.far"
+}
+
 // newest returns where the newest mirror is that differs from this box's own,
-// or "". A box of the own zone is taken if it has any that is newer.
-func (n *Node) newest(kind string, m *objects.Mirror) string {
+// or "", and whether that is in the own zone, where one is taken if it has any
+// that is newer.
+func (n *Node) newest(kind string, m *objects.Mirror) (source string, near bool) {
 	own := m.Version()
-	best, source, near := own.At, "", false
+	best := own.At
 	for _, member := range n.Members.Members() {
 		v, ok := member.Versions[kind]
 		if !ok || !member.Live() || !v.NewerThan(own) {
@@ -185,7 +208,7 @@
 			best, source, near = v.At, member.Peers, isNear
 		}
 	}
-	return source
+	return source, near
 }
 
 func (n *Node) pull(source string, m *objects.Mirror) {
--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 )
 
 // network gives each test loopback addresses of its own.
@@ -463,6 +464,38 @@
 
 // TestFewBoxesOfAZoneAskTheStore: the others hear of news from them, soon; and
 // when those end, others take over in time.
+// TestNewsComeFromTheOwnZone is the failure in which each box took each change
+// from whichever zone told it first, across regions: on the day at 300 machines
+// that was most of all bytes between regions.
+func TestNewsComeFromTheOwnZone(t *testing.T) {
+	is := is.New(t)
+	f := newFleetIn(t, func(i int) string { return Zones[i/4].Zone }, 12, "east-a.1", "east-b.1", "west-a.1")
+	eventually(t, "the boxes know each other and their roles", func() bool {
+		for _, b := range f.Boxes {
+			if b.Members.Count() != 12 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(3 * time.Second)
+	pulls := func(where string) (sum int64) {
+		for _, b := range f.Boxes {
+			sum += metrics.GetOrRegisterCounter("mirror.pulls."+where, b.Node.Metrics).Count()
+		}
+		return sum
+	}
+	near, far := pulls("zone"), pulls("far")
+	const changes = 12
+	for i := range changes {
+		f.Configure(20+i, read)
+		time.Sleep(300 * time.Millisecond)
+	}
+	near, far = pulls("zone")-near, pulls("far")-far
+	is.True(near >= changes)
+	is.True(far <= changes/2) // of 6 boxes that do not ask the store
+}
+
 func TestFewBoxesOfAZoneAskTheStore(t *testing.T) {
 	is := is.New(t)
 	f := newFleetIn(t, func(int) string { return "east-a" }, 6, "east-a.1", "east-a.2")
