Where one large box of a zone is left, those of its region are named

Cause, found on reading the change: with one large box left in a zone, the directory named it and one small one, which then got half of the zone's requests: some 150 a second on a link of 10 Mbit/s. Change: a zone's large boxes are named if there are two; else those of the region; else all of the zone, then all of the region. Conclusion: boxes of one size are named as before.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -43,9 +43,10 @@
 	RegionAllowed func(host, region string) bool
 }
 
-// Resolve names the boxes of the client's zone; where these are too few, all
+// Resolve names the boxes of the client's zone; where these are too few, those
 // of its region; and where there are none, those of the other regions that
-// may take the host's requests. Boxes much smaller than others are left out.
+// may take the host's requests. Boxes much smaller than others are left out
+// while enough others are left.
 func (d *Directory) Resolve(q Query) Answer {
 	var zone, region, far, any []gossip.Record
 	for _, r := range d.serving() {
@@ -62,12 +63,12 @@
 			any = append(any, r)
 		}
 	}
-	for _, list := range [][]gossip.Record{zone, region} {
+	for _, list := range [][]gossip.Record{largest(zone), largest(region), zone, region} {
 		if len(list) >= enough {
 			return d.answer(list)
 		}
 	}
-	for _, list := range [][]gossip.Record{region, far, any} {
+	for _, list := range [][]gossip.Record{region, largest(far), largest(any)} {
 		if len(list) > 0 {
 			return d.answer(list)
 		}
@@ -91,7 +92,7 @@
 
 func (d *Directory) answer(list []gossip.Record) Answer {
 	var addresses []string
-	for _, r := range largest(list) {
+	for _, r := range list {
 		addresses = append(addresses, r.Clients)
 	}
 	sort.Strings(addresses)
@@ -105,18 +106,17 @@
 // often, than many with few.
 const largeShare = 0.5
 
-// largest returns the boxes that are not much smaller than the largest one, at
-// least as many as an answer should name.
+// largest returns the boxes that are not much smaller than the largest one.
 func largest(list []gossip.Record) []gossip.Record {
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].Capacity != list[j].Capacity {
-			return list[i].Capacity > list[j].Capacity
+	most := 0.0
+	for _, r := range list {
+		most = max(most, r.Capacity)
+	}
+	var large []gossip.Record
+	for _, r := range list {
+		if r.Capacity >= largeShare*most {
+			large = append(large, r)
 		}
-		return list[i].Box < list[j].Box
-	})
-	size := len(list)
-	for size > enough && list[size-1].Capacity < largeShare*list[0].Capacity {
-		size--
 	}
-	return list[:size]
+	return large
 }
