A forgotten connection has rested, and breaks at once

Change: it must have rested for 100 ms and break within 120 ms, the way to another region and back. Ruled out: that real ones are missed by it: they break on arrival.

--- a/pkg/exchange/idle.go
+++ b/pkg/exchange/idle.go
@@ -11,9 +11,12 @@
 // Tuning of IdleLimit.
 const (
 	// lostWithin is how soon after a request was sent its connection must break
-	// to count as one that the other side had forgotten; a server that fails
-	// while it works takes longer as a rule.
-	lostWithin = 250 * time.Millisecond
+	// to count as one that the other side had forgotten: the way to another
+	// region and back. A server that fails while it works takes longer as a
+	// rule.
+	lostWithin = 120 * time.Millisecond
+	// leastRested is how long a connection must have rested to be forgotten.
+	leastRested = 100 * time.Millisecond
 	// lostShare is which part of the idle time of a forgotten connection
 	// others may rest from then on.
 	lostShare = 0.5
@@ -81,7 +84,7 @@
 // forgotten reports whether the failure of an exchange is that of a connection
 // which the other side had forgotten.
 func forgotten(c *connection, err *Error, took time.Duration) bool {
-	if !c.used || err.Stage != StageSend && err.Stage != StageHeader || took > lostWithin {
+	if !c.used || c.rested < leastRested || err.Stage != StageSend && err.Stage != StageHeader || took > lostWithin {
 		return false
 	}
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
