Soak: servers come with the boxes

The boxes' logs give no_capacity for each refusal of that time: each box brings four clients, but the servers stayed those of 6 boxes, 24 slots of 15 ms for some 1,200 requests a second to one service. Ruled out: boxes that were not ready, or a store not listed again (no such reason in the logs of that time). Change: as many servers of each service in a zone as it has boxes; 6 boxes have what they had. The check is unchanged.

--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -23,7 +23,7 @@
 
 // The deployment of a run.
 const (
-	serversEach   = 2 // of each service in each zone
+	leastServers  = 2 // of each service in each zone
 	slots         = 4
 	work          = 15 * time.Millisecond
 	startTime     = 15 * time.Second
@@ -35,6 +35,11 @@
 
 var services = []string{"shop", "desk"}
 
+// serversEach returns how many servers of each service a zone has: as many as it
+// has boxes. Clients come with the boxes; with fewer servers the load alone would
+// have requests refused.
+func serversEach(boxes int) int { return max(leastServers, boxes/len(machines.Zones)) }
+
 // Options are those of one run.
 type Options struct {
 	Bin string
@@ -119,7 +124,7 @@
 	r.store.KeepSource = true
 	for _, z := range machines.Zones {
 		for _, service := range services {
-			for range serversEach {
+			for range serversEach(r.Plan.Boxes) {
 				if err := r.addServer(service, z.Zone); err != nil {
 					return err
 				}
