The rest of a slow server ends when it has recovered

The server rested, was tried after 4 s, answered quickly and was told as recovered, but the rest that the trial had begun went on; meanwhile the region's requests were refused, since leaving it is bounded by the cap on shifts. Ruled out: too few slots (the refusals come from one box of four, whose server had no other request). Change: a server that has recovered rests no more. Left: latencies learnt across a box's own pause; a region with one server that rests refuses rather than using it.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -288,6 +288,7 @@
 		return
 	}
 	v.health.suspected = false
+	v.health.restUntil = time.Time{}
 	s.Changed(v.Server, "recovered")
 }
 
--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -356,3 +356,36 @@
 		lease.Done(Answered, nil)
 	}
 }
+
+// TestRestEndsWithRecovery is the failure of soak seed 534145: a region's only
+// server was tried after a rest, answered as quickly as ever, and yet got
+// nothing until the next rest had passed, while its region's requests were
+// refused.
+func TestRestEndsWithRecovery(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(append(servers("east-a", 1, 4), servers("west-a", 3, 4)...), true)
+	exchange := func(server *server, took time.Duration) {
+		s.mu.Lock()
+		lease := s.lease(&candidate{server: server, slow: server.health.slow(server.group.typicalLatency(c.at))}, 0, c.at)
+		s.mu.Unlock()
+		lease.start = lease.start.Add(-took)
+		lease.Done(Answered, nil)
+		c.advance(200 * time.Millisecond)
+	}
+	near := s.servers["east-a-0"]
+	for range 4 {
+		for _, v := range s.services["shop"].servers {
+			exchange(v, 200*time.Millisecond)
+		}
+	}
+	for range 10 {
+		exchange(near, 3*time.Second)
+	}
+	exchange(near, 200*time.Millisecond) // the trial: the average is still high
+	is.True(near.health.resting(c.at))
+	for near.health.suspected {
+		exchange(near, 100*time.Millisecond)
+	}
+	is.True(!near.health.resting(c.at))
+}
