--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -282,7 +282,8 @@
 	s.Changed(v.Server, what)
 }
 
-// clear tells that a server which rested is as good as others again.
+// clear ends the rest of a server that has answered and is as good as others
+// again, and tells of it.
 func (s *Set) clear(v *server, now time.Time) {
 	if !v.health.suspected || v.group == nil || v.health.slow(v.group.typicalLatency(now)) {
 		return
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -62,15 +62,13 @@
 	random  *rand.Rand
 	version int
 	began   time.Time
-	// stopping: the run is over, and boxes that end are not started again.
-	stopping chan struct{}
 	striking conc.WaitGroup
 }
 
 // Run plays one plan and returns what was broken. The error says that the run
 // could not be played.
 func Run(o Options) ([]Violation, error) {
-	r := &run{Options: o, random: rand.New(rand.NewSource(o.Plan.Seed)), stopping: make(chan struct{})}
+	r := &run{Options: o, random: rand.New(rand.NewSource(o.Plan.Seed))}
 	defer r.close()
 	if err := r.prepare(); err != nil {
 		return nil, err
@@ -171,7 +169,6 @@
 	}
 	time.Sleep(settleTime)
 	r.recover()
-	close(r.stopping)
 	time.Sleep(lateRunTime)
 }
 
