--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -55,13 +55,13 @@
 type run struct {
 	Options
 	recorder
-	fleet   *machines.Fleet
-	boxes   []*processes.Box
-	store   *faultproxy.Proxy
-	servers []*listedServer
-	random  *rand.Rand
-	version int
-	began   time.Time
+	fleet    *machines.Fleet
+	boxes    []*processes.Box
+	store    *faultproxy.Proxy
+	servers  []*listedServer
+	random   *rand.Rand
+	version  int
+	began    time.Time
 	striking conc.WaitGroup
 }
 
