Repeats: what a box may repeat is earned in the same window

Cause: a box allowed repeats up to a fifth of its own requests of the last 10 s. Where traffic moves between boxes (waves with a phase for each region), each box spent at its own peak, and the sum of the peaks exceeds the peak of the sum. Change: a bucket filled by each request and capped at the box's part of the slack; the window's own bound stays beside it, for where the part is below one repeat. The number of boxes is the largest of the last window. The tests fail on the code before.

--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -8,10 +8,15 @@
 	"time"
 )
 
-// buckets is the number of parts that are counted. All but one of them make a
-// whole window, so the part that has just begun never hides an older one.
+// buckets is the number of parts of a window that are counted. All but one of
+// them make a whole window, so the part that has just begun never hides an
+// older one.
 const buckets = 21
 
+// slackShare is the part of the slack that boxes use. The rest covers boxes
+// that have just joined and are not counted yet: one in five of them.
+const slackShare = 0.8
+
 // Terms are the bounds on repeats in any window.
 type Terms struct {
 	// Ratio bounds repeats by the number of requests.
@@ -22,6 +27,13 @@
 }
 
 // Budget counts the requests and repeats of each service.
+//
+// Two bounds hold. Each request adds Ratio to a box's tokens, and a repeat
+// takes one; tokens are saved only up to the box's part of the slack. So what
+// a box repeats in any window is earned in that window, but for that part,
+// also when its traffic has moved to other boxes meanwhile. And the repeats of
+// a window stay within Ratio of its requests and the part, which is what binds
+// where the part is less than one repeat.
 type Budget struct {
 	Terms Terms
 	// Boxes returns among how many boxes the slack is divided; 0 when that
@@ -31,68 +43,84 @@
 	Now func() time.Time
 
 	mu       sync.Mutex
-	services map[string]*window
+	services map[string]*account
+	// most is the largest number of boxes that was seen within a window, as
+	// of mostAt: those that were lost sight of may still use their part.
+	most   int
+	mostAt time.Time
 }
 
-// window counts over a sliding window, in buckets.
-type window struct {
-	first   [buckets]float64
-	repeats [buckets]float64
-	at      int64
+// account is what is known of one service.
+type account struct {
+	tokens float64
+	// requests and repeats are counted over a sliding window, in buckets.
+	requests [buckets]float64
+	repeats  [buckets]float64
+	at       int64
 }
 
 // NewBudget makes a budget in which nothing is spent.
 func NewBudget(terms Terms, boxes func() int, now func() time.Time) *Budget {
-	return &Budget{Terms: terms, Boxes: boxes, Now: now, services: map[string]*window{}}
+	return &Budget{Terms: terms, Boxes: boxes, Now: now, services: map[string]*account{}}
 }
 
 // Request counts a request for the service.
 func (b *Budget) Request(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.advance(service)
-	w.first[w.at%buckets]++
+	a := b.advance(service)
+	a.requests[a.at%buckets]++
+	a.tokens = min(a.tokens+b.Terms.Ratio, max(1, b.slackPart()))
 }
 
 // Spend takes one repeat from the budget and reports whether there was one.
 func (b *Budget) Spend(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.advance(service)
-	if sum(&w.repeats)+1 > b.allowed(w) {
+	a := b.advance(service)
+	if a.tokens < 1 || sum(&a.repeats)+1 > b.allowed(a) {
 		return false
 	}
-	w.repeats[w.at%buckets]++
+	a.tokens--
+	a.repeats[a.at%buckets]++
 	return true
 }
 
 // allowed returns how many repeats the window bears. The oldest requests are
-// left out, since they may lie outside the judged window; and only half of
-// the slack is used, since a box that has just restarted has forgotten what
-// it spent.
-func (b *Budget) allowed(w *window) float64 {
-	requests := sum(&w.first) - w.first[(w.at+1)%buckets]
-	allowed := b.Terms.Ratio * requests
-	if boxes := b.Boxes(); boxes > 0 {
-		allowed += b.Terms.Slack / (2 * float64(boxes))
+// left out, since they may lie outside the judged window.
+func (b *Budget) allowed(a *account) float64 {
+	requests := sum(&a.requests) - a.requests[(a.at+1)%buckets]
+	return b.Terms.Ratio*requests + b.slackPart()
+}
+
+// slackPart is this box's part of the slack.
+func (b *Budget) slackPart() float64 {
+	now := b.Now()
+	if n := b.Boxes(); n >= b.most || now.Sub(b.mostAt) > b.Terms.Window {
+		b.most = n
+		b.mostAt = now
+	}
+	if b.most <= 0 {
+		return 0
 	}
-	return allowed
+	return slackShare * b.Terms.Slack / float64(b.most)
 }
 
-func (b *Budget) advance(service string) *window {
+// advance returns the service's account, with what is too old forgotten.
+func (b *Budget) advance(service string) *account {
 	now := b.Now().UnixNano() / int64(b.Terms.Window/(buckets-1))
-	w := b.services[service]
-	if w == nil {
-		w = &window{at: now}
-		b.services[service] = w
+	a := b.services[service]
+	if a == nil {
+		a = &account{at: now}
+		b.services[service] = a
 	}
-	for steps := 0; w.at < now && steps < buckets; steps++ {
-		w.at++
-		w.first[w.at%buckets] = 0
-		w.repeats[w.at%buckets] = 0
+	for steps := 0; a.at < now && steps < buckets; steps++ {
+		a.at++
+		a.requests[a.at%buckets] = 0
+		a.repeats[a.at%buckets] = 0
 	}
-	w.at = now
-	return w
+	a.at = now
+	return a
 }
 
 func sum(values *[buckets]float64) float64 {
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -40,6 +41,81 @@
 	})
 }
 
+// TestBudgetHoldsWhileTrafficMovesBetweenBoxes: from some moment on every
+// server refuses, and traffic comes in waves that reach the boxes one after the
+// other. A box must not save what its requests allow until its own traffic is
+// gone: the sum would exceed what the requests of all boxes allow by then. Found
+// on a day on which all servers of a service refused part of their requests.
+func TestBudgetHoldsWhileTrafficMovesBetweenBoxes(t *testing.T) {
+	const (
+		boxes = 12
+		day   = 60 * time.Second
+		tick  = 20 * time.Millisecond
+		wave  = 36 * time.Second
+	)
+	terms := Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+	for onset := time.Duration(0); onset < wave; onset += 3 * time.Second {
+		checkWaves(t, terms, boxes, day, tick, wave, onset)
+	}
+}
+
+func checkWaves(t *testing.T, terms Terms, boxes int, day, tick, wave, onset time.Duration) {
+	start := time.Unix(1000, 0)
+	now := start
+	var budgets []*Budget
+	for range boxes {
+		budgets = append(budgets, NewBudget(terms, func() int { return boxes }, func() time.Time { return now }))
+	}
+	owed := make([]float64, boxes)
+	var requests, repeats []time.Time
+	for ; now.Sub(start) < day; now = now.Add(tick) {
+		for i, b := range budgets {
+			phase := float64(i%3) / 3
+			swing := 1 + 0.8*math.Sin(2*math.Pi*(now.Sub(start).Seconds()/wave.Seconds()+phase))
+			owed[i] += 45 * swing * tick.Seconds()
+			for ; owed[i] >= 1; owed[i]-- {
+				b.Request("shop")
+				requests = append(requests, now)
+				if now.Sub(start) >= onset && b.Spend("shop") {
+					repeats = append(repeats, now)
+				}
+			}
+		}
+	}
+	for end := start.Add(terms.Window); end.Before(now); end = end.Add(100 * time.Millisecond) {
+		r := within(repeats, end, terms.Window)
+		allowed := terms.Ratio*float64(within(requests, end, terms.Window)) + terms.Slack
+		if float64(r) > allowed {
+			t.Fatalf("trouble from %v: %d repeats in the window that ends after %v; allowed are %.0f", onset, r, end.Sub(start), allowed)
+		}
+	}
+}
+
+// TestBudgetDividesSlackAmongTheMostBoxesOfAWindow: a box that loses sight of
+// others must not take their part of the slack while they may still use it.
+func TestBudgetDividesSlackAmongTheMostBoxesOfAWindow(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	boxes := 10
+	b := NewBudget(Terms{Ratio: 1, Slack: 100, Window: 10 * time.Second}, func() int { return boxes }, func() time.Time { return now })
+	spend := func() int {
+		for range 200 {
+			b.Request("shop")
+		}
+		n := 0
+		for b.Spend("shop") {
+			n++
+		}
+		return n
+	}
+	first := spend()
+	is.True(first <= 10)
+	boxes = 1
+	is.Equal(spend(), first) // the others were seen a moment ago
+	now = now.Add(11 * time.Second)
+	is.True(spend() > first)
+}
+
 func within(list []time.Time, end time.Time, window time.Duration) int {
 	n := 0
 	for _, at := range list {
