--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -5,24 +5,6 @@
 	"time"
 )
 
-// Tuning of the choice.
-const (
-	// homes is how many servers a key has: enough to even out what hashing
-	// leaves uneven, few enough that each of them goes on knowing the key.
-	homes = 2
-	// homeBound is how much of its slots the first home may have taken before
-	// the second is considered.
-	homeBound = 1.8
-	// idleBound is how much of its slots a server may have taken at most to be
-	// given keys that have their home elsewhere. Where no server is idle,
-	// spreading keys only makes each of them known nowhere.
-	idleBound = 0.5
-	// fullBound is how much of its slots a home may have taken before its
-	// keys go elsewhere. It is well above 1: a server that does not know the
-	// key takes far longer than waiting for one that does.
-	fullBound = 2.1
-)
-
 // Lease is one request's use of one server. Done must be called once.
 type Lease struct {
 	Server
@@ -71,7 +53,7 @@
 	if best == nil && len(near)+len(far) == 0 {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
-	if best == nil || best.fill() >= fullBound {
+	if best == nil || best.fill() >= s.Policy.FullFill {
 		return nil, &ChoiceError{Reason: Full, Service: r.Service}
 	}
 	return s.lease(best, place, now), nil
@@ -90,7 +72,7 @@
 			continue
 		}
 		c := candidate{
-			server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(now), slow: v.health.slow(typical),
+			server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(&s.Policy, now), slow: v.health.slow(&s.Policy, typical),
 			cold: now.Before(v.coldUntil), tried: slices.Contains(r.Tried, v.ID),
 		}
 		if c.cold && !s.mayWarm(v, now) {
@@ -99,7 +81,7 @@
 		if v.health.resting(now) || c.cold {
 			// Last in the order, but better than nothing.
 			c.score = 0
-			c.busy += float64(v.Slots) * fullBound
+			c.busy += float64(v.Slots) * s.Policy.FullFill
 		}
 		if (v.region == s.Region) == stays {
 			near = append(near, c)
@@ -108,8 +90,8 @@
 		}
 	}
 	s.near, s.far = near, far
-	homesFirst(near)
-	homesFirst(far)
+	homesFirst(near, s.Policy.Homes)
+	homesFirst(far, s.Policy.Homes)
 	if r.Heavy {
 		s.zoneFirst(near)
 	}
@@ -118,7 +100,7 @@
 
 // homesFirst puts the key's homes at the front, in their order. The rest of
 // the list, which may be long, needs none.
-func homesFirst(list []candidate) {
+func homesFirst(list []candidate, homes int) {
 	for place := range min(homes, len(list)) {
 		best := place
 		for i := place + 1; i < len(list); i++ {
@@ -151,23 +133,23 @@
 // pick takes one of the key's homes, or where these are full, one elsewhere
 // that is idle enough to do the work although it does not know the key.
 func (s *Set) pick(near, far []candidate, now time.Time) (best *candidate, place int) {
-	best, place = pickHome(near)
-	if best != nil && best.fill() < fullBound {
+	best, place = s.pickHome(near)
+	if best != nil && best.fill() < s.Policy.FullFill {
 		return best, place
 	}
-	other, otherPlace := pickHome(far)
+	other, otherPlace := s.pickHome(far)
 	if best == nil {
 		return other, otherPlace
 	}
-	if other != nil && other.fill() < idleBound && s.spill.allow(&s.Terms, now) {
+	if other != nil && other.fill() < s.Policy.IdleFill && s.spill.allow(s.Policy.SpillShare*s.Terms.MaxShift, &s.Terms, now) {
 		return other, otherPlace
 	}
 	return best, place
 }
 
 // pickHome takes the first home unless it is loaded and the next is less so.
-func pickHome(list []candidate) (best *candidate, place int) {
-	for i := range list[:min(len(list), homes)] {
+func (s *Set) pickHome(list []candidate) (best *candidate, place int) {
+	for i := range list[:min(len(list), s.Policy.Homes)] {
 		c := &list[i]
 		if c.tried {
 			continue
@@ -176,7 +158,7 @@
 			best, place = c, i
 			continue
 		}
-		if best.fill() >= homeBound && c.fill() < idleBound {
+		if best.fill() >= s.Policy.SecondHomeFill && c.fill() < s.Policy.IdleFill {
 			best, place = c, i
 		}
 	}
@@ -213,7 +195,7 @@
 	}
 	if c.slow {
 		// It gets one request after each rest, to see whether it has recovered.
-		v.health.restUntil = now.Add(slowRest)
+		v.health.restUntil = now.Add(s.Policy.SlowRest)
 		s.suspect(v, "slow")
 	}
 	return &Lease{
@@ -245,23 +227,23 @@
 	switch result {
 	case Answered:
 		v.health.heard = now
-		v.health.succeeded(l.workTime(now))
+		v.health.succeeded(&s.Policy, l.workTime(now))
 		s.clear(v, now)
 	case Shed:
 		v.health.heard = now
 		// It is full, whatever was believed before.
-		v.load.others = max(v.load.others, float64(v.Slots)*homeBound)
+		v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.SecondHomeFill)
 		v.load.at = now
 	case Unreachable:
-		rests = v.health.failed(now, failuresToEject)
+		rests = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
 	case Broken:
-		rests = v.health.failed(now, 1)
+		rests = v.health.failed(&s.Policy, now, 1)
 	case Abandoned:
-		v.health.unfinished(l.workTime(now))
+		v.health.unfinished(&s.Policy, l.workTime(now))
 	case Late:
-		v.health.unfinished(l.workTime(now))
-		if now.Sub(v.health.heard) > silence {
-			rests = v.health.failed(now, 1)
+		v.health.unfinished(&s.Policy, l.workTime(now))
+		if now.Sub(v.health.heard) > s.Policy.Silence {
+			rests = v.health.failed(&s.Policy, now, 1)
 		}
 	case Withdrawn:
 	case Stale:
@@ -285,7 +267,7 @@
 // clear ends the rest of a server that has answered and is as good as others
 // again, and tells of it.
 func (s *Set) clear(v *server, now time.Time) {
-	if !v.health.suspected || v.group == nil || v.health.slow(v.group.typicalLatency(now)) {
+	if !v.health.suspected || v.group == nil || v.health.slow(&s.Policy, v.group.typicalLatency(now)) {
 		return
 	}
 	v.health.suspected = false
--- a/pkg/backend/health.go
+++ b/pkg/backend/health.go
@@ -1,41 +1,9 @@
 package backend
 
-import "time"
+import (
+	"time"
 
-// Tuning of what a box makes of failures and of load.
-const (
-	// failuresToEject is how many exchanges in a row must fail before a
-	// server rests; a connection that does not come up counts as that many.
-	failuresToEject = 3
-	// silence is for how long a server must not have answered anything before
-	// a request that got no answer in time counts against it. A server that
-	// is only busy goes on answering, and must keep its keys: elsewhere they
-	// are not known, and would cost more than waiting.
-	silence = time.Second
-	// firstRest and longestRest bound the rest, which doubles each time.
-	firstRest   = 500 * time.Millisecond
-	longestRest = 8 * time.Second
-	// latencyWeight is the weight of a new latency in the moving average, and
-	// recoveryWeight that of one below half of it: a server that has recovered
-	// should be known soon, although it gets few requests.
-	latencyWeight  = 0.2
-	recoveryWeight = 0.5
-	// slowFactor is how many times longer than its group's typical server a
-	// server must take to count as slow, and slowFloor how long at least. What
-	// is compared is the time without that of waiting for a slot.
-	slowFactor = 3
-	// leastAnswers is how many answers make a latency.
-	leastAnswers = 3
-	slowFloor    = 300 * time.Millisecond
-	// slowRest is for how long a slow server gets nothing before it is tried
-	// with one request. All boxes try it.
-	slowRest = 4 * time.Second
-	// loadHolds is how long a told load counts in full, and loadFades when it
-	// no longer counts at all.
-	loadHolds = 500 * time.Millisecond
-	loadFades = 2 * time.Second
-	// coldMargin is added to how long a server is said to be cold.
-	coldMargin = 300 * time.Millisecond
+	"github.com/stoneworks/stoneworks/pkg/policy"
 )
 
 // health is what a box makes of the exchanges with one server.
@@ -54,25 +22,25 @@
 }
 
 // succeeded takes in an answer.
-func (h *health) succeeded(latency time.Duration) {
+func (h *health) succeeded(p *policy.Policy, latency time.Duration) {
 	h.failures = 0
 	h.rests = 0
-	h.took(latency)
+	h.took(p, latency)
 }
 
 // unfinished takes in an exchange that was given up after some time: it would
 // have taken at least as long.
-func (h *health) unfinished(latency time.Duration) {
+func (h *health) unfinished(p *policy.Policy, latency time.Duration) {
 	if latency >= h.latency {
-		h.took(latency)
+		h.took(p, latency)
 	}
 }
 
-func (h *health) took(latency time.Duration) {
+func (h *health) took(p *policy.Policy, latency time.Duration) {
 	h.answers++
-	weight := latencyWeight
+	weight := p.LatencyWeight
 	if latency < h.latency/2 {
-		weight = recoveryWeight
+		weight = p.RecoveryWeight
 	}
 	if h.latency == 0 {
 		weight = 1
@@ -81,18 +49,18 @@
 }
 
 // slow reports whether the server is much slower than is typical of its group.
-func (h *health) slow(typical time.Duration) bool {
-	return h.answers >= leastAnswers && h.latency > max(slowFloor, slowFactor*typical)
+func (h *health) slow(p *policy.Policy, typical time.Duration) bool {
+	return h.answers >= p.SlowAnswers && h.latency > max(p.SlowFloor, time.Duration(p.SlowFactor*float64(typical)))
 }
 
 // failed takes in a failure of some weight and reports whether the server
 // rests from now on.
-func (h *health) failed(now time.Time, weight int) bool {
+func (h *health) failed(p *policy.Policy, now time.Time, weight int) bool {
 	h.failures += weight
-	if h.failures < failuresToEject {
+	if h.failures < p.FailuresToRest {
 		return false
 	}
-	rest := min(firstRest<<min(h.rests, 10), longestRest)
+	rest := min(p.FirstRest<<min(h.rests, 10), p.LongestRest)
 	h.rests++
 	h.failures = 0
 	h.restUntil = now.Add(rest)
@@ -117,8 +85,8 @@
 }
 
 // busy returns how many requests the server holds, as far as is known.
-func (l *loadEstimate) busy(now time.Time) float64 {
+func (l *loadEstimate) busy(p *policy.Policy, now time.Time) float64 {
 	age := now.Sub(l.at)
-	left := float64(loadFades-age) / float64(loadFades-loadHolds)
+	left := float64(p.LoadFades-age) / float64(p.LoadFades-p.LoadHolds)
 	return float64(l.own) + l.others*max(0, min(1, left))
 }
--- a/pkg/backend/region.go
+++ b/pkg/backend/region.go
@@ -6,11 +6,6 @@
 	"time"
 )
 
-// shareStep is how much of a region's keys may move to or from other regions
-// in a second, as a part of the cap on shifts. A shift is judged over windows
-// of ShiftWindow; the rest of the cap is left to what requests do by chance.
-const shareStep = 0.3
-
 // localShare is the share of a region's keys that have their home in that
 // region; the others have it elsewhere. It follows the regions' slots, but no
 // faster than the cap on shifts allows.
@@ -36,7 +31,7 @@
 		g.locals[regions] = l
 		return target
 	}
-	step := shareStep * s.Terms.MaxShift * now.Sub(l.at).Seconds() / s.Terms.ShiftWindow.Seconds()
+	step := s.Policy.ShareStep * s.Terms.MaxShift * now.Sub(l.at).Seconds() / s.Terms.ShiftWindow.Seconds()
 	l.value += max(-step, min(step, target-l.value))
 	l.at = now
 	return l.value
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/policy"
 )
 
 // Terms are the bounds that hold for choices, from the settings.
@@ -30,6 +32,8 @@
 // Set holds the backend servers of all services.
 type Set struct {
 	Terms Terms
+	// Policy holds the figures of the choice; see SetPolicy.
+	Policy policy.Policy
 	// Zone and Region are the box's own.
 	Zone   string
 	Region string
@@ -91,7 +95,7 @@
 // NewSet makes a set without servers.
 func NewSet(terms Terms, zone string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
 	return &Set{
-		Terms: terms, Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
+		Terms: terms, Policy: policy.Default(), Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
 		Changed:   func(Server, string) {},
 		servers:   map[string]*server{},
 		services:  map[string]*group{},
@@ -107,6 +111,13 @@
 	s.terms = terms
 }
 
+// SetPolicy puts figures in force while the set is in use.
+func (s *Set) SetPolicy(p policy.Policy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Policy = p
+}
+
 // ----------------------------------------------------------------
 // The list of servers
 // ----------------------------------------------------------------
@@ -173,7 +184,7 @@
 }
 
 func (s *Set) chill(old *server, d time.Duration) {
-	until := s.Now().Add(d + coldMargin)
+	until := s.Now().Add(d + s.Policy.ColdMargin)
 	if until.After(old.coldUntil) {
 		old.coldUntil = until
 		s.Changed(old.Server, "cold")
--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/stoneworks/stoneworks/pkg/policy"
 )
 
 // clock is a clock that tests move.
@@ -136,7 +138,7 @@
 	s.SetEvacuated(nil)
 	_, err := choose(s, 1)
 	is.True(err != nil) // a hundred boxes have no part each in its rate
-	c.advance(3*time.Second + coldMargin)
+	c.advance(3*time.Second + policy.Default().ColdMargin)
 	_, err = choose(s, 1)
 	is.NoErr(err)
 }
@@ -157,7 +159,7 @@
 			}
 			used[lease.ID] = true
 		}
-		if len(used) > homes || taken < 8 || taken == 100 {
+		if len(used) > policy.Default().Homes || taken < 8 || taken == 100 {
 			t.Fatalf("%d servers were used for %d requests at once", len(used), taken)
 		}
 	})
@@ -367,7 +369,7 @@
 	s.Replace(append(servers("east-a", 1, 4), servers("west-a", 3, 4)...), true)
 	exchange := func(server *server, took time.Duration) {
 		s.mu.Lock()
-		lease := s.lease(&candidate{server: server, slow: server.health.slow(server.group.typicalLatency(c.at))}, 0, c.at)
+		lease := s.lease(&candidate{server: server, slow: server.health.slow(&s.Policy, server.group.typicalLatency(c.at))}, 0, c.at)
 		s.mu.Unlock()
 		lease.start = lease.start.Add(-took)
 		lease.Done(Answered, nil)
--- a/pkg/backend/spill.go
+++ b/pkg/backend/spill.go
@@ -2,11 +2,6 @@
 
 import "time"
 
-// spillShare is the part of the cap on shifts that requests may use which
-// leave a full region for an idle one; the rest is left to the local share and
-// to chance.
-const spillShare = 0.4
-
 // spillBuckets is the number of parts of a window that are counted.
 const spillBuckets = 4
 
@@ -25,8 +20,9 @@
 	g.requests[g.at%int64(len(g.requests))]++
 }
 
-// allow takes one request that leaves the region, if the share may rise so far.
-func (g *spillGuard) allow(terms *Terms, now time.Time) bool {
+// allow takes one request that leaves the region, if the share of such requests
+// rises by no more than the given rise from one window to the next.
+func (g *spillGuard) allow(rise float64, terms *Terms, now time.Time) bool {
 	g.advance(terms, now)
 	requests, spilled := g.sum(0)
 	before, spilledBefore := g.sum(spillBuckets)
@@ -34,7 +30,7 @@
 	if before > 0 {
 		last = float64(spilledBefore) / float64(before)
 	}
-	if float64(spilled+1) > (last+spillShare*terms.MaxShift)*float64(requests) {
+	if float64(spilled+1) > (last+rise)*float64(requests) {
 		return false
 	}
 	g.spilled[g.at%int64(len(g.spilled))]++
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -38,7 +38,7 @@
 const usage = `stoneworksd runs one box of stoneworks.
 
   stoneworksd --config box.yaml           run until SIGTERM
-  stoneworksd --config box.yaml --check   check the settings and exit
+  stoneworksd --config box.yaml --check   check the settings, print the figures of policy and exit
   stoneworksd --config box.yaml --print   print the settings in force and exit
   stoneworksd --metrics                   print the table of metrics and exit
   stoneworksd --version                   print the version and exit
@@ -88,6 +88,9 @@
 	}
 	if *check {
 		fmt.Fprintln(stdout, "settings: ok")
+		for _, f := range s.Policy.Figures() {
+			fmt.Fprintf(stdout, "policy.%s: %s (%s)\n", f.Name, f.Value, f.Unit)
+		}
 		return ExitOK
 	}
 	if s.Platform.Protocol == settings.ProtocolObjects {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 )
@@ -71,6 +72,8 @@
 	Leaving func() bool
 	Closed  func() bool
 
+	// Policy returns the figures in force.
+	Policy   func() *policy.Policy
 	Splitter *routing.Splitter
 	Set      *backend.Set
 	Budget   *retry.Budget
@@ -98,9 +101,6 @@
 	// defaultTimeout bounds requests for which neither the client nor the
 	// route names a time.
 	defaultTimeout = 30 * time.Second
-	// sampleAnswered: of requests that were answered at the first try, one in
-	// so many is logged.
-	sampleAnswered = 32
 	// idleRepeatable and idleOnce bound the idle time of connections that are
 	// used again: what may not be repeated must not meet a closing connection.
 	idleRepeatable = 8 * time.Second
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -120,7 +120,7 @@
 	s.Observe("request."+c.service, s.Now().Sub(c.start))
 	s.Count("answered")
 	clean := len(c.steps) == 1 && status < 500
-	if clean && s.Random()%sampleAnswered != 0 {
+	if clean && s.Random()%uint64(s.Policy().LogAnsweredEvery) != 0 {
 		return
 	}
 	c.log("answered", "", status)
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -77,16 +77,11 @@
 	return nil, outcome.NewNotRun(outcome.ReasonNoServer, c.service).WithRetryAfter(c.comeBack())
 }
 
-// Bounds of when a refused client is asked to come back.
-const (
-	soonest = 100 * time.Millisecond
-	latest  = 500 * time.Millisecond
-)
-
 // comeBack spreads refused clients over a while, so that they do not return
 // all at once.
 func (c *call) comeBack() time.Duration {
-	return soonest + time.Duration(c.server.Random()%uint64(latest-soonest))
+	p := c.server.Policy()
+	return p.ReturnLeast + time.Duration(c.server.Random()%uint64(p.ReturnMost-p.ReturnLeast))
 }
 
 // mayTryAgain reports whether the request may be sent to another backend server.
--- /dev/null
+++ b/pkg/policy/policy.go
@@ -0,0 +1,206 @@
+// Package policy holds the figures by which a box decides, in one place, so
+// that two sets of them can be compared without a change of code. It is data
+// and checks only. docs/decisions.md has the measurements that are referred to.
+package policy
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"time"
+)
+
+// Policy is one set of figures. Each field's tags give its name in the
+// settings, its unit and the bounds within which it makes sense.
+type Policy struct {
+	// Homes is how many servers a key has that may learn it. With one more,
+	// keys become known in more places and first uses, which take longest,
+	// more frequent; one is as good on the deployments measured, but leaves
+	// retries without a server that can be expected to know the key.
+	Homes int `yaml:"homes" unit:"servers" least:"1" most:"8"`
+	// SecondHomeFill is how much of its slots the first home may have taken
+	// before an idle second one is considered: 1.0 measured worse by 0.008.
+	SecondHomeFill float64 `yaml:"second_home_fill" unit:"of its slots" least:"0" most:"100"`
+	// IdleFill is how much of its slots a server may have taken to be given
+	// keys whose home is full: 0.9 measured no better.
+	IdleFill float64 `yaml:"idle_fill" unit:"of its slots" least:"0" most:"100"`
+	// FullFill is how much of its slots a home may have taken before requests
+	// are refused or go elsewhere. It is well above 1, since a server that
+	// does not know the key takes longer than waiting for one that does: 3.0
+	// measured worse by 0.006.
+	FullFill float64 `yaml:"full_fill" unit:"of its slots" least:"0.5" most:"100"`
+
+	// ShareStep is how fast a region's share of its own keys follows the
+	// regions' slots. The rest of the cap on shifts is left to chance.
+	ShareStep float64 `yaml:"share_step" unit:"of the cap on shifts, a window" least:"0" most:"1"`
+	// SpillShare is the part of the cap on shifts for single requests that
+	// leave a full region.
+	SpillShare float64 `yaml:"spill_share" unit:"of the cap on shifts, a window" least:"0" most:"1"`
+
+	// LoadHolds is how long a load that a server told counts in full, and
+	// LoadFades when it no longer counts at all: a few service times.
+	LoadHolds time.Duration `yaml:"load_holds" unit:"time" least:"10ms" most:"1m"`
+	LoadFades time.Duration `yaml:"load_fades" unit:"time" least:"20ms" most:"10m"`
+
+	// FailuresToRest is how many exchanges in a row must fail before a server
+	// rests; a connection that does not come up counts as that many.
+	FailuresToRest int `yaml:"failures_to_rest" unit:"exchanges" least:"1" most:"1000000"`
+	// Silence is for how long a server must not have answered anything before
+	// a request that got no answer in time counts against it. A server that
+	// is only busy goes on answering and keeps its keys.
+	Silence time.Duration `yaml:"silence" unit:"time" least:"10ms" most:"1m"`
+	// FirstRest and LongestRest bound the rest, which doubles each time.
+	FirstRest   time.Duration `yaml:"first_rest" unit:"time" least:"10ms" most:"1m"`
+	LongestRest time.Duration `yaml:"longest_rest" unit:"time" least:"10ms" most:"10m"`
+	// LatencyWeight is the weight of a new latency in the moving average, and
+	// RecoveryWeight that of one below half of it: a server that has recovered
+	// should be known soon, although it gets few requests.
+	LatencyWeight  float64 `yaml:"latency_weight" unit:"of the average" least:"0.001" most:"1"`
+	RecoveryWeight float64 `yaml:"recovery_weight" unit:"of the average" least:"0.001" most:"1"`
+	// SlowFactor is how many times longer than its service's typical server a
+	// server must take to count as slow, SlowFloor how long at least, and
+	// SlowAnswers after how many answers. Time spent waiting for a slot is
+	// left out.
+	SlowFactor  float64       `yaml:"slow_factor" unit:"times the typical latency" least:"1" most:"1000"`
+	SlowFloor   time.Duration `yaml:"slow_floor" unit:"time" least:"1ms" most:"1m"`
+	SlowAnswers int           `yaml:"slow_answers" unit:"answers" least:"1" most:"1000"`
+	// SlowRest is for how long a slow server gets nothing before it is tried
+	// with one request, by each box.
+	SlowRest time.Duration `yaml:"slow_rest" unit:"time" least:"10ms" most:"10m"`
+	// ColdMargin is added to how long a server is said to be cold, for the
+	// time that the message was on its way.
+	ColdMargin time.Duration `yaml:"cold_margin" unit:"time" least:"0s" most:"1m"`
+
+	// ReturnLeast and ReturnMost bound when a client that was refused is asked
+	// to come back; within them the time is drawn, so that refused clients do
+	// not return all at once.
+	ReturnLeast time.Duration `yaml:"return_least" unit:"time" least:"1ms" most:"1m"`
+	ReturnMost  time.Duration `yaml:"return_most" unit:"time" least:"1ms" most:"1m"`
+
+	// LogAnsweredEvery: of requests that were answered at the first try, one
+	// in so many is logged.
+	LogAnsweredEvery int `yaml:"log_answered_every" unit:"requests" least:"1" most:"1000000"`
+
+	// WatchersPerZone is how many boxes of a zone watch the platform's store;
+	// the others learn from them.
+	WatchersPerZone int `yaml:"watchers_per_zone" unit:"boxes" least:"1" most:"1000"`
+}
+
+// Default returns the figures that measured best.
+func Default() Policy {
+	return Policy{
+		Homes:            2,
+		SecondHomeFill:   1.8,
+		IdleFill:         0.5,
+		FullFill:         2.1,
+		ShareStep:        0.3,
+		SpillShare:       0.4,
+		LoadHolds:        500 * time.Millisecond,
+		LoadFades:        2 * time.Second,
+		FailuresToRest:   3,
+		Silence:          time.Second,
+		FirstRest:        500 * time.Millisecond,
+		LongestRest:      8 * time.Second,
+		LatencyWeight:    0.2,
+		RecoveryWeight:   0.5,
+		SlowFactor:       3,
+		SlowFloor:        300 * time.Millisecond,
+		SlowAnswers:      3,
+		SlowRest:         4 * time.Second,
+		ColdMargin:       300 * time.Millisecond,
+		ReturnLeast:      100 * time.Millisecond,
+		ReturnMost:       500 * time.Millisecond,
+		LogAnsweredEvery: 32,
+		WatchersPerZone:  2,
+	}
+}
+
+// Figure is one figure in a form for reading.
+type Figure struct {
+	Name  string
+	Value string
+	Unit  string
+}
+
+// Figures lists all figures in the order in which they are declared.
+func (p *Policy) Figures() []Figure {
+	v := reflect.ValueOf(p).Elem()
+	list := make([]Figure, 0, v.NumField())
+	for i := range v.NumField() {
+		tag := v.Type().Field(i).Tag
+		list = append(list, Figure{
+			Name: tag.Get("yaml"), Value: fmt.Sprint(v.Field(i).Interface()), Unit: tag.Get("unit"),
+		})
+	}
+	return list
+}
+
+// Fault is a figure that makes no sense.
+type Fault struct {
+	Name    string
+	Value   string
+	Allowed string
+}
+
+// Check returns all faults of the figures, each by itself first, then those
+// of figures that do not go together.
+func (p *Policy) Check() []Fault {
+	var faults []Fault
+	v := reflect.ValueOf(p).Elem()
+	for i := range v.NumField() {
+		tag := v.Type().Field(i).Tag
+		if !within(v.Field(i), tag.Get("least"), tag.Get("most")) {
+			faults = append(faults, Fault{
+				Name: tag.Get("yaml"), Value: fmt.Sprint(v.Field(i).Interface()),
+				Allowed: fmt.Sprintf("%s to %s (%s)", tag.Get("least"), tag.Get("most"), tag.Get("unit")),
+			})
+		}
+	}
+	for _, e := range []struct {
+		ok      bool
+		name    string
+		value   any
+		allowed string
+	}{
+		{p.LoadFades > p.LoadHolds, "load_fades", p.LoadFades, "more than load_holds"},
+		{p.LongestRest >= p.FirstRest, "longest_rest", p.LongestRest, "at least first_rest"},
+		{p.ReturnMost > p.ReturnLeast, "return_most", p.ReturnMost, "more than return_least"},
+		{p.ShareStep+p.SpillShare <= maxShiftShare, "spill_share", p.SpillShare, "with share_step at most 1.2 (of the cap on shifts)"},
+	} {
+		if !e.ok {
+			faults = append(faults, Fault{Name: e.name, Value: fmt.Sprint(e.value), Allowed: e.allowed})
+		}
+	}
+	return faults
+}
+
+// maxShiftShare bounds what share_step and spill_share may use of the cap on
+// shifts together. It is above 1, since both at once in one direction is rare.
+const maxShiftShare = 1.2
+
+// within reports whether a figure lies within its bounds.
+func within(v reflect.Value, least, most string) bool {
+	if d, ok := v.Interface().(time.Duration); ok {
+		return d >= duration(least) && d <= duration(most)
+	}
+	f := v.Convert(reflect.TypeFor[float64]()).Float()
+	return f >= number(least) && f <= number(most)
+}
+
+// duration reads a bound of this package's own tags.
+func duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		panic("policy: bound " + strconv.Quote(text))
+	}
+	return d
+}
+
+// number reads a bound of this package's own tags.
+func number(text string) float64 {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic("policy: bound " + strconv.Quote(text))
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/policy/policy_test.go
@@ -0,0 +1,55 @@
+package policy
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDefaultsAreWithinTheirBounds(t *testing.T) {
+	is := is.New(t)
+	p := Default()
+	is.Equal(len(p.Check()), 0)
+}
+
+// TestEachFigureIsDescribed: a field without a name, unit or bounds could not
+// be set, or not be checked.
+func TestEachFigureIsDescribed(t *testing.T) {
+	kind := reflect.TypeFor[Policy]()
+	names := map[string]bool{}
+	for i := range kind.NumField() {
+		f := kind.Field(i)
+		for _, tag := range []string{"yaml", "unit", "least", "most"} {
+			if f.Tag.Get(tag) == "" {
+				t.Errorf("%s has no %s", f.Name, tag)
+			}
+		}
+		if names[f.Tag.Get("yaml")] {
+			t.Errorf("%s stands twice", f.Tag.Get("yaml"))
+		}
+		names[f.Tag.Get("yaml")] = true
+	}
+	p := Default()
+	if len(p.Figures()) != kind.NumField() {
+		t.Errorf("%d figures of %d are listed", len(p.Figures()), kind.NumField())
+	}
+}
+
+func TestAllFaultsAreToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := Default()
+	p.Homes = 0
+	p.FullFill = -1
+	p.LoadFades = p.LoadHolds
+	p.SlowRest = 100 * time.Hour
+	faults := p.Check()
+	names := make([]string, 0, len(faults))
+	for _, f := range faults {
+		names = append(names, f.Name)
+	}
+	is.Equal(strings.Join(names, " "), "homes full_fill slow_rest load_fades")
+	is.Equal(faults[0].Allowed, "1 to 8 (servers)")
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/topology"
 )
 
@@ -28,6 +29,8 @@
 	Limits       Limits           `yaml:"limits"`
 	Bounds       Bounds           `yaml:"bounds"`
 	Machine      Machine          `yaml:"machine"`
+	// Policy holds the figures by which the box decides.
+	Policy policy.Policy `yaml:"policy"`
 }
 
 // Machine tells what the box's machine can bear; 0 where that is not known.
@@ -108,6 +111,7 @@
 // Defaults returns the settings that a file need not give.
 func Defaults() Settings {
 	return Settings{
+		Policy:    policy.Default(),
 		LogLevel:  "info",
 		LookupTTL: 5 * time.Second,
 		LogFormat: "text",
--- a/pkg/settings/settings_check.go
+++ b/pkg/settings/settings_check.go
@@ -56,6 +56,9 @@
 	}
 	d.checkBounds(s.Bounds)
 	d.checkMachine(s.Machine)
+	for _, f := range s.Policy.Check() {
+		d.fault("policy."+f.Name, f.Value, f.Allowed)
+	}
 	d.checkDuration("lookup_ttl", s.LookupTTL, time.Second, time.Hour)
 	d.checkDuration("platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
 	d.checkDuration("limits.once_age", s.Limits.OnceAge, time.Second, 24*time.Hour)
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -21,6 +21,7 @@
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/settings"
@@ -72,6 +73,7 @@
 	mirrors   map[string]*objects.Mirror
 	followers []*objects.Follower
 	seeds     atomic.Pointer[[]string]
+	policy    atomic.Pointer[policy.Policy]
 
 	// storeAnswered and storeTrouble are when the store last answered and
 	// last failed, in nanoseconds since the start.
@@ -128,6 +130,7 @@
 	n.learnIdle(logging.For(logger, "connections"))
 	n.newMembers(logging.For(logger, "members"))
 	n.newSet(logging.For(logger, "backend"))
+	n.setPolicy(s.Policy)
 	n.Budget = retry.NewBudget(retry.Terms{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
 	}, n.boxes, time.Now)
@@ -197,8 +200,15 @@
 	}
 }
 
+// setPolicy puts figures of policy in force.
+func (n *Node) setPolicy(p policy.Policy) {
+	n.policy.Store(&p)
+	n.Set.SetPolicy(p)
+}
+
 func (n *Node) newIngress(log *logging.Part) {
 	n.Ingress = &ingress.Server{
+		Policy:   n.policy.Load,
 		Dialect:  n.adapter.Dialect,
 		Table:    n.table.Load,
 		Current:  n.current,
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -45,9 +45,11 @@
 	return nil
 }
 
-// Reload takes over what may change while the box runs: the seeds.
+// Reload takes over what may change while the box runs: the seeds and the
+// figures of policy.
 func (n *Node) Reload(s *settings.Settings) {
 	n.seeds.Store(&s.Seeds)
+	n.setPolicy(s.Policy)
 	n.log.Info("settings reloaded", map[string]any{"seeds": len(s.Seeds)})
 }
 
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -82,7 +82,6 @@
 // With more than one, a box that ends is no gap; what all of a zone miss, they
 // learn from other zones.
 const (
-	watchersPerZone = 2
 	// watcherSilence is how long a watching box may be silent before another
 	// takes over: three heartbeats, some of which may be lost.
 	watcherSilence = 3 * gossip.Interval
@@ -90,7 +89,7 @@
 
 // chooseRole decides whether this box watches the store.
 func (n *Node) chooseRole() {
-	watching := n.Members.Ahead(watcherSilence) < watchersPerZone
+	watching := n.Members.Ahead(watcherSilence) < n.policy.Load().WatchersPerZone
 	if watching == n.watching.Swap(watching) {
 		return
 	}
