--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -35,6 +35,9 @@
 	Slots   int
 }
 
+// HasRoom reports whether the server had free slots; false if it said nothing.
+func (l *Load) HasRoom() bool { return l != nil && l.Running+l.Waiting < l.Slots }
+
 // Result is how an exchange ended, as far as the server is concerned.
 type Result int
 
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -231,9 +231,11 @@
 		s.clear(v, now)
 	case Shed:
 		v.health.heard = now
-		// It is full, whatever was believed before.
-		v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.SecondHomeFill)
-		v.load.at = now
+		if !load.HasRoom() {
+			// It is full, whatever was believed before.
+			v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.SecondHomeFill)
+			v.load.at = now
+		}
 	case Unreachable:
 		rests = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
 	case Broken:
--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -72,6 +72,30 @@
 	is.NoErr(err)
 }
 
+// TestServerThatRefusesWithRoomKeepsItsKeys: a refusal while slots are free
+// does not mean that the server is full; one that tells no load, or no free
+// slot, does.
+func TestServerThatRefusesWithRoomKeepsItsKeys(t *testing.T) {
+	for _, e := range []struct {
+		load  *Load
+		stays bool
+	}{
+		{&Load{Running: 1, Slots: 4}, true},
+		{&Load{Running: 4, Slots: 4}, false},
+		{nil, false},
+	} {
+		is := is.New(t)
+		s, _ := newTestSet(1)
+		s.Replace(servers("east-a", 4, 4), true)
+		first, err := choose(s, 1)
+		is.NoErr(err)
+		first.Done(Shed, e.load)
+		second, err := choose(s, 1)
+		is.NoErr(err)
+		is.Equal(second.ID == first.ID, e.stays)
+	}
+}
+
 func TestLeavingEvacuatedAndStaleServersGetNothing(t *testing.T) {
 	is := is.New(t)
 	s, _ := newTestSet(1)
--- /dev/null
+++ b/pkg/gossip/wire_test.go
@@ -0,0 +1,70 @@
+package gossip
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/objects"
+)
+
+// fullRecord is a record with all that a box tells.
+func fullRecord(box string) Record {
+	return Record{
+		Box: box, Zone: "brum-digbeth", Clients: "10.1.0.34:8548", Peers: "10.1.0.34:8544",
+		Started: 1775555009001108062, Capacity: 640, Beat: 117, Ready: true, Untroubled: true,
+		Versions: map[string]objects.Version{
+			"config": {At: 227, Digest: 4012345678}, "servers": {At: 231, Digest: 312345678}, "evacuations": {At: 227},
+		},
+	}
+}
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	m := &Message{From: fullRecord("edge-1"), Others: []Record{fullRecord("edge-2"), {Box: "edge-3", Leaving: true}}}
+	datagram, err := Encode(m)
+	is.NoErr(err)
+	back, err := Decode(datagram)
+	is.NoErr(err)
+	is.Equal(back, m)
+}
+
+// TestHeartbeatsAreSmall: heartbeats are most of what boxes say across
+// regions, where bytes have a price; JSON takes 328 bytes here.
+func TestHeartbeatsAreSmall(t *testing.T) {
+	is := is.New(t)
+	m := &Message{From: fullRecord("edge-brum-digbeth-1")}
+	datagram, err := Encode(m)
+	is.NoErr(err)
+	text, err := json.Marshal(m)
+	is.NoErr(err)
+	t.Logf("%d bytes, as JSON %d", len(datagram), len(text))
+	is.True(len(datagram) <= 180)
+	is.True(len(datagram) < len(text)/2)
+}
+
+func TestOtherDatagramsAreRefused(t *testing.T) {
+	for _, datagram := range [][]byte{nil, {}, {wireVersion}, {wireVersion, 0xff}, []byte(`{"from":{}}`), {wireVersion + 1, 0x92}} {
+		_, err := Decode(datagram)
+		var wire *WireError
+		if !errors.As(err, &wire) {
+			t.Errorf("%q: %v", datagram, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	datagram, err := Encode(&Message{From: fullRecord("edge-1"), Others: []Record{fullRecord("edge-2")}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(datagram)
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		m, err := Decode(datagram)
+		if err == nil && m == nil {
+			t.Fatal("neither a message nor an error")
+		}
+	})
+}
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -145,7 +146,26 @@
 		result = backend.Stale
 	}
 	c.finish(lease, result, verdict.Load, start, nil)
-	return outcome.NewNotRun(outcome.ReasonShed, lease.ID).WithRetryAfter(c.comeBack())
+	failure := outcome.NewNotRun(outcome.ReasonShed, lease.ID)
+	if result == backend.Shed && verdict.Load.HasRoom() {
+		c.mayReuse(lease)
+		return failure.WithRetryAfter(c.server.Policy().ReturnRoom)
+	}
+	return failure.WithRetryAfter(c.comeBack())
+}
+
+// mayReuse lets the next try choose a server with room again, if the request
+// was not sent to it too often: other servers are not known to have its key.
+func (c *call) mayReuse(lease *backend.Lease) {
+	tries := 0
+	for _, t := range c.steps {
+		if t.server == lease.ID {
+			tries++
+		}
+	}
+	if tries < c.server.Policy().TriesPerServer {
+		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == lease.ID })
+	}
 }
 
 // failed says what may be told of an exchange that failed.
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -77,12 +77,24 @@
 	ReturnLeast time.Duration `yaml:"return_least" unit:"time" least:"1ms" most:"1m"`
 	ReturnMost  time.Duration `yaml:"return_most" unit:"time" least:"1ms" most:"1m"`
 
+	// ReturnRoom is when a client is asked to come back whose request was
+	// refused by a server with free slots: as soon as it can, since nothing
+	// has to drain first. In time for a request of a tenth of a second.
+	ReturnRoom time.Duration `yaml:"return_room" unit:"time" least:"1ms" most:"1m"`
+
+	// TriesPerServer is how often one request may be sent to the same server,
+	// where that refused it with slots free: it knows the key, which others do
+	// not. The same for exchanges that broke measured no better.
+	TriesPerServer int `yaml:"tries_per_server" unit:"tries" least:"1" most:"10"`
+
 	// LogAnsweredEvery: of requests that were answered at the first try, one
 	// in so many is logged.
 	LogAnsweredEvery int `yaml:"log_answered_every" unit:"requests" least:"1" most:"1000000"`
 
 	// WatchersPerZone is how many boxes of a zone watch the platform's store;
-	// the others learn from them.
+	// the others learn from them. A second one costs a third more calls and
+	// measured worse by 0.004; while the only one has ended, the zone learns
+	// from other zones until another box takes over.
 	WatchersPerZone int `yaml:"watchers_per_zone" unit:"boxes" least:"1" most:"1000"`
 }
 
@@ -110,8 +122,10 @@
 		ColdMargin:       300 * time.Millisecond,
 		ReturnLeast:      100 * time.Millisecond,
 		ReturnMost:       500 * time.Millisecond,
+		ReturnRoom:       10 * time.Millisecond,
+		TriesPerServer:   2,
 		LogAnsweredEvery: 32,
-		WatchersPerZone:  2,
+		WatchersPerZone:  1,
 	}
 }
 
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -26,6 +26,8 @@
 	{"answered", "requests", "answered by a backend server"},
 	{"failed.REASON", "requests", "answered by the box itself, by reason; callers.md lists them"},
 	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
+	{"heartbeats.unsent", "heartbeats", "not sent, since the address cannot be reached or the link is full"},
+	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
 	{"mirror.pulls.WHERE", "pulls", "of what the store holds, from boxes of the own zone or far ones"},
 	{"retry.sent", "requests", "sent to a second backend server after a first had got them"},
 	{"retry.denied", "requests", "not sent again, since the budget was spent"},
--- a/pkg/steering/steering_peers.go
+++ b/pkg/steering/steering_peers.go
@@ -85,21 +85,27 @@
 	if len(e.To) == 0 {
 		return
 	}
-	text, err := json.Marshal(e.Message)
-	if err != nil {
-		return
-	}
 	for _, address := range e.To {
-		n.sendDatagram(address, text)
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			n.log.Warn("heartbeat not sent", map[string]any{"to": address, "error": err.Error()})
+			continue
+		}
+		n.sendDatagram(to, &e.Message)
 	}
 }
 
-func (n *Node) sendDatagram(address string, text []byte) {
-	to, err := net.ResolveUDPAddr("udp4", address)
+// sendDatagram sends a heartbeat. One that cannot be sent is like one that is
+// lost: the next one takes its place, so it is only counted.
+func (n *Node) sendDatagram(to *net.UDPAddr, m *gossip.Message) {
+	datagram, err := gossip.Encode(m)
+	if err == nil {
+		_, err = n.ports.datagrams.WriteToUDP(datagram, to)
+	}
 	if err != nil {
-		return
+		metrics.GetOrRegisterCounter("heartbeats.unsent", n.Metrics).Inc(1)
+		n.log.Debug("heartbeat not sent", map[string]any{"to": to.String(), "error": err.Error()})
 	}
-	_, _ = n.ports.datagrams.WriteToUDP(text, to)
 }
 
 func (n *Node) receiveDatagrams() {
@@ -112,11 +118,13 @@
 			}
 			continue
 		}
-		var m gossip.Message
-		if json.Unmarshal(buffer[:size], &m) != nil {
+		m, err := gossip.Decode(buffer[:size])
+		if err != nil {
+			metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
+			n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
 			continue
 		}
-		if n.Members.Receive(&m) {
+		if n.Members.Receive(m) {
 			n.answerNewcomer(from)
 		}
 		if n.learnsFrom(&m.From) {
@@ -129,10 +137,7 @@
 // others, at once.
 func (n *Node) answerNewcomer(to *net.UDPAddr) {
 	for _, m := range n.Members.Introduce() {
-		text, err := json.Marshal(m)
-		if err == nil {
-			_, _ = n.ports.datagrams.WriteToUDP(text, to)
-		}
+		n.sendDatagram(to, &m)
 	}
 }
 
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -78,14 +78,11 @@
 	return f
 }
 
-// Roles. Few boxes of each zone watch the store; the others learn from them.
-// With more than one, a box that ends is no gap; what all of a zone miss, they
+// watcherSilence is how long a watching box may be silent before another takes
+// over: three heartbeats, some of which may be lost. Few boxes of each zone
+// watch the store, the others learn from them; what all of a zone miss, they
 // learn from other zones.
-const (
-	// watcherSilence is how long a watching box may be silent before another
-	// takes over: three heartbeats, some of which may be lost.
-	watcherSilence = 3 * gossip.Interval
-)
+const watcherSilence = 3 * gossip.Interval
 
 // chooseRole decides whether this box watches the store.
 func (n *Node) chooseRole() {
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -31,6 +31,8 @@
 	Foreign
 	// Early answers a long request before it is read.
 	Early
+	// Refuse says that the request was not run, although slots are free.
+	Refuse
 	// Garbage sends bytes that are not an answer.
 	Garbage
 	// Mute never answers.
@@ -214,6 +216,10 @@
 		s.refuse(c, run, http.StatusMisdirectedRequest, false)
 		return true
 	}
+	if fault == Refuse {
+		s.refuse(c, run, http.StatusServiceUnavailable, true)
+		return true
+	}
 	if !s.enter() {
 		s.refuse(c, run, http.StatusServiceUnavailable, true)
 		return true
