--- /dev/null
+++ b/test/cmd/stoneworks-sites/main.go
@@ -0,0 +1,29 @@
+// Command stoneworks-sites writes changed deployments of a site file; see
+// package sites.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/stoneworks/stoneworks/test/sites"
+)
+
+func main() {
+	site := flag.String("from", "", "the site file")
+	directory := flag.String("to", "", "where the changed deployments go; outside of the project")
+	flag.Parse()
+	if *site == "" || *directory == "" {
+		flag.Usage()
+		os.Exit(2)
+	}
+	paths, err := sites.Write(*site, *directory)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	for i, path := range paths {
+		fmt.Printf("%s: %s\n", path, sites.Variants[i].About)
+	}
+}
