A report from logs; one home a key; servers of unlike speed get unlike parts

Report: stoneworksctl report sums up boxes' logs by service, time, outcome and cause, as tables or a page with plots. Lines tell more: whether the key was known there, load and its age, expected time, room elsewhere at a refusal.

One home for each key instead of two. A retry now goes to the next server of the region in the key's order; before, without a second home, it would have left the region. Found by its test: a request that was sent to all servers (a nil home) would have stopped the box in the new log line; it never landed.

Speed: keys go to servers in proportion to their speed, measured only in answers for known keys with a free slot, in steps of 1.3. Hypothesis: slow servers queue.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -4,7 +4,7 @@
 //
 // A request's affinity key has a home, found by rendezvous hashing, so that
 // all boxes send equal keys to the same server without talking to each other.
-// A home that is loaded passes the key on to its next home.
+// A request that its home cannot serve goes to the next server in that order.
 package backend
 
 import (
@@ -72,7 +72,7 @@
 
 // The reasons.
 const (
-	// NoServer: no server may take the request.
+	// NoServer: no server may take the request, or it was sent to all that may.
 	NoServer Reason = "no_server"
 	// Full: every server that may take it has more than it can do.
 	Full Reason = "full"
@@ -82,6 +82,11 @@
 type ChoiceError struct {
 	Reason  Reason
 	Service string
+	// HomeFill is how much of its slots the key's home has taken, and
+	// FreeSlots how many slots the service's servers have free, none of which
+	// is known to have the key. Both are set where Reason is Full.
+	HomeFill  float64
+	FreeSlots int
 }
 
 // Error implements error.
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -12,20 +12,30 @@
 	Remote bool
 	// Cold is true if the server was cold.
 	Cold bool
-	// Home is the server's place in the order of the key's homes, from 0.
+	// Home is the server's place in the order in which the key prefers
+	// servers, from 0, its home.
 	Home int
 	// Busy is how many requests the server held, as far as was known.
 	Busy float64
+	// LoadAge is how old the server's last word on its load was; 0 if it has
+	// said none.
+	LoadAge time.Duration
+	// Known is true if the server has lately answered this box for the key.
+	Known bool
+	// Expected is how long the server was expected to take, from its typical
+	// time and its queue; 0 before its first answer.
+	Expected time.Duration
 
 	set    *Set
 	server *server
+	key    uint64
 	start  time.Time
 }
 
 // candidate is a server that may get the request.
 type candidate struct {
 	*server
-	score uint64
+	score float64
 	busy  float64
 	cold  bool
 	// slow: the request would find out whether the server has recovered.
@@ -50,29 +60,30 @@
 	near, far := s.candidates(g, r, now)
 	s.spill.request(&s.Terms, now)
 	best, place := s.pick(near, far, now)
-	if best == nil && len(near)+len(far) == 0 {
+	if best == nil {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
-	if best == nil || best.fill() >= s.Policy.FullFill {
-		return nil, &ChoiceError{Reason: Full, Service: r.Service}
+	if best.fill() >= s.Policy.FullFill {
+		return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: freeSlots(near, far)}
 	}
-	return s.lease(best, place, now), nil
+	return s.lease(best, place, r.Key, now), nil
 }
 
 // candidates returns the servers of the region in which the key has its home,
-// and all others, each with the key's homes first, in their order. The lists
-// are good until the next call.
+// and all others, each with those first that the key prefers and that were not
+// tried, in their order. The lists are good until the next call.
 func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []candidate) {
 	share := s.localShareOf(g, r, now)
 	stays := fraction(mix(r.Key+1)) < g.shareOfKind(share, r.Heavy)
 	typical := g.typicalLatency(now)
+	g.compareSpeeds(&s.Policy, now)
 	near, far = s.near[:0], s.far[:0]
 	for _, v := range g.servers {
 		if !s.usable(v) || !r.RegionAllowed(v.region) {
 			continue
 		}
 		c := candidate{
-			server: v, score: mix(r.Key ^ v.hash), busy: v.load.busy(&s.Policy, now), slow: v.health.slow(&s.Policy, typical),
+			server: v, score: weightedScore(mix(r.Key^v.hash), v.speed.weight()), busy: v.load.busy(&s.Policy, now), slow: v.health.slow(&s.Policy, typical),
 			cold: now.Before(v.coldUntil), tried: slices.Contains(r.Tried, v.ID),
 		}
 		if c.cold && !s.mayWarm(v, now) {
@@ -90,18 +101,18 @@
 		}
 	}
 	s.near, s.far = near, far
-	homesFirst(near, s.Policy.Homes)
-	homesFirst(far, s.Policy.Homes)
+	bestFirst(near, 1+len(r.Tried))
+	bestFirst(far, 1+len(r.Tried))
 	if r.Heavy {
 		s.zoneFirst(near)
 	}
 	return near, far
 }
 
-// homesFirst puts the key's homes at the front, in their order. The rest of
-// the list, which may be long, needs none.
-func homesFirst(list []candidate, homes int) {
-	for place := range min(homes, len(list)) {
+// bestFirst puts so many of the servers that the key prefers at the front, in
+// their order. The rest of the list, which may be long, needs none.
+func bestFirst(list []candidate, count int) {
+	for place := range min(count, len(list)) {
 		best := place
 		for i := place + 1; i < len(list); i++ {
 			if list[i].score > list[best].score {
@@ -112,9 +123,9 @@
 	}
 }
 
-// zoneFirst puts the first home in this box's zone before the others, so that
-// the body stays in the zone, unless all slots of that home are taken and the
-// region's first home is less loaded.
+// zoneFirst puts the server of this box's zone that the key prefers before the
+// others, so that the body stays in the zone, unless all its slots are taken and
+// the region's first one is less loaded.
 func (s *Set) zoneFirst(list []candidate) {
 	at := -1
 	for i := range list {
@@ -130,14 +141,14 @@
 	list[0] = c
 }
 
-// pick takes one of the key's homes, or where these are full, one elsewhere
-// that is idle enough to do the work although it does not know the key.
+// pick takes the key's home, or where that is full, the first server elsewhere
+// if it is idle enough to do the work although it does not know the key.
 func (s *Set) pick(near, far []candidate, now time.Time) (best *candidate, place int) {
-	best, place = s.pickHome(near)
+	best, place = firstUntried(near)
 	if best != nil && best.fill() < s.Policy.FullFill {
 		return best, place
 	}
-	other, otherPlace := s.pickHome(far)
+	other, otherPlace := firstUntried(far)
 	if best == nil {
 		return other, otherPlace
 	}
@@ -147,22 +158,15 @@
 	return best, place
 }
 
-// pickHome takes the first home unless it is loaded and the next is less so.
-func (s *Set) pickHome(list []candidate) (best *candidate, place int) {
-	for i := range list[:min(len(list), s.Policy.Homes)] {
-		c := &list[i]
-		if c.tried {
-			continue
-		}
-		if best == nil {
-			best, place = c, i
-			continue
-		}
-		if best.fill() >= s.Policy.SecondHomeFill && c.fill() < s.Policy.IdleFill {
-			best, place = c, i
+// firstUntried returns the first server of the list that the request was not
+// sent to, and its place.
+func firstUntried(list []candidate) (best *candidate, place int) {
+	for i := range list {
+		if !list[i].tried {
+			return &list[i], i
 		}
 	}
-	return best, place
+	return nil, 0
 }
 
 // typicalEvery is how often the typical latency of a group is worked out anew.
@@ -187,7 +191,7 @@
 	return g.typical
 }
 
-func (s *Set) lease(c *candidate, place int, now time.Time) *Lease {
+func (s *Set) lease(c *candidate, place int, key uint64, now time.Time) *Lease {
 	v := c.server
 	v.load.own++
 	if c.cold {
@@ -198,10 +202,28 @@
 		v.health.restUntil = now.Add(s.Policy.SlowRest)
 		s.suspect(v, "slow")
 	}
-	return &Lease{
+	l := &Lease{
 		Server: v.Server, Remote: v.region != s.Region, Cold: c.cold, Home: place, Busy: c.busy,
-		set: s, server: v, start: now,
+		Known: v.keys.has(key), set: s, server: v, key: key, start: now,
 	}
+	if !v.load.at.IsZero() {
+		l.LoadAge = now.Sub(v.load.at)
+	}
+	l.Expected = time.Duration(float64(v.health.latency) * max(1, (c.busy+1)/float64(max(1, v.Slots))))
+	return l
+}
+
+// freeSlots counts the slots that the servers have free, as far as is known.
+func freeSlots(lists ...[]candidate) int {
+	free := 0.0
+	for _, list := range lists {
+		for i := range list {
+			if c := &list[i]; !c.cold && c.score > 0 {
+				free += max(0, float64(c.Slots)-c.busy)
+			}
+		}
+	}
+	return int(free)
 }
 
 // Usable reports whether the server may still get the request: since it was
@@ -228,12 +250,16 @@
 	case Answered:
 		v.health.heard = now
 		v.health.succeeded(&s.Policy, l.workTime(now))
+		if l.Known && l.Busy < float64(l.Slots) {
+			v.speed.took(&s.Policy, now.Sub(l.start))
+		}
+		v.keys.add(l.key)
 		s.clear(v, now)
 	case Shed:
 		v.health.heard = now
 		if !load.HasRoom() {
 			// It is full, whatever was believed before.
-			v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.SecondHomeFill)
+			v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.RefusedFill)
 			v.load.at = now
 		}
 	case Unreachable:
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -74,6 +74,8 @@
 
 	health health
 	load   loadEstimate
+	keys   keyTable
+	speed  speed
 }
 
 // group is the servers of one service.
@@ -88,6 +90,8 @@
 	// typical is the typical latency as of typicalAt.
 	typical   time.Duration
 	typicalAt time.Time
+	// comparedAt is when the servers' speeds were last compared.
+	comparedAt time.Time
 	// heavy is the share of heavy requests, as a moving average.
 	heavy float64
 }
--- a/pkg/ctl/ctl_trace.go
+++ b/pkg/ctl/ctl_trace.go
@@ -21,13 +21,9 @@
 		if len(args) < 2 {
 			return &UsageError{Problem: "needed: ID LOG..."}
 		}
-		var lines []trace.Line
-		for _, path := range args[1:] {
-			more, err := readLog(path)
-			if err != nil {
-				return &UsageError{Problem: err.Error()}
-			}
-			lines = append(lines, more...)
+		lines, err := readLogs(args[1:])
+		if err != nil {
+			return &UsageError{Problem: err.Error()}
 		}
 		found, err := trace.Find(lines, args[0], *before)
 		if err != nil {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -124,15 +124,14 @@
 	tried    []string
 	sent     int
 	steps    []step
+	// full is why no server was chosen, if all were full.
+	full *backend.ChoiceError
 }
 
 // step is one try, for the log.
 type step struct {
-	server  string
+	lease   *backend.Lease
 	result  backend.Result
-	home    int
-	busy    float64
-	remote  bool
 	took    time.Duration
 	problem error
 }
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -64,7 +65,7 @@
 			result = backend.Abandoned
 		}
 		c.finish(lease, result, verdict.Load, start, err)
-		c.log("answer broke off", outcome.ReasonTruncated, http.StatusBadGateway)
+		c.log("answer broke off", outcome.ReasonTruncated, http.StatusBadGateway, 1)
 		// The only way to tell the client that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
@@ -96,7 +97,7 @@
 func (c *call) fail(f *outcome.Failure) {
 	s := c.server
 	s.Count("failed." + string(f.Reason))
-	c.log("not answered: "+f.Detail, f.Reason, f.Status())
+	c.log("not answered: "+f.Detail, f.Reason, f.Status(), 1)
 	if f.Reason == outcome.ReasonCancelled {
 		// Nobody reads an answer.
 		panic(http.ErrAbortHandler)
@@ -120,15 +121,20 @@
 	s.Observe("request."+c.service, s.Now().Sub(c.start))
 	s.Count("answered")
 	clean := len(c.steps) == 1 && status < 500
-	if clean && s.Random()%uint64(s.Policy().LogAnsweredEvery) != 0 {
+	if !clean {
+		c.log("answered", "", status, 1)
 		return
 	}
-	c.log("answered", "", status)
+	every := s.Policy().LogAnsweredEvery
+	if s.Random()%uint64(every) == 0 {
+		c.log("answered", "", status, every)
+	}
 }
 
 // log writes the one line of a request: what came in, which configuration
 // decided, and each backend server that was tried with what was known of it.
-func (c *call) log(text string, reason outcome.Reason, status int) {
+// The line stands for as many requests like it as are given.
+func (c *call) log(text string, reason outcome.Reason, status, requests int) {
 	fields := map[string]any{
 		"request": c.meta.ID, "status": status, "took_ms": c.server.Now().Sub(c.start).Milliseconds(),
 		"config": c.version, "service": c.service,
@@ -139,19 +145,42 @@
 	if c.route != nil {
 		fields["route"] = c.route.Name
 		fields["timeout_ms"] = c.timeout().Milliseconds()
+		fields["target_ms"] = c.route.TargetLatency.Milliseconds()
+	}
+	if requests > 1 {
+		fields["requests"] = requests
+	}
+	if c.full != nil {
+		fields["home_fill"] = math.Round(c.full.HomeFill*10) / 10
+		fields["free_slots"] = c.full.FreeSlots
 	}
 	for i, t := range c.steps {
-		n := "try" + strconv.Itoa(i+1)
-		fields[n] = t.server + " " + t.result.String()
-		fields[n+"_home"] = t.home
-		fields[n+"_busy"] = int(t.busy + 0.5)
-		fields[n+"_ms"] = t.took.Milliseconds()
-		if t.remote {
-			fields[n+"_remote"] = true
-		}
-		if t.problem != nil {
-			fields[n+"_error"] = t.problem.Error()
-		}
+		t.log("try"+strconv.Itoa(i+1), fields)
 	}
 	c.server.Log.Info(text, fields)
 }
+
+// log adds what is told of a try to the fields of a request's line.
+func (t *step) log(name string, fields map[string]any) {
+	l := t.lease
+	fields[name] = l.ID + " " + t.result.String()
+	fields[name+"_home"] = l.Home
+	fields[name+"_busy"] = int(l.Busy + 0.5)
+	fields[name+"_slots"] = l.Slots
+	fields[name+"_ms"] = t.took.Milliseconds()
+	if l.LoadAge > 0 {
+		fields[name+"_load_age_ms"] = l.LoadAge.Milliseconds()
+	}
+	if l.Expected > 0 {
+		fields[name+"_expected_ms"] = l.Expected.Milliseconds()
+	}
+	if l.Known {
+		fields[name+"_known"] = true
+	}
+	if l.Remote {
+		fields[name+"_remote"] = true
+	}
+	if t.problem != nil {
+		fields[name+"_error"] = t.problem.Error()
+	}
+}
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -73,6 +73,7 @@
 	}
 	var choice *backend.ChoiceError
 	if errors.As(err, &choice) && choice.Reason == backend.Full {
+		c.full = choice
 		return nil, outcome.NewNotRun(outcome.ReasonNoCapacity, c.service).WithRetryAfter(c.comeBack())
 	}
 	return nil, outcome.NewNotRun(outcome.ReasonNoServer, c.service).WithRetryAfter(c.comeBack())
@@ -159,7 +160,7 @@
 func (c *call) mayReuse(lease *backend.Lease) {
 	tries := 0
 	for _, t := range c.steps {
-		if t.server == lease.ID {
+		if t.lease.ID == lease.ID {
 			tries++
 		}
 	}
@@ -279,7 +280,6 @@
 		c.server.Count("backend.remote")
 	}
 	c.steps = append(c.steps, step{
-		server: lease.ID, result: result, home: lease.Home, busy: lease.Busy, remote: lease.Remote,
-		took: c.server.Now().Sub(start), problem: err,
+		lease: lease, result: result, took: c.server.Now().Sub(start), problem: err,
 	})
 }
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -13,16 +13,9 @@
 // Policy is one set of figures. Each field's tags give its name in the
 // settings, its unit and the bounds within which it makes sense.
 type Policy struct {
-	// Homes is how many servers a key has that may learn it. With one more,
-	// keys become known in more places and first uses, which take longest,
-	// more frequent; one is as good on the deployments measured, but leaves
-	// retries without a server that can be expected to know the key.
-	Homes int `yaml:"homes" unit:"servers" least:"1" most:"8"`
-	// SecondHomeFill is how much of its slots the first home may have taken
-	// before an idle second one is considered: 1.0 measured worse by 0.008.
-	SecondHomeFill float64 `yaml:"second_home_fill" unit:"of its slots" least:"0" most:"100"`
-	// IdleFill is how much of its slots a server may have taken to be given
-	// keys whose home is full: 0.9 measured no better.
+	// IdleFill is how much of its slots a server of another region may have
+	// taken to be given keys whose home is full: 0.9 measured no better, never
+	// doing so worse by 0.010 to 0.023.
 	IdleFill float64 `yaml:"idle_fill" unit:"of its slots" least:"0" most:"100"`
 	// FullFill is how much of its slots a home may have taken before requests
 	// are refused or go elsewhere. It is well above 1, since a server that
@@ -30,6 +23,20 @@
 	// measured worse by 0.006.
 	FullFill float64 `yaml:"full_fill" unit:"of its slots" least:"0.5" most:"100"`
 
+	// RefusedFill is how much of its slots a server is taken to have taken
+	// that refused a request for want of room: nearly what makes it full.
+	RefusedFill float64 `yaml:"refused_fill" unit:"of its slots" least:"0" most:"100"`
+
+	// SpeedWeight is the weight of a new answer in the average of how long a
+	// server takes for keys that it knows: small, since keys differ by a sixth.
+	SpeedWeight float64 `yaml:"speed_weight" unit:"of the average" least:"0.001" most:"1"`
+	// SpeedAnswers is how many answers make that average.
+	SpeedAnswers int `yaml:"speed_answers" unit:"answers" least:"1" most:"1000000"`
+	// SpeedStep is by which factor servers must differ to get another part of
+	// the keys. Boxes do not ask each other, so steps have to be larger than
+	// what they see differently.
+	SpeedStep float64 `yaml:"speed_step" unit:"times the typical time" least:"1.05" most:"100"`
+
 	// ShareStep is how fast a region's share of its own keys follows the
 	// regions' slots. The rest of the cap on shifts is left to chance.
 	ShareStep float64 `yaml:"share_step" unit:"of the cap on shifts, a window" least:"0" most:"1"`
@@ -101,10 +108,12 @@
 // Default returns the figures that measured best.
 func Default() Policy {
 	return Policy{
-		Homes:            2,
-		SecondHomeFill:   1.8,
 		IdleFill:         0.5,
 		FullFill:         2.1,
+		RefusedFill:      1.8,
+		SpeedWeight:      0.03,
+		SpeedAnswers:     15,
+		SpeedStep:        1.3,
 		ShareStep:        0.3,
 		SpillShare:       0.4,
 		LoadHolds:        500 * time.Millisecond,
--- /dev/null
+++ b/pkg/report/report.go
@@ -0,0 +1,251 @@
+// Package report sums up the logs of boxes: of the requests of each service
+// and of each span of time, how many were answered in time, late, refused or
+// lost, and for which cause. It reads lines of package trace; only Page and
+// Print write, to where they are told.
+package report
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/trace"
+)
+
+// Outcome is what a client got.
+type Outcome int
+
+// The outcomes.
+const (
+	// InTime: answered within the route's target, or the route has none.
+	InTime Outcome = iota
+	// Late: answered after the target.
+	Late
+	// Refused: told that it was not run.
+	Refused
+	// Lost: no answer of a server, and not known whether it was run.
+	Lost
+	outcomes
+)
+
+// outcomeNames are the outcomes' names in tables, by value.
+var outcomeNames = [outcomes]string{"in time", "late", "refused", "lost"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Cause is the first of the causes below that holds for a request that was
+// not answered in time.
+type Cause string
+
+// The causes, in the order in which they are looked for.
+const (
+	// CauseNotTried: refused without being sent to any server.
+	CauseNotTried Cause = "not tried"
+	// CauseTriedAgain: a first server failed or refused it.
+	CauseTriedAgain Cause = "tried again"
+	// CauseServerFailed: the only server that was tried failed or refused.
+	CauseServerFailed Cause = "server failed"
+	// CauseFirstUse: the server was not known to have the key.
+	CauseFirstUse Cause = "first use of the key"
+	// CauseQueued: the server had all slots taken.
+	CauseQueued Cause = "queued"
+	// CauseRemote: the server is in another region.
+	CauseRemote Cause = "remote"
+	// CauseSlow: none of these; the server took long.
+	CauseSlow Cause = "server slow"
+)
+
+// Causes lists all causes in the order in which they are looked for.
+var Causes = []Cause{CauseNotTried, CauseTriedAgain, CauseServerFailed, CauseFirstUse, CauseQueued, CauseRemote, CauseSlow}
+
+// Tally counts requests.
+type Tally struct {
+	Outcomes [outcomes]int
+	// Causes counts those that were not answered in time.
+	Causes map[Cause]int
+}
+
+// Requests is the sum of all outcomes.
+func (t *Tally) Requests() int {
+	sum := 0
+	for _, n := range t.Outcomes {
+		sum += n
+	}
+	return sum
+}
+
+func (t *Tally) add(o Outcome, c Cause, requests int) {
+	t.Outcomes[o] += requests
+	if o == InTime {
+		return
+	}
+	if t.Causes == nil {
+		t.Causes = map[Cause]int{}
+	}
+	t.Causes[c] += requests
+}
+
+// Span is one span of time.
+type Span struct {
+	Start time.Time
+	Tally
+}
+
+// Service is one service's sum.
+type Service struct {
+	Name string
+	Tally
+}
+
+// Report is what logs tell.
+type Report struct {
+	// Every is the length of a span.
+	Every    time.Duration
+	All      Tally
+	Services []Service
+	Spans    []Span
+	// Sampled is how many of the requests are told by lines that stand for
+	// several; their figures are estimates.
+	Sampled int
+}
+
+// EmptyError says that logs tell of no request.
+type EmptyError struct{}
+
+// Error implements error.
+func (*EmptyError) Error() string { return "no line tells of a request" }
+
+// Make sums up the lines. The error is an *EmptyError.
+func Make(lines []trace.Line, every time.Duration) (*Report, error) {
+	r := &Report{Every: every}
+	services := map[string]*Service{}
+	spans := map[time.Time]*Span{}
+	for i := range lines {
+		q, ok := read(&lines[i])
+		if !ok {
+			continue
+		}
+		outcome := q.outcome()
+		cause := q.cause()
+		r.All.add(outcome, cause, q.requests)
+		if q.requests > 1 {
+			r.Sampled += q.requests
+		}
+		of(services, q.service, func() *Service { return &Service{Name: q.service} }).add(outcome, cause, q.requests)
+		start := q.start.Truncate(every)
+		of(spans, start, func() *Span { return &Span{Start: start} }).add(outcome, cause, q.requests)
+	}
+	if r.All.Requests() == 0 {
+		return nil, &EmptyError{}
+	}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		r.Services = append(r.Services, *services[name])
+	}
+	for _, s := range spans {
+		r.Spans = append(r.Spans, *s)
+	}
+	slices.SortFunc(r.Spans, func(a, b Span) int { return a.Start.Compare(b.Start) })
+	return r, nil
+}
+
+// of returns the entry of a key, made if there is none.
+func of[K comparable, V any](m map[K]*V, key K, empty func() *V) *V {
+	if m[key] == nil {
+		m[key] = empty()
+	}
+	return m[key]
+}
+
+// request is what a line tells of a request.
+type request struct {
+	service string
+	start   time.Time
+	status  int
+	took    float64
+	target  float64
+	// requests is how many requests the line stands for.
+	requests int
+	tries    int
+	// last is the name of the last try's fields.
+	last   string
+	fields map[string]any
+}
+
+// linePrefix begins the lines that tell of a request.
+const linePrefix = "request: "
+
+func read(l *trace.Line) (*request, bool) {
+	if !strings.HasPrefix(l.Text, linePrefix) {
+		return nil, false
+	}
+	q := &request{fields: l.Fields, requests: 1}
+	q.service, _ = l.Fields["service"].(string)
+	if q.service == "" {
+		q.service = "(none)"
+	}
+	q.status = int(q.number("status"))
+	q.took = q.number("took_ms")
+	q.target = q.number("target_ms")
+	q.start = l.Time.Add(-time.Duration(q.took * float64(time.Millisecond)))
+	if n := int(q.number("requests")); n > 1 {
+		q.requests = n
+	}
+	for q.fields[fmt.Sprint("try", q.tries+1)] != nil {
+		q.tries++
+		q.last = fmt.Sprint("try", q.tries)
+	}
+	return q, true
+}
+
+// number returns a field's number, 0 where there is none: fields whose value
+// would say nothing are left out of the log.
+func (q *request) number(name string) float64 {
+	v, _ := q.fields[name].(float64)
+	return v
+}
+
+// Statuses that a box answers with in its own name.
+const (
+	statusBadGateway         = 502
+	statusServiceUnavailable = 503
+	statusGatewayTimeout     = 504
+)
+
+func (q *request) outcome() Outcome {
+	answered := strings.HasSuffix(q.text("text"), "request: answered")
+	switch {
+	case answered && (q.target <= 0 || q.took <= q.target):
+		return InTime
+	case answered:
+		return Late
+	case q.status == statusBadGateway || q.status == statusGatewayTimeout:
+		return Lost
+	}
+	return Refused
+}
+
+func (q *request) text(name string) string {
+	v, _ := q.fields[name].(string)
+	return v
+}
+
+func (q *request) cause() Cause {
+	switch {
+	case q.tries == 0:
+		return CauseNotTried
+	case q.tries > 1:
+		return CauseTriedAgain
+	case !strings.HasSuffix(q.text(q.last), " answered"):
+		return CauseServerFailed
+	case q.fields[q.last+"_known"] == nil:
+		return CauseFirstUse
+	case q.number(q.last+"_busy") >= max(1, q.number(q.last+"_slots")):
+		return CauseQueued
+	case q.fields[q.last+"_remote"] != nil:
+		return CauseRemote
+	}
+	return CauseSlow
+}
