Few boxes of a zone try while the store is down

Cause: a box watches the store if no box before it in its zone is known that the store answers. Ruled out: watches that end early, lists anew after lost history. Change: heartbeats tell who is trying; two boxes of a zone try, one more after the time of contact without any box that the store answers, then each time that has doubled. What a zone's own watchers miss they have from other zones, as before. Tests: few boxes call while the store is down (fails before); a zone whose first boxes are turned away has the news in time.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -62,6 +62,8 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	// Untroubled: the store has answered this box without fail for a while.
 	Untroubled bool `json:"untroubled,omitempty"`
+	// Trying: the box asks the store, but is not untroubled.
+	Trying bool `json:"trying,omitempty"`
 	// Versions tells how new the box's mirrors are, by kind.
 	Versions map[string]objects.Version `json:"versions,omitempty"`
 }
@@ -210,19 +212,25 @@
 	return Envelope{Message: Message{From: t.self}, To: to}
 }
 
-// Ahead returns how many boxes of this box's zone come before it by name, have
-// been heard within the time, and had the store answer them.
-func (t *Table) Ahead(within time.Duration) int {
+// Ahead returns how many boxes of this box's zone come before it by name and
+// have been heard within the time, of those that had the store answer them,
+// and of those that are trying.
+func (t *Table) Ahead(within time.Duration) (untroubled, trying int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ahead := 0
 	now := t.Now()
 	for _, e := range t.members {
-		if e.Zone == t.self.Zone && e.Box < t.self.Box && e.Untroubled && !e.Leaving && now.Sub(e.heard) <= within {
-			ahead++
+		if e.Zone != t.self.Zone || e.Box >= t.self.Box || e.Leaving || now.Sub(e.heard) > within {
+			continue
+		}
+		switch {
+		case e.Untroubled:
+			untroubled++
+		case e.Trying:
+			trying++
 		}
 	}
-	return ahead
+	return untroubled, trying
 }
 
 // addresses returns where live boxes are, of the own zone and of others, and
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -84,6 +84,9 @@
 	// it has not announced yet.
 	watching atomic.Bool
 	news     atomic.Bool
+	// lastUntroubled is when a box was last known that the store answers, in
+	// the time since the start. Only the heartbeat uses it.
+	lastUntroubled time.Duration
 
 	leaving  atomic.Bool
 	closed   atomic.Bool
--- a/pkg/steering/steering_peers.go
+++ b/pkg/steering/steering_peers.go
@@ -78,6 +78,7 @@
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
 		self.Untroubled = n.watching.Load() && n.untroubled()
+		self.Trying = n.watching.Load() && !self.Untroubled
 	})
 }
 
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -84,9 +85,27 @@
 // learn from other zones.
 const watcherSilence = 3 * gossip.Interval
 
+// Where the store answers none of a zone's watchers, others try in their
+// place, since it may turn away single boxes. But it may be down for all, and
+// then every box that tries makes calls for nothing, and all of them come back
+// at once: so only a few try.
+const fewTrying = 2
+
+// mayTry returns how many boxes of the zone may try: one more after the time
+// of contact without any box of any zone that the store answers, and another
+// one each time that this has lasted twice as long.
+func (n *Node) mayTry() int {
+	if n.untroubled() || n.anyUntroubled() {
+		n.lastUntroubled = n.age()
+	}
+	without := n.age() - n.lastUntroubled
+	return fewTrying + int(math.Log2(1+without.Seconds()/n.Settings.Bounds.Contact.Seconds()))
+}
+
 // chooseRole decides whether this box watches the store.
 func (n *Node) chooseRole() {
-	watching := n.Members.Ahead(watcherSilence) < n.policy.Load().WatchersPerZone
+	untroubled, trying := n.Members.Ahead(watcherSilence)
+	watching := untroubled < n.policy.Load().WatchersPerZone && trying < n.mayTry()
 	if watching == n.watching.Swap(watching) {
 		return
 	}
--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -558,6 +558,92 @@
 	is.True(far <= changes/2) // of 6 boxes that do not ask the store
 }
 
+// TestFewBoxesTryWhileTheStoreIsDown: each box that tries makes calls for
+// nothing, and all of them come back at once. Found where a store that was down
+// for all boxes of a large deployment got five in six of its calls in that time.
+func TestFewBoxesTryWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	const boxes = 12
+	f := newFleetIn(t, func(int) string { return "east-a" }, boxes, "east-a.1", "east-a.2")
+	time.Sleep(4 * time.Second)
+	f.Store.SetTreat(func(string, string) Mode { return Busy })
+	time.Sleep(3 * time.Second) // roles settle
+	before := map[string]int{}
+	for _, b := range f.Boxes {
+		before[b.IP] = f.Store.Calls(b.IP)
+	}
+	time.Sleep(3 * time.Second)
+	trying := 0
+	for _, b := range f.Boxes {
+		if f.Store.Calls(b.IP) > before[b.IP] {
+			trying++
+		}
+	}
+	is.True(trying >= 1)
+	is.True(trying <= 4) // after four times of contact without the store
+	f.Store.SetTreat(nil)
+	f.Configure(30, read, Route{Prefix: "/back/", Kind: "safe", Service: "shop"})
+	start := time.Now()
+	eventually(t, "all boxes have the news", func() bool {
+		for _, b := range f.Boxes {
+			c := &Client{Address: b.Clients}
+			a := c.Do("GET", "/back/1", "id", "", "")
+			c.Close()
+			if a.Status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	is.True(time.Since(start) < 2500*time.Millisecond)
+}
+
+// TestZoneWhoseFirstBoxesAreTurnedAwayHasTheNews: the store turns away the two
+// boxes of a zone that try first; the zone has the news in time all the same.
+func TestZoneWhoseFirstBoxesAreTurnedAwayHasTheNews(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		away int
+		zone func(i int) string
+	}{
+		{"another zone is served", 3, func(i int) string { return []string{"east-a", "west-a"}[i/3] }},
+		{"the zone's third box is served", 2, func(int) string { return "east-a" }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleetIn(t, c.zone, 6, "east-a.1", "west-a.2")
+			time.Sleep(4 * time.Second)
+			away := map[string]bool{}
+			for _, b := range f.Boxes[:c.away] {
+				away[b.IP] = true
+			}
+			f.Store.SetTreat(func(ip, _ string) Mode {
+				if away[ip] {
+					return Busy
+				}
+				return Serving
+			})
+			// One more box of a zone tries only after the time of contact
+			// without any box that the store answers.
+			time.Sleep(f.Boxes[0].Settings.Bounds.Contact + 3*time.Second)
+			f.Configure(30, read, Route{Prefix: "/late/", Kind: "safe", Service: "shop"})
+			start := time.Now()
+			eventually(t, "all boxes have the news", func() bool {
+				for _, b := range f.Boxes {
+					c := &Client{Address: b.Clients}
+					a := c.Do("GET", "/late/1", "id", "", "")
+					c.Close()
+					if a.Status != 200 {
+						return false
+					}
+				}
+				return true
+			})
+			is.True(time.Since(start) < 2500*time.Millisecond)
+		})
+	}
+}
+
 func TestFewBoxesOfAZoneAskTheStore(t *testing.T) {
 	is := is.New(t)
 	f := newFleetIn(t, func(int) string { return "east-a" }, 6, "east-a.1", "east-a.2")
