A request goes to each server once: trying again where a key is known is worth nothing

Tried and reverted: boxes that start list only, until they have heard a heartbeat. Hypothesis: 65 boxes that start watch at once.

--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"strings"
 	"time"
 
@@ -149,26 +148,11 @@
 	c.finish(lease, result, verdict.Load, start, nil)
 	failure := outcome.NewNotRun(outcome.ReasonShed, lease.ID)
 	if result == backend.Shed && verdict.Load.HasRoom() {
-		c.mayReuse(lease)
 		return failure.WithRetryAfter(c.server.Policy().ReturnRoom)
 	}
 	return failure.WithRetryAfter(c.comeBack())
 }
 
-// mayReuse lets the next try choose a server with room again, if the request
-// was not sent to it too often: other servers are not known to have its key.
-func (c *call) mayReuse(lease *backend.Lease) {
-	tries := 0
-	for _, t := range c.steps {
-		if t.lease.ID == lease.ID {
-			tries++
-		}
-	}
-	if tries < c.server.Policy().TriesPerServer {
-		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == lease.ID })
-	}
-}
-
 // failed says what may be told of an exchange that failed.
 func (c *call) failed(lease *backend.Lease, start time.Time, err error) *outcome.Failure {
 	sent := wasSent(err)
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -89,11 +89,6 @@
 	// has to drain first. In time for a request of a tenth of a second.
 	ReturnRoom time.Duration `yaml:"return_room" unit:"time" least:"1ms" most:"1m"`
 
-	// TriesPerServer is how often one request may be sent to the same server,
-	// where that refused it with slots free: it knows the key, which others do
-	// not. The same for exchanges that broke measured no better.
-	TriesPerServer int `yaml:"tries_per_server" unit:"tries" least:"1" most:"10"`
-
 	// LogAnsweredEvery: of requests that were answered at the first try, one
 	// in so many is logged.
 	LogAnsweredEvery int `yaml:"log_answered_every" unit:"requests" least:"1" most:"1000000"`
@@ -132,7 +127,6 @@
 		ReturnLeast:      100 * time.Millisecond,
 		ReturnMost:       500 * time.Millisecond,
 		ReturnRoom:       10 * time.Millisecond,
-		TriesPerServer:   2,
 		LogAnsweredEvery: 32,
 		WatchersPerZone:  1,
 	}
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -85,8 +85,8 @@
 	watching atomic.Bool
 	news     atomic.Bool
 	// lastUntroubled is when a box was last known that the store answers, in
-	// the time since the start. Only the heartbeat uses it.
-	lastUntroubled time.Duration
+	// nanoseconds since the start.
+	lastUntroubled atomic.Int64
 
 	leaving  atomic.Bool
 	closed   atomic.Bool
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -96,9 +96,9 @@
 // one each time that this has lasted twice as long.
 func (n *Node) mayTry() int {
 	if n.untroubled() || n.anyUntroubled() {
-		n.lastUntroubled = n.age()
+		n.lastUntroubled.Store(int64(n.age()))
 	}
-	without := n.age() - n.lastUntroubled
+	without := n.age() - time.Duration(n.lastUntroubled.Load())
 	return fewTrying + int(math.Log2(1+without.Seconds()/n.Settings.Bounds.Contact.Seconds()))
 }
 
