--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -98,6 +98,48 @@
 	}
 }
 
+// TestLeavingServerStaysOutWhileTheStoreIsLost: a server that a box has seen
+// leave gets nothing more, whatever of its entry is lost or comes back while
+// the list cannot be trusted.
+func TestLeavingServerStaysOutWhileTheStoreIsLost(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestSet(1)
+	list := servers("east-a", 1, 4)
+	s.Replace(list, true)
+	leaving := list[0]
+	leaving.Draining = true
+	s.Put(leaving)
+	s.Replace(nil, false)
+	_, err := choose(s, 1)
+	is.True(err != nil)
+	s.Put(leaving)
+	_, err = choose(s, 1)
+	is.True(err != nil)
+}
+
+// TestJoinedServerGetsRequests: a server that joins has its part of the keys as
+// soon as it is not cold any more, and so some of the requests of the seconds
+// that follow, also where keys are few.
+func TestJoinedServerGetsRequests(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(12)
+	s.Replace(servers("east-a", 8, 4), true)
+	joined := Server{ID: "east-a-joined", Service: "shop", Address: "10.0.0.9:1", Zone: "east-a", Slots: 4, Cold: 3 * time.Second}
+	s.Put(joined)
+	c.advance(joined.Cold + policy.Default().ColdMargin + time.Millisecond)
+	got := 0
+	for i := range 4 * 25 { // four seconds of a box's part of 300 requests a second
+		lease, err := choose(s, mix(uint64(i%80)))
+		is.NoErr(err)
+		if lease.ID == joined.ID {
+			got++
+		}
+		lease.Done(Answered, &Load{Slots: 4})
+		c.advance(40 * time.Millisecond)
+	}
+	is.True(got > 0)
+}
+
 // TestRetryGoesToTheNextInOrder: a request that was sent to some servers goes
 // to another one of the region, on all boxes to the same one.
 func TestRetryGoesToTheNextInOrder(t *testing.T) {
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -93,6 +93,8 @@
 	Prefix, Kind, Service string
 	TimeoutMS             int
 	Regions               []string
+	// Split are services that get equal parts, in place of Service.
+	Split []string
 }
 
 // Configure puts a configuration of the host shop.example in the store.
@@ -100,9 +102,17 @@
 	paths := []map[string]any{}
 	services := map[string]bool{}
 	for _, r := range routes {
-		services[r.Service] = true
+		split := []map[string]any{}
+		for _, s := range r.Split {
+			services[s] = true
+			split = append(split, map[string]any{"service": s, "weight": 1})
+		}
+		if len(split) == 0 {
+			services[r.Service] = true
+		}
 		paths = append(paths, map[string]any{
-			"name": r.Prefix, "path-prefix": r.Prefix, "kind": r.Kind, "service": r.Service, "timeout-ms": r.TimeoutMS,
+			"backends": split,
+			"name":     r.Prefix, "path-prefix": r.Prefix, "kind": r.Kind, "service": r.Service, "timeout-ms": r.TimeoutMS,
 			"target-latency-ms": 500, "max-attempts": 2, "session-affinity": true, "allowed-regions": r.Regions,
 		})
 	}
--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -511,6 +511,32 @@
 	is.True(far <= changes/2) // of 6 boxes that do not ask the store
 }
 
+// TestPartShortOfRoomKeepsItsWeight: where a route is split, a service without
+// room still gets its part, which is refused with when to come back; none of it
+// moves to the other service.
+func TestPartShortOfRoomKeepsItsWeight(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1", "east-a.2")
+	f.Configure(5, read, Route{Prefix: "/split/", Kind: "safe", TimeoutMS: 1500, Split: []string{"shop", "desk"}})
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	eventually(t, "the route is in force", func() bool { return client.Do("GET", "/split/1", "first", "", "").Status != 404 })
+	const requests = 60
+	served, refused := 0, 0
+	for i := range requests {
+		a := client.Do("GET", "/split/1", fmt.Sprint("split-", i), "", "")
+		switch a.Status {
+		case 200:
+			served++
+		case 503:
+			refused++
+			is.True(a.Header.Get("Retry-After") != "")
+		}
+	}
+	is.Equal(served+refused, requests)
+	is.True(served >= requests/2-1 && served <= requests/2+1)
+}
+
 // TestFewBoxesTryWhileTheStoreIsDown: each box that tries makes calls for
 // nothing, and all of them come back at once. Found where a store that was down
 // for all boxes of a large deployment got five in six of its calls in that time.
