Names of the field: cold start, healthy contact, closed by peer; a cold server is named in the log

A refusal without a try says why in words. News, chill and heat, untroubled and forgotten connections give way to the usual terms.

--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -169,29 +169,28 @@
 	if old.Server != v && v.Draining && !old.Draining {
 		s.Changed(v, "draining")
 	}
-	s.heat(old, v)
+	cold := v.Cold != old.Cold
 	old.Server = v
+	if cold {
+		s.startCold(old, v.Cold)
+	}
 	old.region = s.RegionOf(v.Zone)
 	old.missing = time.Time{}
 	s.join(old)
 	old.group.changed = true
 }
 
-// heat works out until when a server is cold. What is told may have been on
+// startCold takes a server to be cold for a time. What is told may have been on
 // its way for a while, so it is counted from now, with a margin for clocks
 // that run apart.
-func (s *Set) heat(old *server, v Server) {
-	if v.Cold <= 0 || v.Cold == old.Cold {
+func (s *Set) startCold(v *server, d time.Duration) {
+	if d <= 0 {
 		return
 	}
-	s.chill(old, v.Cold)
-}
-
-func (s *Set) chill(old *server, d time.Duration) {
 	until := s.Now().Add(d + s.Policy.ColdMargin)
-	if until.After(old.coldUntil) {
-		old.coldUntil = until
-		s.Changed(old.Server, "cold")
+	if until.After(v.coldUntil) {
+		v.coldUntil = until
+		s.Changed(v.Server, "cold")
 	}
 }
 
@@ -267,7 +266,7 @@
 	}
 	for _, v := range s.servers {
 		if s.evacuated[v.Zone] && !evacuated[v.Zone] {
-			s.chill(v, s.terms[v.Service].ColdStart)
+			s.startCold(v, s.terms[v.Service].ColdStart)
 		}
 	}
 	s.evacuated = evacuated
--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -221,6 +221,26 @@
 	})
 }
 
+// TestWhatIsToldOfAServerNamesIt: each line of the log about a server names it
+// and its service, also the first ones.
+func TestWhatIsToldOfAServerNamesIt(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestSet(1)
+	var told []string
+	s.Changed = func(v Server, what string) {
+		is.Equal(v.ID, "east-a-0")
+		is.Equal(v.Service, "shop")
+		told = append(told, what)
+	}
+	v := servers("east-a", 1, 4)[0]
+	v.Cold = time.Second
+	s.Put(v)
+	v.Draining = true
+	s.Put(v)
+	s.Remove(v.ID, true)
+	is.Equal(told, []string{"listed", "cold", "draining", "gone"})
+}
+
 func TestZoneThatIsTakenBackIsCold(t *testing.T) {
 	is := is.New(t)
 	s, c := newTestSet(100)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -70,7 +70,7 @@
 	// may have been idle. The other side may just be closing it.
 	MaxIdle time.Duration
 	// Once: the request may run only once, so that it must not meet a
-	// connection that the other side has forgotten; see IdleLimit.
+	// connection that the peer has closed without a word; see IdleLimit.
 	Once bool
 	// Match reports whether an answer belongs to this request; nil takes any.
 	// An answer that does not is read to its end and left out.
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -47,7 +47,7 @@
 	sent := time.Now()
 	answer, failure := x.start(req)
 	if failure != nil {
-		if forgotten(c, failure, time.Since(sent)) {
+		if closedByPeer(c, failure, time.Since(sent)) {
 			p.Idle.Lost(c.rested)
 		}
 		x.end(false)
--- a/pkg/exchange/idle.go
+++ b/pkg/exchange/idle.go
@@ -11,22 +11,22 @@
 // Tuning of IdleLimit.
 const (
 	// lostWithin is how soon after a request was sent its connection must break
-	// to count as one that the other side had forgotten: the way to another
+	// to count as one that the peer had closed without a word: the way to another
 	// region and back. A server that fails while it works takes longer as a
 	// rule.
 	lostWithin = 120 * time.Millisecond
-	// leastRested is how long a connection must have rested to be forgotten.
+	// leastRested is how long a connection must have rested to be closed by the peer while idle.
 	leastRested = 100 * time.Millisecond
-	// lostShare is which part of the idle time of a forgotten connection
+	// lostShare is which part of the idle time of a connection closed by the peer
 	// others may rest from then on.
 	lostShare = 0.5
-	// lostCounts is for how long a forgotten connection counts.
+	// lostCounts is for how long a connection closed by the peer counts.
 	lostCounts = 10 * time.Second
 	// leastIdle is the least that connections may rest.
 	leastIdle = 50 * time.Millisecond
 )
 
-// IdleLimit learns for how long connections may rest. Other sides forget idle
+// IdleLimit learns for how long connections may rest. Peers close idle
 // connections without a word, now and then sooner than they said; a request
 // that may run only once and meets such a connection cannot be sent again.
 // Several pools may share a limit. A nil limit limits nothing.
@@ -34,7 +34,7 @@
 	// Now is the clock; it must be monotonic.
 	Now func() time.Time
 	// Learnt is told of a limit that has changed, and after which rest a
-	// connection was found forgotten.
+	// connection was closed by the peer.
 	Learnt func(limit, rested time.Duration)
 
 	mu    sync.Mutex
@@ -47,7 +47,7 @@
 	return &IdleLimit{Now: now, Learnt: func(_, _ time.Duration) {}}
 }
 
-// Lost notes a connection that was found forgotten after it had rested.
+// Lost notes a connection that was closed by the peer after it had rested.
 func (l *IdleLimit) Lost(idle time.Duration) {
 	if l == nil {
 		return
@@ -81,9 +81,9 @@
 	return most
 }
 
-// forgotten reports whether the failure of an exchange is that of a connection
-// which the other side had forgotten.
-func forgotten(c *connection, err *Error, took time.Duration) bool {
+// closedByPeer reports whether the failure of an exchange is that of a connection
+// which the peer had closed without a word.
+func closedByPeer(c *connection, err *Error, took time.Duration) bool {
 	if !c.used || c.rested < leastRested || err.Stage != StageSend && err.Stage != StageHeader || took > lostWithin {
 		return false
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -60,9 +60,9 @@
 	Beat    uint64 `json:"beat"`
 	Ready   bool   `json:"ready,omitempty"`
 	Leaving bool   `json:"leaving,omitempty"`
-	// Untroubled: the store has answered this box without fail for a while.
-	Untroubled bool `json:"untroubled,omitempty"`
-	// Trying: the box asks the store, but is not untroubled.
+	// StoreHealthy: the store has answered this box without fail for a while.
+	StoreHealthy bool `json:"store_healthy,omitempty"`
+	// Trying: the box asks the store, but has no healthy contact with it.
 	Trying bool `json:"trying,omitempty"`
 	// Versions tells how new the box's mirrors are, by kind.
 	Versions map[string]objects.Version `json:"versions,omitempty"`
@@ -215,7 +215,7 @@
 // Ahead returns how many boxes of this box's zone come before it by name and
 // have been heard within the time, of those that had the store answer them,
 // and of those that are trying.
-func (t *Table) Ahead(within time.Duration) (untroubled, trying int) {
+func (t *Table) Ahead(within time.Duration) (healthy, trying int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
@@ -224,13 +224,13 @@
 			continue
 		}
 		switch {
-		case e.Untroubled:
-			untroubled++
+		case e.StoreHealthy:
+			healthy++
 		case e.Trying:
 			trying++
 		}
 	}
-	return untroubled, trying
+	return healthy, trying
 }
 
 // addresses returns where live boxes are, of the own zone and of others, and
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -73,9 +73,9 @@
 	var choice *backend.ChoiceError
 	if errors.As(err, &choice) && choice.Reason == backend.Full {
 		c.full = choice
-		return nil, outcome.NewNotRun(outcome.ReasonNoCapacity, c.service).WithRetryAfter(c.comeBack())
+		return nil, outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.comeBack())
 	}
-	return nil, outcome.NewNotRun(outcome.ReasonNoServer, c.service).WithRetryAfter(c.comeBack())
+	return nil, outcome.NewNotRun(outcome.ReasonNoServer, "no server may take it").WithRetryAfter(c.comeBack())
 }
 
 // comeBack spreads refused clients over a while, so that they do not return
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -15,9 +15,9 @@
 	// doubles each time and is spread by chance over half to all of itself.
 	firstRetry   = 150 * time.Millisecond
 	longestRetry = 1200 * time.Millisecond
-	// gather is the pause after news, so that changes that come together are
-	// told by one call. It delays the next news, and is a quarter of the
-	// shortest bound on how soon news must count.
+	// gather is the pause after a change notification, so that changes that
+	// come together are told by one call. It delays the next one, and is a
+	// quarter of the shortest bound on how soon a change must count.
 	gather = 600 * time.Millisecond
 	// idlePause is how often a follower that is not allowed looks whether it
 	// is again; Hurry tells it sooner.
@@ -30,7 +30,7 @@
 type Follower struct {
 	Client *Client
 	Mirror *Mirror
-	// Wait is how long a watch may go without news.
+	// Wait is how long a watch may go without changes.
 	Wait time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -75,18 +75,18 @@
 	seeds     atomic.Pointer[[]string]
 	policy    atomic.Pointer[policy.Policy]
 
-	// storeAnswered and storeTrouble are when the store last answered and
+	// storeAnswered and storeFailed are when the store last answered and
 	// last failed, in nanoseconds since the start.
 	storeAnswered atomic.Int64
-	storeTrouble  atomic.Int64
+	storeFailed   atomic.Int64
 	storeLost     atomic.Bool
-	// watching: this box is one that asks the store; news: it has some that
-	// it has not announced yet.
-	watching atomic.Bool
-	news     atomic.Bool
-	// lastUntroubled is when a box was last known that the store answers, in
+	// watching: this box is one that asks the store; unannounced: it has
+	// changes that it has not told its zone of yet.
+	watching    atomic.Bool
+	unannounced atomic.Bool
+	// lastStoreHealthy is when a box was last known that the store answers, in
 	// nanoseconds since the start.
-	lastUntroubled atomic.Int64
+	lastStoreHealthy atomic.Int64
 
 	leaving  atomic.Bool
 	closed   atomic.Bool
@@ -238,7 +238,7 @@
 // tells this box of it, so that what is not in the configuration does not
 // exist.
 func (n *Node) current() bool {
-	return n.answeredLately() || !n.watching.Load() && n.anyUntroubled()
+	return n.answeredLately() || !n.watching.Load() && n.anyStoreHealthy()
 }
 
 // answeredLately reports whether the store has answered this box lately.
@@ -246,18 +246,18 @@
 	return n.age()-time.Duration(n.storeAnswered.Load()) < n.Settings.Bounds.Contact
 }
 
-// untroubled reports whether the store has answered this box without fail for
+// storeHealthy reports whether the store has answered this box without fail for
 // a while.
-func (n *Node) untroubled() bool {
-	trouble := n.storeTrouble.Load()
-	return n.answeredLately() && (trouble == 0 || n.age()-time.Duration(trouble) > n.Settings.Bounds.Contact)
+func (n *Node) storeHealthy() bool {
+	failed := n.storeFailed.Load()
+	return n.answeredLately() && (failed == 0 || n.age()-time.Duration(failed) > n.Settings.Bounds.Contact)
 }
 
-// anyUntroubled reports whether the store has answered any other live box
+// anyStoreHealthy reports whether the store has answered any other live box
 // without fail.
-func (n *Node) anyUntroubled() bool {
+func (n *Node) anyStoreHealthy() bool {
 	for _, m := range n.Members.Members() {
-		if m.Live() && m.Untroubled {
+		if m.Live() && m.StoreHealthy {
 			return true
 		}
 	}
@@ -268,7 +268,7 @@
 // taken as gone: the store has had no trouble lately, for this box or for any
 // other that is live. A store that was down for all may have lost entries of
 // servers that are well.
-func (n *Node) trustsList() bool { return n.untroubled() || n.anyUntroubled() }
+func (n *Node) trustsList() bool { return n.storeHealthy() || n.anyStoreHealthy() }
 
 // hostAllowed reports whether any route of the host may run in the region.
 func (n *Node) hostAllowed(host, region string) bool {
--- a/pkg/steering/steering_dial.go
+++ b/pkg/steering/steering_dial.go
@@ -54,10 +54,10 @@
 }
 
 // learnIdle logs for how long connections may rest where backend servers have
-// forgotten some.
+// closed some while they were idle.
 func (n *Node) learnIdle(log *logging.Part) {
 	n.idle.Learnt = func(limit, rested time.Duration) {
-		log.Info("a server forgot a connection", map[string]any{
+		log.Info("a server closed an idle connection", map[string]any{
 			"rested_ms": rested.Milliseconds(), "may_rest_ms": limit.Milliseconds(),
 		})
 	}
--- a/pkg/steering/steering_peers.go
+++ b/pkg/steering/steering_peers.go
@@ -25,7 +25,7 @@
 	// maxDatagram bounds a heartbeat, in bytes.
 	maxDatagram = 16 << 10
 	// pullAfter is for how many heartbeats another box's mirror must be
-	// newer before it is asked for; the store's own news is usually quicker.
+	// newer before it is asked for; the store's own change notification is usually quicker.
 	pullAfter = 2
 	// pullTime bounds one pull.
 	pullTime = time.Second
@@ -57,9 +57,9 @@
 	}
 }
 
-// announce tells the zone's other boxes of news from the store at once.
+// announce tells the zone's other boxes at once that the store has changes.
 func (n *Node) announce() {
-	if !n.watching.Load() || !n.news.Swap(false) {
+	if !n.watching.Load() || !n.unannounced.Swap(false) {
 		return
 	}
 	n.refreshSelf()
@@ -77,8 +77,8 @@
 		self.Versions = versions
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
-		self.Untroubled = n.watching.Load() && n.untroubled()
-		self.Trying = n.watching.Load() && !self.Untroubled
+		self.StoreHealthy = n.watching.Load() && n.storeHealthy()
+		self.Trying = n.watching.Load() && !self.StoreHealthy
 	})
 }
 
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -13,7 +13,7 @@
 const (
 	// dropPoolsEvery is how often connections to servers that are gone close.
 	dropPoolsEvery = 5 * time.Second
-	// announceEvery is how soon news from the store are told to the zone.
+	// announceEvery is how soon changes in the store are told to the zone.
 	announceEvery = 100 * time.Millisecond
 	// closeShare is at which part of the grace a stopping box takes nothing
 	// new: by then clients have left it, and what it holds can still end.
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -14,7 +14,7 @@
 	"github.com/stoneworks/stoneworks/pkg/routing"
 )
 
-// idleWatch is how long a watch may go without news where another one notices
+// idleWatch is how long a watch may go without changes where another one notices
 // that the store has fallen silent.
 const idleWatch = 25 * time.Second
 
@@ -33,16 +33,16 @@
 	}
 	n.mirrors[kinds.Configuration].Changed = func(o objects.Object, gone bool) {
 		n.configurationChanged(log, o, gone)
-		n.news.Store(true)
+		n.unannounced.Store(true)
 	}
 	n.mirrors[kinds.Servers].Changed = func(o objects.Object, gone bool) {
 		n.serverChanged(log, o, gone)
-		n.news.Store(true)
+		n.unannounced.Store(true)
 	}
 	evacuated := map[string]bool{}
 	n.mirrors[kinds.Evacuations].Changed = func(o objects.Object, gone bool) {
 		n.evacuationChanged(log, evacuated, o, gone)
-		n.news.Store(true)
+		n.unannounced.Store(true)
 	}
 	probe := time.Duration(probeShare * float64(n.Settings.Bounds.Contact))
 	for kind, wait := range map[string]time.Duration{
@@ -71,7 +71,7 @@
 		if !n.watching.Load() {
 			return
 		}
-		n.storeTrouble.Store(int64(n.age()))
+		n.storeFailed.Store(int64(n.age()))
 		if kind == n.adapter.Kinds.Configuration && !n.storeLost.Swap(true) {
 			log.Warn("store does not answer", map[string]any{"kind": kind, "error": err.Error()})
 		}
@@ -95,17 +95,17 @@
 // of contact without any box of any zone that the store answers, and another
 // one each time that this has lasted twice as long.
 func (n *Node) mayTry() int {
-	if n.untroubled() || n.anyUntroubled() {
-		n.lastUntroubled.Store(int64(n.age()))
+	if n.storeHealthy() || n.anyStoreHealthy() {
+		n.lastStoreHealthy.Store(int64(n.age()))
 	}
-	without := n.age() - time.Duration(n.lastUntroubled.Load())
+	without := n.age() - time.Duration(n.lastStoreHealthy.Load())
 	return fewTrying + int(math.Log2(1+without.Seconds()/n.Settings.Bounds.Contact.Seconds()))
 }
 
 // chooseRole decides whether this box watches the store.
 func (n *Node) chooseRole() {
-	untroubled, trying := n.Members.Ahead(watcherSilence)
-	watching := untroubled < n.policy.Load().WatchersPerZone && trying < n.mayTry()
+	healthy, trying := n.Members.Ahead(watcherSilence)
+	watching := healthy < n.policy.Load().WatchersPerZone && trying < n.mayTry()
 	if watching == n.watching.Swap(watching) {
 		return
 	}
