Hot keys have a second server

Cause: with one home for each key, a key that is most of its home's requests has no other server to go to. A key that is a third of it goes to the next server while the home has no free slot and that one is less loaded; other keys stay.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -59,7 +59,7 @@
 	}
 	near, far := s.candidates(g, r, now)
 	s.spill.request(&s.Terms, now)
-	best, place := s.pick(near, far, now)
+	best, place := s.pick(near, far, r.Key, now)
 	if best == nil {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
@@ -101,8 +101,8 @@
 		}
 	}
 	s.near, s.far = near, far
-	bestFirst(near, 1+len(r.Tried))
-	bestFirst(far, 1+len(r.Tried))
+	bestFirst(near, 2+len(r.Tried))
+	bestFirst(far, 2+len(r.Tried))
 	if r.Heavy {
 		s.zoneFirst(near)
 	}
@@ -143,12 +143,12 @@
 
 // pick takes the key's home, or where that is full, the first server elsewhere
 // if it is idle enough to do the work although it does not know the key.
-func (s *Set) pick(near, far []candidate, now time.Time) (best *candidate, place int) {
-	best, place = firstUntried(near)
+func (s *Set) pick(near, far []candidate, key uint64, now time.Time) (best *candidate, place int) {
+	best, place = s.home(near, key)
 	if best != nil && best.fill() < s.Policy.FullFill {
 		return best, place
 	}
-	other, otherPlace := firstUntried(far)
+	other, otherPlace := s.home(far, key)
 	if best == nil {
 		return other, otherPlace
 	}
@@ -158,6 +158,20 @@
 	return best, place
 }
 
+// home returns the key's home among the servers of the list, or for a hot key
+// that the home has no free slot for, the next server if that is less loaded.
+func (s *Set) home(list []candidate, key uint64) (best *candidate, place int) {
+	best, place = firstUntried(list)
+	if best == nil || best.fill() < s.Policy.HotFill || !best.keys.hot(&s.Policy, key) {
+		return best, place
+	}
+	second, after := firstUntried(list[place+1:])
+	if second != nil && second.fill() < best.fill() {
+		return second, place + 1 + after
+	}
+	return best, place
+}
+
 // firstUntried returns the first server of the list that the request was not
 // sent to, and its place.
 func firstUntried(list []candidate) (best *candidate, place int) {
@@ -194,6 +208,7 @@
 func (s *Set) lease(c *candidate, place int, key uint64, now time.Time) *Lease {
 	v := c.server
 	v.load.own++
+	v.keys.sent(key, now)
 	if c.cold {
 		v.coldSends = append(v.coldSends, now)
 	}
@@ -253,7 +268,7 @@
 		if l.Known && l.Busy < float64(l.Slots) {
 			v.speed.took(&s.Policy, now.Sub(l.start))
 		}
-		v.keys.add(l.key)
+		v.keys.answered(l.key)
 		s.clear(v, now)
 	case Shed:
 		v.health.heard = now
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -27,6 +27,14 @@
 	// that refused a request for want of room: nearly what makes it full.
 	RefusedFill float64 `yaml:"refused_fill" unit:"of its slots" least:"0" most:"100"`
 
+	// HotShare is which part of a server's requests one key must be to be hot:
+	// it is then served by a second server as well, while the first has all
+	// slots taken. Other keys are not: each would be learnt twice.
+	HotShare float64 `yaml:"hot_share" unit:"of a server's requests" least:"0" most:"10"`
+	// HotFill is how much of its slots the home of a hot key may have taken
+	// before the second server is considered.
+	HotFill float64 `yaml:"hot_fill" unit:"of its slots" least:"0" most:"100"`
+
 	// SpeedWeight is the weight of a new answer in the average of how long a
 	// server takes for keys that it knows: small, since keys differ by a sixth.
 	SpeedWeight float64 `yaml:"speed_weight" unit:"of the average" least:"0.001" most:"1"`
@@ -106,6 +114,8 @@
 		IdleFill:         0.5,
 		FullFill:         2.1,
 		RefusedFill:      1.8,
+		HotShare:         0.35,
+		HotFill:          1,
 		SpeedWeight:      0.03,
 		SpeedAnswers:     15,
 		SpeedStep:        1.3,
