--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -537,6 +537,21 @@
 	is.True(served >= requests/2-1 && served <= requests/2+1)
 }
 
+// allServe returns whether all boxes serve a route.
+func allServe(prefix string, boxes []*Box) func() bool {
+	return func() bool {
+		for _, b := range boxes {
+			c := &Client{Address: b.Clients}
+			a := c.Do("GET", prefix+"1", "id", "", "")
+			c.Close()
+			if a.Status != 200 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 // TestFewBoxesTryWhileTheStoreIsDown: each box that tries makes calls for
 // nothing, and all of them come back at once. Found where a store that was down
 // for all boxes of a large deployment got five in six of its calls in that time.
@@ -563,23 +578,13 @@
 	f.Store.SetTreat(nil)
 	f.Configure(30, read, Route{Prefix: "/back/", Kind: "safe", Service: "shop"})
 	start := time.Now()
-	eventually(t, "all boxes have the news", func() bool {
-		for _, b := range f.Boxes {
-			c := &Client{Address: b.Clients}
-			a := c.Do("GET", "/back/1", "id", "", "")
-			c.Close()
-			if a.Status != 200 {
-				return false
-			}
-		}
-		return true
-	})
+	eventually(t, "all boxes have the change", allServe("/back/", f.Boxes))
 	is.True(time.Since(start) < 2500*time.Millisecond)
 }
 
-// TestZoneWhoseFirstBoxesAreTurnedAwayHasTheNews: the store turns away the two
-// boxes of a zone that try first; the zone has the news in time all the same.
-func TestZoneWhoseFirstBoxesAreTurnedAwayHasTheNews(t *testing.T) {
+// TestZoneWhoseFirstBoxesAreTurnedAwayIsTold: the store turns away the two
+// boxes of a zone that try first; the zone has the change in time all the same.
+func TestZoneWhoseFirstBoxesAreTurnedAwayIsTold(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		away int
@@ -607,17 +612,7 @@
 			time.Sleep(f.Boxes[0].Settings.Bounds.Contact + 3*time.Second)
 			f.Configure(30, read, Route{Prefix: "/late/", Kind: "safe", Service: "shop"})
 			start := time.Now()
-			eventually(t, "all boxes have the news", func() bool {
-				for _, b := range f.Boxes {
-					c := &Client{Address: b.Clients}
-					a := c.Do("GET", "/late/1", "id", "", "")
-					c.Close()
-					if a.Status != 200 {
-						return false
-					}
-				}
-				return true
-			})
+			eventually(t, "all boxes have the change", allServe("/late/", f.Boxes))
 			is.True(time.Since(start) < 2500*time.Millisecond)
 		})
 	}
@@ -639,19 +634,6 @@
 	for _, b := range f.Boxes {
 		before[b.IP] = f.Store.Calls(b.IP)
 	}
-	allServe := func(prefix string, boxes []*Box) func() bool {
-		return func() bool {
-			for _, b := range boxes {
-				c := &Client{Address: b.Clients}
-				a := c.Do("GET", prefix+"1", "id", "", "")
-				c.Close()
-				if a.Status != 200 {
-					return false
-				}
-			}
-			return true
-		}
-	}
 	for i := range 4 {
 		prefix := fmt.Sprintf("/new%d/", i)
 		f.Configure(10+i, read, Route{Prefix: prefix, Kind: "safe", Service: "shop"})
