--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/steering"
 	"github.com/stoneworks/stoneworks/pkg/topology"
@@ -19,6 +20,9 @@
 
 // Fleet is some boxes with a store and backend servers.
 type Fleet struct {
+	// Policy holds the figures of the boxes that are added; nil for the
+	// defaults.
+	Policy  *policy.Policy
 	Store   *Store
 	Boxes   []*Box
 	Servers map[string]*Server
@@ -67,10 +71,16 @@
 
 // AddServer starts a backend server and lists it in the store.
 func (f *Fleet) AddServer(id, service, zone string, slots int, work time.Duration) (*Server, error) {
+	return f.AddServerOf(Nature{}, id, service, zone, slots, work)
+}
+
+// AddServerOf is AddServer for a server of some nature.
+func (f *Fleet) AddServerOf(nature Nature, id, service, zone string, slots int, work time.Duration) (*Server, error) {
 	s, err := NewServer(f.network+".100", id, slots, work)
 	if err != nil {
 		return nil, err
 	}
+	s.Nature = nature
 	f.Servers[id] = s
 	f.List(s, service, zone, "ready", 0)
 	return s, nil
@@ -145,6 +155,9 @@
 	s.Bounds.Contact = 1500 * time.Millisecond
 	s.Bounds.Grace = 2 * time.Second
 	s.Bounds.ColdOverage, s.Bounds.ColdSlack = 1.5, 5
+	if f.Policy != nil {
+		s.Policy = *f.Policy
+	}
 	handler := logging.NewAsyncJSONHandler(f.log)
 	logContext, endLog := context.WithCancel(context.Background())
 	go handler.Run(logContext)
--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -656,3 +656,18 @@
 	eventually(t, "others have taken over", allServe("/late/", f.Boxes[2:]))
 	is.True(time.Since(start) < 2500*time.Millisecond)
 }
+
+// TestServersRememberABoundedNumberOfKeys: the stand-in is quicker for keys
+// that it knows, and forgets the one that was not used for longest.
+func TestServersRememberABoundedNumberOfKeys(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Work: 100 * time.Millisecond, Nature: Nature{Memory: 2, Gain: 0.5, Speed: 2}}
+	const first, known = 50 * time.Millisecond, 25 * time.Millisecond
+	is.Equal(s.workOf("a"), first)
+	is.Equal(s.workOf("b"), first)
+	is.Equal(s.workOf("a"), known)
+	is.Equal(s.workOf("c"), first) // b is forgotten
+	is.Equal(s.workOf("a"), known)
+	is.Equal(s.workOf("b"), first)
+	is.Equal(s.workOf(""), first)
+}
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,7 +48,9 @@
 	Host    string
 	Body    string
 	Timeout string
-	At      time.Time
+	// Key is the affinity key.
+	Key string
+	At  time.Time
 	// Ended is false if the client's connection closed before.
 	Ended bool
 }
@@ -76,6 +79,8 @@
 	Queue      int
 	// Work is how long a request takes.
 	Work time.Duration
+	// Nature is what else decides how long; set it before the first request.
+	Nature Nature
 
 	mu       sync.Mutex
 	fault    func(r *Run) Fault
@@ -87,6 +92,19 @@
 	free     chan struct{}
 	listener net.Listener
 	conns    map[net.Conn]bool
+	// known are the keys that it remembers, the latest last.
+	known []string
+}
+
+// Nature is what a server's answers depend on. The zero value is a server whose
+// requests all take as long.
+type Nature struct {
+	// Memory is how many keys it remembers, and Gain which part of the work it
+	// is spared for one that it remembers.
+	Memory int
+	Gain   float64
+	// Speed divides its time; 0 for 1.
+	Speed float64
 }
 
 // NewServer starts a server on a free port of the IP number.
@@ -193,6 +211,7 @@
 	run := &Run{
 		ID: request.Header.Get("X-Stoneworks-Request-Id"), Method: request.Method, Target: request.RequestURI,
 		Host: request.Host, Timeout: request.Header.Get("X-Stoneworks-Request-Timeout-Ms"), At: time.Now(),
+		Key: request.Header.Get("X-Stoneworks-Affinity-Key"),
 	}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{ID: run.ID, From: sourceOf(c), At: run.At})
@@ -255,7 +274,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
-	if !s.work(c, reader) {
+	if !s.work(c, reader, s.workOf(run.Key)) {
 		return false
 	}
 	s.mu.Lock()
@@ -264,9 +283,31 @@
 	return s.spoil(c, run, fault)
 }
 
+// workOf returns how long a request for the key takes, and remembers the key.
+func (s *Server) workOf(key string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	took := float64(s.Work)
+	if s.Nature.Speed > 0 {
+		took /= s.Nature.Speed
+	}
+	if key == "" || s.Nature.Memory == 0 {
+		return time.Duration(took)
+	}
+	if i := slices.Index(s.known, key); i >= 0 {
+		took *= 1 - s.Nature.Gain
+		s.known = slices.Delete(s.known, i, i+1)
+	}
+	s.known = append(s.known, key)
+	if len(s.known) > s.Nature.Memory {
+		s.known = s.known[1:]
+	}
+	return time.Duration(took)
+}
+
 // work waits for as long as the request takes, or until its client leaves.
-func (s *Server) work(c net.Conn, reader *bufio.Reader) bool {
-	end := time.Now().Add(s.Work)
+func (s *Server) work(c net.Conn, reader *bufio.Reader, took time.Duration) bool {
+	end := time.Now().Add(took)
 	_ = c.SetReadDeadline(end)
 	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	_, err := reader.Peek(1)
