--- a/test/cmd/stoneworks-experiment/main.go
+++ b/test/cmd/stoneworks-experiment/main.go
@@ -13,7 +13,7 @@
 )
 
 // networks is the loopback network that plays take their addresses from.
-const networks = "127.94"
+const networks = "127.96"
 
 func main() {
 	a := flag.String("a", "", "figures of side A, such as full_fill=3,hot_share=1; defaults for the others")
--- a/test/experiment/experiment.go
+++ b/test/experiment/experiment.go
@@ -100,7 +100,7 @@
 }
 
 // Play plays one seed on a set of figures, in a network of its own such as
-// "127.94.1", and returns the scores by kind.
+// "127.96.1", and returns the scores by kind.
 func (p *Plan) Play(network string, seed uint64, figures *policy.Policy) (map[string]Score, error) {
 	f, err := machines.NewFleet(network, io.Discard)
 	if err != nil {
