Few boxes list the store at a start; an empty list is handed over like any other

Cause: each box began as one that watches, and gave that up with its second heartbeat: 295 boxes that start together made 526 watches in the first second. A box that had not read the list of evacuations itself never took an empty one from others (equal digests), and asked the store again after 4 to 20 s: 3 of 295 were ready 4.6 s after the others.

Change: a box asks for its first pages and takes up the role only when it has met its zone (300 ms); a box without a list lacks any list.

--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -182,6 +182,14 @@
 	return Version{At: m.at, Digest: m.digest}
 }
 
+// Lacks reports whether a mirror of the version holds something that this one
+// does not: any does that has a list, be it empty, where this one has none.
+func (m *Mirror) Lacks(v Version) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.synced || v.NewerThan(Version{At: m.at, Digest: m.digest})
+}
+
 // Synced reports whether a whole list was ever taken in.
 func (m *Mirror) Synced() bool {
 	m.mu.Lock()
--- a/pkg/objects/objects_test.go
+++ b/pkg/objects/objects_test.go
@@ -115,6 +115,20 @@
 	is.Equal(a.Version().Digest, b.Version().Digest)
 }
 
+// TestMirrorWithoutAListLacksAnEmptyOne: a list without objects has the digest of
+// a mirror without a list, and is what a box waits for all the same.
+func TestMirrorWithoutAListLacksAnEmptyOne(t *testing.T) {
+	is := is.New(t)
+	a, b := NewMirror("things"), NewMirror("things")
+	a.Load(nil, 4)
+	is.True(b.Lacks(a.Version()))
+	b.Load(nil, 4)
+	is.True(!b.Lacks(a.Version()))
+	a.Apply([]Event{{Object: object("x", 5)}}, 5)
+	is.True(b.Lacks(a.Version()))
+	is.True(!a.Lacks(b.Version()))
+}
+
 // script is a client whose answers a test gives one after the other.
 type script struct {
 	mu    sync.Mutex
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -129,7 +129,6 @@
 		pulling:  map[string]bool{},
 		ports:    &ports{},
 	}
-	n.watching.Store(true)
 	n.background = conc.NewWaitGroup()
 	n.context, n.stop = context.WithCancel(context.Background())
 	n.seeds.Store(&s.Seeds)
--- a/pkg/steering/steering_mirrors.go
+++ b/pkg/steering/steering_mirrors.go
@@ -60,7 +60,7 @@
 func (n *Node) catchUpWith(r *gossip.Record) {
 	for kind, v := range r.Versions {
 		m := n.mirrors[kind]
-		if m != nil && v.NewerThan(m.Version()) && n.learnsFrom(r, m) {
+		if m != nil && m.Lacks(v) && n.learnsFrom(r, m) {
 			n.catchUp(kind, m, true)
 		}
 	}
@@ -105,15 +105,14 @@
 // or "", and whether that is in the own zone, where one is taken if it has any
 // that is newer.
 func (n *Node) newest(kind string, m *objects.Mirror) (source string, near bool) {
-	own := m.Version()
-	best := own.At
+	var best uint64
 	n.Members.EachLive(func(r *gossip.Record) {
 		v, ok := r.Versions[kind]
-		if !ok || !v.NewerThan(own) {
+		if !ok || !m.Lacks(v) {
 			return
 		}
 		isNear := r.Zone == n.Settings.Zone
-		if isNear && !near || isNear == near && v.At > best {
+		if isNear && !near || isNear == near && v.At >= best {
 			best, source, near = v.At, r.Peers, isNear
 		}
 	})
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -55,7 +55,11 @@
 func (n *Node) newFollower(client *objects.Client, kind string, wait time.Duration, log *logging.Part) *objects.Follower {
 	f := objects.NewFollower(client, n.mirrors[kind], wait, rand.Float64)
 	f.Allowed = n.watching.Load
-	f.ReadsOn = func() bool { return n.role.ReadsOn(n.watching.Load(), time.Now()) }
+	f.ReadsOn = func() bool {
+		n.roleMu.Lock()
+		defer n.roleMu.Unlock()
+		return n.role.ReadsOn(time.Now())
+	}
 	f.Succeeded = func() {
 		n.storeAnswered.Store(int64(n.age()))
 		if kind != n.adapter.Kinds.Configuration {
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// MeetTime is how long a box that starts waits before it reads a long list
-	// page by page: in that time it hears of its zone through the seeds, over
-	// two ways between regions and back.
+	// MeetTime is how long a box that starts leaves the role to others: in that
+	// time it hears of its zone through the seeds, over two ways between regions
+	// and back. Without it 295 boxes that start together made 526 watches.
 	MeetTime = 300 * time.Millisecond
 	// fewTrying is how many boxes of a zone try while the store answers none:
 	// it may turn away single ones. It may also be down for all, and then every
@@ -51,7 +51,8 @@
 	StoreAnswers bool
 }
 
-// Role is a box's part in asking the store.
+// Role is a box's part in asking the store. It is not safe for use by several
+// goroutines at once.
 type Role struct {
 	// PerZone returns how many boxes of a zone are to ask the store.
 	PerZone func() int
@@ -72,7 +73,7 @@
 // tells the boxes of a zone apart.
 func New(perZone func() int, contact time.Duration, now time.Time, chance float64) *Role {
 	patience := time.Duration((1 + patienceSpread*chance) * float64(contact))
-	return &Role{PerZone: perZone, Contact: contact, started: now, watching: true, answered: now, patience: patience}
+	return &Role{PerZone: perZone, Contact: contact, started: now, answered: now, patience: patience}
 }
 
 // Watches reports whether the box is to ask the store from now on. A box that is
@@ -97,8 +98,8 @@
 // answered a few try, and one more after the time of contact without any answer,
 // and another one each time that this has lasted twice as long.
 func (r *Role) wants(v View, now time.Time) bool {
-	if !v.Synced && v.ZoneHealthy > 0 {
-		// It is handed the copy sooner than it could read it.
+	if now.Sub(r.started) < MeetTime || !v.Synced && v.ZoneHealthy > 0 {
+		// The zone hands it the copy sooner than it could read it.
 		return false
 	}
 	without := now.Sub(r.answered)
@@ -106,10 +107,8 @@
 	return v.HealthyBefore < r.PerZone() && v.TryingBefore < mayTry
 }
 
-// ReadsOn reports whether a box that has no list yet reads one of many pages:
-// when it has met its zone and still is to ask the store, or when nobody has
-// handed it the list for long.
-func (r *Role) ReadsOn(watches bool, now time.Time) bool {
-	age := now.Sub(r.started)
-	return watches && age >= MeetTime || age >= r.patience
+// ReadsOn reports whether a box that has no list yet reads one of many pages: when
+// it is to ask the store, or when nobody has handed it the list for long.
+func (r *Role) ReadsOn(now time.Time) bool {
+	return r.watching || now.Sub(r.started) >= r.patience
 }
--- a/pkg/watcher/watcher_test.go
+++ b/pkg/watcher/watcher_test.go
@@ -9,9 +9,12 @@
 
 const contact = 4 * time.Second
 
+// start is when a box has met its zone.
 var start = time.Unix(1000, 0)
 
-func newRole(chance float64) *Role { return New(func() int { return 1 }, contact, start, chance) }
+func newRole(chance float64) *Role {
+	return New(func() int { return 1 }, contact, start.Add(-MeetTime), chance)
+}
 
 func TestOneHealthyBoxOfAZoneWatches(t *testing.T) {
 	is := is.New(t)
@@ -27,6 +30,7 @@
 	is := is.New(t)
 	is.True(!newRole(0).Watches(View{ZoneHealthy: 1, StoreAnswers: true}, start))
 	is.True(newRole(0).Watches(View{}, start))
+	is.True(!newRole(0).Watches(View{}, start.Add(-1))) // it has not met its zone
 }
 
 // TestFewTryWhileTheStoreIsDown: two at first, then one more each time that the
@@ -34,6 +38,7 @@
 func TestFewTryWhileTheStoreIsDown(t *testing.T) {
 	is := is.New(t)
 	r := newRole(0)
+	is.True(r.Watches(View{Synced: true, StoreAnswers: true}, start))
 	for _, e := range []struct {
 		after time.Duration
 		tries int
@@ -70,11 +75,13 @@
 // not for ever, and do not begin together.
 func TestLongListsAreReadByThoseThatWatch(t *testing.T) {
 	is := is.New(t)
-	early, late := newRole(0), newRole(0.99)
-	is.True(!early.ReadsOn(true, start))
-	is.True(early.ReadsOn(true, start.Add(MeetTime)))
-	is.True(!early.ReadsOn(false, start.Add(contact-1)))
-	is.True(early.ReadsOn(false, start.Add(contact)))
-	is.True(!late.ReadsOn(false, start.Add(4*contact)))
-	is.True(late.ReadsOn(false, start.Add(5*contact)))
+	watches, early, late := newRole(0), newRole(0), newRole(0.99)
+	is.True(!watches.ReadsOn(start))
+	is.True(watches.Watches(View{}, start))
+	is.True(watches.ReadsOn(start))
+	began := start.Add(-MeetTime)
+	is.True(!early.ReadsOn(began.Add(contact - 1)))
+	is.True(early.ReadsOn(began.Add(contact)))
+	is.True(!late.ReadsOn(began.Add(4 * contact)))
+	is.True(late.ReadsOn(began.Add(5 * contact)))
 }
