Boxes that serve clients tell each other of backend servers that are gone

Each of 27 boxes that serve clients finds each of some 360 such servers by itself, with a request that waits 600 ms for a connection or meets a stale address, until the list says so 4.5 s later or more. The retry budget (0.2 of the requests) cannot make good for a third of the servers.

Ruled out: the budget's part at 295 boxes (tokens are earned by requests; the slack of 630 is 1% of what is earned); the list's age (entries lapse after three heartbeats).

A stale address is told at once and believed; a server that cannot be reached is told only by a box that the server's zone has just answered, and believed when two boxes say so, or one where this box has failed with it itself, and had no answer of it since. What is told goes to boxes that serve clients, every 100 ms.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -299,6 +299,7 @@
 	switch result {
 	case Answered:
 		v.health.heard = now
+		s.zoneHeard[l.Zone] = now
 		v.health.succeeded(&s.Policy, l.workTime(now))
 		if l.Known && l.Busy < float64(l.Slots) {
 			v.speed.took(&s.Policy, now.Sub(l.start))
@@ -307,6 +308,7 @@
 		s.clear(v, now)
 	case Shed:
 		v.health.heard = now
+		s.zoneHeard[l.Zone] = now
 		if !load.HasRoom() {
 			// It is full, whatever was believed before.
 			v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.RefusedFill)
@@ -325,12 +327,9 @@
 		}
 	case Withdrawn:
 	case Stale:
-		v.stale = true
-		if v.group != nil {
-			v.group.changed = true
-		}
-		s.Changed(v.Server, "stale")
+		s.dropStale(v)
 	}
+	s.found(l, result, now)
 	if rests {
 		s.suspect(v, "resting")
 	}
--- /dev/null
+++ b/pkg/backend/finding.go
@@ -0,0 +1,80 @@
+package backend
+
+import "time"
+
+// Finding is what a box found of a server that others should know before the
+// platform's list tells them.
+type Finding struct {
+	// Server is the server's ID.
+	Server string
+	// Stale: another server has its address, so it is gone for good. Otherwise
+	// no connection to it came up.
+	Stale bool
+}
+
+// tellWindow is within what time two boxes must tell that a server cannot be
+// reached for a third one to believe it.
+const tellWindow = 2 * time.Second
+
+// zoneFresh is within what time another server of the zone must have answered for
+// a server that cannot be reached to be told: less than the 600 ms that a
+// connection in vain takes, so that the way there is known to have been open since.
+const zoneFresh = 500 * time.Millisecond
+
+// hearsay is what other boxes told of a server.
+type hearsay struct {
+	// box was the first to tell that it cannot be reached, at the time.
+	box string
+	at  time.Time
+}
+
+// found tells others what an exchange has shown. A box that cannot reach a server
+// may be cut off itself: it tells so only if another server of that zone has just
+// answered it.
+func (s *Set) found(l *Lease, result Result, now time.Time) {
+	switch {
+	case result == Stale:
+		s.Found(Finding{Server: l.ID, Stale: true})
+	case result == Unreachable && now.Sub(s.zoneHeard[l.Zone]) < zoneFresh:
+		s.Found(Finding{Server: l.ID})
+	}
+}
+
+// Learn takes in what another box found. That an address has gone to another
+// server is a fact. That a server cannot be reached is believed when a second
+// box says so, or this box has lately failed with it, and has had no answer of it
+// since; it then rests like one that this box could not reach.
+func (s *Set) Learn(box string, f Finding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.servers[f.Server]
+	if v == nil || v.stale {
+		return
+	}
+	now := s.Now()
+	if f.Stale {
+		s.dropStale(v)
+		return
+	}
+	if v.health.resting(now) || now.Sub(v.health.heard) < s.Policy.FirstRest {
+		return
+	}
+	first := v.hearsay
+	if v.health.failures == 0 && (first.box == "" || first.box == box || now.Sub(first.at) > tellWindow) {
+		v.hearsay = hearsay{box: box, at: now}
+		return
+	}
+	v.hearsay = hearsay{}
+	if v.health.failed(&s.Policy, now, s.Policy.FailuresToRest) {
+		s.suspect(v, "resting")
+	}
+}
+
+// dropStale takes a server for gone whose address another one has.
+func (s *Set) dropStale(v *server) {
+	v.stale = true
+	if v.group != nil {
+		v.group.changed = true
+	}
+	s.Changed(v.Server, "stale")
+}
--- /dev/null
+++ b/pkg/backend/finding_test.go
@@ -0,0 +1,75 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lose makes an exchange with the server end with the result.
+func lose(s *Set, id string, result Result) {
+	s.mu.Lock()
+	lease := s.lease(&candidate{server: s.servers[id]}, 0, 1, s.Now())
+	s.mu.Unlock()
+	lease.Done(result, nil)
+}
+
+// TestGoneServersAreTold: that an address has gone to another server is told at
+// once; that a server cannot be reached only by a box that its zone has just
+// answered, since a box that is cut off reaches none.
+func TestGoneServersAreTold(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 3, 4), true)
+	var told []Finding
+	s.Found = func(f Finding) { told = append(told, f) }
+	lose(s, "east-a-0", Stale)
+	is.Equal(told, []Finding{{Server: "east-a-0", Stale: true}})
+	told = nil
+	lose(s, "east-a-1", Unreachable) // nothing was heard of the zone
+	lose(s, "east-a-2", Answered)
+	c.advance(zoneFresh)
+	lose(s, "east-a-1", Unreachable) // nor lately
+	is.Equal(len(told), 0)
+	lose(s, "east-a-2", Answered)
+	lose(s, "east-a-1", Unreachable)
+	is.Equal(told, []Finding{{Server: "east-a-1"}})
+}
+
+// TestToldServersGetNothing: a stale server gets no request of a box that was told
+// so; one that cannot be reached rests once two boxes have told so.
+func TestToldServersGetNothing(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 3, 4), true)
+	resting := func(id string) bool { return s.servers[id].health.resting(c.at) }
+	s.Learn("box-2", Finding{Server: "east-a-0", Stale: true})
+	is.True(s.servers["east-a-0"].stale)
+	s.Learn("box-2", Finding{Server: "east-a-1"})
+	s.Learn("box-2", Finding{Server: "east-a-1"})
+	is.True(!resting("east-a-1")) // one box may be wrong
+	s.Learn("box-3", Finding{Server: "east-a-1"})
+	is.True(resting("east-a-1"))
+	s.Learn("box-2", Finding{Server: "east-a-2"})
+	c.advance(tellWindow + time.Millisecond)
+	s.Learn("box-3", Finding{Server: "east-a-2"})
+	is.True(!resting("east-a-2")) // too far apart
+	s.Learn("box-2", Finding{Server: "no-such-server"})
+}
+
+// TestOwnAnswersCountMoreThanHearsay: a box that a server has just answered
+// believes nobody who cannot reach it; one that has just failed with it believes
+// the first.
+func TestOwnAnswersCountMoreThanHearsay(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 2, 4), true)
+	lose(s, "east-a-0", Answered)
+	s.Learn("box-2", Finding{Server: "east-a-0"})
+	s.Learn("box-3", Finding{Server: "east-a-0"})
+	is.True(!s.servers["east-a-0"].health.resting(c.at))
+	lose(s, "east-a-1", Broken)
+	s.Learn("box-2", Finding{Server: "east-a-1"})
+	is.True(s.servers["east-a-1"].health.resting(c.at))
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -46,8 +46,13 @@
 	Now func() time.Time
 	// Changed is told what the set came to believe of a server.
 	Changed func(server Server, what string)
+	// Found is told what other boxes should know of a server. It runs under the
+	// set's lock and must not call it.
+	Found func(f Finding)
 
 	mu sync.Mutex
+	// zoneHeard is when a server of a zone last answered this box.
+	zoneHeard map[string]time.Time
 	// near and far are the room of candidates.
 	near, far []candidate
 	servers   map[string]*server
@@ -72,8 +77,9 @@
 	coldUntil time.Time
 	coldSends []time.Time
 
-	health health
-	load   loadEstimate
+	health  health
+	hearsay hearsay
+	load    loadEstimate
 	// keys is nil until the server is sent its first request: most boxes of a
 	// zone serve no clients.
 	keys  *keyTable
@@ -103,6 +109,8 @@
 	return &Set{
 		Terms: terms, Policy: policy.Default(), Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
 		Changed:   func(Server, string) {},
+		Found:     func(Finding) {},
+		zoneHeard: map[string]time.Time{},
 		servers:   map[string]*server{},
 		services:  map[string]*group{},
 		evacuated: map[string]bool{},
--- a/pkg/gossip/record.go
+++ b/pkg/gossip/record.go
@@ -27,6 +27,8 @@
 	StoreHealthy bool `json:"store_healthy,omitempty"`
 	// Trying: the box asks the store, but has no healthy contact with it.
 	Trying bool `json:"trying,omitempty"`
+	// Serving: clients have lately sent it requests.
+	Serving bool `json:"serving,omitempty"`
 	// Versions tells how new the box's mirrors are, by kind.
 	Versions map[string]objects.Version `json:"versions,omitempty"`
 }
@@ -61,7 +63,7 @@
 		set  bool
 		flag Flags
 	}{
-		{r.Ready, FlagReady}, {r.Leaving, FlagLeaving}, {r.StoreHealthy, FlagStoreHealthy}, {r.Trying, FlagTrying},
+		{r.Ready, FlagReady}, {r.Leaving, FlagLeaving}, {r.StoreHealthy, FlagStoreHealthy}, {r.Trying, FlagTrying}, {r.Serving, FlagServing},
 	} {
 		if f.set {
 			s.Flags |= f.flag
@@ -77,6 +79,7 @@
 	r.Leaving = s.Flags&FlagLeaving != 0
 	r.StoreHealthy = s.Flags&FlagStoreHealthy != 0
 	r.Trying = s.Flags&FlagTrying != 0
+	r.Serving = s.Flags&FlagServing != 0
 }
 
 // Flags are the states of a box in a sighting.
@@ -90,6 +93,7 @@
 	FlagTrying
 	// FlagSilent: a box of its own zone has not heard it for SuspectAfter.
 	FlagSilent
+	FlagServing
 )
 
 // Sighting is what was heard of a box, for those that know its record: 9 bytes
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -17,6 +17,7 @@
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/directory"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/findings"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
@@ -90,6 +91,10 @@
 	roleMu sync.Mutex
 	packed packedMirrors
 	told   told
+	// findings are what other boxes are to know of backend servers, and
+	// lastRequest when a client last sent one, in nanoseconds since the start.
+	findings    *findings.Outbox
+	lastRequest atomic.Int64
 
 	leaving  atomic.Bool
 	closed   atomic.Bool
@@ -129,6 +134,7 @@
 		pulling:  map[string]bool{},
 		ports:    &ports{},
 	}
+	n.findings = &findings.Outbox{Box: s.Box, Now: time.Now}
 	n.background = conc.NewWaitGroup()
 	n.context, n.stop = context.WithCancel(context.Background())
 	n.seeds.Store(&s.Seeds)
@@ -199,6 +205,7 @@
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
 	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, time.Now)
+	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
 		log.Info("server "+what, map[string]any{
 			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "cold_ms": v.Cold.Milliseconds(),
--- /dev/null
+++ b/pkg/steering/steering_findings.go
@@ -0,0 +1,68 @@
+package steering
+
+import (
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/findings"
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+)
+
+// ================================================================
+// What boxes that serve clients tell each other of backend servers.
+// ================================================================
+
+const (
+	// findingsEvery is how soon others are told of a server that is gone: a
+	// fraction of the 600 ms that finding it out takes each of them.
+	findingsEvery = 100 * time.Millisecond
+	// servingFor is for how long after a request a box counts as one that
+	// serves clients: a few times as long as clients keep what they looked up.
+	servingFor = 15 * time.Second
+)
+
+// serving reports whether clients have lately sent this box requests.
+func (n *Node) serving() bool {
+	last := n.lastRequest.Load()
+	return last > 0 && n.age()-time.Duration(last) < servingFor
+}
+
+// tellFindings sends what this box has found to all boxes that serve clients.
+// Others have no use for it.
+func (n *Node) tellFindings() {
+	messages := n.findings.Take()
+	if len(messages) == 0 {
+		return
+	}
+	var to []string
+	n.Members.EachLive(func(r *gossip.Record) {
+		if r.Serving {
+			to = append(to, r.Peers)
+		}
+	})
+	for i := range messages {
+		datagram, err := findings.Encode(&messages[i])
+		if err != nil {
+			n.log.Warn("findings not sent", map[string]any{"error": err.Error()})
+			continue
+		}
+		n.sendEach(to, datagram)
+		metrics.GetOrRegisterCounter("findings.sent", n.Metrics).Inc(int64(len(messages[i].Findings)))
+	}
+}
+
+// receiveFindings takes in what another box has found.
+func (n *Node) receiveFindings(datagram []byte, from *net.UDPAddr) {
+	m, err := findings.Decode(datagram)
+	if err != nil {
+		metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
+		n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
+		return
+	}
+	for _, f := range m.Findings {
+		n.Set.Learn(m.Box, f)
+	}
+	metrics.GetOrRegisterCounter("findings.received", n.Metrics).Inc(int64(len(m.Findings)))
+}
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/stoneworks/stoneworks/pkg/findings"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 )
@@ -64,35 +65,37 @@
 		self.Versions = versions
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
+		self.Serving = n.serving()
 		self.StoreHealthy = n.watching.Load() && synced && n.storeHealthy()
 		self.Trying = n.watching.Load() && !self.StoreHealthy
 	})
 }
 
+// send sends a heartbeat to its addresses.
 func (n *Node) send(e gossip.Envelope) {
 	if len(e.To) == 0 {
 		return
 	}
-	for _, address := range e.To {
-		to, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			n.log.Warn("heartbeat not sent", map[string]any{"to": address, "error": err.Error()})
-			continue
-		}
-		n.sendDatagram(to, &e.Message)
+	datagram, err := gossip.Encode(&e.Message)
+	if err != nil {
+		n.log.Warn("heartbeat not sent", map[string]any{"error": err.Error()})
+		return
 	}
+	n.sendEach(e.To, datagram)
 }
 
-// sendDatagram sends a heartbeat. One that cannot be sent is like one that is
-// lost: the next one takes its place, so it is only counted.
-func (n *Node) sendDatagram(to *net.UDPAddr, m *gossip.Message) {
-	datagram, err := gossip.Encode(m)
-	if err == nil {
-		_, err = n.ports.datagrams.WriteToUDP(datagram, to)
-	}
-	if err != nil {
-		metrics.GetOrRegisterCounter("heartbeats.unsent", n.Metrics).Inc(1)
-		n.log.Debug("heartbeat not sent", map[string]any{"to": to.String(), "error": err.Error()})
+// sendEach sends a datagram to each address. One that cannot be sent is like one
+// that is lost: the next one takes its place, so it is only counted.
+func (n *Node) sendEach(addresses []string, datagram []byte) {
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, err = n.ports.datagrams.WriteToUDP(datagram, to)
+		}
+		if err != nil {
+			metrics.GetOrRegisterCounter("heartbeats.unsent", n.Metrics).Inc(1)
+			n.log.Debug("datagram not sent", map[string]any{"to": address, "error": err.Error()})
+		}
 	}
 }
 
@@ -106,6 +109,10 @@
 			}
 			continue
 		}
+		if findings.Is(buffer[:size]) {
+			n.receiveFindings(buffer[:size], from)
+			continue
+		}
 		m, err := gossip.Decode(buffer[:size])
 		if err != nil {
 			metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
@@ -120,7 +127,7 @@
 func (n *Node) receive(m *gossip.Message, from *net.UDPAddr) {
 	answers, greetings := n.Members.Receive(m)
 	for i := range answers {
-		n.sendDatagram(from, &answers[i])
+		n.send(gossip.Envelope{Message: answers[i], To: []string{from.String()}})
 	}
 	for _, e := range greetings {
 		n.send(e)
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/routing"
@@ -202,11 +201,12 @@
 	return nil
 }
 
-// counting counts the requests on their way.
-func counting(in *atomic.Int64, h http.Handler) http.Handler {
+// counting counts the requests on their way, and notes when the last one came.
+func (n *Node) counting(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		in.Add(1)
-		defer in.Add(-1)
+		n.lastRequest.Store(int64(n.age()))
+		n.inFlight.Add(1)
+		defer n.inFlight.Add(-1)
 		h.ServeHTTP(w, r)
 	})
 }
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -33,10 +33,11 @@
 	}
 	n.Timers.Every(gossip.Interval, n.beat)
 	n.Timers.Every(announceEvery, n.announce)
+	n.Timers.Every(findingsEvery, n.tellFindings)
 	n.Timers.Every(dropPoolsEvery, n.dropPools)
 	n.background.Go(func() { n.Timers.Run(n.context) })
 	n.background.Go(n.receiveDatagrams)
-	n.background.Go(func() { n.ports.serveClients(counting(&n.inFlight, n.Ingress)) })
+	n.background.Go(func() { n.ports.serveClients(n.counting(n.Ingress)) })
 	for _, f := range n.followers {
 		n.background.Go(func() { f.Run(n.context) })
 	}
--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/policy"
 )
 
@@ -359,6 +360,31 @@
 	is.Equal(len(old.Runs()), 1)
 }
 
+// TestBoxesTellEachOtherOfGoneServers: what one box finds by a request of a
+// client, another one that serves clients knows without one.
+func TestBoxesTellEachOtherOfGoneServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, "east-a.1")
+	for _, b := range f.Boxes {
+		c := &Client{Address: b.Clients}
+		is.Equal(c.Do("GET", "/read/1", "before", "", "").Status, 200)
+		c.Close()
+	}
+	for i, b := range f.Boxes {
+		eventually(t, "the boxes know that both serve clients", func() bool {
+			served := false
+			b.Members.EachLive(func(r *gossip.Record) { served = r.Serving })
+			return served
+		})
+		is.True(f.Boxes[i].Set.HasServers())
+	}
+	f.Servers["east-a.1"].ID = "another-life"
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	is.Equal(c.Do("POST", "/buy/1", "id", "", "").Status, 503)
+	eventually(t, "the other box knows", func() bool { return !f.Boxes[1].Set.HasServers() })
+}
+
 func TestDirectoryNamesNearLiveBoxes(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 6, "east-a.1", "west-a.1")
