--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -77,11 +77,7 @@
 	seeds     atomic.Pointer[[]string]
 	policy    atomic.Pointer[policy.Policy]
 
-	// storeAnswered and storeFailed are when the store last answered and
-	// last failed, in nanoseconds since the start.
-	storeAnswered atomic.Int64
-	storeFailed   atomic.Int64
-	storeLost     atomic.Bool
+	store *storeContact
 	// watching: this box is one that asks the store; unannounced: it has
 	// changes that it has not told its zone of yet.
 	watching    atomic.Bool
@@ -89,6 +85,7 @@
 	role        *watcher.Role
 	// roleMu keeps two decisions on the role apart.
 	roleMu sync.Mutex
+	pulls  *pulls
 	packed packedMirrors
 	told   told
 	// findings are what other boxes are to know of backend servers, and
@@ -104,10 +101,6 @@
 	mu    sync.Mutex
 	pools map[string]*exchange.Pool
 	idle  *exchange.IdleLimit
-	// behind counts for how many heartbeats a mirror has been behind others',
-	// and pulling tells which mirrors are being pulled.
-	behind  map[string]int
-	pulling map[string]bool
 
 	ports      *ports
 	background *conc.WaitGroup
@@ -118,6 +111,7 @@
 // New makes a box. Nothing runs before Start.
 func New(s *settings.Settings, adapter *Adapter, handler *logging.AsyncHandler) *Node {
 	logger := logging.New(handler, logging.ParseLevel(s.LogLevel))
+	started := time.Now()
 	n := &Node{
 		Settings: s,
 		Topology: topology.New(s.Zones, nil),
@@ -126,12 +120,12 @@
 		adapter:  adapter,
 		handler:  handler,
 		log:      logging.For(logger, "box"),
-		started:  time.Now(),
+		started:  started,
 		mirrors:  map[string]*objects.Mirror{},
 		pools:    map[string]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(time.Now),
-		behind:   map[string]int{},
-		pulling:  map[string]bool{},
+		pulls:    newPulls(),
+		store:    &storeContact{started: started, within: s.Bounds.Contact},
 		ports:    &ports{},
 	}
 	n.findings = &findings.Outbox{Box: s.Box, Now: time.Now}
@@ -248,19 +242,7 @@
 // tells this box of it, so that what is not in the configuration does not
 // exist.
 func (n *Node) current() bool {
-	return n.answeredLately() || !n.watching.Load() && n.anyStoreHealthy()
-}
-
-// answeredLately reports whether the store has answered this box lately.
-func (n *Node) answeredLately() bool {
-	return n.age()-time.Duration(n.storeAnswered.Load()) < n.Settings.Bounds.Contact
-}
-
-// storeHealthy reports whether the store has answered this box without fail for
-// a while.
-func (n *Node) storeHealthy() bool {
-	failed := n.storeFailed.Load()
-	return n.answeredLately() && (failed == 0 || n.age()-time.Duration(failed) > n.Settings.Bounds.Contact)
+	return n.store.answeredLately() || !n.watching.Load() && n.anyStoreHealthy()
 }
 
 // anyStoreHealthy reports whether the store has answered any other live box
@@ -275,7 +257,7 @@
 // taken as gone: the store has had no trouble lately, for this box or for any
 // other that is live. A store that was down for all may have lost entries of
 // servers that are well.
-func (n *Node) trustsList() bool { return n.storeHealthy() || n.anyStoreHealthy() }
+func (n *Node) trustsList() bool { return n.store.healthy() || n.anyStoreHealthy() }
 
 // hostAllowed reports whether any route of the host may run in the region.
 func (n *Node) hostAllowed(host, region string) bool {
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -66,7 +66,7 @@
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
 		self.Serving = n.serving()
-		self.StoreHealthy = n.watching.Load() && synced && n.storeHealthy()
+		self.StoreHealthy = n.watching.Load() && synced && n.store.healthy()
 		self.Trying = n.watching.Load() && !self.StoreHealthy
 	})
 }
--- a/pkg/steering/steering_mirrors.go
+++ b/pkg/steering/steering_mirrors.go
@@ -52,7 +52,7 @@
 	case !m.Synced():
 		return true
 	}
-	return n.storeLost.Load()
+	return n.store.lost.Load()
 }
 
 // catchUpWith looks for a newer mirror if the box that has just spoken has one.
@@ -66,30 +66,62 @@
 	}
 }
 
+// pulls are the mirrors that are being pulled from other boxes, or soon will be.
+type pulls struct {
+	mu sync.Mutex
+	// behind counts for how many heartbeats a mirror has been behind others'.
+	behind  map[string]int
+	running map[string]bool
+}
+
+func newPulls() *pulls {
+	return &pulls{behind: map[string]int{}, running: map[string]bool{}}
+}
+
+// begin reports whether the mirror is to be pulled now: at once, or when others
+// have been ahead for a while. If so, end must be called.
+func (p *pulls) begin(kind string, atOnce bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !atOnce {
+		p.behind[kind]++
+	}
+	if p.running[kind] || !atOnce && p.behind[kind] < pullAfter {
+		return false
+	}
+	p.behind[kind] = 0
+	p.running[kind] = true
+	return true
+}
+
+func (p *pulls) end(kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[kind] = false
+}
+
+// upToDate notes that no other box is ahead.
+func (p *pulls) upToDate(kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behind[kind] = 0
+}
+
 // catchUp pulls a mirror from a box that has a newer one: at once, or when it
 // has been newer for a while.
 func (n *Node) catchUp(kind string, m *objects.Mirror, atOnce bool) {
 	source, near := n.newest(kind, m)
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if source == "" {
-		n.behind[kind] = 0
+		n.pulls.upToDate(kind)
 		return
 	}
-	if !atOnce {
-		n.behind[kind]++
-	}
-	if n.pulling[kind] || !atOnce && n.behind[kind] < pullAfter {
+	if !n.pulls.begin(kind, atOnce) {
 		return
 	}
-	n.behind[kind] = 0
-	n.pulling[kind] = true
 	n.background.Go(func() {
+		defer n.pulls.end(kind)
 		metrics.GetOrRegisterCounter(pullCounter(near), n.Metrics).Inc(1)
 		n.pull(source, m)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.pulling[kind] = false
 	})
 }
 
@@ -179,7 +211,7 @@
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	if err == nil {
 		if events, at, known := m.EventsSince(since); known {
-			_ = json.NewEncoder(w).Encode(mirrorBody{Events: events, At: at})
+			n.logUnsent(m.Kind, json.NewEncoder(w).Encode(mirrorBody{Events: events, At: at}))
 			return
 		}
 	}
@@ -191,7 +223,16 @@
 	}
 	// The other side's library unpacks them.
 	w.Header().Set("Content-Encoding", "gzip")
-	_, _ = w.Write(packed)
+	_, err = w.Write(packed)
+	n.logUnsent(m.Kind, err)
+}
+
+// logUnsent notes that a box did not get a mirror that it asked for. It asks
+// again, so nothing else follows.
+func (n *Node) logUnsent(kind string, err error) {
+	if err != nil {
+		n.log.Debug("mirror not sent", map[string]any{"kind": kind, "error": err.Error()})
+	}
 }
 
 // packedMirrors are whole mirrors as they were last handed over: the boxes of a
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -61,12 +61,12 @@
 		return n.role.ReadsOn(time.Now())
 	}
 	f.Succeeded = func() {
-		n.storeAnswered.Store(int64(n.age()))
+		n.store.noteAnswer()
 		if kind != n.adapter.Kinds.Configuration {
-			if n.storeLost.Load() {
+			if n.store.lost.Load() {
 				n.hurryProbe()
 			}
-		} else if n.storeLost.Swap(false) {
+		} else if n.store.lost.Swap(false) {
 			log.Info("store answers again", nil)
 			n.restartOthers(kind)
 		}
@@ -76,8 +76,8 @@
 		if !n.watching.Load() {
 			return
 		}
-		n.storeFailed.Store(int64(n.age()))
-		if kind == n.adapter.Kinds.Configuration && !n.storeLost.Swap(true) {
+		n.store.noteFailure()
+		if kind == n.adapter.Kinds.Configuration && !n.store.lost.Swap(true) {
 			log.Warn("store does not answer", map[string]any{"kind": kind, "error": err.Error()})
 		}
 	}
@@ -99,7 +99,7 @@
 		return
 	}
 	n.log.Info("role changed", map[string]any{"watches_store": watching})
-	n.storeLost.Store(false)
+	n.store.lost.Store(false)
 	for _, f := range n.followers {
 		if watching {
 			f.Hurry()
@@ -114,7 +114,7 @@
 	z := n.Members.Zone(watcherSilence)
 	return watcher.View{
 		HealthyBefore: z.HealthyBefore, TryingBefore: z.TryingBefore, IdleBefore: z.IdleBefore, ZoneHealthy: z.Healthy,
-		Synced: n.synced(), StoreAnswers: n.storeHealthy() || n.anyStoreHealthy(),
+		Synced: n.synced(), StoreAnswers: n.store.healthy() || n.anyStoreHealthy(),
 	}
 }
 
