A box that the store answers goes on asking it; a start is checked on model fleets

Cause, found by a model of 27 to 297 boxes without sockets (package watcher's tests): where the store turns away the two boxes that come first in a zone, a third one tries after the time of contact; as soon as it was answered, the store counted as answering, only two were to try, and it stopped, since two before it tried in vain. The zone then had no box that asks until the next time of contact. A box that starts before the seeds lost its first heartbeat, and met its zone half a second later than its MeetTime.

Change: a box that is answered leaves the role only to one that is answered too.

--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -24,14 +24,18 @@
 	n.Set.Expire()
 	n.checkReady()
 	n.refreshSelf()
-	for _, e := range n.Members.Beat() {
-		n.send(e)
-	}
+	n.sendBeat()
 	for kind, m := range n.mirrors {
 		n.catchUp(kind, m, false)
 	}
 }
 
+func (n *Node) sendBeat() {
+	for _, e := range n.Members.Beat() {
+		n.send(e)
+	}
+}
+
 // told is what this box last announced of itself.
 type told struct {
 	ready        bool
@@ -42,6 +46,10 @@
 // announce tells the zone's other boxes at once that the store has changes, that
 // this box has become ready, or that it asks the store from now on.
 func (n *Node) announce() {
+	if n.Members.Count() == 1 {
+		// The seeds may have started after this box.
+		n.sendBeat()
+	}
 	n.chooseRole()
 	changed := n.watching.Load() && n.unannounced.Swap(false)
 	n.refreshSelf()
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -114,7 +114,8 @@
 	z := n.Members.Zone(watcherSilence)
 	return watcher.View{
 		HealthyBefore: z.HealthyBefore, TryingBefore: z.TryingBefore, IdleBefore: z.IdleBefore, ZoneHealthy: z.Healthy,
-		Synced: n.synced(), StoreAnswers: n.store.healthy() || n.anyStoreHealthy(),
+		Synced: n.synced(), Answered: n.watching.Load() && n.store.healthy(),
+		StoreAnswers: n.store.healthy() || n.anyStoreHealthy(),
 	}
 }
 
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -47,6 +47,8 @@
 	ZoneHealthy int
 	// Synced: this box has copies of all that the store holds.
 	Synced bool
+	// Answered: the store answers this box without fail.
+	Answered bool
 	// StoreAnswers: the store answers this box or any live one without fail.
 	StoreAnswers bool
 }
@@ -96,7 +98,8 @@
 
 // wants reports whether the box should ask the store. Where no box of the zone is
 // answered a few try, and one more after the time of contact without any answer,
-// and another one each time that this has lasted twice as long.
+// and another one each time that this has lasted twice as long. One that is
+// answered stays, however many before it try in vain.
 func (r *Role) wants(v View, now time.Time) bool {
 	if now.Sub(r.started) < MeetTime || !v.Synced && v.ZoneHealthy > 0 {
 		// The zone hands it the copy sooner than it could read it.
@@ -104,7 +107,7 @@
 	}
 	without := now.Sub(r.answered)
 	mayTry := fewTrying + int(math.Log2(1+without.Seconds()/r.Contact.Seconds()))
-	return v.HealthyBefore < r.PerZone() && v.TryingBefore < mayTry
+	return v.HealthyBefore < r.PerZone() && (v.Answered || v.TryingBefore < mayTry)
 }
 
 // ReadsOn reports whether a box that has no list yet reads one of many pages: when
--- a/pkg/watcher/watcher_test.go
+++ b/pkg/watcher/watcher_test.go
@@ -50,6 +50,17 @@
 	is.True(!r.Watches(View{Synced: true, TryingBefore: 2, StoreAnswers: true}, start.Add(8*contact)))
 }
 
+// TestAnsweredBoxStays: where the store turns away the boxes that come first in the
+// zone, the one that it answers goes on asking, though those try on.
+func TestAnsweredBoxStays(t *testing.T) {
+	is := is.New(t)
+	r := newRole(0)
+	later := start.Add(contact)
+	is.True(r.Watches(View{Synced: true, TryingBefore: 2}, later))
+	is.True(r.Watches(View{Synced: true, Answered: true, StoreAnswers: true, TryingBefore: 2}, later.Add(tick)))
+	is.True(!r.Watches(View{Synced: true, StoreAnswers: true, TryingBefore: 2}, later.Add(2*tick)))
+}
+
 // TestBoxesTakeTheRoleUpOneAfterTheOther: when the box that watched is gone, the
 // next one does at once, and the others only if they do not hear that it has.
 func TestBoxesTakeTheRoleUpOneAfterTheOther(t *testing.T) {
