--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,7 +53,8 @@
 
 func (f *fleet) beat(rounds int) {
 	for range rounds {
-		for name, t := range f.boxes {
+		for _, name := range f.names() {
+			t := f.boxes[name]
 			for _, e := range t.Beat() {
 				f.carry(name, t, e)
 			}
@@ -61,6 +64,13 @@
 	}
 }
 
+// names are the boxes in an order of chance that a seed repeats.
+func (f *fleet) names() []string {
+	names := slices.Sorted(maps.Keys(f.boxes))
+	shuffle(names, f.random.Intn)
+	return names
+}
+
 func (f *fleet) carry(name string, t *Table, e Envelope) {
 	for _, address := range e.To {
 		other := f.boxes[address]
