--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -143,3 +143,56 @@
 	now = now.Add(time.Minute)
 	is.Equal(b.Spend("shop"), false) // what lies outside the window counts no more
 }
+
+// TestBudgetHoldsWhereEachPartIsBelowOneRepeat: at 295 boxes the part of each is one
+// or two repeats, at 3,000 less than one. Whatever box clients move to, and though
+// every request asks to be sent again, the sum stays within the bound and what
+// requests earn is still used.
+func TestBudgetHoldsWhereEachPartIsBelowOneRepeat(t *testing.T) {
+	const (
+		tick    = 100 * time.Millisecond
+		ticks   = 600
+		serving = 27
+		perTick = 450
+	)
+	for _, boxes := range []int{30, 295, 3000} {
+		terms := Terms{Ratio: 0.2, Slack: 630, Window: 10 * time.Second}
+		now := time.Unix(1000, 0)
+		var budgets []*Budget
+		for range boxes {
+			budgets = append(budgets, NewBudget(terms, func() int { return boxes }, func() time.Time { return now }))
+		}
+		var requests, repeats [ticks]float64
+		for k := range ticks {
+			// Clients move on to other boxes every four seconds.
+			first := k / 40 * serving
+			for i := range perTick {
+				b := budgets[(first+i%serving)%boxes]
+				b.Request("shop")
+				requests[k]++
+				if b.Spend("shop") {
+					repeats[k]++
+				}
+			}
+			now = now.Add(tick)
+		}
+		window := int(terms.Window / tick)
+		for end := window; end <= ticks; end++ {
+			asked, sent := total(requests[end-window:end]), total(repeats[end-window:end])
+			if sent > terms.Ratio*asked+terms.Slack {
+				t.Fatalf("%d boxes: %.0f repeats for %.0f requests", boxes, sent, asked)
+			}
+			if sent < 0.8*terms.Ratio*asked {
+				t.Fatalf("%d boxes: only %.0f repeats for %.0f requests", boxes, sent, asked)
+			}
+		}
+	}
+}
+
+func total(list []float64) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v
+	}
+	return sum
+}
