Customers: keys in the configuration, authentication, allowed regions of route and customer

Change: customers are read with digests of their keys only; a request without exactly one known key gets 401, from a box whose configuration is fresh, else 503; the customer's name is the box's to set in any spelling, the key never goes on; route and customer both bound the regions; an object that does not parse is told by place, never by what stands there; a refused configuration is counted and the last good one stays.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/customer"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
@@ -29,6 +30,8 @@
 	Key string
 	// Timeout is how long the client waits; 0 if it did not say.
 	Timeout time.Duration
+	// Credential is the key of the customer whose request it is.
+	Credential customer.Credential
 }
 
 // Verdict is what a backend server's headers say of its answer.
@@ -56,6 +59,11 @@
 	Belongs func(h *fasthttp.ResponseHeader, m *Meta) bool
 	// Internal reports whether a client's header of that name is not passed on.
 	Internal func(name string) bool
+	// CarriesKey reports whether a header of that name may carry a customer's key,
+	// which no backend server gets to see.
+	CarriesKey func(name string) bool
+	// WriteCustomer sets the header that tells a backend server whose request it is.
+	WriteCustomer func(h *fasthttp.RequestHeader, name string)
 	// WriteFailure sets the headers of an answer of the box's own.
 	WriteFailure func(h http.Header, m *Meta, f *outcome.Failure)
 }
@@ -109,11 +117,15 @@
 
 // call is one client's request on its way.
 type call struct {
-	server   *Server
-	w        http.ResponseWriter
-	r        *http.Request
-	meta     Meta
-	route    *routing.Route
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	meta   Meta
+	route  *routing.Route
+	// customer is whose request it is, nil if it needs no key and brings none.
+	customer *customer.Customer
+	// keyed: there are customers, so the request may carry a key.
+	keyed    bool
 	version  uint64
 	service  string
 	key      uint64
@@ -178,6 +190,9 @@
 		}
 		return outcome.NewNotRun(outcome.ReasonNoRoute, c.r.Host)
 	}
+	if failure := c.authenticate(table); failure != nil {
+		return failure
+	}
 	if s.Closed() {
 		return outcome.NewNotRun(outcome.ReasonBoxLeaving, "").WithRetryAfter(time.Millisecond)
 	}
--- /dev/null
+++ b/pkg/ingress/ingress_customer.go
@@ -0,0 +1,41 @@
+package ingress
+
+import (
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/routing"
+)
+
+// authenticate finds the customer whose request it is. Only a box whose
+// configuration is known to be fresh says that a key is needed or not known: it may
+// have been added meanwhile, and the route may have been opened.
+func (c *call) authenticate(table *routing.Table) *outcome.Failure {
+	c.keyed = table.HasCustomers()
+	if !c.keyed {
+		return nil
+	}
+	credential := &c.meta.Credential
+	if !credential.Given || credential.Malformed {
+		if c.route.AllowAnonymous {
+			return nil
+		}
+		return c.unauthorized("no key, or not exactly one")
+	}
+	c.customer = table.Owner(credential.Digest)
+	if c.customer == nil {
+		return c.unauthorized("the key is not known")
+	}
+	return nil
+}
+
+func (c *call) unauthorized(why string) *outcome.Failure {
+	if !c.server.Current() {
+		return outcome.NewNotRun(outcome.ReasonNotReady, why+", but the configuration may be old").WithRetryAfter(notReadyRetry)
+	}
+	return outcome.NewNotRun(outcome.ReasonUnauthorized, why)
+}
+
+// regionAllowed reports whether the request may run in the region: its route and
+// its customer both bind.
+func (c *call) regionAllowed(region string) bool {
+	return c.route.RegionAllowed(region) && (c.customer == nil || c.customer.RegionAllowed(region))
+}
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -65,7 +65,7 @@
 
 func (c *call) choose() (*backend.Lease, *outcome.Failure) {
 	lease, err := c.server.Set.Choose(&backend.Request{
-		Service: c.service, Key: c.key, Heavy: c.route.Kind == routing.Upload, RegionAllowed: c.route.RegionAllowed, Tried: c.tried,
+		Service: c.service, Key: c.key, Heavy: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Tried: c.tried,
 	})
 	if err == nil {
 		return lease, nil
@@ -210,7 +210,7 @@
 	h.SetHost(c.r.Host)
 	listed := connectionListed(c.r.Header["Connection"])
 	for name, values := range c.r.Header {
-		if isHopByHop(name, listed) || c.server.Dialect.Internal(name) {
+		if isHopByHop(name, listed) || c.server.Dialect.Internal(name) || c.keyed && c.server.Dialect.CarriesKey(name) {
 			continue
 		}
 		for _, v := range values {
@@ -218,6 +218,9 @@
 		}
 	}
 	c.server.Dialect.WriteRequest(h, &c.meta, c.deadline.Sub(now), &lease.Server)
+	if c.customer != nil {
+		c.server.Dialect.WriteCustomer(h, c.customer.Name)
+	}
 	x := &exchange.Request{Header: h, Body: c.body.whole, MaxIdle: idleOnce, Once: !c.route.Idempotent()}
 	x.Wanted = lease.Usable
 	x.Match = func(h *fasthttp.ResponseHeader) bool { return c.server.Dialect.Belongs(h, &c.meta) }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -34,6 +34,7 @@
 	ReasonNoSuchService    Reason = "no_such_service"
 	ReasonKeyRequired      Reason = "idempotency_key_required"
 	ReasonNoRoute          Reason = "no_route"
+	ReasonUnauthorized     Reason = "unauthorized"
 	ReasonNotReady         Reason = "not_ready"
 	ReasonBoxLeaving       Reason = "box_leaving"
 	ReasonNoCapacity       Reason = "no_capacity"
@@ -68,6 +69,7 @@
 	{ReasonNoSuchService, 404, "no service of that name is in force"},
 	{ReasonKeyRequired, 400, "the request may not be repeated and carries no Idempotency-Key"},
 	{ReasonNoRoute, 404, "no route of the host begins the path"},
+	{ReasonUnauthorized, 401, "the request brings no key, or not exactly one that a customer has"},
 	{ReasonNotReady, 503, "the box has no configuration yet"},
 	{ReasonBoxLeaving, 503, "the box is stopping and takes no new requests; look up again"},
 	{ReasonNoCapacity, 503, "every slot that the request may use is taken"},
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -6,7 +6,10 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/customer"
 )
 
 // Kind says how a request may be treated when it fails.
@@ -29,6 +32,9 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Customers are those whose requests are served. With none, requests need no
+	// key and have no limits.
+	Customers []customer.Customer `json:"customers,omitempty"`
 }
 
 // Route sends the requests of one host under one path prefix to services.
@@ -51,6 +57,8 @@
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
 	// SessionAffinity asks that equal keys go to the same backend server.
 	SessionAffinity bool `json:"session_affinity,omitempty"`
+	// AllowAnonymous lets requests without a key pass where there are customers.
+	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
 }
 
 // Backend is one service of a route with its weight.
@@ -103,15 +111,7 @@
 
 // RegionAllowed reports whether the route's requests may run in the region.
 func (r *Route) RegionAllowed(region string) bool {
-	if len(r.AllowedRegions) == 0 {
-		return true
-	}
-	for _, allowed := range r.AllowedRegions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+	return customer.RegionIn(r.AllowedRegions, region)
 }
 
 // Check returns a *ConfigurationError for the first fault, or nil.
@@ -128,9 +128,35 @@
 			return err
 		}
 	}
+	return c.checkCustomers()
+}
+
+// checkCustomers looks at each customer by itself; NewTable looks at their keys.
+func (c *Configuration) checkCustomers() error {
+	names := map[string]bool{}
+	for i := range c.Customers {
+		m := &c.Customers[i]
+		problem := ""
+		switch {
+		case m.Name == "":
+			problem = "no name"
+		case names[m.Name]:
+			problem = "stands twice"
+		case !isBound(m.Rate):
+			problem = fmt.Sprintf("rate %v", m.Rate)
+		case !isBound(m.Burst):
+			problem = fmt.Sprintf("burst %v", m.Burst)
+		}
+		if problem != "" {
+			return &ConfigurationError{Where: fmt.Sprintf("customer %d %q", i+1, m.Name), Problem: problem}
+		}
+		names[m.Name] = true
+	}
 	return nil
 }
 
+func isBound(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
+
 func (r *Route) check(services map[string]bool) error {
 	switch {
 	case r.Host == "":
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/stoneworks/stoneworks/pkg/customer"
 )
 
 func route(host, prefix string, backends ...Backend) Route {
@@ -49,6 +51,10 @@
 		change(&r)
 		return Configuration{Version: 1, Services: services, Routes: []Route{r}}
 	}
+	shared := []customer.Digest{customer.DigestOf("key")}
+	with := func(list ...customer.Customer) Configuration {
+		return Configuration{Version: 1, Services: services, Routes: []Route{good}, Customers: list}
+	}
 	for _, c := range []Configuration{
 		{Services: services, Routes: []Route{good}},
 		bad(func(r *Route) { r.Host = "" }),
@@ -58,6 +64,12 @@
 		bad(func(r *Route) { r.Backends = []Backend{{Service: "desk", Weight: 1}} }),
 		bad(func(r *Route) { r.Backends = []Backend{{Service: "shop"}} }),
 		bad(func(r *Route) { r.Backends = []Backend{{Service: "shop", Weight: -1}} }),
+		with(customer.Customer{}),
+		with(customer.Customer{Name: "a"}, customer.Customer{Name: "a"}),
+		with(customer.Customer{Name: "a", Rate: -1}),
+		with(customer.Customer{Name: "a", Burst: math.Inf(1)}),
+		with(customer.Customer{Name: "a", Rate: math.NaN()}),
+		with(customer.Customer{Name: "a", Keys: shared}, customer.Customer{Name: "b", Keys: shared}),
 	} {
 		_, err := NewTable(&c)
 		var typed *ConfigurationError
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"strings"
+
+	"github.com/stoneworks/stoneworks/pkg/customer"
 )
 
 // Table finds routes in one configuration. It never changes.
@@ -10,6 +12,7 @@
 	Configuration *Configuration
 	hosts         map[string][]*Route
 	services      map[string]*Service
+	keyring       *customer.Keyring
 }
 
 // NewTable prepares a configuration for look-ups. The error is a
@@ -18,7 +21,12 @@
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
+	keyring, err := customer.NewKeyring(c.Customers)
+	if err != nil {
+		return nil, &ConfigurationError{Where: "customers", Problem: err.Error()}
+	}
 	t := &Table{
+		keyring:       keyring,
 		Configuration: c,
 		hosts:         map[string][]*Route{},
 		services:      map[string]*Service{},
@@ -54,6 +62,13 @@
 // HostRoutes returns the routes of a host.
 func (t *Table) HostRoutes(host string) []*Route { return t.hosts[hostName(host)] }
 
+// HasCustomers reports whether requests need a key, unless their route says
+// otherwise.
+func (t *Table) HasCustomers() bool { return len(t.Configuration.Customers) > 0 }
+
+// Owner returns the customer whose key it is, or nil.
+func (t *Table) Owner(key customer.Digest) *customer.Customer { return t.keyring.Owner(key) }
+
 // Service returns what is known of a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -25,6 +25,7 @@
 var MetricTable = []Metric{
 	{"answered", "requests", "answered by a backend server"},
 	{"failed.REASON", "requests", "answered by the box itself, by reason; callers.md lists them"},
+	{"config.refused", "configurations", "that do not parse or make no sense; the last good one stays in force"},
 	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
 	{"findings.sent", "findings", "of backend servers that are gone, told to other boxes"},
 	{"findings.received", "findings", "of backend servers that are gone, told by other boxes"},
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -156,6 +156,7 @@
 	}
 	c, err := n.adapter.Configuration(o)
 	if err != nil {
+		metrics.GetOrRegisterCounter("config.refused", n.Metrics).Inc(1)
 		log.Warn("configuration not understood", map[string]any{"name": o.Name, "revision": o.Revision, "error": err.Error()})
 		return
 	}
@@ -165,6 +166,7 @@
 	}
 	t, err := routing.NewTable(c)
 	if err != nil {
+		metrics.GetOrRegisterCounter("config.refused", n.Metrics).Inc(1)
 		log.Warn("configuration refused", map[string]any{"version": c.Version, "error": err.Error()})
 		return
 	}
@@ -175,7 +177,7 @@
 	n.Set.SetServices(terms)
 	n.table.Store(t)
 	n.ports.limit(c.Limits)
-	log.Info("configuration in force", map[string]any{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes)})
+	log.Info("configuration in force", map[string]any{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes), "customers": len(c.Customers)})
 }
 
 func (n *Node) serverChanged(log *logging.Part, o objects.Object, gone bool) {
--- /dev/null
+++ b/test/machines/customers_test.go
@@ -0,0 +1,273 @@
+package machines
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// notes is a log that tests read while boxes write it.
+type notes struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (n *notes) Write(p []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.text.Write(p)
+}
+
+func (n *notes) String() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.text.String()
+}
+
+// Keys of the customers of these tests. All have a part in common, so that a
+// search for that part finds any of them.
+const (
+	studioKey  = "kk-secret-studio-1"
+	studioKey2 = "kk-secret-studio-2"
+	labelKey   = "kk-secret-label-1"
+	keysPart   = "kk-secret"
+)
+
+func bearer(key string) string { return "Authorization: Bearer " + key + "\r\n" }
+
+var open = Route{Prefix: "/open/", Kind: "safe", Service: "shop", TimeoutMS: 1500, Anonymous: true}
+
+// customers are those of a fleet in these tests.
+func customers() []Customer {
+	return []Customer{
+		{Name: "studio", Keys: []string{studioKey, studioKey2}},
+		{Name: "label", Keys: []string{labelKey}, Regions: []string{"west"}},
+	}
+}
+
+// newCustomerFleet starts boxes and servers of all zones that serve customers.
+func newCustomerFleet(t *testing.T, log io.Writer, boxes int, list []Customer) *Fleet {
+	t.Helper()
+	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	f.Customers = list
+	f.Configure(1, read, buy, upload, open)
+	for _, z := range Zones {
+		if _, err := f.AddServer(z.Zone+".1", "shop", z.Zone, 16, 5*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range boxes {
+		if _, err := f.AddBox(Zones[i%len(Zones)].Zone); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "all boxes are ready", func() bool {
+		for _, b := range f.Boxes {
+			if !b.Node.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// runs returns all requests that the fleet's servers ran.
+func (f *Fleet) runs() []Run {
+	var list []Run
+	for _, s := range f.Servers {
+		list = append(list, s.Runs()...)
+	}
+	return list
+}
+
+func TestOneKeyOfACustomerIsNeeded(t *testing.T) {
+	is := is.New(t)
+	f := newCustomerFleet(t, io.Discard, 1, customers())
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	for i, c := range []struct {
+		path, header string
+		status       int
+	}{
+		{"/read/1", bearer(studioKey), 200},
+		{"/read/1", bearer(studioKey2), 200},
+		{"/read/1", "authorization: bearer " + studioKey + "\r\n", 200},
+		{"/read/1", "Authorization:  Bearer " + studioKey + " \r\n", 200},
+		{"/read/1", "", 401},
+		{"/read/1", bearer("unknown"), 401},
+		{"/read/1", bearer(studioKey[:len(studioKey)-1]), 401},
+		{"/read/1", bearer(strings.Repeat("k", 5000)), 401},
+		{"/read/1", bearer(studioKey) + bearer(studioKey), 401},
+		{"/read/1", bearer(studioKey) + bearer("other"), 401},
+		{"/read/1", bearer(studioKey + " " + labelKey), 401},
+		{"/read/1", bearer(studioKey + ", " + labelKey), 401},
+		{"/read/1", "Authorization: Basic " + studioKey + "\r\n", 401},
+		{"/read/1", "Authorization: Bearer\r\n", 401},
+		{"/read/1", "Authorization: " + studioKey + "\r\n", 401},
+		{"/nowhere/1", "", 404},
+		{"/open/1", "", 200},
+		{"/open/1", bearer(studioKey), 200},
+		{"/open/1", bearer("unknown"), 401},
+	} {
+		a := client.Do("GET", c.path, fmt.Sprint("id-", i), "", c.header)
+		is.NoErr(a.Problem)
+		if a.Status != c.status {
+			t.Errorf("%s %q: status %d, not %d", c.path, c.header, a.Status, c.status)
+		}
+		is.Equal(a.Header.Get("WWW-Authenticate") != "", c.status == http.StatusUnauthorized)
+	}
+}
+
+// TestServersLearnTheCustomerAndNeverTheKey: whatever a client says of itself.
+func TestServersLearnTheCustomerAndNeverTheKey(t *testing.T) {
+	is := is.New(t)
+	f := newCustomerFleet(t, io.Discard, 1, customers())
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	for i, c := range []struct{ path, header, want string }{
+		{"/read/1", bearer(studioKey), "studio"},
+		{"/read/1", bearer(studioKey) + "X-Stoneworks-Tenant: label\r\n", "studio"},
+		{"/read/1", bearer(studioKey) + "x-stoneworks-tenant: label\r\nX_Stoneworks_Tenant: label\r\n", "studio"},
+		{"/read/1", bearer(studioKey) + "Connection: X-Stoneworks-Tenant\r\nX-Stoneworks-Tenant: label\r\n", "studio"},
+		{"/buy/1", bearer(labelKey), "label"},
+		{"/open/1", "X-Stoneworks-Tenant: label\r\n", ""},
+		{"/open/1", "Authorization: Basic " + studioKey + "\r\n", ""},
+	} {
+		a := client.Do("GET", c.path, fmt.Sprint("id-", i), "", c.header)
+		is.NoErr(a.Problem)
+		is.Equal(a.Status, 200)
+		for _, r := range f.runs() {
+			if r.ID != fmt.Sprint("id-", i) {
+				continue
+			}
+			is.Equal(r.Header.Get("X-Stoneworks-Tenant"), c.want)
+			is.True(len(r.Header.Values("X-Stoneworks-Tenant")) <= 1)
+			if shown := fmt.Sprint(r.Header); strings.Contains(shown, keysPart) || strings.Contains(strings.ToLower(shown), "label") && c.want != "label" {
+				t.Errorf("a server got %s", shown)
+			}
+		}
+	}
+	is.Equal(len(f.runs()), 7)
+}
+
+// TestRegionsOfRouteAndCustomerBothBind: no server of another region gets the
+// request, and none runs it where the two have no region in common.
+func TestRegionsOfRouteAndCustomerBothBind(t *testing.T) {
+	is := is.New(t)
+	f := newCustomerFleet(t, io.Discard, 2, customers())
+	east := read
+	east.Prefix, east.Regions = "/east/", []string{"east"}
+	f.Configure(2, read, east)
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	eventually(t, "the route is in force", func() bool {
+		return client.Do("GET", "/east/1", "probe", "", bearer(studioKey)).Status == 200
+	})
+	for i := range 40 {
+		key := fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", i)
+		is.Equal(client.Do("GET", "/read/1", fmt.Sprint("label-", i), "", bearer(labelKey)+key).Status, 200)
+		is.Equal(client.Do("GET", "/east/1", fmt.Sprint("studio-", i), "", bearer(studioKey)+key).Status, 200)
+		is.Equal(client.Do("GET", "/east/1", fmt.Sprint("neither-", i), "", bearer(labelKey)+key).Status, 503)
+	}
+	for _, s := range f.Servers {
+		for _, r := range s.Runs() {
+			switch {
+			case strings.HasPrefix(r.ID, "label-"):
+				is.Equal(s.ID, "west-a.1")
+			case strings.HasPrefix(r.ID, "studio-"):
+				is.True(strings.HasPrefix(s.ID, "east-"))
+			case strings.HasPrefix(r.ID, "neither-"):
+				t.Error("a request ran where no region is allowed")
+			}
+		}
+	}
+}
+
+// TestKeysComeAndGo: a key that is taken away or added counts so at all boxes.
+func TestKeysComeAndGo(t *testing.T) {
+	f := newCustomerFleet(t, io.Discard, 3, customers())
+	f.Customers = []Customer{{Name: "studio", Keys: []string{studioKey2, "kk-secret-new"}}, customers()[1]}
+	f.Configure(2, read)
+	for _, b := range f.Boxes {
+		client := &Client{Address: b.Clients}
+		for key, status := range map[string]int{studioKey: 401, studioKey2: 200, "kk-secret-new": 200, labelKey: 200} {
+			eventually(t, "the keys of version 2 are in force", func() bool {
+				return client.Do("GET", "/read/1", "id", "", bearer(key)).Status == status
+			})
+		}
+		client.Close()
+	}
+}
+
+// TestABoxOutOfContactDoesNotDenyAKey: one that may have been added meanwhile.
+func TestABoxOutOfContactDoesNotDenyAKey(t *testing.T) {
+	is := is.New(t)
+	f := newCustomerFleet(t, io.Discard, 2, customers())
+	f.Store.SetTreat(func(string, string) Mode { return Busy })
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	eventually(t, "the box knows that its configuration may be old", func() bool {
+		return client.Do("GET", "/read/1", "new", "", bearer("kk-secret-new")).Status == 503
+	})
+	is.Equal(client.Do("GET", "/read/1", "none", "", "").Status, 503)
+	is.Equal(client.Do("GET", "/read/1", "old", "", bearer(studioKey)).Status, 200)
+	f.Store.SetTreat(nil)
+	eventually(t, "a fresh box says so", func() bool {
+		return client.Do("GET", "/read/1", "new", "", bearer("kk-secret-new")).Status == 401
+	})
+}
+
+// TestKeysAreNeverTold: not in any log line, answer or metric, whatever goes wrong
+// with the configuration that holds them.
+func TestKeysAreNeverTold(t *testing.T) {
+	is := is.New(t)
+	log := &notes{}
+	f := newCustomerFleet(t, log, 2, customers())
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	var told strings.Builder
+	for i, header := range []string{bearer(studioKey), bearer(keysPart + "-odd"), bearer(studioKey) + bearer(labelKey), "Authorization: " + studioKey + "\r\n"} {
+		a := client.Do("GET", "/read/1", fmt.Sprint("id-", i), "", header)
+		told.WriteString(fmt.Sprint(a.Header, strings.ReplaceAll(a.Body, "the answer", "")))
+	}
+	f.Store.Put("config", "main", "kk-secret-not-an-object")
+	f.Store.Put("config", "main", map[string]any{"version": "00000002", "tenants": []any{map[string]any{"name": "a", "api-keys": "kk-secret-no-list"}}})
+	f.Store.Put("config", "main", map[string]any{"version": "00000002", "tenants": []any{map[string]any{"name": "a", "priority": "kk-secret-no-number"}}})
+	f.Customers = []Customer{{Name: "studio", Keys: []string{studioKey}}, {Name: "label", Keys: []string{studioKey}}}
+	f.Configure(3, read)
+	f.Customers = []Customer{{Name: "studio", Keys: []string{studioKey}, Rate: -1}}
+	f.Configure(4, read)
+	f.Customers = customers()
+	f.Configure(5, read)
+	eventually(t, "the last configuration is in force", func() bool { return strings.Count(log.String(), `"version":5`) == len(f.Boxes) })
+	is.True(strings.Contains(log.String(), "share the key"))
+	is.True(strings.Contains(log.String(), "rate -1"))
+	is.Equal(client.Do("GET", "/read/1", "after", "", bearer(studioKey)).Status, 200)
+	for _, b := range f.Boxes {
+		is.Equal(b.Node.Settings.Box != "", true)
+		answer, err := http.Get("http://" + b.IP + ":8103/metrics")
+		is.NoErr(err)
+		text, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		_ = answer.Body.Close()
+		told.Write(text)
+	}
+	for _, text := range []string{told.String(), log.String()} {
+		if at := strings.Index(text, keysPart); at >= 0 {
+			t.Errorf("a key is told: ...%s...", text[max(0, at-200):at+30])
+		}
+	}
+}
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -22,7 +22,11 @@
 type Fleet struct {
 	// Policy holds the figures of the boxes that are added; nil for the
 	// defaults.
-	Policy  *policy.Policy
+	Policy *policy.Policy
+	// Customers of the next configuration.
+	Customers []Customer
+	// Change changes the settings of the boxes that are added; nil for none.
+	Change  func(s *settings.Settings)
 	Store   *Store
 	Boxes   []*Box
 	Servers map[string]*Server
@@ -31,6 +35,16 @@
 	log     io.Writer
 }
 
+// Customer is a customer of a fleet's configuration.
+type Customer struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"api-keys"`
+	Priority int      `json:"priority"`
+	Rate     float64  `json:"rate-per-s"`
+	Burst    float64  `json:"burst"`
+	Regions  []string `json:"allowed-regions"`
+}
+
 // Box is one box of a fleet.
 type Box struct {
 	*steering.Node
@@ -103,6 +117,7 @@
 	Prefix, Kind, Service string
 	TimeoutMS             int
 	Regions               []string
+	Anonymous             bool
 	// Split are services that get equal parts, in place of Service.
 	Split []string
 }
@@ -123,7 +138,7 @@
 		paths = append(paths, map[string]any{
 			"backends": split,
 			"name":     r.Prefix, "path-prefix": r.Prefix, "kind": r.Kind, "service": r.Service, "timeout-ms": r.TimeoutMS,
-			"target-latency-ms": 500, "max-attempts": 2, "session-affinity": true, "allowed-regions": r.Regions,
+			"target-latency-ms": 500, "max-attempts": 2, "session-affinity": true, "allowed-regions": r.Regions, "allow-anonymous": r.Anonymous,
 		})
 	}
 	list := []map[string]any{}
@@ -132,8 +147,9 @@
 	}
 	f.Store.Put("config", "main", map[string]any{
 		"version": fmt.Sprintf("%08x", version), "services": list,
-		"limits": map[string]any{"max-header-bytes": 8192, "max-body-bytes": 1 << 20, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
-		"hosts":  []map[string]any{{"host": "shop.example", "paths": paths}},
+		"limits":  map[string]any{"max-header-bytes": 8192, "max-body-bytes": 1 << 20, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
+		"hosts":   []map[string]any{{"host": "shop.example", "paths": paths}},
+		"tenants": f.Customers,
 	})
 }
 
@@ -158,6 +174,9 @@
 	if f.Policy != nil {
 		s.Policy = *f.Policy
 	}
+	if f.Change != nil {
+		f.Change(&s)
+	}
 	handler := logging.NewAsyncJSONHandler(f.log)
 	logContext, endLog := context.WithCancel(context.Background())
 	go handler.Run(logContext)
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -50,7 +50,9 @@
 	Timeout string
 	// Key is the affinity key.
 	Key string
-	At  time.Time
+	// Header is all that came.
+	Header http.Header
+	At     time.Time
 	// Ended is false if the client's connection closed before.
 	Ended bool
 }
@@ -211,7 +213,7 @@
 	run := &Run{
 		ID: request.Header.Get("X-Stoneworks-Request-Id"), Method: request.Method, Target: request.RequestURI,
 		Host: request.Host, Timeout: request.Header.Get("X-Stoneworks-Request-Timeout-Ms"), At: time.Now(),
-		Key: request.Header.Get("X-Stoneworks-Affinity-Key"),
+		Key: request.Header.Get("X-Stoneworks-Affinity-Key"), Header: request.Header,
 	}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{ID: run.ID, From: sourceOf(c), At: run.At})
