A box out of contact trusts keys for as long as the settings say

Cause: with enforce-revocation a key that was taken away may not count for longer than revoke-ms; a box out of contact served by its old keys for ever.

Without it keys hold until the box hears of a change. Test: three boxes of a zone, both settings, before and after a silent store.

--- a/pkg/gossip/record.go
+++ b/pkg/gossip/record.go
@@ -29,6 +29,10 @@
 	Trying bool `json:"trying,omitempty"`
 	// Serving: clients have lately sent it requests.
 	Serving bool `json:"serving,omitempty"`
+	// ConfirmedAgo is how long before this was sent the store last told the box, or
+	// confirmed, the configuration that it has, in milliseconds and one more; 0 if it
+	// does not ask the store.
+	ConfirmedAgo uint32 `json:"confirmed_ago,omitempty"`
 	// Versions tells how new the box's mirrors are, by kind.
 	Versions map[string]objects.Version `json:"versions,omitempty"`
 }
--- a/pkg/ingress/ingress_customer.go
+++ b/pkg/ingress/ingress_customer.go
@@ -24,6 +24,9 @@
 	if c.customer == nil {
 		return c.unauthorized("the key is not known")
 	}
+	if !c.server.KeysHold() {
+		return outcome.NewNotRun(outcome.ReasonNotReady, "the key may have been taken away").WithRetryAfter(notReadyRetry)
+	}
 	return nil
 }
 
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -231,6 +231,7 @@
 		Set:      n.Set,
 		Budget:   n.Budget,
 		Admit:    n.admit,
+		KeysHold: n.keysHold,
 		GiveBack: func(c *customer.Customer) { n.Quota.GiveBack(c.Name) },
 		Pool:     n.pool,
 		Now:      time.Now,
@@ -253,6 +254,22 @@
 	return n.store.answeredLately() || !n.watching.Load() && n.anyStoreHealthy()
 }
 
+// revokeMargin is by how much sooner than the bound a box stops to trust its keys: a
+// confirmation may have been on its way for as long.
+const revokeMargin = 500 * time.Millisecond
+
+// keysHold reports whether a key that the configuration has still counts: one that was
+// taken away counts no longer than the bound, where the settings ask for that, and
+// else for as long as the box does not hear of it.
+func (n *Node) keysHold() bool {
+	b := n.Settings.Bounds
+	if !b.EnforceRevocation {
+		return true
+	}
+	ago, ok := n.store.confirmedAgo()
+	return ok && ago <= b.Revoke-min(revokeMargin, b.Revoke/2)
+}
+
 // anyStoreHealthy reports whether the store has answered any other live box
 // without fail.
 func (n *Node) anyStoreHealthy() bool {
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -62,6 +62,9 @@
 	}
 	f.Succeeded = func() {
 		n.store.noteAnswer()
+		if kind == n.adapter.Kinds.Configuration {
+			n.store.noteConfirmed(0)
+		}
 		if kind != n.adapter.Kinds.Configuration {
 			if n.store.lost.Load() {
 				n.hurryProbe()
--- a/pkg/steering/store_contact.go
+++ b/pkg/steering/store_contact.go
@@ -14,6 +14,9 @@
 	// start; failed is 0 if it never has.
 	answered atomic.Int64
 	failed   atomic.Int64
+	// confirmed is when the configuration was last known to be the newest, in
+	// nanoseconds since the start; 0 if it never was.
+	confirmed atomic.Int64
 	// lost: the watch of the configuration, which notices a store that is
 	// silent, has failed and not been answered since.
 	lost atomic.Bool
@@ -23,6 +26,24 @@
 
 func (c *storeContact) noteAnswer() { c.answered.Store(int64(c.age())) }
 
+// noteConfirmed notes that the configuration was the newest some time ago.
+func (c *storeContact) noteConfirmed(ago time.Duration) {
+	at := int64(c.age() - ago)
+	for {
+		known := c.confirmed.Load()
+		if at <= known || c.confirmed.CompareAndSwap(known, at) {
+			return
+		}
+	}
+}
+
+// confirmedAgo is how long ago the configuration was last known to be the newest; ok
+// is false if it never was.
+func (c *storeContact) confirmedAgo() (ago time.Duration, ok bool) {
+	at := c.confirmed.Load()
+	return c.age() - time.Duration(at), at != 0
+}
+
 func (c *storeContact) noteFailure() { c.failed.Store(int64(c.age())) }
 
 // answeredLately reports whether the store has answered this box lately.
--- a/test/machines/customers_test.go
+++ b/test/machines/customers_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
 // notes is a log that tests read while boxes write it.
@@ -271,3 +273,47 @@
 		}
 	}
 }
+
+// TestOutOfContactKeysHoldForAsLongAsTheSettingsSay: without enforcement they hold on;
+// with it a box that may not know of a key that was taken away serves nobody by key,
+// whoever of its zone asks the store, until it is confirmed again.
+func TestOutOfContactKeysHoldForAsLongAsTheSettingsSay(t *testing.T) {
+	is := is.New(t)
+	for _, enforce := range []bool{false, true} {
+		f := newCustomerFleet(t, io.Discard, 0, customers())
+		f.Change = func(s *settings.Settings) {
+			s.Bounds.EnforceRevocation, s.Bounds.Revoke = enforce, 2500*time.Millisecond
+		}
+		for range 3 {
+			_, err := f.AddBox("east-a")
+			is.NoErr(err)
+		}
+		statuses := func() (list []int) {
+			for _, b := range f.Boxes {
+				c := &Client{Address: b.Clients}
+				list = append(list, c.Do("GET", "/read/1", fmt.Sprint(time.Now()), "", bearer(studioKey)).Status)
+				c.Close()
+			}
+			return list
+		}
+		all := func(status int) func() bool {
+			return func() bool { return fmt.Sprint(statuses()) == fmt.Sprint([]int{status, status, status}) }
+		}
+		eventually(t, "all serve", all(200))
+		// In contact they serve on for longer than the bound.
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			is.True(all(200)())
+		}
+		f.Store.SetTreat(func(string, string) Mode { return Silent })
+		down := time.Now()
+		if !enforce {
+			time.Sleep(4 * time.Second)
+			is.True(all(200)())
+			continue
+		}
+		eventually(t, "none serves by key", all(503))
+		is.True(time.Since(down) < 4*time.Second)
+		f.Store.SetTreat(nil)
+		eventually(t, "all serve again", all(200))
+	}
+}
