--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -176,6 +176,12 @@
 		fields["timeout_ms"] = c.timeout().Milliseconds()
 		fields["target_ms"] = c.route.TargetLatency.Milliseconds()
 	}
+	if c.customer != nil {
+		fields["customer"] = c.customer.Name
+	}
+	if c.isBound() {
+		fields["bound"] = true
+	}
 	if requests > 1 {
 		fields["requests"] = requests
 	}
--- a/pkg/ingress/ingress_customer.go
+++ b/pkg/ingress/ingress_customer.go
@@ -59,6 +59,11 @@
 	}
 }
 
+// isBound reports whether the request may not run in all regions.
+func (c *call) isBound() bool {
+	return c.route != nil && len(c.route.AllowedRegions) > 0 || c.customer != nil && len(c.customer.AllowedRegions) > 0
+}
+
 // regionAllowed reports whether the request may run in the region: its route and
 // its customer both bind.
 func (c *call) regionAllowed(region string) bool {
--- a/pkg/report/report.go
+++ b/pkg/report/report.go
@@ -77,6 +77,9 @@
 	return sum
 }
 
+// missed counts the requests that were not answered in time.
+func (t *Tally) missed() int { return t.Requests() - t.Outcomes[InTime] }
+
 func (t *Tally) add(o Outcome, c Cause, requests int) {
 	t.Outcomes[o] += requests
 	if o == InTime {
@@ -94,18 +97,33 @@
 	Tally
 }
 
-// Service is one service's sum.
-type Service struct {
+// Group is the sum of the requests of one service, or of one customer, or of those
+// that may run in some regions only.
+type Group struct {
 	Name string
 	Tally
 }
 
+// Names of the groups by where requests may run.
+const (
+	anyRegion   = "any region"
+	someRegions = "some regions"
+)
+
+// mostCustomers bounds the customers of a report: those with most requests that were
+// not answered in time.
+const mostCustomers = 20
+
 // Report is what logs tell.
 type Report struct {
 	// Every is the length of a span.
 	Every    time.Duration
 	All      Tally
-	Services []Service
+	Services []Group
+	// Regions are requests by where they may run, and Customers those of each
+	// customer. Both are empty where logs name no customer.
+	Regions   []Group
+	Customers []Group
 	Spans    []Span
 	// Sampled is how many of the requests are told by lines that stand for
 	// several; their figures are estimates.
@@ -121,7 +139,7 @@
 // Make sums up the lines. The error is an *EmptyError.
 func Make(lines []trace.Line, every time.Duration) (*Report, error) {
 	r := &Report{Every: every}
-	services := map[string]*Service{}
+	services, regions, customers := map[string]*Group{}, map[string]*Group{}, map[string]*Group{}
 	spans := map[time.Time]*Span{}
 	for i := range lines {
 		q, ok := read(&lines[i])
@@ -134,16 +152,20 @@
 		if q.requests > 1 {
 			r.Sampled += q.requests
 		}
-		of(services, q.service, func() *Service { return &Service{Name: q.service} }).add(outcome, cause, q.requests)
+		groupOf(services, q.service).add(outcome, cause, q.requests)
+		if customer := q.text("customer"); customer != "" {
+			groupOf(customers, customer).add(outcome, cause, q.requests)
+			groupOf(regions, q.regions()).add(outcome, cause, q.requests)
+		}
 		start := q.start.Truncate(every)
 		of(spans, start, func() *Span { return &Span{Start: start} }).add(outcome, cause, q.requests)
 	}
 	if r.All.Requests() == 0 {
 		return nil, &EmptyError{}
 	}
-	for _, name := range slices.Sorted(maps.Keys(services)) {
-		r.Services = append(r.Services, *services[name])
-	}
+	r.Services, r.Regions, r.Customers = sorted(services), sorted(regions), sorted(customers)
+	slices.SortStableFunc(r.Customers, func(a, b Group) int { return b.missed() - a.missed() })
+	r.Customers = r.Customers[:min(len(r.Customers), mostCustomers)]
 	for _, s := range spans {
 		r.Spans = append(r.Spans, *s)
 	}
@@ -151,6 +173,19 @@
 	return r, nil
 }
 
+// sorted returns the groups by name.
+func sorted(groups map[string]*Group) []Group {
+	var list []Group
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		list = append(list, *groups[name])
+	}
+	return list
+}
+
+func groupOf(groups map[string]*Group, name string) *Group {
+	return of(groups, name, func() *Group { return &Group{Name: name} })
+}
+
 // of returns the entry of a key, made if there is none.
 func of[K comparable, V any](m map[K]*V, key K, empty func() *V) *V {
 	if m[key] == nil {
@@ -227,6 +262,14 @@
 	return Refused
 }
 
+// regions names the group by where the request may run.
+func (q *request) regions() string {
+	if q.fields["bound"] != nil {
+		return someRegions
+	}
+	return anyRegion
+}
+
 func (q *request) text(name string) string {
 	v, _ := q.fields[name].(string)
 	return v
--- a/pkg/report/report_print.go
+++ b/pkg/report/report_print.go
@@ -16,6 +16,8 @@
 	}
 	fmt.Fprintln(t, row("all", &r.All))
 	fmt.Fprintln(t)
+	printGroups(t, "MAY RUN IN", r.Regions)
+	printGroups(t, "CUSTOMER", r.Customers)
 	fmt.Fprintln(t, header("FROM"))
 	for i := range r.Spans {
 		fmt.Fprintln(t, row(r.Spans[i].Start.Format("15:04:05"), &r.Spans[i].Tally))
@@ -26,6 +28,18 @@
 	return t.Flush()
 }
 
+// printGroups writes a table of groups, if there are any.
+func printGroups(w io.Writer, title string, groups []Group) {
+	if len(groups) == 0 {
+		return
+	}
+	fmt.Fprintln(w, header(title))
+	for i := range groups {
+		fmt.Fprintln(w, row(groups[i].Name, &groups[i].Tally))
+	}
+	fmt.Fprintln(w)
+}
+
 // columns are the names of the columns after the first one.
 func columns() []string {
 	names := []string{"requests"}
