A region's share of its keys follows the load its servers tell

Cause: saint-louis has 8 of 88 servers of listen; its share of its own keys follows slots alone (0.27) and knows neither that its clients send more than others nor that customers bound to it fill its servers. Ruled out: first uses (steady ones are nearly all of bound requests).

Change: servers tell their load in answers; where the region's are above 1 of their slots and 0.3 above others', its keys leave within the cap on shifts; below 0.6, or 0.3 below others', they come back, up to the share by slots.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -293,6 +293,7 @@
 	now := s.Now()
 	if load != nil {
 		v.load.told(*load, now)
+		s.toldFill(l, load, now)
 	}
 	v.load.own--
 	rests := false
@@ -335,6 +336,18 @@
 	}
 }
 
+// toldFill takes in a server's load for the average of its group.
+func (s *Set) toldFill(l *Lease, load *Load, now time.Time) {
+	g := l.server.group
+	switch {
+	case g == nil || l.Cold:
+	case l.Remote:
+		g.fills.far.told(load, now)
+	default:
+		g.fills.near.told(load, now)
+	}
+}
+
 // suspect tells that a server rests from now on.
 func (s *Set) suspect(v *server, what string) {
 	v.health.suspected = true
--- /dev/null
+++ b/pkg/backend/region_test.go
@@ -0,0 +1,77 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestKeysLeaveARegionWhoseServersAreFull: while the servers of a region tell that
+// requests wait, and others that they have room, the region's share of its keys falls,
+// no faster than the cap on shifts; it comes back when they have room again, and never
+// rises above its part of the slots. Customers that are bound to a region fill its
+// servers so: with the share by slots alone the clients of a region of 8 of 88 servers
+// earned 0.67 of their credit where others earned 0.85.
+func TestKeysLeaveARegionWhoseServersAreFull(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(append(servers("east-a", 4, 4), servers("west-a", 12, 4)...), true)
+	// window sends requests for 2 s and returns the part that stayed in the region.
+	window := func(near, far *Load) float64 {
+		stayed := 0
+		for key := range uint64(1000) {
+			c.advance(2 * time.Millisecond)
+			lease, err := choose(s, mix(key))
+			is.NoErr(err)
+			load := near
+			if lease.Remote {
+				load = far
+			} else {
+				stayed++
+			}
+			// What is told of others' requests would make the server full.
+			lease.Done(Answered, nil)
+			s.toldFill(lease, load, c.now())
+		}
+		return float64(stayed) / 1000
+	}
+	idle, busy := &Load{Running: 1, Slots: 4}, &Load{Running: 4, Waiting: 3, Slots: 4}
+	bySlots := window(idle, idle)
+	is.True(bySlots > 0.45 && bySlots < 0.55)
+	last := bySlots
+	for range 20 {
+		share := window(busy, idle)
+		is.True(last-share <= 0.15)
+		last = share
+	}
+	is.True(last < 0.1)
+	// Where all are as full, nothing is gained elsewhere.
+	for range 20 {
+		last = window(busy, busy)
+	}
+	is.True(last < 0.1)
+	for range 20 {
+		share := window(idle, idle)
+		is.True(share-last <= 0.15)
+		is.True(share <= bySlots+0.01)
+		last = share
+	}
+	is.True(last > bySlots-0.05)
+}
+
+// TestAShareHoldsWhereAllAreFull: a region does not send keys to others that have as
+// much to do.
+func TestAShareHoldsWhereAllAreFull(t *testing.T) {
+	is := is.New(t)
+	f := fills{near: fill{value: 1.5}, far: fill{value: 1.4}}
+	s, c := newTestSet(1)
+	f.near.at, f.far.at = c.now(), c.now()
+	is.Equal(f.wanted(&s.Policy, 0.4, 0.5, c.now()), 0.4)
+	f.far.value = 1.9
+	is.Equal(f.wanted(&s.Policy, 0.4, 0.5, c.now()), 0.5)
+	f.far.value = 0.5
+	is.Equal(f.wanted(&s.Policy, 0.4, 0.5, c.now()), 0.0)
+	f.near.value = 0.8
+	is.Equal(f.wanted(&s.Policy, 0.4, 0.5, c.now()), 0.4)
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -95,6 +95,7 @@
 	regions []regionSlots
 	changed bool
 	locals  map[string]*localShare
+	fills   fills
 	// typical is the typical latency as of typicalAt.
 	typical   time.Duration
 	typicalAt time.Time
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -48,6 +48,12 @@
 	// ShareStep is how fast a region's share of its own keys follows the
 	// regions' slots. The rest of the cap on shifts is left to chance.
 	ShareStep float64 `yaml:"share_step" unit:"of the cap on shifts, a window" least:"0" most:"1"`
+	// NearFill is how much of their slots the region's servers must have taken, as they
+	// tell it, and NearGap how much more than those elsewhere, for keys to leave the
+	// region; NearRoom is below what they come back.
+	NearFill float64 `yaml:"near_fill" unit:"of their slots" least:"0" most:"100"`
+	NearGap  float64 `yaml:"near_gap" unit:"of their slots" least:"0" most:"100"`
+	NearRoom float64 `yaml:"near_room" unit:"of their slots" least:"0" most:"100"`
 	// SpillShare is the part of the cap on shifts for single requests that
 	// leave a full region.
 	SpillShare float64 `yaml:"spill_share" unit:"of the cap on shifts, a window" least:"0" most:"1"`
@@ -120,6 +126,9 @@
 		SpeedAnswers:     15,
 		SpeedStep:        1.3,
 		ShareStep:        0.3,
+		NearFill:         1,
+		NearGap:          0.3,
+		NearRoom:         0.6,
 		SpillShare:       0.4,
 		LoadHolds:        500 * time.Millisecond,
 		LoadFades:        2 * time.Second,
--- a/pkg/report/report.go
+++ b/pkg/report/report.go
@@ -124,7 +124,7 @@
 	// customer. Both are empty where logs name no customer.
 	Regions   []Group
 	Customers []Group
-	Spans    []Span
+	Spans     []Span
 	// Sampled is how many of the requests are told by lines that stand for
 	// several; their figures are estimates.
 	Sampled int
