--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -58,6 +58,10 @@
 	{"drain", drain},
 	{"configuration", configuration},
 	{"no-regress", noRegress},
+	{"customer", customerNamed},
+	{"keys-kept", keysKept},
+	{"limit", limit},
+	{"old-keys", oldKeys},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -24,7 +25,8 @@
 			ID: id, Kind: kind, Method: "POST", Target: "/x/" + id, Body: id, Box: "b1", Life: 1, Timeout: time.Second,
 			Sent: sent, Ended: sent.Add(20 * time.Millisecond), Status: 200, Whole: true, Signed: true,
 		})
-		h.Runs["s1"] = append(h.Runs["s1"], machines.Run{ID: id, Method: "POST", Target: "/x/" + id, Body: id, At: sent})
+		header := http.Header{"X-Stoneworks-Tenant": {usualCustomer}}
+		h.Runs["s1"] = append(h.Runs["s1"], machines.Run{ID: id, Method: "POST", Target: "/x/" + id, Body: id, At: sent, Header: header})
 		h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: id, From: "b1", At: sent})
 	}
 	h.Configurations = []Acknowledged{{Version: 1, At: start}}
@@ -39,6 +41,19 @@
 	is := is.New(t)
 	is.Equal(Judge(calm()), nil)
 	controls := map[string]func(h *History){
+		"customer":  func(h *History) { h.Runs["s1"][0].Header.Set("X-Stoneworks-Tenant", "somebody-else") },
+		"keys-kept": func(h *History) { h.Runs["s1"][1].Header.Set("Authorization", "Bearer "+keyOf(usualCustomer)) },
+		"limit": func(h *History) {
+			for i := range 200 {
+				id := fmt.Sprint("l", i)
+				h.Left = append(h.Left, Request{ID: id})
+				h.Runs["s1"] = append(h.Runs["s1"], machines.Run{ID: id, At: start, Header: http.Header{"X-Stoneworks-Tenant": {limitedCustomer}}})
+			}
+		},
+		"old-keys": func(h *History) {
+			h.Configurations = append(h.Configurations, Acknowledged{Version: 2, At: after(20 * time.Second)})
+			h.OldKeys = []Probe{{Box: "b1", Life: 1, Version: 1, At: after(24 * time.Second), Status: 200}}
+		},
 		"whole":        func(h *History) { h.Requests[0].Whole = false },
 		"at-most-once": func(h *History) { h.Runs["s2"] = h.Runs["s1"][1:2] },
 		"refused-not-run": func(h *History) {
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -62,6 +62,8 @@
 			group.Go(func() { r.client(b, random, end) })
 		}
 		group.Go(func() { r.prober(b, end) })
+		group.Go(func() { r.presser(b, end) })
+		group.Go(func() { r.keyProber(b, end) })
 	}
 }
 
@@ -113,7 +115,7 @@
 }
 
 func extraOf(random *rand.Rand) string {
-	return fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\nX-Stoneworks-Request-Timeout-Ms: %d\r\n", random.Intn(keys), clientWaits.Milliseconds())
+	return claims(keyOf(usualCustomer)) + fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\nX-Stoneworks-Request-Timeout-Ms: %d\r\n", random.Intn(keys), clientWaits.Milliseconds())
 }
 
 // prober asks the box for the paths of the newest configuration and of the one
@@ -130,7 +132,7 @@
 			ID: newID(), Kind: "safe", Method: "GET", Target: markerRoute(version).Prefix, Box: b.IP, Life: life,
 			Timeout: time.Second + 200*time.Millisecond, Sent: at,
 		}
-		answer := c.Do(q.Method, q.Target, q.ID, "", "X-Stoneworks-Request-Timeout-Ms: 1000\r\n")
+		answer := c.Do(q.Method, q.Target, q.ID, "", claims(keyOf(usualCustomer))+"X-Stoneworks-Request-Timeout-Ms: 1000\r\n")
 		q.Ended = time.Now()
 		if answer.Problem != nil {
 			c.Close()
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -70,8 +70,12 @@
 type History struct {
 	Requests []Request
 	// Left are probes that were not answered with a success.
-	Left           []Request
-	Probes         []Probe
+	Left   []Request
+	Probes []Probe
+	// OldKeys are requests with a key that only the given version had.
+	OldKeys []Probe
+	// KeysLogged are lines of logs with a key in them.
+	KeysLogged     []string
 	Runs           map[string][]machines.Run
 	Arrivals       map[string][]machines.Arrival
 	Departures     []Departure
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -198,9 +199,26 @@
 		h.Runs[id] = s.Runs()
 		h.Arrivals[id] = s.ArrivalLog()
 	}
+	h.KeysLogged = r.keysLogged()
 	return h
 }
 
+// keysLogged returns the lines of the boxes' logs that have a key in them.
+func (r *run) keysLogged() (found []string) {
+	for _, b := range r.boxes {
+		text, err := os.ReadFile(filepath.Join(r.Dir, b.Name+".log"))
+		if err != nil {
+			found = append(found, err.Error())
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.Contains(line, keysPart) {
+				found = append(found, "logged: "+line)
+			}
+		}
+	}
+	return found
+}
+
 // ----------------------------------------------------------------
 // The program
 // ----------------------------------------------------------------
--- a/test/soak/strikes.go
+++ b/test/soak/strikes.go
@@ -63,6 +63,7 @@
 // configure puts the next configuration in the store.
 func (r *run) configure() {
 	r.version++
+	r.fleet.Customers = customersOf(r.version)
 	r.fleet.Configure(r.version, append([]machines.Route{markerRoute(r.version)}, routes...)...)
 	r.note(func(h *History) {
 		h.Configurations = append(h.Configurations, Acknowledged{Version: r.version, At: time.Now()})
