Connections that rest are probed: one that goes silent for good is found in three seconds

Cause: a watch of the store's servers waits up to 25 s and sends nothing meanwhile; if its connection went silent without a reset, the box heard of no leaving server for that long. The kernel's time-out for sent bytes does not count where nothing is sent, and the library's probes began after 15 s. The watch of the configuration, which notices a silent store, runs over another connection.

Change: probes after 2 s, each second, to the store, other boxes and servers.

Test: the options of a connection.

--- a/pkg/steering/steering_dial.go
+++ b/pkg/steering/steering_dial.go
@@ -24,6 +24,13 @@
 	// unackedTime bounds how long sent bytes may stay unacknowledged: a
 	// machine without power says nothing.
 	unackedTime = 1500 * time.Millisecond
+	// probeIdle, probeEvery and probes are the keep-alive probes on a connection that
+	// rests: one whose other end has gone silent for good is found within three
+	// seconds. A watch of the store that waits sends nothing by itself, so without
+	// them it would hear nothing more for as long as it may wait.
+	probeIdle  = 2 * time.Second
+	probeEvery = time.Second
+	probes     = 3
 	// tcpUserTimeout is Linux's socket option TCP_USER_TIMEOUT, see tcp(7).
 	tcpUserTimeout = 18
 	// idleConnections bounds the idle connections kept to one backend server.
@@ -35,6 +42,9 @@
 	return &net.Dialer{
 		Timeout:   dialTime,
 		LocalAddr: n.localAddress(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probes,
+		},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
 				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
--- a/pkg/steering/steering_test.go
+++ b/pkg/steering/steering_test.go
@@ -1,8 +1,10 @@
 package steering
 
 import (
+	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,6 +45,33 @@
 	is.Equal(capacityOf(settings.Machine{}), 0.0)
 }
 
+// TestConnectionsNoticeASilentOtherEnd: they have the socket options by which the
+// kernel finds out, also while nothing is sent.
+func TestConnectionsNoticeASilentOtherEnd(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	n := &Node{Settings: &settings.Settings{Advertise: settings.Addresses{Peers: "127.0.0.1:1"}}}
+	c, err := n.dialPeer(t.Context(), l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(fd uintptr) {
+		for _, o := range []struct{ level, name, want int }{
+			{syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1},
+			{syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, int(probeIdle.Seconds())},
+			{syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, probes},
+			{syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds())},
+		} {
+			got, err := syscall.GetsockoptInt(int(fd), o.level, o.name)
+			is.NoErr(err)
+			is.Equal(got, o.want)
+		}
+	}))
+}
+
 func TestVanishedServersAreKeptNoLongerThanTheirEntriesNeed(t *testing.T) {
 	is := is.New(t)
 	is.Equal(forgetAfter(2500*time.Millisecond), 1750*time.Millisecond)
