--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -159,6 +159,7 @@
 		return ExitOK
 	}
 	var usage *UsageError
+	var unread *BoxError
 	var missing *NotEverywhereError
 	s, _ := status.FromError(err)
 	fmt.Fprintln(p.stderr, "stoneworksctl:", s.Message())
@@ -173,6 +174,9 @@
 	switch {
 	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.As(err, &unread):
+		// Nothing was asked to change.
+		return ExitFailed
 	case errors.As(err, &missing):
 		return ExitNotEverywhere
 	}
--- a/pkg/ctl/ctl_verbs.go
+++ b/pkg/ctl/ctl_verbs.go
@@ -30,6 +30,7 @@
 	{"status", "status", "show how a box sees the deployment", verbStatus},
 	{"plan", "plan SERVICE", "show which region serves which share of the clients, and how far a box is from the plan", verbPlan},
 	{"explain", "explain [-method M] [-path P] SERVICE CLIENT", "say where a request would go, and why", verbExplain},
+	{"customers", "customers ADDRESS...", "show limits of customers, and what was admitted and refused, from the admin addresses of boxes", verbCustomers},
 	{"report", "report [--every 2s] [--html FILE] LOG...", "sum up requests, outcomes and causes, from logs of boxes in JSON", verbReport},
 	{"trace", "trace [--before 5s] ID LOG...", "print one request's way, from logs of boxes in JSON", verbTrace},
 }
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -25,10 +25,11 @@
 	latestReturn  = 10 * time.Second
 )
 
-// counts are those of Usage.
+// counts are those of Usage, and the requests that were refused.
 type counts struct {
 	arrived uint32
 	used    uint32
+	refused uint32
 }
 
 // account is what a box holds of one customer's limit.
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -176,6 +176,34 @@
 	return d
 }
 
+// Statement is what has become of a customer's requests at this box since it started.
+// Counts begin anew after 4,294,967,295.
+type Statement struct {
+	Arrived  uint32
+	Admitted uint32
+	Refused  uint32
+	// PerSecond is how many came lately.
+	PerSecond float64
+	// Held is how many unused tokens the box holds.
+	Held int
+}
+
+// Statement returns what is known of a customer here; all zero where it has no limit.
+func (l *Limiter) Statement(name string) Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := IDOf(name)
+	a := l.accounts[id]
+	if a == nil {
+		c := l.retired[id]
+		return Statement{Arrived: c.arrived, Admitted: c.arrived - c.refused, Refused: c.refused}
+	}
+	return Statement{
+		Arrived: a.arrived, Admitted: a.arrived - a.refused - uint32(a.waiting), Refused: a.refused,
+		PerSecond: a.arrivals.now(l.Now()), Held: a.held(),
+	}
+}
+
 // GiveBack returns the token of a request that was admitted and has not run.
 func (l *Limiter) GiveBack(name string) {
 	l.mu.Lock()
@@ -202,7 +230,7 @@
 
 // retire drops an account. What it held is given up.
 func (l *Limiter) retire(a *account) {
-	l.retired[a.id] = counts{arrived: a.arrived, used: a.ceiling}
+	l.retired[a.id] = counts{arrived: a.arrived, used: a.ceiling, refused: a.refused}
 	delete(l.accounts, a.id)
 }
 
@@ -218,6 +246,7 @@
 
 func (l *Limiter) refuse(a *account) Decision {
 	now := l.Now()
+	a.refused++
 	a.refusals.add(1, now)
 	return Decision{Verdict: Refused, RetryAfter: a.returnAfter(l.Random(), now)}
 }
--- /dev/null
+++ b/pkg/standing/standing.go
@@ -0,0 +1,112 @@
+// Package standing is what boxes tell operators of their customers, and its sum over
+// boxes. It is data and tables only.
+package standing
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Path is where a box tells it on its admin address.
+const Path = "/v1/customers"
+
+// Box is what one box tells.
+type Box struct {
+	Box    string `json:"box"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Version is that of the configuration in force.
+	Version   uint64     `json:"version"`
+	Customers []Customer `json:"customers"`
+}
+
+// Customer is one customer at one box. Counts are since the box started.
+type Customer struct {
+	Name string `json:"name"`
+	// Keys are the beginnings of the keys' digests; see customer.Digest.
+	Keys           []string `json:"keys"`
+	Priority       int      `json:"priority"`
+	Rate           float64  `json:"rate"`
+	Burst          float64  `json:"burst"`
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	Arrived        uint32   `json:"arrived"`
+	Admitted       uint32   `json:"admitted"`
+	Refused        uint32   `json:"refused"`
+	PerSecond      float64  `json:"per_second"`
+	Held           int      `json:"held"`
+}
+
+// Row is a customer's sum over boxes.
+type Row struct {
+	Customer
+	// Regions are the sums by region, by name.
+	Regions map[string]*Customer
+}
+
+// Sum adds up what boxes told, by customer.
+func Sum(boxes []Box) []Row {
+	rows := map[string]*Row{}
+	for _, b := range boxes {
+		for _, c := range b.Customers {
+			r := rows[c.Name]
+			if r == nil {
+				r = &Row{Customer: c, Regions: map[string]*Customer{}}
+				r.Arrived, r.Admitted, r.Refused, r.PerSecond, r.Held = 0, 0, 0, 0, 0
+				rows[c.Name] = r
+			}
+			if r.Regions[b.Region] == nil {
+				r.Regions[b.Region] = &Customer{}
+			}
+			r.add(c)
+			r.Regions[b.Region].add(c)
+		}
+	}
+	var list []Row
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		list = append(list, *rows[name])
+	}
+	return list
+}
+
+func (c *Customer) add(o Customer) {
+	c.Arrived += o.Arrived
+	c.Admitted += o.Admitted
+	c.Refused += o.Refused
+	c.PerSecond += o.PerSecond
+	c.Held += o.Held
+}
+
+// Print writes the rows as a table for a terminal: those first that were refused most.
+func Print(w io.Writer, rows []Row) error {
+	slices.SortStableFunc(rows, func(a, b Row) int { return int(int64(b.Refused) - int64(a.Refused)) })
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CUSTOMER\tRATE\tBURST\tREGIONS\tKEYS\tPER SECOND\tARRIVED\tADMITTED\tREFUSED\tREFUSED BY REGION")
+	for i := range rows {
+		r := &rows[i]
+		var refused []string
+		for _, region := range slices.Sorted(maps.Keys(r.Regions)) {
+			refused = append(refused, fmt.Sprintf("%s %d", region, r.Regions[region].Refused))
+		}
+		fmt.Fprintf(t, "%s\t%s\t%g\t%s\t%s\t%.1f\t%d\t%d\t%d\t%s\n",
+			r.Name, rate(r.Rate), r.Burst, orAll(r.AllowedRegions), strings.Join(r.Keys, ","), r.PerSecond, r.Arrived, r.Admitted, r.Refused, strings.Join(refused, ", "))
+	}
+	return t.Flush()
+}
+
+func rate(v float64) string {
+	if v <= 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%g/s", v)
+}
+
+func orAll(regions []string) string {
+	if len(regions) == 0 {
+		return "all"
+	}
+	return strings.Join(regions, ",")
+}
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -98,6 +98,10 @@
 	// readySince is when the box last became ready, in nanoseconds since the start.
 	readySince atomic.Int64
 
+	// refused are the customers that have a metric of their refusals.
+	refusedMu sync.Mutex
+	refused   map[string]bool
+
 	leaving  atomic.Bool
 	closed   atomic.Bool
 	ready    atomic.Bool
@@ -132,6 +136,7 @@
 		pulls:    newPulls(),
 		store:    &storeContact{started: started, within: s.Bounds.Contact},
 		ports:    &ports{},
+		refused:  map[string]bool{},
 	}
 	n.findings = &findings.Outbox{Box: s.Box, Now: time.Now}
 	n.background = conc.NewWaitGroup()
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -26,6 +26,7 @@
 	{"answered", "requests", "answered by a backend server"},
 	{"failed.REASON", "requests", "answered by the box itself, by reason; callers.md lists them"},
 	{"config.refused", "configurations", "that do not parse or make no sense; the last good one stays in force"},
+	{"customer.refused.NAME", "requests", "over their customer's limit, of the first 100 that were refused any; of all others together under others"},
 	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
 	{"quota.sent", "datagrams", "of customers' limits, to other boxes"},
 	{"findings.sent", "findings", "of backend servers that are gone, told to other boxes"},
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/standing"
 )
 
 // HTTPHandler serves HTTP.
@@ -174,6 +175,7 @@
 	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", n.serveMetrics)
+	admin.HandleFunc("GET "+standing.Path, n.serveCustomers)
 	for _, p := range []struct {
 		name, address string
 		handler       http.Handler
--- a/pkg/steering/steering_quota.go
+++ b/pkg/steering/steering_quota.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/stoneworks/stoneworks/pkg/customer"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/quota"
+	"github.com/stoneworks/stoneworks/pkg/standing"
 )
 
 // ================================================================
@@ -147,5 +150,50 @@
 		}
 		n.sendQuota()
 	}
+	if d.Verdict != quota.Admitted {
+		n.countRefused(c.Name)
+	}
 	return d.Verdict == quota.Admitted, d.RetryAfter
 }
+
+// mostCustomerMetrics bounds the customers that have a metric of their own.
+const mostCustomerMetrics = 100
+
+// countRefused counts a refusal by customer; where many have been refused, the others
+// share a metric.
+func (n *Node) countRefused(customer string) {
+	n.refusedMu.Lock()
+	if !n.refused[customer] {
+		if len(n.refused) < mostCustomerMetrics {
+			n.refused[customer] = true
+		} else {
+			customer = "others"
+		}
+	}
+	n.refusedMu.Unlock()
+	metrics.GetOrRegisterCounter("customer.refused."+customer, n.Metrics).Inc(1)
+}
+
+// serveCustomers tells operators what has become of customers' requests here.
+func (n *Node) serveCustomers(w http.ResponseWriter, _ *http.Request) {
+	t := n.table.Load()
+	if t == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b := standing.Box{Box: n.Settings.Box, Zone: n.Settings.Zone, Region: n.Topology.RegionOf(n.Settings.Zone), Version: t.Configuration.Version}
+	for i := range t.Configuration.Customers {
+		c := &t.Configuration.Customers[i]
+		s := n.Quota.Statement(c.Name)
+		var keys []string
+		for _, k := range c.Keys {
+			keys = append(keys, k.String())
+		}
+		b.Customers = append(b.Customers, standing.Customer{
+			Name: c.Name, Keys: keys, Priority: c.Priority, Rate: c.Rate, Burst: c.Burst, AllowedRegions: c.AllowedRegions,
+			Arrived: s.Arrived, Admitted: s.Admitted, Refused: s.Refused, PerSecond: s.PerSecond, Held: s.Held,
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	n.logUnsent("customers", json.NewEncoder(w).Encode(b))
+}
--- a/test/machines/limits_test.go
+++ b/test/machines/limits_test.go
@@ -1,15 +1,19 @@
 package machines
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/stoneworks/stoneworks/pkg/ctl"
+	"github.com/stoneworks/stoneworks/pkg/customer"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
@@ -171,3 +175,30 @@
 	t.Logf("served after %v", took)
 	is.True(took < 500*time.Millisecond)
 }
+
+// TestOperatorsSeeWhoIsRefused: by customer and region, from the boxes' admin
+// addresses, with nothing of a key but the beginning of its digest.
+func TestOperatorsSeeWhoIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newCustomerFleet(t, io.Discard, 3, []Customer{
+		{Name: "studio", Keys: []string{studioKey}, Rate: 5, Burst: 5}, {Name: "label", Keys: []string{labelKey}},
+	})
+	statuses, _ := sendFor(f, studioKey, 10*time.Millisecond, 6, 500*time.Millisecond)
+	is.True(statuses[429] > 0)
+	args := []string{"customers"}
+	for _, b := range f.Boxes {
+		args = append(args, b.IP+":8103")
+	}
+	var out, problems bytes.Buffer
+	is.Equal(ctl.Main(args, nil, &out, &problems), ctl.ExitOK)
+	lines := strings.Split(out.String(), "\n")
+	is.True(strings.HasPrefix(lines[1], "studio"))
+	fields := strings.Fields(lines[1])
+	is.Equal(fields[1], "5/s")
+	is.Equal(fields[8], fmt.Sprint(statuses[429]))
+	is.True(strings.Contains(lines[1], customer.DigestOf(studioKey).String()))
+	is.True(strings.Contains(lines[1], "east ") && strings.Contains(lines[1], "west "))
+	is.True(!strings.Contains(out.String(), keysPart))
+	is.Equal(ctl.Main([]string{"customers", "127.0.0.1:1"}, nil, &out, &problems), ctl.ExitFailed)
+	is.True(strings.Contains(problems.String(), "127.0.0.1:1"))
+}
