Limits cost less: unused tokens come back, boxes hold some of most customers, few boxes hold parts

Change: a token that was not used for 4 s goes back to the allocator it is reported to; a box holds tokens of customers that ask as seldom as once in 4 s; the zone's two first boxes and those that serve clients hold parts, others nothing; what is known of others is kept for half a second.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -84,6 +84,8 @@
 	zones map[string]time.Time
 	// asked is when the record of an ID was last asked for.
 	asked map[uint32]time.Time
+	// servingSince is since when clients send this box requests.
+	servingSince time.Time
 	// received is when any message last came.
 	received time.Time
 	beats    int
@@ -98,6 +100,8 @@
 	Record
 	ID    uint32
 	heard time.Time
+	// served is when it was last heard that clients send it requests.
+	served time.Time
 	// silent: it was taken for silent, by this box or by its zone.
 	silent bool
 	// risen: its beat has risen since this box's last heartbeat.
@@ -129,7 +133,11 @@
 func (t *Table) Update(change func(self *Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	served := t.self.Serving
 	change(&t.self)
+	if t.self.Serving && !served {
+		t.servingSince = t.Now()
+	}
 }
 
 // Self returns this box's own record.
@@ -220,67 +228,6 @@
 	return z
 }
 
-// Standing is a box's place in its zone, and who comes first in each zone.
-type Standing struct {
-	// Part is this box's part of the capacity of all boxes that may be in its zone,
-	// those that have lately fallen silent included. While nothing is heard of the
-	// zone no other box is forgotten: this one may be cut off.
-	Part float64
-	// Neighbours is how many other boxes of the zone that counts, Others how many
-	// boxes of other zones are known.
-	Neighbours int
-	Others     int
-	// First are the first boxes of each zone that are live and not leaving, in the
-	// order in which they take on the zone's work, this one included.
-	First map[string][]Record
-}
-
-// Standing returns this box's place, with up to count first boxes of each zone.
-func (t *Table) Standing(count int) Standing {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Now()
-	heard := t.zones[t.self.Zone]
-	s := Standing{First: map[string][]Record{}}
-	own := weightOf(&t.self)
-	total := own
-	if !t.self.Leaving {
-		s.First[t.self.Zone] = []Record{t.self}
-	}
-	for _, e := range t.sorted {
-		switch {
-		case e.Zone != t.self.Zone:
-			s.Others++
-		case heard.Sub(e.heard) <= forgetAfter:
-			s.Neighbours++
-			total += weightOf(&e.Record)
-		}
-		if !e.Leaving && t.live(e, now) {
-			s.First[e.Zone] = insertFirst(s.First[e.Zone], e.Record, count)
-		}
-	}
-	s.Part = own / total
-	return s
-}
-
-// weightOf is what a box counts for among those of its zone.
-func weightOf(r *Record) float64 {
-	if r.Capacity <= 0 {
-		return 1
-	}
-	return r.Capacity
-}
-
-// insertFirst keeps the first count records, in their order.
-func insertFirst(list []Record, r Record, count int) []Record {
-	at := sort.Search(len(list), func(i int) bool { return r.precedes(&list[i]) })
-	if at >= count {
-		return list
-	}
-	list = slices.Insert(list, at, r)
-	return list[:min(len(list), count)]
-}
-
 // live reports whether a box may be named to clients.
 func (t *Table) live(e *entry, now time.Time) bool {
 	if e.silent || now.Sub(e.heard) > forgetAfter {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -373,3 +373,52 @@
 		}
 	}
 }
+
+// TestPartsOfAZoneNeverSumUpToMore: whichever boxes serve clients, start, end or are
+// cut off, the parts that boxes of one zone take for their own do not sum up to more
+// than the whole, but for the moment in which one that starts is not yet known.
+func TestPartsOfAZoneNeverSumUpToMore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(0)
+	for i := range 13 {
+		f.start(fmt.Sprintf("box-%02d", i))
+		capacity := 125.0
+		if i < 2 {
+			capacity = 1600
+		}
+		f.boxes[fmt.Sprintf("box-%02d", i)].Update(func(r *Record) { r.Capacity = capacity })
+		f.boxes[fmt.Sprintf("box-%02d", i)].Seeds = func() []string { return []string{"box-00", "box-01", "box-05"} }
+	}
+	sum := func() float64 {
+		total := 0.0
+		for _, b := range f.boxes {
+			total += b.Standing(4, 2).Part
+		}
+		return total
+	}
+	f.beat(8)
+	total := sum()
+	if total < 0.999 || total > 1.001 {
+		t.Fatalf("the parts sum up to %.3f", total)
+	}
+	is.True(f.boxes["box-00"].Standing(4, 2).Part > 0.4)
+	is.Equal(f.boxes["box-09"].Standing(4, 2).Part, 0.0)
+	for range 60 {
+		switch name := fmt.Sprintf("box-%02d", f.random.Intn(13)); f.random.Intn(4) {
+		case 0, 1:
+			if b := f.boxes[name]; b != nil {
+				serving := f.random.Intn(2) == 0
+				b.Update(func(r *Record) { r.Serving = serving })
+			}
+		case 2:
+			delete(f.boxes, name)
+		case 3:
+			alone := name
+			f.cut = func(from, to string) bool { return (from == alone) != (to == alone) }
+		}
+		for range 4 {
+			f.beat(1)
+			is.True(sum() < 1.001)
+		}
+	}
+}
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -167,6 +167,9 @@
 func (t *Table) heard(e *entry) {
 	e.heard = t.Now()
 	e.risen = true
+	if e.Serving {
+		e.served = e.heard
+	}
 	t.zones[e.Zone] = e.heard
 }
 
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// stockTime is for how long ahead a box wants tokens of a customer whose requests
-	// come often: two reports. One that asks less than leastStock times in that is
-	// granted its tokens one by one, since those it does not use are lost.
+	// stockTime is for how long ahead a box wants tokens of a customer: two reports.
+	// One that asks less than leastStock times in that is granted its tokens one by one,
+	// as its requests come. With 0.6 a box asked for nearly half of the requests of 79
+	// customers, and 1.4 ms passed a request; with 0.05 it does for a tenth.
 	stockTime  = 200 * time.Millisecond
-	leastStock = 0.6
-	// lapseAfter is after what time without a request a box gives unused tokens up,
-	// so that others may hold some.
-	lapseAfter = 2 * time.Second
+	leastStock = 0.05
+	// lapseAfter is after what time without a request a box gives unused tokens back.
+	lapseAfter = 4 * time.Second
 	// dryFor is for how long a box refuses without asking again after it was told
 	// that there are no tokens: until its next report is answered.
 	dryFor = 100 * time.Millisecond
@@ -44,6 +44,10 @@
 	refusals rate
 	usedAt   time.Time
 	dryUntil time.Time
+	// denied: the last answer brought nothing.
+	denied bool
+	// returned are the tokens given back to each allocator, by its key.
+	returned map[uint64]uint32
 	// changed: a report is to tell of it; toldAt is when the last one did.
 	changed bool
 	toldAt  time.Time
@@ -101,6 +105,7 @@
 		a.ceiling = c.Ceiling
 		a.grants.add(float64(more), now)
 	}
+	a.denied = more <= 0
 	if c.Dry {
 		a.dryUntil = now.Add(dryFor)
 	}
@@ -109,12 +114,18 @@
 	return more > 0
 }
 
-// lapse gives up tokens that were not used for long.
-func (a *account) lapse(now time.Time) {
-	if held := a.held(); held > 0 && now.Sub(a.usedAt) > lapseAfter {
-		a.used += uint32(held)
-		a.changed = true
+// lapse gives tokens that were not used for long back to an allocator.
+func (a *account) lapse(allocator uint64, now time.Time) {
+	held := a.held()
+	if held <= 0 || now.Sub(a.usedAt) <= lapseAfter {
+		return
 	}
+	if a.returned == nil {
+		a.returned = map[uint64]uint32{}
+	}
+	a.returned[allocator] += uint32(held)
+	a.used += uint32(held)
+	a.changed = true
 }
 
 // returnAfter is when a refused client finds a token: as many as were refused lately
@@ -136,16 +147,16 @@
 // (TestCustomersBelowTheirLimitsAreServed).
 func (a *account) due(now time.Time) bool {
 	switch {
-	case a.waiting > 0 || 2*a.held() < a.want(now):
+	case a.waiting > 0 || !a.denied && 2*a.held() < a.want(now):
 		return true
 	}
-	return a.changed && now.Sub(a.toldAt) >= changeTold
+	return (a.changed || a.denied) && now.Sub(a.toldAt) >= changeTold
 }
 
-// usage is the account in a report.
-func (a *account) usage(now time.Time) Usage {
+// usage is the account in a report to an allocator.
+func (a *account) usage(allocator uint64, now time.Time) Usage {
 	return Usage{
-		ID: a.id, Arrived: a.arrived, Used: a.used, Ceiling: a.ceiling,
+		ID: a.id, Arrived: a.arrived, Used: a.used, Ceiling: a.ceiling, Returned: a.returned[allocator],
 		Want: uint16(min(a.want(now), math.MaxUint16)), Waiting: uint16(min(a.waiting, math.MaxUint16)),
 	}
 }
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -48,8 +48,10 @@
 	arrived uint32
 	used    uint32
 	ceiling uint32
-	want    int
-	waiting int
+	// returned are the tokens that came back.
+	returned uint32
+	want     int
+	waiting  int
 }
 
 // held is how many unused tokens the box has.
@@ -211,7 +213,7 @@
 func (a *allocator) takeIn(b *bucket, g *grantee, u *Usage) *line {
 	l := g.lines[u.ID]
 	if l == nil {
-		l = &line{arrived: u.Arrived, used: u.Used, ceiling: u.Ceiling}
+		l = &line{arrived: u.Arrived, used: u.Used, ceiling: u.Ceiling, returned: u.Returned}
 		g.lines[u.ID] = l
 		b.inUse += l.held()
 		b.asked(float64(u.Waiting), a.now)
@@ -228,6 +230,10 @@
 		l.ceiling = u.Ceiling
 	}
 	b.inUse += l.held() - held
+	if back := int32(u.Returned - l.returned); back > 0 {
+		b.tokens = min(b.tokens+float64(back), max(b.tokens, b.saved))
+		l.returned = u.Returned
+	}
 	l.want, l.waiting = int(u.Want), int(u.Waiting)
 	return l
 }
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -197,7 +197,9 @@
 // settle is how long a box of the model waits before it holds its part, and silence
 // after what time one that is out of reach is taken for silent.
 const (
-	simSettle  = 400 * time.Millisecond
+	simSettle = 400 * time.Millisecond
+	// simHolders is how many first boxes of a zone hold a part.
+	simHolders = 4
 	simSilence = 2500 * time.Millisecond
 )
 
@@ -214,10 +216,17 @@
 
 func (b *simBox) view() View {
 	v := View{Zones: map[string][]Box{}}
-	total := 0.0
+	total, place := 0.0, 0
+	own := -1
 	for _, o := range b.f.boxes {
 		if o.zone == b.zone {
-			total += o.capacity
+			if o == b {
+				own = place
+			}
+			if place < simHolders {
+				total += o.capacity
+			}
+			place++
 		}
 		if !b.reaches(o) {
 			continue
@@ -228,7 +237,7 @@
 			v.Zones[o.zone] = append(v.Zones[o.zone], Box{Key: KeyOf(o.name), Address: o.name})
 		}
 	}
-	if b.f.now.Sub(b.since) > simSettle {
+	if b.f.now.Sub(b.since) > simSettle && own < simHolders {
 		v.Weight = b.capacity / total
 	}
 	return v
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -266,13 +266,13 @@
 	l.allocator.loans.zones = v.Zones
 	l.lending.choose(v.First, now)
 	for _, a := range l.accounts {
-		a.lapse(now)
+		a.lapse(owner(a.id, l.lending.target), now)
 		if !a.changed && a.waiting == 0 && now.Sub(a.usedAt) > forgetAfter {
 			l.retire(a)
 		}
 	}
 	l.ticks++
-	l.report(l.ticks%idleReports == 0)
+	l.report(v.Weight > 0 && l.ticks%idleReports == 0)
 	l.allocator.tick()
 }
 
@@ -354,7 +354,7 @@
 		}
 		a.changed, a.toldAt = false, now
 		key := owner(id, l.lending.target)
-		changed[key] = append(changed[key], a.usage(now))
+		changed[key] = append(changed[key], a.usage(key, now))
 	}
 	for _, key := range l.lending.target {
 		if p := l.lending.peers[key]; bare || len(changed[key]) > 0 {
--- a/pkg/quota/message.go
+++ b/pkg/quota/message.go
@@ -49,6 +49,9 @@
 	Used    uint32
 	// Ceiling is up to which count of Used the box may go.
 	Ceiling uint32
+	// Returned are the tokens that the box gave back to this allocator; they count as
+	// used.
+	Returned uint32
 	// Want is how many unused tokens the box would like to hold, and Waiting how many
 	// requests wait for one.
 	Want    uint16
@@ -200,6 +203,7 @@
 		w.u32(u.Arrived)
 		w.u32(u.Used)
 		w.u32(u.Ceiling)
+		w.u32(u.Returned)
 		w.u16(u.Want)
 		w.u16(u.Waiting)
 	}
@@ -272,7 +276,7 @@
 		m.Allocators = append(m.Allocators, r.u64())
 	}
 	for count := int(r.u8()); len(m.Usage) < count && !r.short; {
-		m.Usage = append(m.Usage, Usage{ID: ID(r.u64()), Arrived: r.u32(), Used: r.u32(), Ceiling: r.u32(), Want: r.u16(), Waiting: r.u16()})
+		m.Usage = append(m.Usage, Usage{ID: ID(r.u64()), Arrived: r.u32(), Used: r.u32(), Ceiling: r.u32(), Returned: r.u32(), Want: r.u16(), Waiting: r.u16()})
 	}
 	return m
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -63,8 +63,8 @@
 // for each request. The rest covers what boxes believe of their zone while they do
 // not agree, such as in the moment in which some start.
 const (
-	savedPart = 0.75
-	heldPart  = 0.1
+	savedPart = 0.7
+	heldPart  = 0.2
 )
 
 // leastSaved is how many tokens a zone must be able to save to have a part of a
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -98,6 +98,9 @@
 	// readySince is when the box last became ready, in nanoseconds since the start.
 	readySince atomic.Int64
 
+	neighbourhood neighbourhood
+	// membersChanged: a box has come, gone or come back since limits last looked.
+	membersChanged atomic.Bool
 	// refused are the customers that have a metric of their refusals.
 	refusedMu sync.Mutex
 	refused   map[string]bool
@@ -200,6 +203,7 @@
 	n.Members = gossip.NewTable(self, time.Now, rand.IntN)
 	n.Members.Seeds = func() []string { return *n.seeds.Load() }
 	n.Members.Changed = func(r gossip.Record, what string) {
+		n.membersChanged.Store(true)
 		log.Info("box "+what, map[string]any{"box": r.Box, "zone": r.Zone, "beat": r.Beat})
 	}
 }
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -42,10 +43,12 @@
 	ready        bool
 	storeHealthy bool
 	trying       bool
+	serving      bool
 }
 
 // announce tells the zone's other boxes at once that the store has changes, that
-// this box has become ready, or that it asks the store from now on.
+// this box has become ready, that clients send it requests, or that it asks the store
+// from now on.
 func (n *Node) announce() {
 	if n.Members.Count() == 1 {
 		// The seeds may have started after this box.
@@ -55,7 +58,7 @@
 	changed := n.watching.Load() && n.unannounced.Swap(false)
 	n.refreshSelf()
 	self := n.Members.Self()
-	now := told{ready: self.Ready, storeHealthy: self.StoreHealthy, trying: self.Trying}
+	now := told{ready: self.Ready, storeHealthy: self.StoreHealthy, trying: self.Trying, serving: self.Serving}
 	if changed || now != n.told {
 		n.told = now
 		n.send(n.Members.Announce())
@@ -102,9 +105,9 @@
 // that is lost: the next one takes its place, so it is only counted.
 func (n *Node) sendEach(addresses []string, datagram []byte) {
 	for _, address := range addresses {
-		to, err := net.ResolveUDPAddr("udp4", address)
+		to, err := netip.ParseAddrPort(address)
 		if err == nil {
-			_, err = n.ports.datagrams.WriteToUDP(datagram, to)
+			_, err = n.ports.datagrams.WriteToUDPAddrPort(datagram, to)
 		}
 		if err != nil {
 			metrics.GetOrRegisterCounter("heartbeats.unsent", n.Metrics).Inc(1)
--- a/pkg/steering/steering_quota.go
+++ b/pkg/steering/steering_quota.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -62,18 +63,38 @@
 	n.sendQuota()
 }
 
+// neighbourhood is what this box knows of others for limits, kept for a while: worked
+// out for each tick, 74 boxes took a fifth more processor time on a calm day.
+type neighbourhood struct {
+	mu       sync.Mutex
+	at       time.Time
+	standing gossip.Standing
+	first    []quota.Box
+	zones    map[string][]quota.Box
+}
+
+// neighbourhoodHolds is for how long it is kept, unless a box has come, gone or
+// changed, or this one has just started.
+const neighbourhoodHolds = gossip.Interval
+
 // quotaView is what this box knows of others.
 func (n *Node) quotaView() quota.View {
-	standing := n.Members.Standing(firstBoxes)
-	v := quota.View{Weight: n.quotaWeight(&standing), Zones: map[string][]quota.Box{}}
-	for zone, list := range standing.First {
-		if zone == n.Settings.Zone {
-			v.First = quotaBoxes(list)
-			continue
+	h := &n.neighbourhood
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n.membersChanged.Swap(false) || time.Since(h.at) >= neighbourhoodHolds || n.age() < 2*meetTime {
+		h.at = time.Now()
+		h.standing = n.Members.Standing(firstBoxes, quota.Allocators)
+		h.zones = map[string][]quota.Box{}
+		for zone, list := range h.standing.First {
+			if zone == n.Settings.Zone {
+				h.first = quotaBoxes(list)
+				continue
+			}
+			h.zones[zone] = quotaBoxes(list[:min(len(list), quota.Allocators)])
 		}
-		v.Zones[zone] = quotaBoxes(list[:min(len(list), quota.Allocators)])
 	}
-	return v
+	return quota.View{Weight: n.quotaWeight(&h.standing), First: h.first, Zones: h.zones}
 }
 
 // quotaWeight is this box's part of its zone's part of limits: none until it knows its
--- a/test/machines/bench_test.go
+++ b/test/machines/bench_test.go
@@ -68,3 +68,52 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkRequestOfACustomer tells the processor time of a request through one of two
+// boxes of a zone, client and server included, where there are no customers, where
+// each of 79 has a key, and where each has a limit too.
+func BenchmarkRequestOfACustomer(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		keys bool
+		rate float64
+	}{{"none", false, 0}, {"key", true, 0}, {"limit", true, 2000}} {
+		f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var headers []string
+		for i := range 79 {
+			key := fmt.Sprint("key-", i)
+			headers = append(headers, bearer(key)+"X-Stoneworks-Affinity-Key: 1\r\n")
+			if c.keys {
+				f.Customers = append(f.Customers, Customer{Name: fmt.Sprint("customer-", i), Keys: []string{key}, Rate: c.rate, Burst: c.rate})
+			}
+		}
+		f.Configure(1, read)
+		if _, err := f.AddServer("east-a.1", "shop", "east-a", 64, 100*time.Microsecond); err != nil {
+			b.Fatal(err)
+		}
+		for range 2 {
+			if _, err := f.AddBox("east-a"); err != nil {
+				b.Fatal(err)
+			}
+		}
+		for !f.Boxes[0].Node.Ready() || !f.Boxes[1].Node.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		b.Run(c.name, func(b *testing.B) {
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			before := processorTime()
+			for i := range b.N {
+				if a := client.Do("GET", "/read/1", "id", "", headers[i%len(headers)]); a.Status != 200 {
+					b.Fatal(i, a.Status, a.Problem)
+				}
+			}
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+		f.Close()
+	}
+}
