--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -81,7 +81,7 @@
 	for _, size := range []struct {
 		zones, large, small int
 		places              int
-	}{{6, 2, 10, 4}, {9, 3, 8, 2}} {
+	}{{1, 1, 0, 1}, {6, 2, 0, 2}, {6, 2, 10, 4}, {9, 3, 8, 2}} {
 		list, usual := customersOf(79, 2000)
 		for _, p := range places[:size.places] {
 			t.Run(fmt.Sprintf("%d zones, %s", size.zones, p.name), func(t *testing.T) {
