Sight: calls of the store are told kind by kind

Cause: only the watch of the configuration told when the store did not answer; whether the watches of servers and evacuations heard anything could not be told from logs or figures. Change: a line for the first unanswered call of each kind and for the first answer after it, with how long the call had waited; how long ago the store last answered, by kind; each call at debug level. No change of what a box does.

--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -44,6 +44,8 @@
 	// ReadsOn reports whether a box that has no list yet is to read a long one;
 	// nil means that it is. Until then it waits for another box to hand it over.
 	ReadsOn func() bool
+	// Ended is told of each call, before Succeeded or Failed.
+	Ended func(c Call)
 	// Succeeded is called after each call that was answered, Failed after
 	// each that was not.
 	Succeeded func()
@@ -55,11 +57,25 @@
 	hurry chan struct{}
 }
 
+// Call is one call of the store that has ended.
+type Call struct {
+	// Watch: it was a watch, else a page of a list.
+	Watch bool
+	// Since is the revision from which a watch was asked for, and At the store's
+	// revision in the answer.
+	Since, At uint64
+	// Objects is how many objects or changes the answer holds.
+	Objects int
+	Took    time.Duration
+	// Err is why there is no answer, nil if there is one.
+	Err error
+}
+
 // NewFollower makes a follower that does not run yet.
 func NewFollower(client *Client, mirror *Mirror, wait time.Duration, random func() float64) *Follower {
 	return &Follower{
 		Client: client, Mirror: mirror, Wait: wait, Random: random,
-		Succeeded: func() {}, Failed: func(error) {}, hurry: make(chan struct{}, 1),
+		Ended: func(Call) {}, Succeeded: func() {}, Failed: func(error) {}, hurry: make(chan struct{}, 1),
 	}
 }
 
@@ -158,7 +174,10 @@
 func (f *Follower) watch(ctx context.Context) ([]Event, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime+f.Wait)
 	defer cancel()
-	return f.Client.Watch(ctx, f.Mirror.Kind, f.Mirror.Version().At, f.Wait)
+	start, since := time.Now(), f.Mirror.Version().At
+	events, at, err := f.Client.Watch(ctx, f.Mirror.Kind, since, f.Wait)
+	f.Ended(Call{Watch: true, Since: since, At: at, Objects: len(events), Took: time.Since(start), Err: err})
+	return events, at, err
 }
 
 // list reads all pages. The revision of the first one counts, since what has
@@ -200,7 +219,10 @@
 func (f *Follower) page(ctx context.Context, after string, stale bool) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	return f.Client.List(ctx, f.Mirror.Kind, after, stale)
+	start := time.Now()
+	p, err := f.Client.List(ctx, f.Mirror.Kind, after, stale)
+	f.Ended(Call{At: p.At, Objects: len(p.Items), Took: time.Since(start), Err: err})
+	return p, err
 }
 
 // awaitTurn waits until this box is to read on, or has been handed the list. The
--- /dev/null
+++ b/pkg/steering/steering_calls.go
@@ -0,0 +1,69 @@
+package steering
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/objects"
+)
+
+// ================================================================
+// What is told of the calls of the platform's store, kind by kind: one watch may
+// hear nothing any more while another one is answered.
+// ================================================================
+
+// watchCalls returns what is to be called with each call for a kind of objects. It
+// tells how long ago the store last answered, the first call of a row that was not
+// answered, and the first one that is again; each single call in lines for debugging.
+func (n *Node) watchCalls(kind string, log *logging.Part) func(c objects.Call) {
+	var answered atomic.Int64
+	answered.Store(int64(n.store.age()))
+	gauge := metrics.NewFunctionalGauge(func() int64 {
+		return (n.store.age() - time.Duration(answered.Load())).Milliseconds()
+	})
+	if err := n.Metrics.Register("store.answered_ago."+kind, gauge); err != nil {
+		log.Warn("metric not told", map[string]any{"kind": kind, "error": err.Error()})
+	}
+	failed := 0
+	return func(c objects.Call) {
+		silent := n.store.age() - time.Duration(answered.Load())
+		log.Debug("call ended", callFields(kind, c))
+		if isAnswer(c.Err) {
+			answered.Store(int64(n.store.age()))
+			if failed > 0 {
+				log.Info("store answers again", map[string]any{"kind": kind, "silent_ms": silent.Milliseconds(), "failed": failed})
+			}
+			failed = 0
+			return
+		}
+		if !n.watching.Load() {
+			// Calls of a box that has left the role are cut short.
+			failed = 0
+			return
+		}
+		failed++
+		if failed == 1 {
+			log.Warn("store does not answer", callFields(kind, c))
+		}
+	}
+}
+
+// isAnswer reports whether a call that ended so was answered by the store.
+func isAnswer(err error) bool {
+	var compacted *objects.CompactedError
+	return err == nil || errors.As(err, &compacted)
+}
+
+func callFields(kind string, c objects.Call) map[string]any {
+	fields := map[string]any{"kind": kind, "watch": c.Watch, "since": c.Since, "took_ms": c.Took.Milliseconds()}
+	if c.Err != nil {
+		fields["error"] = c.Err.Error()
+		return fields
+	}
+	fields["revision"], fields["objects"] = c.At, c.Objects
+	return fields
+}
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -38,6 +38,7 @@
 	{"retry.denied", "requests", "not sent again, since the budget was spent"},
 	{"store.list", "calls", "lists asked of the store, page by page"},
 	{"store.watch", "calls", "watches asked of the store"},
+	{"store.answered_ago.KIND", "milliseconds", "since the store last answered this box for a kind of objects, at a box that asks it"},
 	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, broken, late, stale, abandoned, withdrawn"},
 	{"backend.connections", "connections", "opened to backend servers"},
 	{"backend.remote", "exchanges", "with backend servers of other regions"},
@@ -60,6 +61,8 @@
 		switch m := metric.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s_total %d", flat, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s_milliseconds %d", flat, m.Value()))
 		case metrics.Timer:
 			t := m.Snapshot()
 			lines = append(lines, fmt.Sprintf("%s_total %d", flat, t.Count()))
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -60,6 +60,7 @@
 		defer n.roleMu.Unlock()
 		return n.role.ReadsOn(time.Now())
 	}
+	f.Ended = n.watchCalls(kind, log)
 	f.Succeeded = func() {
 		n.store.noteAnswer()
 		if kind == n.adapter.Kinds.Configuration {
@@ -70,18 +71,17 @@
 				n.hurryProbe()
 			}
 		} else if n.store.lost.Swap(false) {
-			log.Info("store answers again", nil)
 			n.restartOthers(kind)
 		}
 		n.checkReady()
 	}
-	f.Failed = func(err error) {
+	f.Failed = func(error) {
 		if !n.watching.Load() {
 			return
 		}
 		n.store.noteFailure()
-		if kind == n.adapter.Kinds.Configuration && !n.store.lost.Swap(true) {
-			log.Warn("store does not answer", map[string]any{"kind": kind, "error": err.Error()})
+		if kind == n.adapter.Kinds.Configuration {
+			n.store.lost.Store(true)
 		}
 	}
 	return f
