A failing test: a store that is silent for a while leaves watches deaf

Brought about: a watch of servers or evacuations that is asked for while the store says nothing is never answered; the box waits 26.2 s for it.

--- /dev/null
+++ b/pkg/steering/steering_store_test.go
@@ -0,0 +1,263 @@
+package steering
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/routing"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+)
+
+// The story. Servers were replaced one after the other when the platform's store said
+// nothing for a second. From then on no box noted any change for up to 26 s: requests went
+// to servers that had said they were leaving, and to zones that had been evacuated.
+//
+//  1. A server leaves; the watch of the servers returns with the news.
+//  2. The store falls silent: what is asked of it from now on is never answered.
+//  3. The box asks for the next change of the servers.
+//  4. The store speaks again. Watches that were asked for before are answered.
+//  5. The watch of the configuration was one of these, so the box believes that the store
+//     has answered all along. The watch of the servers waits for 25 s.
+//
+// The cause: only one of three watches was short enough to notice a store that is silent,
+// and it vouched for the other two, which it says nothing of. The evidence: with each call
+// logged, the watch of the servers that was asked for within the silence was the last one
+// for 26 s, at every box at once, while that of the configuration was answered each 2.4 s.
+// Boxes of other zones could not help, since the same silence had struck them.
+
+// storeKinds are the kinds of objects of the model's store.
+var storeKinds = Kinds{Configuration: "configuration", Servers: "servers", Evacuations: "evacuations"}
+
+// silentStore is a store whose answers take a while, and which can fall silent: what it
+// is asked meanwhile is never answered.
+type silentStore struct {
+	mu      sync.Mutex
+	at      uint64
+	objects map[string][]objects.Object
+	changed chan struct{}
+	silent  bool
+	// spoken is closed when the store speaks again.
+	spoken chan struct{}
+}
+
+// way is how long a call takes to the store, and its answer back.
+const way = 55 * time.Millisecond
+
+func newSilentStore() *silentStore {
+	s := &silentStore{objects: map[string][]objects.Object{}, changed: make(chan struct{}), spoken: make(chan struct{})}
+	close(s.spoken)
+	return s
+}
+
+// put makes or replaces an object.
+func (s *silentStore) put(kind, name string, spec any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	o := objects.Object{Name: name, Revision: s.at, Spec: text}
+	list := s.objects[kind][:0:0]
+	for _, known := range s.objects[kind] {
+		if known.Name != name {
+			list = append(list, known)
+		}
+	}
+	s.objects[kind] = append(list, o)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setSilent makes the store fall silent, or speak again.
+func (s *silentStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent && !s.silent {
+		s.spoken = make(chan struct{})
+	}
+	if !silent && s.silent {
+		close(s.spoken)
+	}
+	s.silent = silent
+}
+
+// arrive takes a call to the store, and fails when nobody waits for it any more.
+func (s *silentStore) arrive(ctx context.Context) error {
+	time.Sleep(way)
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+// answer brings an answer back. One that is due while the store is silent comes later.
+func (s *silentStore) answer(ctx context.Context) error {
+	s.mu.Lock()
+	spoken := s.spoken
+	s.mu.Unlock()
+	select {
+	case <-spoken:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	time.Sleep(way)
+	return ctx.Err()
+}
+
+func (s *silentStore) list(ctx context.Context, kind, _ string, _ bool) (objects.Page, error) {
+	if err := s.arrive(ctx); err != nil {
+		return objects.Page{}, &objects.UnavailableError{Cause: err}
+	}
+	s.mu.Lock()
+	page := objects.Page{Items: append([]objects.Object{}, s.objects[kind]...), At: s.at}
+	s.mu.Unlock()
+	if err := s.answer(ctx); err != nil {
+		return objects.Page{}, &objects.UnavailableError{Cause: err}
+	}
+	return page, nil
+}
+
+func (s *silentStore) watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objects.Event, uint64, error) {
+	if err := s.arrive(ctx); err != nil {
+		return nil, 0, &objects.UnavailableError{Cause: err}
+	}
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		var events []objects.Event
+		for _, o := range s.objects[kind] {
+			if o.Revision > since {
+				events = append(events, objects.Event{Object: o})
+			}
+		}
+		at, changed := s.at, s.changed
+		s.mu.Unlock()
+		over := false
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-end:
+				over = true
+			case <-ctx.Done():
+			}
+		}
+		if len(events) == 0 && !over {
+			return nil, 0, &objects.UnavailableError{Cause: ctx.Err()}
+		}
+		if err := s.answer(ctx); err != nil {
+			return nil, 0, &objects.UnavailableError{Cause: err}
+		}
+		return events, at, nil
+	}
+}
+
+// newNodeOf makes a box that asks the store of a test, without sockets.
+func newNodeOf(s *silentStore) *Node {
+	adapter := &Adapter{
+		Kinds: storeKinds,
+		Store: func(string, func(context.Context, string) (net.Conn, error), func(string)) *objects.Client {
+			return &objects.Client{List: s.list, Watch: s.watch}
+		},
+		Configuration: func(o objects.Object) (*routing.Configuration, error) {
+			c := &routing.Configuration{}
+			return c, json.Unmarshal(o.Spec, c)
+		},
+		Server: func(o objects.Object) (backend.Server, error) {
+			v := backend.Server{}
+			return v, json.Unmarshal(o.Spec, &v)
+		},
+	}
+	settings := settings.Defaults()
+	settings.Bounds.Contact = 4 * time.Second
+	settings.Bounds.Drain = 2500 * time.Millisecond
+	n := New(&settings, adapter, logging.NewAsyncJSONHandler(io.Discard))
+	n.watching.Store(true)
+	return n
+}
+
+// replaceServers has one of five servers change each 0.6 s until the context ends.
+func replaceServers(ctx context.Context, s *silentStore) {
+	for i := 0; ctx.Err() == nil; i++ {
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if !silent {
+			s.put(storeKinds.Servers, fmt.Sprint("replaced-", i%5), backend.Server{ID: fmt.Sprint("replaced-", i%5), Service: "shop", Cold: time.Duration(i)})
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+}
+
+// heardWithin is how long after the store took it a change must be known to a box that
+// asks the store: a call that waits is answered at once, another one that brings changes
+// together with others comes 0.6 s later, and some more for their ways.
+const heardWithin = time.Second
+
+// TestSilentStoreLeavesNoWatchDeaf: however long the store is silent, and whenever that
+// begins, what it takes when it has been well for the time of contact is heard in time:
+// servers that leave, evacuations, configurations.
+func TestSilentStoreLeavesNoWatchDeaf(t *testing.T) {
+	for _, silence := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		for begin := time.Duration(0); begin < 3*time.Second; begin += 300 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s from %s on", silence, begin), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playSilence(t, begin, silence) })
+			})
+		}
+	}
+}
+
+func playSilence(t *testing.T, begin, silence time.Duration) {
+	is := is.New(t)
+	s := newSilentStore()
+	s.put(storeKinds.Configuration, "main", routing.Configuration{Version: 1})
+	s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop"})
+	s.put(storeKinds.Evacuations, "west", struct{}{})
+	n := newNodeOf(s)
+	replacing, stopReplacing := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { replaceServers(replacing, s) })
+	for _, f := range n.followers {
+		running.Go(func() { f.Run(n.context) })
+	}
+	defer running.Wait()
+	defer n.stop()
+	defer stopReplacing()
+	time.Sleep(4*time.Second + begin)
+	s.put(storeKinds.Evacuations, "south", struct{}{})
+	s.setSilent(true)
+	time.Sleep(silence)
+	s.setSilent(false)
+	stopReplacing()
+	time.Sleep(n.Settings.Bounds.Contact)
+
+	s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop", Draining: true})
+	s.put(storeKinds.Evacuations, "east", struct{}{})
+	s.put(storeKinds.Configuration, "main", routing.Configuration{Version: 2})
+	time.Sleep(heardWithin)
+	for _, v := range n.Set.List() {
+		if v.ID == "leaver" {
+			is.True(v.Draining) // the server that left is known to leave
+		}
+	}
+	items, _ := n.mirrors[storeKinds.Evacuations].Items()
+	is.Equal(len(items), 3)                                   // the evacuations are known
+	is.Equal(n.table.Load().Configuration.Version, uint64(2)) // the configuration is in force
+}
