Every watch of the store notices by itself that it will not be answered

Cause: a call that the store gets while it is silent is never answered, also after it speaks again. The watches of servers and evacuations waited for 25 s and relied on that of the configuration (2.4 s) to notice a store that had fallen silent. One that was asked for before the silence is answered after it, so the box believed the store had answered all along, and heard of no leaving server and no evacuation for up to 26.2 s: every box at once, so no zone could help another. Class: one subscription vouches for others that it says nothing of.

Change: each watch waits 0.6 of the time of contact and is given up 1.2 s later; a call after a failure does not wait, so that the store's answer is known at once; the first answer after a failure restarts older calls of other kinds; a restart no longer counts as a failure of the store.

--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -19,6 +19,10 @@
 	// come together are told by one call. It delays the next one, and is a
 	// quarter of the shortest bound on how soon a change must count.
 	gather = 600 * time.Millisecond
+	// atOnce is the wait of the watch that follows a failure: it tells whether the
+	// store answers again, where one that waits would tell it only with a change or
+	// at the end of its wait.
+	atOnce = time.Millisecond
 	// idlePause is how often a follower that is not allowed looks whether it
 	// is again; Hurry tells it sooner.
 	idlePause = 500 * time.Millisecond
@@ -34,7 +38,10 @@
 type Follower struct {
 	Client *Client
 	Mirror *Mirror
-	// Wait is how long a watch may go without changes.
+	// Wait is how long a watch may go without changes. A watch that the store will
+	// never answer, since it was asked for while the store said nothing, is given up
+	// after Wait and answerTime; until then nothing is heard of this kind, whatever
+	// the store answers to other watches.
 	Wait time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
@@ -51,8 +58,10 @@
 	Succeeded func()
 	Failed    func(err error)
 
-	mu     sync.Mutex
-	cancel context.CancelFunc
+	mu sync.Mutex
+	// cancel ends the call that is waiting, and began is when it was made.
+	cancel context.CancelCauseFunc
+	began  time.Time
 	// hurry ends a pause after a failure.
 	hurry chan struct{}
 }
@@ -98,6 +107,7 @@
 			f.sleep(ctx, idlePause)
 			continue
 		}
+		state.failed = failures > 0
 		err := f.step(ctx, &state)
 		if ctx.Err() != nil {
 			return
@@ -107,6 +117,10 @@
 			f.Succeeded()
 			continue
 		}
+		var restarted *RestartedError
+		if errors.As(err, &restarted) {
+			continue
+		}
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
 			state = following{}
@@ -136,23 +150,58 @@
 	listed bool
 	// stale: the next list may be.
 	stale bool
+	// failed: the call before was not answered.
+	failed bool
 }
 
-// Restart ends the call that is waiting, which may hear nothing any more.
+// RestartedError says that a call was ended by Restart. That tells nothing of the
+// store.
+type RestartedError struct{}
+
+// Error implements error.
+func (e *RestartedError) Error() string { return "objects: the call was restarted" }
+
+// Restart ends the call that is waiting.
 func (f *Follower) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil {
-		f.cancel()
+		f.cancel(&RestartedError{})
 	}
 }
 
+// RestartBefore ends the call that is waiting if it was made before the time: the
+// store may have been silent then, and never answers what it was asked meanwhile.
+func (f *Follower) RestartBefore(at time.Time) {
+	if f.Began().Before(at) {
+		f.Restart()
+	}
+}
+
+// Began returns when the last call was made.
+func (f *Follower) Began() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.began
+}
+
+// step makes the next call, or reads a list. The error is a *RestartedError or that
+// of the call.
 func (f *Follower) step(ctx context.Context, state *following) error {
-	callContext, cancel := context.WithCancel(ctx)
-	defer cancel()
+	callContext, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	f.mu.Lock()
-	f.cancel = cancel
+	f.cancel, f.began = cancel, time.Now()
 	f.mu.Unlock()
+	err := f.ask(ctx, callContext, state)
+	var restarted *RestartedError
+	if err != nil && errors.As(context.Cause(callContext), &restarted) {
+		return restarted
+	}
+	return err
+}
+
+func (f *Follower) ask(ctx, callContext context.Context, state *following) error {
 	if !state.listed {
 		if err := f.list(callContext, state.stale); err != nil {
 			return err
@@ -160,7 +209,11 @@
 		state.listed = true
 		return nil
 	}
-	events, at, err := f.watch(callContext)
+	wait := f.Wait
+	if state.failed {
+		wait = atOnce
+	}
+	events, at, err := f.watch(callContext, wait)
 	if err != nil {
 		return err
 	}
@@ -171,11 +224,11 @@
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context) ([]Event, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerTime+f.Wait)
+func (f *Follower) watch(ctx context.Context, wait time.Duration) ([]Event, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime+wait)
 	defer cancel()
 	start, since := time.Now(), f.Mirror.Version().At
-	events, at, err := f.Client.Watch(ctx, f.Mirror.Kind, since, f.Wait)
+	events, at, err := f.Client.Watch(ctx, f.Mirror.Kind, since, wait)
 	f.Ended(Call{Watch: true, Since: since, At: at, Objects: len(events), Took: time.Since(start), Err: err})
 	return events, at, err
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -137,7 +137,7 @@
 		pools:    map[string]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(time.Now),
 		pulls:    newPulls(),
-		store:    &storeContact{started: started, within: s.Bounds.Contact},
+		store:    newStoreContact(started, s.Bounds.Contact),
 		ports:    &ports{},
 		refused:  map[string]bool{},
 	}
--- a/pkg/steering/steering_mirrors.go
+++ b/pkg/steering/steering_mirrors.go
@@ -52,7 +52,7 @@
 	case !m.Synced():
 		return true
 	}
-	return n.store.lost.Load()
+	return n.store.lost()
 }
 
 // catchUpWith looks for a newer mirror if the box that has just spoken has one.
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -14,21 +14,21 @@
 	"github.com/stoneworks/stoneworks/pkg/watcher"
 )
 
-// idleWatch is how long a watch may go without changes where another one notices
-// that the store has fallen silent.
-const idleWatch = 25 * time.Second
-
-// probeShare is which part of the time of contact the watch of the
-// configuration waits. It is the one that notices a store that has fallen
-// silent, and has to do so, and to list anew, within that time.
-const probeShare = 0.6
+// watchShare is which part of the time of contact a watch waits. A store that falls
+// silent never answers what it is asked meanwhile, and goes on answering what it was
+// asked before; so each watch notices by itself, and asks anew, within that time. When
+// the watches of servers and evacuations waited for 25 s and relied on that of the
+// configuration, a silence of 1 s left them deaf for 26 s at all boxes
+// (TestSilentStoreLeavesNoWatchDeaf).
+const watchShare = 0.6
 
 func (n *Node) newFollowers(log *logging.Part) {
 	kinds := n.adapter.Kinds
 	client := n.adapter.Store(n.Settings.Platform.Address, n.dialPeer, func(verb string) {
 		metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
 	})
-	for _, kind := range []string{kinds.Configuration, kinds.Servers, kinds.Evacuations} {
+	all := []string{kinds.Configuration, kinds.Servers, kinds.Evacuations}
+	for _, kind := range all {
 		n.mirrors[kind] = objects.NewMirror(kind)
 	}
 	n.mirrors[kinds.Configuration].Changed = func(o objects.Object, gone bool) {
@@ -44,15 +44,13 @@
 		n.evacuationChanged(log, evacuated, o, gone)
 		n.unannounced.Store(true)
 	}
-	probe := time.Duration(probeShare * float64(n.Settings.Bounds.Contact))
-	for kind, wait := range map[string]time.Duration{
-		kinds.Configuration: probe, kinds.Servers: idleWatch, kinds.Evacuations: idleWatch,
-	} {
-		n.followers = append(n.followers, n.newFollower(client, kind, wait, log))
+	for _, kind := range all {
+		n.followers = append(n.followers, n.newFollower(client, kind, log))
 	}
 }
 
-func (n *Node) newFollower(client *objects.Client, kind string, wait time.Duration, log *logging.Part) *objects.Follower {
+func (n *Node) newFollower(client *objects.Client, kind string, log *logging.Part) *objects.Follower {
+	wait := time.Duration(watchShare * float64(n.Settings.Bounds.Contact))
 	f := objects.NewFollower(client, n.mirrors[kind], wait, rand.Float64)
 	f.Allowed = n.watching.Load
 	f.ReadsOn = func() bool {
@@ -66,13 +64,7 @@
 		if kind == n.adapter.Kinds.Configuration {
 			n.store.noteConfirmed(0)
 		}
-		if kind != n.adapter.Kinds.Configuration {
-			if n.store.lost.Load() {
-				n.hurryProbe()
-			}
-		} else if n.store.lost.Swap(false) {
-			n.restartOthers(kind)
-		}
+		n.storeSpoke(f, n.store.setFailing(kind, false))
 		n.checkReady()
 	}
 	f.Failed = func(error) {
@@ -80,9 +72,7 @@
 			return
 		}
 		n.store.noteFailure()
-		if kind == n.adapter.Kinds.Configuration {
-			n.store.lost.Store(true)
-		}
+		n.store.setFailing(kind, true)
 	}
 	return f
 }
@@ -102,7 +92,7 @@
 		return
 	}
 	n.log.Info("role changed", map[string]any{"watches_store": watching})
-	n.store.lost.Store(false)
+	n.store.forgetFailures()
 	for _, f := range n.followers {
 		if watching {
 			f.Hurry()
@@ -132,21 +122,18 @@
 	return true
 }
 
-// hurryProbe ends the pause of the follower of the configuration.
-func (n *Node) hurryProbe() {
+// storeSpoke makes the other followers ask at once where they failed too. If the store
+// did not answer this one before, it was silent, and calls of others that are older
+// than the one it has answered now may hang.
+func (n *Node) storeSpoke(answered *objects.Follower, failedBefore bool) {
 	for _, f := range n.followers {
-		if f.Mirror.Kind == n.adapter.Kinds.Configuration {
-			f.Hurry()
+		if f == answered {
+			continue
 		}
-	}
-}
-
-// restartOthers makes the followers of the other kinds list anew: their
-// watches may hang.
-func (n *Node) restartOthers(kind string) {
-	for _, f := range n.followers {
-		if f.Mirror.Kind != kind {
-			f.Restart()
+		if failedBefore {
+			f.RestartBefore(answered.Began())
+		}
+		if n.store.isFailing(f.Mirror.Kind) {
 			f.Hurry()
 		}
 	}
--- a/pkg/steering/store_contact.go
+++ b/pkg/steering/store_contact.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -17,9 +18,50 @@
 	// confirmed is when the configuration was last known to be the newest, in
 	// nanoseconds since the start; 0 if it never was.
 	confirmed atomic.Int64
-	// lost: the watch of the configuration, which notices a store that is
-	// silent, has failed and not been answered since.
-	lost atomic.Bool
+	// failing are the kinds of objects whose last call was not answered.
+	mu      sync.Mutex
+	failing map[string]bool
+}
+
+func newStoreContact(started time.Time, within time.Duration) *storeContact {
+	return &storeContact{started: started, within: within, failing: map[string]bool{}}
+}
+
+// setFailing notes whether the last call for a kind failed, and reports whether the
+// one before did.
+func (c *storeContact) setFailing(kind string, failing bool) (before bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before = c.failing[kind]
+	c.failing[kind] = failing
+	return before
+}
+
+// isFailing reports whether the last call for a kind was not answered.
+func (c *storeContact) isFailing(kind string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failing[kind]
+}
+
+// lost reports whether the last call for any kind was not answered.
+func (c *storeContact) lost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, failing := range c.failing {
+		if failing {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetFailures takes no kind for failing any more: the box asks from now on, or has
+// left that to others.
+func (c *storeContact) forgetFailures() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.failing)
 }
 
 func (c *storeContact) age() time.Duration { return time.Since(c.started) }
