A failing test: boxes that learn from each other may miss a change for good

Two faults: what a list of several pages brings early is told under the revision of its first page; a copy that has skipped changes by a new list goes on to tell what changed since before it. The second one needs no long list.

--- /dev/null
+++ b/pkg/objects/spread_test.go
@@ -0,0 +1,121 @@
+package objects
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// pageSize is how many objects a page of the model's lists holds.
+const pageSize = 2
+
+// listing is a list that a box reads page by page while the store changes.
+type listing struct {
+	items []Object
+	after string
+	at    uint64
+	began bool
+}
+
+// page reads the next page and reports whether the list is whole.
+func (l *listing) page(s *storeModel) bool {
+	if !l.began {
+		l.began, l.at = true, s.at
+	}
+	names := make([]string, 0, len(s.items))
+	for name := range s.items {
+		if name > l.after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	for _, name := range names[:min(pageSize, len(names))] {
+		l.items = append(l.items, s.items[name])
+		l.after = name
+	}
+	return len(names) <= pageSize
+}
+
+// lacking returns what a mirror has not heard of although it counts as known up to
+// its revision.
+func lacking(s *storeModel, m *Mirror) string {
+	items, at := m.Items()
+	held := map[string]Object{}
+	for _, o := range items {
+		held[o.Name] = o
+	}
+	last := map[string]Event{}
+	for _, e := range s.events {
+		if e.Object.Revision <= at {
+			last[e.Object.Name] = e
+		}
+	}
+	for name, e := range last {
+		o, ok := held[name]
+		switch {
+		case e.Gone && ok && o.Revision < e.Object.Revision:
+			return fmt.Sprintf("%s is gone since %d, held as of %d by a mirror at %d", name, e.Object.Revision, o.Revision, at)
+		case !e.Gone && ok && o.Revision < e.Object.Revision:
+			return fmt.Sprintf("%s changed at %d, held as of %d by a mirror at %d", name, e.Object.Revision, o.Revision, at)
+		case !e.Gone && !ok && s.items[name].Revision == e.Object.Revision:
+			return fmt.Sprintf("%s is there since %d, not held by a mirror at %d", name, e.Object.Revision, at)
+		}
+	}
+	return ""
+}
+
+// The story. A server says that it leaves while a box reads the list, which has several
+// pages: the first page is older than the news, a later one has it. The box names the first
+// page's revision as the one that it holds. Another box, which has read further by then but
+// has not heard of the leaving, asks it for what has changed since: the answer lacks what
+// the list had brought early, and leads to a revision that includes it. From then on that
+// box counts as up to date and sends requests to the server until its entry changes again.
+//
+// The cause: a copy told its changes by the revision that it had come to, not by the one
+// that they may have come from; and one that had skipped over changes by a new list went on
+// to tell what had changed since before it, without what it had skipped.
+
+// TestMirrorsThatLearnFromEachOtherMissNothing: whoever a box learns from, the store by
+// lists of many pages and by watches, or other boxes by what has changed, it holds all
+// that has changed up to the revision that it names.
+func TestMirrorsThatLearnFromEachOtherMissNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &storeModel{items: map[string]Object{}}
+		boxes := []*Mirror{NewMirror("things"), NewMirror("things"), NewMirror("things")}
+		lists := make([]listing, len(boxes))
+		box := rapid.IntRange(0, len(boxes)-1)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			i := box.Draw(t, "box")
+			m := boxes[i]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				s.change(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "name"), rapid.Bool().Draw(t, "gone"))
+			case 2:
+				if lists[i].page(s) {
+					m.Load(lists[i].items, lists[i].at)
+					lists[i] = listing{}
+				}
+			case 3:
+				if m.Synced() {
+					m.Apply(s.since(m.Version().At), s.at)
+				}
+			case 4:
+				source := boxes[box.Draw(t, "source")]
+				if source == m || !m.Lacks(source.Version()) {
+					continue
+				}
+				if events, at, ok := source.EventsSince(m.Version().At); ok && m.Synced() {
+					m.Apply(events, at)
+				} else if source.Synced() {
+					items, at := source.Items()
+					m.Load(items, at)
+				}
+			}
+			if missing := lacking(s, m); missing != "" {
+				t.Fatal(missing)
+			}
+		}
+	})
+}
