A copy tells its changes by the revision that they may have come from

Cause: boxes take over from each other what changed since a revision. A copy noted a change under the revision that it had come to; where a list of several pages brings a change early, that is an older one, so boxes that had come further were never told, and counted as up to date. And after a new list a copy went on to tell what had changed since before it, without objects that came and went meanwhile. Either way a box goes on sending requests to a server that has left, until the server's entry changes again. Ruled out: the guards against going back (the existing properties hold throughout).

Change: lists and changes carry an extent, the revision up to which all is in them and the one after which nothing is; changes count as made at the latter; after a new list others take the whole list; removals of objects that a copy does not hold are passed on; a list does not remove what is newer.

--- a/pkg/objects/digest_test.go
+++ b/pkg/objects/digest_test.go
@@ -12,13 +12,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := &storeModel{items: map[string]Object{}}
 		m := NewMirror("things")
-		m.Load(s.list(), s.at)
+		m.Load(s.list(), Exactly(s.at))
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			s.change(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"), rapid.Bool().Draw(t, "gone"))
 			before := m.Version()
-			m.Apply(s.since(before.At), s.at)
+			m.Apply(s.since(before.At), Exactly(s.at))
 			fresh := NewMirror("things")
-			fresh.Load(s.list(), s.at)
+			fresh.Load(s.list(), Exactly(s.at))
 			if fresh.Version() != m.Version() {
 				t.Fatalf("%+v by changes, %+v by a list", m.Version(), fresh.Version())
 			}
@@ -32,9 +32,9 @@
 	for i := range 3000 {
 		items = append(items, object(string(rune('a'+i%26))+string(rune('a'+i/26%26))+string(rune('a'+i/676)), 1))
 	}
-	m.Load(items, 1)
+	m.Load(items, Exactly(1))
 	for i := range b.N {
 		at := uint64(i + 2)
-		m.Apply([]Event{{Object: object("aaa", at)}}, at)
+		m.Apply([]Event{{Object: object("aaa", at)}}, Exactly(at))
 	}
 }
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	f.Mirror.Apply(events, at)
+	f.Mirror.Apply(events, Exactly(at))
 	if len(events) > 0 {
 		f.sleep(ctx, gather)
 	}
@@ -233,13 +233,11 @@
 	return events, at, err
 }
 
-// list reads all pages. The revision of the first one counts, since what has
-// changed after it may be missing from the pages. It ends early where another
-// box hands the first list over.
+// list reads all pages. It ends early where another box hands the first list over.
 func (f *Follower) list(ctx context.Context, stale bool) error {
 	first := !f.Mirror.Synced()
 	var items []Object
-	var at uint64
+	var held Extent
 	after := ""
 	for page := range maxPages {
 		if first && page >= pagesAtOnce {
@@ -255,15 +253,16 @@
 			return err
 		}
 		if page == 0 {
-			at = p.At
+			held.At = p.At
 		}
+		held.UpTo = p.At
 		items = append(items, p.Items...)
 		if !p.More || len(p.Items) == 0 {
 			break
 		}
 		after = p.Items[len(p.Items)-1].Name
 	}
-	f.Mirror.Load(items, at)
+	f.Mirror.Load(items, held)
 	return nil
 }
 
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -19,20 +19,36 @@
 
 	mu     sync.Mutex
 	items  map[string]Object
-	at     uint64
+	held   Extent
 	synced bool
 	digest uint32
-	// changes are the last changes in their order, with the revision up to
-	// which the mirror was brought with each; those up to forgotten are not
-	// all there any more.
+	// changes are the last changes in their order; those up to forgotten are not
+	// all there.
 	changes   []change
 	forgotten uint64
 }
 
-// change is a change of one object.
+// Extent tells how far a list, or some changes, follow the store.
+type Extent struct {
+	// At: all that changed up to this revision is in it.
+	At uint64 `json:"at"`
+	// UpTo: nothing that changed after this revision is. The pages of a long list
+	// are read one after the other, and what changes meanwhile is in some of them.
+	UpTo uint64 `json:"up_to,omitempty"`
+}
+
+// Exactly is the extent of what is as the store was at one revision.
+func Exactly(at uint64) Extent { return Extent{At: at, UpTo: at} }
+
+// and returns the extent of what two things together hold.
+func (e Extent) and(other Extent) Extent {
+	return Extent{At: max(e.At, other.At), UpTo: max(e.UpTo, other.UpTo, e.At, other.At)}
+}
+
+// change is a change of one object. It was made at the revision upTo or before.
 type change struct {
 	event Event
-	at    uint64
+	upTo  uint64
 }
 
 // maxChanges bounds the changes that a mirror remembers for other boxes.
@@ -56,10 +72,13 @@
 
 // Load takes in a whole list. One that is older than what is known changes
 // nothing; the return value tells.
-func (m *Mirror) Load(items []Object, at uint64) bool {
+//
+// The list may skip objects that came and went, which another mirror holds. So what
+// changed since before it is not told to others from then on; they take the whole list.
+func (m *Mirror) Load(items []Object, held Extent) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.synced && at < m.at {
+	if m.synced && held.At < m.held.At {
 		return false
 	}
 	listed := map[string]bool{}
@@ -68,87 +87,79 @@
 		m.put(o)
 	}
 	for name, o := range m.items {
-		if !listed[name] {
+		if !listed[name] && o.Revision <= max(held.At, held.UpTo) {
 			m.drop(o)
-			m.note(o, true)
+			m.Changed(o, true)
 		}
 	}
-	m.advance(at)
-	if !m.synced {
-		m.synced = true
-		m.forgotten = at
-	}
+	m.synced = true
+	m.held = m.held.and(held)
+	m.changes = m.changes[:0]
+	m.forgotten = m.held.UpTo
 	return true
 }
 
-// Apply takes in events that lead up to the revision.
-func (m *Mirror) Apply(events []Event, at uint64) {
+// Apply takes in events that lead on from the mirror's revision.
+func (m *Mirror) Apply(events []Event, held Extent) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.held.At
+	m.held = m.held.and(held)
 	for _, e := range events {
 		known, ok := m.items[e.Object.Name]
 		switch {
-		case e.Gone && ok && (e.Object.Revision == 0 || known.Revision <= e.Object.Revision):
+		case e.Gone && !ok:
+			// Others may hold it.
+			m.remember(e)
+		case e.Gone && (e.Object.Revision == 0 || known.Revision <= e.Object.Revision):
 			m.drop(known)
-			m.note(known, true)
-		case !e.Gone && (ok || e.Object.Revision > m.at || !m.synced):
+			m.remember(e)
+			m.Changed(known, true)
+		case !e.Gone && (ok || e.Object.Revision > before || !m.synced):
 			// An object that a newer list no longer held is not revived.
 			m.put(e.Object)
 		}
 	}
-	m.advance(at)
 }
 
+// put takes in an object unless the mirror has it as new or newer.
 func (m *Mirror) put(o Object) {
 	known, ok := m.items[o.Name]
 	if ok && known.Revision >= o.Revision {
 		return
 	}
 	m.set(o)
-	if ok && bytes.Equal(known.Spec, o.Spec) {
-		m.remember(o, false)
-		return
+	m.remember(Event{Object: o})
+	if !ok || !bytes.Equal(known.Spec, o.Spec) {
+		m.Changed(o, false)
 	}
-	m.note(o, false)
-}
-
-// note remembers a change and tells of it.
-func (m *Mirror) note(o Object, gone bool) {
-	m.remember(o, gone)
-	m.Changed(o, gone)
 }
 
-// remember keeps a change for other boxes. Its revision is not known yet; see
-// advance.
-func (m *Mirror) remember(o Object, gone bool) {
-	m.changes = append(m.changes, change{event: Event{Object: o, Gone: gone}})
+// remember keeps a change for other boxes. It may be as new as anything that the
+// mirror holds, and counts as such: told by the revision that the mirror had come to,
+// a change that a list had brought early was told to nobody who had come further.
+func (m *Mirror) remember(e Event) {
+	m.changes = append(m.changes, change{event: e, upTo: m.held.UpTo})
 	if len(m.changes) > maxChanges {
-		m.forgotten = m.changes[0].at
+		m.forgotten = m.changes[0].upTo
 		m.changes = append(m.changes[:0], m.changes[1:]...)
 	}
 }
 
-// EventsSince returns what has changed since a revision, and the revision up
-// to which that leads; ok is false if that is not known any more.
-func (m *Mirror) EventsSince(at uint64) (events []Event, upTo uint64, ok bool) {
+// EventsSince returns what has changed since a revision, and how far that leads; ok
+// is false if that is not known any more.
+func (m *Mirror) EventsSince(at uint64) (events []Event, held Extent, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.synced || at < m.forgotten {
-		return nil, 0, false
+		return nil, Extent{}, false
 	}
 	for _, c := range m.changes {
-		if c.at > at {
+		if c.upTo > at {
 			events = append(events, c.event)
 		}
 	}
-	return events, m.at, true
-}
-
-func (m *Mirror) advance(at uint64) {
-	m.at = max(m.at, at)
-	for i := len(m.changes) - 1; i >= 0 && m.changes[i].at == 0; i-- {
-		m.changes[i].at = m.at
-	}
+	return events, m.held, true
 }
 
 // digestOf is an object's part of the digest. The digest is the exclusive or of
@@ -179,7 +190,7 @@
 func (m *Mirror) Version() Version {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Version{At: m.at, Digest: m.digest}
+	return Version{At: m.held.At, Digest: m.digest}
 }
 
 // Lacks reports whether a mirror of the version holds something that this one
@@ -187,7 +198,7 @@
 func (m *Mirror) Lacks(v Version) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.synced || v.NewerThan(Version{At: m.at, Digest: m.digest})
+	return !m.synced || v.NewerThan(Version{At: m.held.At, Digest: m.digest})
 }
 
 // Synced reports whether a whole list was ever taken in.
@@ -197,8 +208,8 @@
 	return m.synced
 }
 
-// Items returns all objects by name, and the revision.
-func (m *Mirror) Items() ([]Object, uint64) {
+// Items returns all objects by name, and how far they follow the store.
+func (m *Mirror) Items() ([]Object, Extent) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := make([]Object, 0, len(m.items))
@@ -206,5 +217,5 @@
 		list = append(list, o)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return list, m.at
+	return list, m.held
 }
--- a/pkg/objects/objects_test.go
+++ b/pkg/objects/objects_test.go
@@ -81,21 +81,21 @@
 				lists = append(lists, oldList{s.list(), s.at})
 			case 1:
 				if m.Synced() {
-					m.Apply(s.since(m.Version().At), s.at)
+					m.Apply(s.since(m.Version().At), Exactly(s.at))
 				}
 			case 2:
 				if len(lists) > 0 {
 					l := lists[rapid.IntRange(0, len(lists)-1).Draw(t, "list")]
-					m.Load(l.items, l.at)
+					m.Load(l.items, Exactly(l.at))
 				}
 			case 3:
-				m.Load(s.list(), s.at)
+				m.Load(s.list(), Exactly(s.at))
 			}
 		}
-		m.Load(s.list(), s.at)
-		items, at := m.Items()
-		if at != s.at || len(items) != len(s.items) {
-			t.Fatalf("mirror has %v at %d, store %v at %d", items, at, s.items, s.at)
+		m.Load(s.list(), Exactly(s.at))
+		items, held := m.Items()
+		if held != Exactly(s.at) || len(items) != len(s.items) {
+			t.Fatalf("mirror has %v at %v, store %v at %d", items, held, s.items, s.at)
 		}
 		for _, o := range items {
 			if s.items[o.Name].Revision != o.Revision {
@@ -108,10 +108,10 @@
 func TestDigestTellsEqualMirrors(t *testing.T) {
 	is := is.New(t)
 	a, b := NewMirror("things"), NewMirror("things")
-	a.Load([]Object{object("x", 1), object("y", 2)}, 2)
-	b.Load([]Object{object("x", 1)}, 1)
+	a.Load([]Object{object("x", 1), object("y", 2)}, Exactly(2))
+	b.Load([]Object{object("x", 1)}, Exactly(1))
 	is.True(a.Version().Digest != b.Version().Digest)
-	b.Apply([]Event{{Object: object("y", 2)}}, 7)
+	b.Apply([]Event{{Object: object("y", 2)}}, Exactly(7))
 	is.Equal(a.Version().Digest, b.Version().Digest)
 }
 
@@ -120,11 +120,11 @@
 func TestMirrorWithoutAListLacksAnEmptyOne(t *testing.T) {
 	is := is.New(t)
 	a, b := NewMirror("things"), NewMirror("things")
-	a.Load(nil, 4)
+	a.Load(nil, Exactly(4))
 	is.True(b.Lacks(a.Version()))
-	b.Load(nil, 4)
+	b.Load(nil, Exactly(4))
 	is.True(!b.Lacks(a.Version()))
-	a.Apply([]Event{{Object: object("x", 5)}}, 5)
+	a.Apply([]Event{{Object: object("x", 5)}}, Exactly(5))
 	is.True(b.Lacks(a.Version()))
 	is.True(!a.Lacks(b.Version()))
 }
@@ -313,7 +313,7 @@
 	go f.Run(ctx)
 	eventually(is, f.Mirror.Synced)
 	time.Sleep(50 * time.Millisecond)
-	f.Mirror.Apply([]Event{{Object: object("other", 7)}}, 7)
+	f.Mirror.Apply([]Event{{Object: object("other", 7)}}, Exactly(7))
 	s.mu.Lock()
 	is.Equal(len(s.calls), 1)
 	s.mu.Unlock()
@@ -367,17 +367,17 @@
 				s.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "gone"))
 			case 1:
 				if source.Synced() {
-					source.Apply(s.since(source.Version().At), s.at)
+					source.Apply(s.since(source.Version().At), Exactly(s.at))
 				}
 			case 2:
-				source.Load(s.list(), s.at)
+				source.Load(s.list(), Exactly(s.at))
 			case 3:
-				events, at, ok := source.EventsSince(follower.Version().At)
+				events, held, ok := source.EventsSince(follower.Version().At)
 				if ok && follower.Synced() {
-					follower.Apply(events, at)
+					follower.Apply(events, held)
 				} else if source.Synced() {
-					items, at := source.Items()
-					follower.Load(items, at)
+					items, held := source.Items()
+					follower.Load(items, held)
 				}
 				if follower.Version() != source.Version() {
 					t.Fatalf("follower at %+v, source at %+v", follower.Version(), source.Version())
@@ -390,15 +390,15 @@
 func TestMirrorForgetsOldChanges(t *testing.T) {
 	is := is.New(t)
 	m := NewMirror("things")
-	m.Load(nil, 1)
+	m.Load(nil, Exactly(1))
 	for i := range uint64(maxChanges + 10) {
-		m.Apply([]Event{{Object: object("a", i+2)}}, i+2)
+		m.Apply([]Event{{Object: object("a", i+2)}}, Exactly(i+2))
 	}
 	_, _, ok := m.EventsSince(1)
 	is.True(!ok)
-	events, at, ok := m.EventsSince(maxChanges)
+	events, held, ok := m.EventsSince(maxChanges)
 	is.True(ok)
-	is.Equal(at, uint64(maxChanges+11))
+	is.Equal(held, Exactly(maxChanges+11))
 	is.Equal(len(events), 11)
 }
 
@@ -449,7 +449,7 @@
 	go f.Run(ctx)
 	time.Sleep(4 * readPoll)
 	is.True(!f.Mirror.Synced())
-	f.Mirror.Load([]Object{object("b", 6)}, 7)
+	f.Mirror.Load([]Object{object("b", 6)}, Exactly(7))
 	eventually(is, has(f, "news"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/objects/spread_test.go
+++ b/pkg/objects/spread_test.go
@@ -15,15 +15,16 @@
 type listing struct {
 	items []Object
 	after string
-	at    uint64
+	held  Extent
 	began bool
 }
 
 // page reads the next page and reports whether the list is whole.
 func (l *listing) page(s *storeModel) bool {
 	if !l.began {
-		l.began, l.at = true, s.at
+		l.began, l.held.At = true, s.at
 	}
+	l.held.UpTo = s.at
 	names := make([]string, 0, len(s.items))
 	for name := range s.items {
 		if name > l.after {
@@ -41,7 +42,8 @@
 // lacking returns what a mirror has not heard of although it counts as known up to
 // its revision.
 func lacking(s *storeModel, m *Mirror) string {
-	items, at := m.Items()
+	items, extent := m.Items()
+	at := extent.At
 	held := map[string]Object{}
 	for _, o := range items {
 		held[o.Name] = o
@@ -85,32 +87,39 @@
 		s := &storeModel{items: map[string]Object{}}
 		boxes := []*Mirror{NewMirror("things"), NewMirror("things"), NewMirror("things")}
 		lists := make([]listing, len(boxes))
+		// arriving are what other boxes have handed over and is still on its way.
+		arriving := make([]func(), len(boxes))
 		box := rapid.IntRange(0, len(boxes)-1)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			i := box.Draw(t, "box")
 			m := boxes[i]
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				s.change(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "name"), rapid.Bool().Draw(t, "gone"))
 			case 2:
 				if lists[i].page(s) {
-					m.Load(lists[i].items, lists[i].at)
+					m.Load(lists[i].items, lists[i].held)
 					lists[i] = listing{}
 				}
 			case 3:
 				if m.Synced() {
-					m.Apply(s.since(m.Version().At), s.at)
+					m.Apply(s.since(m.Version().At), Exactly(s.at))
 				}
 			case 4:
 				source := boxes[box.Draw(t, "source")]
 				if source == m || !m.Lacks(source.Version()) {
 					continue
 				}
-				if events, at, ok := source.EventsSince(m.Version().At); ok && m.Synced() {
-					m.Apply(events, at)
+				if events, held, ok := source.EventsSince(m.Version().At); ok && m.Synced() {
+					arriving[i] = func() { m.Apply(events, held) }
 				} else if source.Synced() {
-					items, at := source.Items()
-					m.Load(items, at)
+					items, held := source.Items()
+					arriving[i] = func() { m.Load(items, held) }
+				}
+			case 5:
+				if arriving[i] != nil {
+					arriving[i]()
+					arriving[i] = nil
 				}
 			}
 			if missing := lacking(s, m); missing != "" {
--- a/pkg/steering/steering_mirrors.go
+++ b/pkg/steering/steering_mirrors.go
@@ -33,7 +33,7 @@
 
 // mirrorBody is a mirror on the wire.
 type mirrorBody struct {
-	At uint64 `json:"at"`
+	objects.Extent
 	// Whole: Items are all objects; else Events are what has changed.
 	Whole  bool             `json:"whole,omitempty"`
 	Items  []objects.Object `json:"items,omitempty"`
@@ -160,9 +160,9 @@
 		return
 	}
 	if body.Whole {
-		m.Load(body.Items, body.At)
+		m.Load(body.Items, body.Extent)
 	} else {
-		m.Apply(body.Events, body.At)
+		m.Apply(body.Events, body.Extent)
 	}
 	n.log.Info("caught up through another box", map[string]any{
 		"from": source, "kind": m.Kind, "revision": body.At, "whole": body.Whole, "changes": len(body.Events),
@@ -210,8 +210,8 @@
 	w.Header().Set("Content-Type", "application/json")
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	if err == nil {
-		if events, at, known := m.EventsSince(since); known {
-			n.logUnsent(m.Kind, json.NewEncoder(w).Encode(mirrorBody{Events: events, At: at}))
+		if events, held, known := m.EventsSince(since); known {
+			n.logUnsent(m.Kind, json.NewEncoder(w).Encode(mirrorBody{Events: events, Extent: held}))
 			return
 		}
 	}
@@ -260,8 +260,8 @@
 	}
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
-	items, at := m.Items()
-	if err := json.NewEncoder(w).Encode(mirrorBody{Whole: true, Items: items, At: at}); err != nil {
+	items, held := m.Items()
+	if err := json.NewEncoder(w).Encode(mirrorBody{Whole: true, Items: items, Extent: held}); err != nil {
 		return nil, err
 	}
 	if err := w.Close(); err != nil {
--- a/pkg/steering/steering_mirrors_test.go
+++ b/pkg/steering/steering_mirrors_test.go
@@ -21,7 +21,7 @@
 			i/250, i%250, i)
 		items = append(items, objects.Object{Name: fmt.Sprintf("i-%08x", i*7919), Revision: uint64(i + 1), Spec: json.RawMessage(spec)})
 	}
-	m.Load(items, uint64(servers))
+	m.Load(items, objects.Exactly(uint64(servers)))
 	return m
 }
 
@@ -36,7 +36,7 @@
 	again, err := p.of(m)
 	is.NoErr(err)
 	is.True(&first[0] == &again[0])
-	m.Apply([]objects.Event{{Object: objects.Object{Name: "i-new", Revision: 101, Spec: json.RawMessage(`{}`)}}}, 101)
+	m.Apply([]objects.Event{{Object: objects.Object{Name: "i-new", Revision: 101, Spec: json.RawMessage(`{}`)}}}, objects.Exactly(101))
 	later, err := p.of(m)
 	is.NoErr(err)
 	r, err := gzip.NewReader(bytes.NewReader(later))
