A call that the store did not answer counts from when it was made

Cause: a failure was noted when the call was given up, up to 3.6 s after the store was silent to it. The list of servers is not trusted for the time of contact after a failure, so servers that left without a word up to 3.6 s after the store had been well for that time were kept for 1.75 to 2.25 s more. Change: a failure counts from when its call was made.

--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -185,13 +185,21 @@
 	return f.began
 }
 
+// begin notes that a call is made now.
+func (f *Follower) begin() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.began = time.Now()
+	return f.began
+}
+
 // step makes the next call, or reads a list. The error is a *RestartedError or that
 // of the call.
 func (f *Follower) step(ctx context.Context, state *following) error {
 	callContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.mu.Lock()
-	f.cancel, f.began = cancel, time.Now()
+	f.cancel = cancel
 	f.mu.Unlock()
 	err := f.ask(ctx, callContext, state)
 	var restarted *RestartedError
@@ -227,7 +235,7 @@
 func (f *Follower) watch(ctx context.Context, wait time.Duration) ([]Event, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime+wait)
 	defer cancel()
-	start, since := time.Now(), f.Mirror.Version().At
+	start, since := f.begin(), f.Mirror.Version().At
 	events, at, err := f.Client.Watch(ctx, f.Mirror.Kind, since, wait)
 	f.Ended(Call{Watch: true, Since: since, At: at, Objects: len(events), Took: time.Since(start), Err: err})
 	return events, at, err
@@ -271,7 +279,7 @@
 func (f *Follower) page(ctx context.Context, after string, stale bool) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	start := time.Now()
+	start := f.begin()
 	p, err := f.Client.List(ctx, f.Mirror.Kind, after, stale)
 	f.Ended(Call{At: p.At, Objects: len(p.Items), Took: time.Since(start), Err: err})
 	return p, err
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -71,7 +71,7 @@
 		if !n.watching.Load() {
 			return
 		}
-		n.store.noteFailure()
+		n.store.noteFailure(f.Began())
 		n.store.setFailing(kind, true)
 	}
 	return f
--- a/pkg/steering/store_contact.go
+++ b/pkg/steering/store_contact.go
@@ -11,8 +11,8 @@
 	// started is the start of the box, and within the time of contact.
 	started time.Time
 	within  time.Duration
-	// answered and failed are when the store last did, in nanoseconds since the
-	// start; failed is 0 if it never has.
+	// answered is when the store last did, and failed when the last call was made that
+	// it did not answer, in nanoseconds since the start; failed is 0 if there is none.
 	answered atomic.Int64
 	failed   atomic.Int64
 	// confirmed is when the configuration was last known to be the newest, in
@@ -70,10 +70,14 @@
 
 // noteConfirmed notes that the configuration was the newest some time ago.
 func (c *storeContact) noteConfirmed(ago time.Duration) {
-	at := int64(c.age() - ago)
+	raise(&c.confirmed, int64(c.age()-ago))
+}
+
+// raise sets a moment to a later one.
+func raise(moment *atomic.Int64, to int64) {
 	for {
-		known := c.confirmed.Load()
-		if at <= known || c.confirmed.CompareAndSwap(known, at) {
+		known := moment.Load()
+		if to <= known || moment.CompareAndSwap(known, to) {
 			return
 		}
 	}
@@ -86,7 +90,14 @@
 	return c.age() - time.Duration(at), at != 0
 }
 
-func (c *storeContact) noteFailure() { c.failed.Store(int64(c.age())) }
+// noteFailure notes that a call was not answered, given when it was made: that is when
+// the store was silent. One that a watch met is known only 3.6 s later; counted from then
+// on, the list of servers would not be trusted until 3.6 s after the time of contact, and
+// servers that left meanwhile without a word would be kept
+// (TestVanishedServerIsLeftAtOnceWhenTheStoreIsWell).
+func (c *storeContact) noteFailure(made time.Time) {
+	raise(&c.failed, int64(made.Sub(c.started)))
+}
 
 // answeredLately reports whether the store has answered this box lately.
 func (c *storeContact) answeredLately() bool {
