--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -23,7 +23,8 @@
 	// Busy answers 503, Many 429.
 	Busy
 	Many
-	// Silent says nothing; Resetting breaks the connection.
+	// Silent never answers what it is asked meanwhile; watches that wait are answered
+	// when it speaks again. Resetting breaks the connection.
 	Silent
 	Resetting
 )
@@ -169,16 +170,21 @@
 	s.serveWatch(w, r, kind, since, time.Duration(wait)*time.Millisecond)
 }
 
-// refused treats the call as the test wants.
-func (s *Store) refused(w http.ResponseWriter, r *http.Request) bool {
+// modeOf returns how a call is treated now.
+func (s *Store) modeOf(r *http.Request) Mode {
 	s.mu.Lock()
 	treat := s.treat
 	s.mu.Unlock()
 	if treat == nil {
-		return false
+		return Serving
 	}
 	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
-	switch treat(ip, r.URL.Path) {
+	return treat(ip, r.URL.Path)
+}
+
+// refused treats the call as the test wants.
+func (s *Store) refused(w http.ResponseWriter, r *http.Request) bool {
+	switch s.modeOf(r) {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case Many:
@@ -218,27 +224,31 @@
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string, since uint64, wait time.Duration) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	over := false
 	for {
 		s.mu.Lock()
 		events, gone := s.eventsSince(kind, since)
 		at, changed := s.at, s.changed
 		s.mu.Unlock()
-		if gone {
+		silent := s.modeOf(r) == Silent
+		switch {
+		case silent:
+		case gone:
 			w.WriteHeader(http.StatusGone)
 			return
-		}
-		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "at": at})
+		case len(events) > 0 || over:
+			writeJSON(w, map[string]any{"events": append([]map[string]any{}, events...), "at": at})
 			return
 		}
 		select {
 		case <-changed:
-			if s.refused(w, r) {
+			if s.modeOf(r) != Silent && s.refused(w, r) {
 				return
 			}
 		case <-timeout.C:
-			writeJSON(w, map[string]any{"events": []any{}, "at": at})
-			return
+			over = true
+		case <-s.silenced:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
