A box that has had no word of the list of servers for long looks itself

Cause: a box that leaves the store to others of its zone knew how new its copy was by their word alone, and did nothing as that grew old. Where the store turns away without a word all boxes that ask it, their zones find out after 2.8 to 3.6 s; a leaving server must be known after 2.5 s. Class: as the deaf watches, the word of another that says nothing of what is missing. Ruled out: the roles alone (made quicker, a second box that is turned away takes over and the zone waits again); a second box that asks in each zone (may be turned away as well).

Change: heartbeats tell how long ago the list was confirmed (wire version 5); a box for which that is 0.8 of the time in which servers drain asks the store once itself, and again only after four times the time of contact if it is not answered. The watch of the servers waits half of that time, so that its answers confirm the list often enough; the pause after changes no longer makes a confirmation look newer than it is.

Test: TestBoxAsksItselfWhereAllThatAskAreTurnedAway (failed, off the list of known failures).

--- a/pkg/gossip/record.go
+++ b/pkg/gossip/record.go
@@ -33,6 +33,8 @@
 	// confirmed, the configuration that it has, in milliseconds and one more; 0 if it
 	// does not ask the store.
 	ConfirmedAgo uint32 `json:"confirmed_ago,omitempty"`
+	// ListConfirmedAgo is the same for the list of backend servers.
+	ListConfirmedAgo uint32 `json:"list_confirmed_ago,omitempty"`
 	// Versions tells how new the box's mirrors are, by kind.
 	Versions map[string]objects.Version `json:"versions,omitempty"`
 }
--- a/pkg/gossip/wire.go
+++ b/pkg/gossip/wire.go
@@ -11,7 +11,7 @@
 // wireVersion is the first byte of a heartbeat. It changes with the fields of
 // Message, since those are told by their place and not by name: heartbeats
 // are most of what boxes say to each other, and names would be most of them.
-const wireVersion = 4
+const wireVersion = 5
 
 // sightingSize is the size of a sighting on the wire, in bytes.
 const sightingSize = 9
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -115,6 +115,9 @@
 		if err == nil {
 			failures = 0
 			f.Succeeded()
+			if state.gathers {
+				f.sleep(ctx, gather)
+			}
 			continue
 		}
 		var restarted *RestartedError
@@ -152,6 +155,8 @@
 	stale bool
 	// failed: the call before was not answered.
 	failed bool
+	// gathers: the call before brought changes, and there was a pause after it.
+	gathers bool
 }
 
 // RestartedError says that a call was ended by Restart. That tells nothing of the
@@ -201,7 +206,7 @@
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
-	err := f.ask(ctx, callContext, state)
+	err := f.ask(callContext, state)
 	var restarted *RestartedError
 	if err != nil && errors.As(context.Cause(callContext), &restarted) {
 		return restarted
@@ -209,27 +214,47 @@
 	return err
 }
 
-func (f *Follower) ask(ctx, callContext context.Context, state *following) error {
+func (f *Follower) ask(ctx context.Context, state *following) error {
 	if !state.listed {
-		if err := f.list(callContext, state.stale); err != nil {
+		if err := f.list(ctx, state.stale); err != nil {
 			return err
 		}
 		state.listed = true
 		return nil
 	}
 	wait := f.Wait
-	if state.failed {
+	switch {
+	case state.failed:
 		wait = atOnce
+	case state.gathers:
+		// The store answers once in each Wait, whatever happens.
+		wait = max(f.Wait-gather, atOnce)
 	}
-	events, at, err := f.watch(callContext, wait)
+	state.gathers = false
+	changes, err := f.takeChanges(ctx, wait)
+	state.gathers = changes > 0
+	return err
+}
+
+// takeChanges takes in what has changed, and returns how many changes that were.
+func (f *Follower) takeChanges(ctx context.Context, wait time.Duration) (changes int, err error) {
+	events, at, err := f.watch(ctx, wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.Mirror.Apply(events, Exactly(at))
-	if len(events) > 0 {
-		f.sleep(ctx, gather)
+	return len(events), nil
+}
+
+// Look asks once for what has changed and takes it in, whether this box is to ask the
+// store or not. The mirror must hold a list.
+func (f *Follower) Look(ctx context.Context) error {
+	_, err := f.takeChanges(ctx, atOnce)
+	var compacted *CompactedError
+	if errors.As(err, &compacted) {
+		return f.list(ctx, false)
 	}
-	return nil
+	return err
 }
 
 func (f *Follower) watch(ctx context.Context, wait time.Duration) ([]Event, uint64, error) {
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -81,6 +81,10 @@
 	policy    atomic.Pointer[policy.Policy]
 
 	store *storeContact
+	// looks are this box's own questions for leaving servers, and claims what other
+	// boxes say of copies that this one does not have yet.
+	looks  looks
+	claims claims
 	// watching: this box is one that asks the store; unannounced: it has
 	// changes that it has not told its zone of yet.
 	watching    atomic.Bool
@@ -275,7 +279,7 @@
 	if !b.EnforceRevocation {
 		return true
 	}
-	ago, ok := n.store.confirmedAgo()
+	ago, ok := n.store.configuration.ago()
 	return ok && ago <= b.Revoke-min(revokeMargin, b.Revoke/2)
 }
 
--- a/pkg/steering/steering_calls.go
+++ b/pkg/steering/steering_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,8 +29,11 @@
 	if err := n.Metrics.Register("store.answered_ago."+kind, gauge); err != nil {
 		log.Warn("metric not told", map[string]any{"kind": kind, "error": err.Error()})
 	}
+	var mu sync.Mutex
 	failed := 0
 	return func(c objects.Call) {
+		mu.Lock()
+		defer mu.Unlock()
 		silent := n.store.age() - time.Duration(answered.Load())
 		log.Debug("call ended", callFields(kind, c))
 		if isAnswer(c.Err) {
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -55,6 +55,7 @@
 		n.sendBeat()
 	}
 	n.chooseRole()
+	n.lookForLeaving()
 	changed := n.watching.Load() && n.unannounced.Swap(false)
 	n.refreshSelf()
 	self := n.Members.Self()
@@ -73,12 +74,9 @@
 		}
 	}
 	synced := len(versions) == len(n.mirrors)
-	confirmed := uint32(0)
-	if ago, ok := n.store.confirmedAgo(); ok && n.watching.Load() {
-		confirmed = 1 + uint32(ago.Milliseconds())
-	}
+	confirmed, listConfirmed := n.tellsConfirmed(&n.store.configuration), n.tellsConfirmed(&n.store.list)
 	n.Members.Update(func(self *gossip.Record) {
-		self.ConfirmedAgo = confirmed
+		self.ConfirmedAgo, self.ListConfirmedAgo = confirmed, listConfirmed
 		self.Versions = versions
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
@@ -154,16 +152,5 @@
 		n.send(e)
 	}
 	n.catchUpWith(&m.From)
-	n.confirm(&m.From)
-}
-
-// confirm takes the word of a box that asks the store for it that this box's
-// configuration is the newest.
-func (n *Node) confirm(r *gossip.Record) {
-	kind := n.adapter.Kinds.Configuration
-	v, has := r.Versions[kind]
-	if r.ConfirmedAgo == 0 || !has || n.mirrors[kind].Lacks(v) {
-		return
-	}
-	n.store.noteConfirmed(time.Duration(r.ConfirmedAgo-1) * time.Millisecond)
+	n.hearConfirmations(&m.From)
 }
--- a/pkg/steering/steering_mirrors.go
+++ b/pkg/steering/steering_mirrors.go
@@ -164,6 +164,7 @@
 	} else {
 		m.Apply(body.Events, body.Extent)
 	}
+	n.settleClaim(m.Kind)
 	n.log.Info("caught up through another box", map[string]any{
 		"from": source, "kind": m.Kind, "revision": body.At, "whole": body.Whole, "changes": len(body.Events),
 	})
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -51,6 +51,9 @@
 
 func (n *Node) newFollower(client *objects.Client, kind string, log *logging.Part) *objects.Follower {
 	wait := time.Duration(watchShare * float64(n.Settings.Bounds.Contact))
+	if kind == n.adapter.Kinds.Servers {
+		wait = min(wait, time.Duration(listWatchShare*float64(n.Settings.Bounds.Drain)))
+	}
 	f := objects.NewFollower(client, n.mirrors[kind], wait, rand.Float64)
 	f.Allowed = n.watching.Load
 	f.ReadsOn = func() bool {
@@ -61,8 +64,8 @@
 	f.Ended = n.watchCalls(kind, log)
 	f.Succeeded = func() {
 		n.store.noteAnswer()
-		if kind == n.adapter.Kinds.Configuration {
-			n.store.noteConfirmed(0)
+		if c := n.confirmationOf(kind); c != nil {
+			c.note(time.Now())
 		}
 		n.storeSpoke(f, n.store.setFailing(kind, false))
 		n.checkReady()
@@ -122,6 +125,16 @@
 	return true
 }
 
+// followerOf returns the follower of a kind.
+func (n *Node) followerOf(kind string) *objects.Follower {
+	for _, f := range n.followers {
+		if f.Mirror.Kind == kind {
+			return f
+		}
+	}
+	return nil
+}
+
 // storeSpoke makes the other followers ask at once where they failed too. If the store
 // did not answer this one before, it was silent, and calls of others that are older
 // than the one it has answered now may hang.
--- a/pkg/steering/store_contact.go
+++ b/pkg/steering/store_contact.go
@@ -15,16 +15,36 @@
 	// it did not answer, in nanoseconds since the start; failed is 0 if there is none.
 	answered atomic.Int64
 	failed   atomic.Int64
-	// confirmed is when the configuration was last known to be the newest, in
-	// nanoseconds since the start; 0 if it never was.
-	confirmed atomic.Int64
+	// configuration and list tell when this box's copies of the configuration and of
+	// the list of servers were last known to be the newest.
+	configuration, list confirmation
 	// failing are the kinds of objects whose last call was not answered.
 	mu      sync.Mutex
 	failing map[string]bool
 }
 
+// confirmation is when a copy was last known to be the newest.
+type confirmation struct {
+	// started is the start of the box, and at the moment in nanoseconds after it; 0 if
+	// the copy never was.
+	started time.Time
+	at      atomic.Int64
+}
+
+// note notes that the copy was the newest at a time.
+func (c *confirmation) note(at time.Time) { raise(&c.at, int64(at.Sub(c.started))) }
+
+// ago is how long ago the copy was last known to be the newest; ok is false if it
+// never was.
+func (c *confirmation) ago() (ago time.Duration, ok bool) {
+	at := c.at.Load()
+	return time.Since(c.started) - time.Duration(at), at != 0
+}
+
 func newStoreContact(started time.Time, within time.Duration) *storeContact {
-	return &storeContact{started: started, within: within, failing: map[string]bool{}}
+	c := &storeContact{started: started, within: within, failing: map[string]bool{}}
+	c.configuration.started, c.list.started = started, started
+	return c
 }
 
 // setFailing notes whether the last call for a kind failed, and reports whether the
@@ -68,11 +88,6 @@
 
 func (c *storeContact) noteAnswer() { c.answered.Store(int64(c.age())) }
 
-// noteConfirmed notes that the configuration was the newest some time ago.
-func (c *storeContact) noteConfirmed(ago time.Duration) {
-	raise(&c.confirmed, int64(c.age()-ago))
-}
-
 // raise sets a moment to a later one.
 func raise(moment *atomic.Int64, to int64) {
 	for {
@@ -83,13 +98,6 @@
 	}
 }
 
-// confirmedAgo is how long ago the configuration was last known to be the newest; ok
-// is false if it never was.
-func (c *storeContact) confirmedAgo() (ago time.Duration, ok bool) {
-	at := c.confirmed.Load()
-	return c.age() - time.Duration(at), at != 0
-}
-
 // noteFailure notes that a call was not answered, given when it was made: that is when
 // the store was silent. One that a watch met is known only 3.6 s later; counted from then
 // on, the list of servers would not be trusted until 3.6 s after the time of contact, and
