Failing tests: a vanished server is kept for longer than it drains

TestVanishedServersAreKeptNoLongerThanTheirEntriesNeed held that it is kept for 0.7 of the time in which servers drain (1.75 of 2.5 s). That is wrong: it left nothing for news that are late. TestVanishedServersAreLeftInTime takes its place and is stricter (1.5 s).

--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -61,6 +61,26 @@
 	is.True(err != nil)
 }
 
+// TestVanishedServerGetsNothingOnceItsTimeIsOver, to the millisecond, and not only when
+// somebody has looked over the list.
+func TestVanishedServerGetsNothingOnceItsTimeIsOver(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 1, 4), true)
+	lease, err := choose(s, 1)
+	is.NoErr(err)
+	s.Remove("east-a-0", false)
+	c.advance(s.Terms.Forget)
+	_, err = choose(s, 1)
+	is.NoErr(err)
+	is.True(lease.Usable())
+	c.advance(time.Millisecond)
+	_, err = choose(s, 1)
+	is.True(err != nil)
+	is.True(!lease.Usable())
+	is.True(!s.HasServers())
+}
+
 func TestVanishedServerThatIsListedAgainStays(t *testing.T) {
 	is := is.New(t)
 	s, c := newTestSet(1)
--- a/pkg/steering/steering_test.go
+++ b/pkg/steering/steering_test.go
@@ -72,8 +72,15 @@
 	}))
 }
 
-func TestVanishedServersAreKeptNoLongerThanTheirEntriesNeed(t *testing.T) {
+// TestVanishedServersAreLeftInTime: a server that has left without a word, while the store
+// turned all boxes away, must get nothing once it has drained. The news of it may take a
+// second, gathered with others and told from box to box; with 1.75 s for which it was kept,
+// and half a second until that was looked at, requests reached it 2.66 s after it had left,
+// where 2.5 s are allowed.
+func TestVanishedServersAreLeftInTime(t *testing.T) {
 	is := is.New(t)
-	is.Equal(forgetAfter(2500*time.Millisecond), 1750*time.Millisecond)
-	is.Equal(forgetAfter(4*time.Second), 2*time.Second)
+	is.Equal(forgetAfter(2500*time.Millisecond), 1500*time.Millisecond)
+	is.Equal(forgetAfter(2800*time.Millisecond), 1800*time.Millisecond)
+	is.Equal(forgetAfter(4*time.Second), 2*time.Second) // entries are back by then
+	is.Equal(forgetAfter(600*time.Millisecond), time.Duration(0))
 }
