A vanished server is kept for no longer than what late news leave of its drain

Change: kept for the time in which servers drain less 1 s for the news, 2 s at most, and to the millisecond: whether it may get requests is asked at each choice. For 2.5 s that is 1.5 s (1.75 and up to 0.5 more before).

--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -260,7 +260,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, v := range s.servers {
-		if !v.missing.IsZero() && s.Now().Sub(v.missing) > s.Terms.Forget {
+		if s.forgotten(v) {
 			s.remove(id, true)
 		}
 	}
@@ -316,5 +316,10 @@
 
 // usable reports whether the server may get requests at all.
 func (s *Set) usable(v *server) bool {
-	return !v.Draining && !v.stale && !s.evacuated[v.Zone]
+	return !v.Draining && !v.stale && !s.evacuated[v.Zone] && !s.forgotten(v)
+}
+
+// forgotten reports whether the server has been missing for too long.
+func (s *Set) forgotten(v *server) bool {
+	return !v.missing.IsZero() && s.Now().Sub(v.missing) > s.Terms.Forget
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -172,10 +172,10 @@
 	// where the settings allow as much: long enough to ask seldom, short
 	// enough to leave a stopping box in time.
 	preferredTTL = 3 * time.Second
-	// forgetShare is for which part of the time in which a server drains one
-	// is kept that vanished while the store could not be trusted. It must end
-	// within that time: the server may have left in truth.
-	forgetShare = 0.7
+	// newsTime is how long it may take until a change in the store is known to a box:
+	// it is gathered with others for 0.6 s, told to the zone within 0.1 s, and taken
+	// over; 0.07 to 0.65 s were seen on a busy day.
+	newsTime = time.Second
 	// entryReturn is within what the entry of a server that lives is back in
 	// the store, once that answers again.
 	entryReturn = 2 * time.Second
@@ -185,9 +185,10 @@
 )
 
 // forgetAfter is for how long a server is kept that vanished while the store
-// could not be trusted, given the time in which servers drain.
+// could not be trusted, given the time in which servers drain. With the news of it
+// that ends within that time: the server may have left in truth.
 func forgetAfter(drain time.Duration) time.Duration {
-	return min(entryReturn, time.Duration(forgetShare*float64(drain)))
+	return max(0, min(entryReturn, drain-newsTime))
 }
 
 // boxes returns among how many boxes shared bounds are divided.
