Soak: a store silent for a moment, connections silent for good; runs that share no address

Kinds are drawn from numbered catalogues, so that kept seeds draw what they drew.

A run that was broken off left boxes at the soak's addresses, and the next one said only that a box did not become ready. Boxes end with the process that started them, however it ends; an address that is taken is told with the process that holds it; runs reserve a network of their own.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 	else $(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN); fi
 
 soak: build ## strike real processes from outside: RUNS=10 fresh seeds, or SEED=n again; BOXES=6
-	$(BIN)/stoneworks-soak --bin $(BIN) --seed $(or $(SEED),0) --runs $(RUNS) --boxes $(BOXES)
+	$(BIN)/stoneworks-soak --bin $(BIN) --seed $(or $(SEED),0) --runs $(RUNS) --boxes $(BOXES) $(if $(KINDS),--kinds $(KINDS))
 
 prove: build ## prove what must always hold: PROMISE=4 for one
 	STONEWORKS_PROVE=1 go test ./test/prove -run 'TestPromise$(PROMISE)' -count=1 -v -timeout 20m | grep -E '^(PROMISE|ok|FAIL)|promise [0-9]'
--- /dev/null
+++ b/test/addresses/addresses_test.go
@@ -0,0 +1,46 @@
+package addresses
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRunsDoNotShareANetwork(t *testing.T) {
+	is := is.New(t)
+	a, err := Reserve("127.89")
+	is.NoErr(err)
+	b, err := Reserve("127.89")
+	is.NoErr(err)
+	is.True(a.Prefix != b.Prefix)
+	first := a.Prefix
+	a.Release()
+	c, err := Reserve("127.89")
+	is.NoErr(err)
+	is.Equal(c.Prefix, first)
+	b.Release()
+	c.Release()
+}
+
+// TestHolderOfAnAddressIsTold is the failure in which a run told that a box did not become
+// ready, where an earlier run had left one at its address.
+func TestHolderOfAnAddressIsTold(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	var held *HeldError
+	is.True(errors.As(CheckFree(address), &held))
+	is.Equal(held.Address, address)
+	is.True(held.Holder != "")
+	var process int
+	_, err = fmt.Sscanf(held.Holder, "process %d", &process)
+	is.NoErr(err)
+	is.Equal(process, os.Getpid())
+	is.NoErr(l.Close())
+	is.NoErr(CheckFree(address))
+}
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -45,6 +45,22 @@
 	mu       sync.Mutex
 	rule     func(source string) Fault
 	changed  chan struct{}
+	pairs    map[*pair]bool
+}
+
+// pair is a connection with the one that it is passed on to.
+type pair struct {
+	from, to *net.TCPConn
+	// silenced is closed when nothing passes any more, ended when the pair is broken.
+	silenced, ended chan struct{}
+	once            sync.Once
+}
+
+// breakOff resets both connections.
+func (c *pair) breakOff() {
+	c.once.Do(func() { close(c.ended) })
+	reset(c.from)
+	reset(c.to)
 }
 
 // New starts a proxy.
@@ -53,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Target: target, listener: l, changed: make(chan struct{}), rule: func(string) Fault { return Fault{} }}
+	p := &Proxy{Target: target, listener: l, changed: make(chan struct{}), rule: func(string) Fault { return Fault{} }, pairs: map[*pair]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -98,6 +114,23 @@
 // Clear lifts every fault.
 func (p *Proxy) Clear() { p.SetAll(Fault{}) }
 
+// Silence makes the connections that are open now say nothing any more, while new ones
+// work. They break after a while, as when a kernel's keep-alive probes have found out.
+func (p *Proxy) Silence(breakAfter time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.pairs {
+		select {
+		case <-c.silenced:
+			continue
+		default:
+		}
+		close(c.silenced)
+		p.Hits.Add(1)
+		time.AfterFunc(breakAfter, c.breakOff)
+	}
+}
+
 func (p *Proxy) fault(source string) (Fault, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,20 +159,33 @@
 		reset(c)
 		return
 	}
-	target := t.(*net.TCPConn)
-	go p.pump(c, target, source, false)
-	p.pump(target, c, source, true)
+	two := &pair{from: c, to: t.(*net.TCPConn), silenced: make(chan struct{}), ended: make(chan struct{})}
+	p.mu.Lock()
+	p.pairs[two] = true
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.pairs, two)
+	}()
+	go p.pump(two, two.from, two.to, source, false)
+	p.pump(two, two.to, two.from, source, true)
 }
 
 // pump copies one direction, and passes an end of it on.
-func (p *Proxy) pump(from, to *net.TCPConn, source string, answers bool) {
+func (p *Proxy) pump(two *pair, from, to *net.TCPConn, source string, answers bool) {
 	buffer := make([]byte, 32<<10)
 	passed := 0
 	for {
 		n, err := from.Read(buffer)
+		select {
+		case <-two.silenced:
+			<-two.ended
+			return
+		default:
+		}
 		if !p.pass(to, buffer[:n], source, answers, &passed) {
-			reset(from)
-			reset(to)
+			two.breakOff()
 			return
 		}
 		if err != nil {
--- a/test/load/load.go
+++ b/test/load/load.go
@@ -17,6 +17,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/stoneworks/stoneworks/test/addresses"
 	"github.com/stoneworks/stoneworks/test/machines"
 	"github.com/stoneworks/stoneworks/test/processes"
 )
@@ -24,7 +25,7 @@
 // The load.
 const (
 	boxCount     = 6
-	network      = "127.93.0"
+	networks     = "127.93"
 	keys         = 40
 	work         = 15 * time.Millisecond
 	slots        = 4
@@ -54,6 +55,7 @@
 // player is one run.
 type player struct {
 	bin, dir string
+	network  *addresses.Network
 	store    *machines.Store
 	fleet    *machines.Fleet
 	boxes    []*processes.Box
@@ -98,11 +100,18 @@
 	if p.fleet != nil {
 		p.fleet.Close()
 	}
+	if p.network != nil {
+		p.network.Release()
+	}
 }
 
 // prepare starts the store, the servers and the boxes.
 func (p *player) prepare() error {
-	fleet, err := machines.NewFleet(network, io.Discard)
+	var err error
+	if p.network, err = addresses.Reserve(networks); err != nil {
+		return err
+	}
+	fleet, err := machines.NewFleet(p.network.Prefix, io.Discard)
 	if err != nil {
 		return err
 	}
@@ -118,7 +127,7 @@
 		}
 	}
 	options := processes.Options{
-		Bin: p.bin, Dir: p.dir, Network: network, Store: p.store.Address,
+		Bin: p.bin, Dir: p.dir, Network: p.network.Prefix, Store: p.store.Address,
 		Drain: 2500 * time.Millisecond, Contact: 3 * time.Second, Grace: 4 * time.Second,
 	}
 	for i := range boxCount {
--- a/test/machines/bench_test.go
+++ b/test/machines/bench_test.go
@@ -16,7 +16,7 @@
 // included, without anything between them, through a plain relay of the
 // standard library, and through a box: the differences are what each costs.
 func BenchmarkRequest(b *testing.B) {
-	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+	f, err := NewFleet(networkOf(b), io.Discard)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 		keys bool
 		rate float64
 	}{{"none", false, 0}, {"key", true, 0}, {"limit", true, 2000}} {
-		f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+		f, err := NewFleet(networkOf(b), io.Discard)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/test/machines/contact_test.go
+++ b/test/machines/contact_test.go
@@ -1,7 +1,6 @@
 package machines
 
 import (
-	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -14,7 +13,7 @@
 // newContactFleet starts two boxes in each zone, with the bounds of the users' machines.
 func newContactFleet(t *testing.T) *Fleet {
 	t.Helper()
-	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+	f, err := NewFleet(networkOf(t), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/machines/customers_test.go
+++ b/test/machines/customers_test.go
@@ -58,7 +58,7 @@
 // newCustomerFleet starts boxes and servers of all zones that serve customers.
 func newCustomerFleet(t *testing.T, log io.Writer, boxes int, list []Customer) *Fleet {
 	t.Helper()
-	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), log)
+	f, err := NewFleet(networkOf(t), log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -17,10 +17,19 @@
 
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/policy"
+	"github.com/stoneworks/stoneworks/test/addresses"
 )
 
-// network gives each test loopback addresses of its own.
-var network atomic.Int64
+// networkOf gives a test loopback addresses of its own.
+func networkOf(t testing.TB) string {
+	t.Helper()
+	n, err := addresses.Reserve("127.91")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Release)
+	return n.Prefix
+}
 
 var (
 	read   = Route{Prefix: "/read/", Kind: "safe", Service: "shop", TimeoutMS: 1500}
@@ -36,7 +45,7 @@
 // newFleetIn starts a fleet whose boxes are in the given zones.
 func newFleetIn(t *testing.T, zone func(i int) string, boxes int, servers ...string) *Fleet {
 	t.Helper()
-	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+	f, err := NewFleet(networkOf(t), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -206,7 +215,7 @@
 
 func TestNothingIsDeniedBeforeTheConfiguration(t *testing.T) {
 	is := is.New(t)
-	f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), io.Discard)
+	f, err := NewFleet(networkOf(t), io.Discard)
 	is.NoErr(err)
 	defer f.Close()
 	f.Store.SetTreat(func(string, string) Mode { return Busy })
--- a/test/machines/walks_test.go
+++ b/test/machines/walks_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -70,7 +69,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			log := &logBuffer{}
-			f, err := NewFleet(fmt.Sprintf("127.91.%d", network.Add(1)), log)
+			f, err := NewFleet(networkOf(t), log)
 			is.NoErr(err)
 			defer f.Close()
 			f.Configure(1, read, buy)
--- a/test/processes/processes.go
+++ b/test/processes/processes.go
@@ -9,10 +9,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/stoneworks/stoneworks/test/addresses"
 	"github.com/stoneworks/stoneworks/test/machines"
 )
 
@@ -20,6 +22,7 @@
 const (
 	portClients   = 8101
 	portReady     = 8104
+	portDirectory = 8105
 	readyPoll     = 20 * time.Millisecond
 	readyCallTime = 500 * time.Millisecond
 )
@@ -75,15 +78,57 @@
 // Clients returns the address that serves clients.
 func (b *Box) Clients() string { return fmt.Sprintf("%s:%d", b.IP, portClients) }
 
-// Start starts the process. Its log is appended to that of earlier lives.
+// starter starts processes from one thread that does not end: a process that is to end
+// with this one ends with the thread that started it (see prctl(2), PR_SET_PDEATHSIG).
+var starter = sync.OnceValue(func() chan<- func() {
+	calls := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+})
+
+// startWithParent starts a process that is killed when this one ends, however it does.
+func startWithParent(c *exec.Cmd) (err error) {
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	done := make(chan struct{})
+	starter() <- func() {
+		defer close(done)
+		err = c.Start()
+	}
+	<-done
+	return err
+}
+
+// checkAddresses reports an address of the box that is taken. The error is an
+// *addresses.HeldError.
+func (b *Box) checkAddresses() error {
+	for port := portClients; port <= portDirectory; port++ {
+		if err := addresses.CheckFree(fmt.Sprintf("%s:%d", b.IP, port)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts the process, which ends with this one. Its log is appended to that of
+// earlier lives. The error of a first start may be an *addresses.HeldError.
 func (b *Box) Start() error {
+	if b.Life() == 0 {
+		if err := b.checkAddresses(); err != nil {
+			return err
+		}
+	}
 	log, err := os.OpenFile(filepath.Join(b.Dir, b.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	command := exec.Command(filepath.Join(b.Bin, "stoneworksd"), "--config", b.settingsPath())
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
+	if err := startWithParent(command); err != nil {
 		_ = log.Close()
 		return err
 	}
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -223,7 +223,7 @@
 }
 
 // storeKinds are the faults in which a box may not hear of changes in time.
-var storeKinds = []Kind{StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut}
+var storeKinds = []Kind{StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut, StoreBlink, StoreMute}
 
 // touched reports whether the box or the store was struck from the time of
 // contact before from on, so that bounds in time do not bind the box.
@@ -237,7 +237,7 @@
 	for _, d := range h.Departures {
 		for _, a := range h.Arrivals[d.Server] {
 			after := a.At.Sub(d.At)
-			if after <= boundDrain+pace || h.touched(a.From, d.At, a.At) || h.struck("", d.At, a.At, LinkDelay, LinkSilent, LinkOneWay) {
+			if after <= boundDrain+pace || h.touched(a.From, d.At, a.At) || h.struck("", d.At, a.At, LinkDelay, LinkSilent, LinkOneWay, LinkMute) {
 				continue
 			}
 			found = append(found, fmt.Sprintf("%s reached %s through %s %s after it left", a.ID, d.Server, a.From, after.Round(time.Millisecond)))
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -122,13 +122,15 @@
 
 func TestPlansReplay(t *testing.T) {
 	is := is.New(t)
-	is.Equal(NewPlan(7, 6, defaultLength), NewPlan(7, 6, defaultLength))
-	seen := map[Kind]bool{}
-	for seed := range int64(60) {
-		for _, e := range NewPlan(seed, 6, defaultLength).Events {
-			is.True(e.At >= firstEvent && e.At <= defaultLength-lastEvent)
-			seen[e.Kind] = true
+	for _, kinds := range Catalogues {
+		is.Equal(NewPlan(kinds, 7, 6, defaultLength), NewPlan(kinds, 7, 6, defaultLength))
+		seen := map[Kind]bool{}
+		for seed := range int64(60) {
+			for _, e := range NewPlan(kinds, seed, 6, defaultLength).Events {
+				is.True(e.At >= firstEvent && e.At <= defaultLength-lastEvent)
+				seen[e.Kind] = true
+			}
 		}
+		is.Equal(len(seen), len(kinds))
 	}
-	is.Equal(len(seen), len(kinds))
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -36,13 +36,28 @@
 	LinkOneWay   Kind = "link-one-way"
 	Configure    Kind = "configure"
 	Evacuate     Kind = "evacuate"
+	// StoreBlink is a store that is silent for a moment; StoreMute and LinkMute are
+	// connections to the store and to a server that go silent for good.
+	StoreBlink Kind = "store-blink"
+	StoreMute  Kind = "store-mute"
+	LinkMute   Kind = "link-mute"
 )
 
-// kinds lists all kinds; a plan draws from it.
-var kinds = []Kind{
-	BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
-	ServerDrain, ServerCrash, ServerReuse, ServerSpoils, LinkDelay, LinkReset, LinkSilent, LinkOneWay, Configure, Evacuate,
-}
+// Catalogue is a list of kinds that a plan draws from. A seed draws the same plan from the
+// same catalogue for ever, so kinds are added in a new one.
+type Catalogue []Kind
+
+// FirstKinds and AllKinds are the catalogues.
+var (
+	FirstKinds = Catalogue{
+		BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
+		ServerDrain, ServerCrash, ServerReuse, ServerSpoils, LinkDelay, LinkReset, LinkSilent, LinkOneWay, Configure, Evacuate,
+	}
+	AllKinds = append(append(Catalogue{}, FirstKinds...), StoreBlink, StoreMute, LinkMute)
+)
+
+// Catalogues are named by numbers, from 1, in seeds.txt and on the command line.
+var Catalogues = []Catalogue{FirstKinds, AllKinds}
 
 // Event is one thing that happens.
 type Event struct {
@@ -75,8 +90,8 @@
 	seriesLength = 3
 )
 
-// NewPlan draws a plan. Events overlap, and some come in series.
-func NewPlan(seed int64, boxes int, length time.Duration) *Plan {
+// NewPlan draws a plan from a catalogue. Events overlap, and some come in series.
+func NewPlan(kinds Catalogue, seed int64, boxes int, length time.Duration) *Plan {
 	random := rand.New(rand.NewSource(seed))
 	p := &Plan{Seed: seed, Boxes: boxes, Length: length}
 	window := length - firstEvent - lastEvent
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -17,6 +17,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/stoneworks/stoneworks/test/addresses"
 	"github.com/stoneworks/stoneworks/test/faultproxy"
 	"github.com/stoneworks/stoneworks/test/machines"
 	"github.com/stoneworks/stoneworks/test/processes"
@@ -230,13 +231,18 @@
 	bin := flags.String("bin", "bin", "where the programs are")
 	seed := flags.Int64("seed", 0, "play this seed only; 0 draws fresh ones")
 	runs := flags.Int("runs", 10, "how many fresh seeds to play, one after the other")
+	catalogue := flags.Int("kinds", len(Catalogues), "the catalogue of kinds that a seed draws from; see plan.go")
 	boxes := flags.Int("boxes", 6, "how many boxes to run")
 	length := flags.Duration("for", defaultLength, "how long clients send in each run")
-	network := flags.String("network", "127.94.0", "the first three numbers of all addresses")
+	networks := flags.String("networks", "127.94", "the first two numbers of all addresses")
 	plan := flags.Bool("plan", false, "print what happens, too")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
+	if *catalogue < 1 || *catalogue > len(Catalogues) {
+		fmt.Fprintf(stderr, "there are catalogues 1 to %d\n", len(Catalogues))
+		return 2
+	}
 	seeds := []int64{*seed}
 	if *seed == 0 {
 		seeds = nil
@@ -244,13 +250,19 @@
 			seeds = append(seeds, 1+rand.Int63n(1_000_000))
 		}
 	}
+	network, err := addresses.Reserve(*networks)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return 1
+	}
+	defer network.Release()
 	broken := 0
 	for _, s := range seeds {
-		p := NewPlan(s, *boxes, *length)
+		p := NewPlan(Catalogues[*catalogue-1], s, *boxes, *length)
 		if *plan {
 			printPlan(stdout, p)
 		}
-		ok, err := playOne(p, *bin, *network, stdout)
+		ok, err := playOne(p, *bin, network.Prefix, stdout)
 		if err != nil {
 			fmt.Fprintf(stderr, "seed %d: %v\n", s, err)
 			return 1
@@ -279,7 +291,7 @@
 	for _, v := range found {
 		fmt.Fprintf(stdout, "BROKEN %s: %s\n", v.Check, v.Detail)
 	}
-	fmt.Fprintf(stdout, "logs in %s; again: make soak SEED=%d\n", dir, p.Seed)
+	fmt.Fprintf(stdout, "logs in %s; again: make soak SEED=%d BOXES=%d\n", dir, p.Seed, p.Boxes)
 	return false, err
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/test/addresses"
 )
 
 // ciSeed is played by every test run; the others are in seeds.txt.
@@ -33,37 +35,50 @@
 
 func playSeed(t *testing.T, bin string, plan *Plan) []Violation {
 	t.Helper()
-	found, err := Run(Options{Bin: bin, Dir: t.TempDir(), Network: "127.95.0", Plan: plan, Out: os.Stderr})
+	network, err := addresses.Reserve("127.97")
+	is.New(t).NoErr(err)
+	defer network.Release()
+	found, err := Run(Options{Bin: bin, Dir: t.TempDir(), Network: network.Prefix, Plan: plan, Out: os.Stderr})
 	is.New(t).NoErr(err)
 	return found
 }
 
-// TestSoak plays a short seeded run, and those of seeds.txt that are marked
-// for it.
+// TestSoak plays a short seeded run of each catalogue, and the seeds of seeds.txt.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
 	bin := build(t)
-	is.Equal(playSeed(t, bin, NewPlan(ciSeed, ciBoxes, ciLength)), nil)
-	for _, seed := range keptSeeds(t) {
-		is.Equal(playSeed(t, bin, NewPlan(seed, ciBoxes, ciLength)), nil)
+	for _, kinds := range Catalogues {
+		is.Equal(playSeed(t, bin, NewPlan(kinds, ciSeed, ciBoxes, ciLength)), nil)
+	}
+	for _, kept := range keptSeeds(t) {
+		is.Equal(playSeed(t, bin, NewPlan(kept.kinds, kept.seed, ciBoxes, ciLength)), nil)
 	}
 }
 
-// keptSeeds reads the seeds that ever failed: a number and its cause a line.
-func keptSeeds(t *testing.T) []int64 {
+// keptSeed is a seed that ever failed, with the catalogue that it draws from.
+type keptSeed struct {
+	seed  int64
+	kinds Catalogue
+}
+
+// keptSeeds reads the seeds that ever failed: a number, its catalogue and its cause a
+// line.
+func keptSeeds(t *testing.T) []keptSeed {
 	t.Helper()
 	file, err := os.Open("seeds.txt")
 	is.New(t).NoErr(err)
 	defer func() { _ = file.Close() }()
-	var seeds []int64
+	var seeds []keptSeed
 	for lines := bufio.NewScanner(file); lines.Scan(); {
-		number, _, _ := strings.Cut(lines.Text(), " ")
-		if number == "" || number == "#" {
+		fields := strings.Fields(lines.Text())
+		if len(fields) == 0 || fields[0] == "#" {
 			continue
 		}
-		seed, err := strconv.ParseInt(number, 10, 64)
+		seed, err := strconv.ParseInt(fields[0], 10, 64)
+		is.New(t).NoErr(err)
+		catalogue, err := strconv.Atoi(fields[1])
 		is.New(t).NoErr(err)
-		seeds = append(seeds, seed)
+		seeds = append(seeds, keptSeed{seed, Catalogues[catalogue-1]})
 	}
 	return seeds
 }
--- a/test/soak/strikes.go
+++ b/test/soak/strikes.go
@@ -27,6 +27,10 @@
 const (
 	// delay is what a slow link adds to each piece of data.
 	delay = 60 * time.Millisecond
+	// blinkShare is which part of an event's time a store is silent for a moment.
+	blinkShare = 3
+	// muteFound is after what time a connection that has gone silent breaks.
+	muteFound = 3 * time.Second
 	// replaceAfter is when a server that left has a successor.
 	replaceAfter = 800 * time.Millisecond
 	// restartPause is the pause before a process that ended starts again.
@@ -85,6 +89,14 @@
 		box.Signal(syscall.SIGHUP)
 	case StoreBusy, StoreMany, StoreSilent, StoreReset:
 		r.troubleStore(e)
+	case StoreBlink:
+		r.silenceStore(e)
+	case StoreMute:
+		r.open(StoreMute, "")()
+		r.store.Silence(muteFound)
+	case LinkMute:
+		r.open(LinkMute, "")()
+		server.link.Silence(muteFound)
 	case StoreForgets:
 		r.open(StoreForgets, "")()
 		r.fleet.Store.Compact()
@@ -169,6 +181,16 @@
 	})
 }
 
+// silenceStore has the store say nothing to any box for a moment.
+func (r *run) silenceStore(e Event) {
+	end := r.open(StoreBlink, "")
+	r.fleet.Store.SetTreat(func(string, string) machines.Mode { return machines.Silent })
+	r.later(e.For/blinkShare, func() {
+		r.fleet.Store.SetTreat(nil)
+		end()
+	})
+}
+
 // cutFromStore silences the link between a box and the store.
 func (r *run) cutFromStore(b *processes.Box, e Event) {
 	end := r.open(StoreCut, "")
