A look asks for configurations and evacuations too

Where all boxes that ask the store are turned away, configurations have the same bound as leaving servers (2.5 s), and were known only when a zone had found out. A look that is answered for the servers goes on to the other kinds.

--- a/pkg/steering/steering_confirm.go
+++ b/pkg/steering/steering_confirm.go
@@ -132,10 +132,10 @@
 	l.running, l.next = false, next
 }
 
-// lookForLeaving asks the store for what has changed in the list of servers where no
-// other box has told of it for long: those that ask in this one's place may have been
-// turned away, frozen or cut off, which their zone finds out later than a leaving server
-// must be known (TestBoxAsksItselfWhereAllThatAskAreTurnedAway).
+// lookForLeaving asks the store for what has changed where no other box has told of the
+// list of servers for long: those that ask in this one's place may have been turned away,
+// frozen or cut off, which their zone finds out later than a leaving server must be known
+// (TestBoxAsksItselfWhereAllThatAskAreTurnedAway).
 func (n *Node) lookForLeaving() {
 	ago, ok := n.store.list.ago()
 	longest := time.Duration(lookShare * float64(n.Settings.Bounds.Drain))
@@ -143,21 +143,35 @@
 		return
 	}
 	n.background.Go(func() {
-		metrics.GetOrRegisterCounter("store.looks", n.Metrics).Inc(1)
+		fields := map[string]any{"confirmed_ago_ms": ago.Milliseconds()}
 		made := time.Now()
-		ctx, cancel := context.WithTimeout(n.context, lookTime)
-		defer cancel()
-		err := n.followerOf(n.adapter.Kinds.Servers).Look(ctx)
-		if err != nil {
-			n.log.Warn("look at the list of servers not answered", map[string]any{
-				"confirmed_ago_ms": ago.Milliseconds(), "error": err.Error(),
-			})
+		if err := n.look(); err != nil {
+			fields["error"] = err.Error()
+			n.log.Warn("look at the store not answered", fields)
 			n.looks.end(made.Add(lookAgain * n.Settings.Bounds.Contact))
 			return
 		}
-		n.store.noteAnswer()
-		n.store.list.note(made)
 		n.looks.end(time.Time{})
-		n.log.Info("looked at the list of servers", map[string]any{"confirmed_ago_ms": ago.Milliseconds()})
+		n.log.Info("looked at the store", fields)
 	})
 }
+
+// look asks the store once for the changes of each kind, the servers' first. The error is
+// that of the first call that is not answered.
+func (n *Node) look() error {
+	ctx, cancel := context.WithTimeout(n.context, lookTime)
+	defer cancel()
+	kinds := n.adapter.Kinds
+	for _, kind := range []string{kinds.Servers, kinds.Configuration, kinds.Evacuations} {
+		metrics.GetOrRegisterCounter("store.looks", n.Metrics).Inc(1)
+		made := time.Now()
+		if err := n.followerOf(kind).Look(ctx); err != nil {
+			return err
+		}
+		n.store.noteAnswer()
+		if c := n.confirmationOf(kind); c != nil {
+			c.note(made)
+		}
+	}
+	return nil
+}
--- a/test/machines/contact_test.go
+++ b/test/machines/contact_test.go
@@ -54,6 +54,19 @@
 	return true
 }
 
+// watching returns the boxes that ask the store for their zones, one of each, once they
+// have settled that.
+func watching(t *testing.T, f *Fleet) map[string]bool {
+	t.Helper()
+	for range 4 {
+		if found := asking(f); len(found) == len(Zones) {
+			return found
+		}
+	}
+	t.Fatal("the boxes did not settle who asks the store")
+	return nil
+}
+
 // asking returns the boxes that ask the store, by their calls within a while.
 func asking(f *Fleet) map[string]bool {
 	before := map[string]int{}
@@ -84,10 +97,7 @@
 // leaving server in time, whoever else the store turns away.
 func TestBoxAsksItselfWhereAllThatAskAreTurnedAway(t *testing.T) {
 	f := newContactFleet(t)
-	away := asking(f)
-	if len(away) != len(Zones) {
-		t.Fatalf("%d boxes ask the store", len(away))
-	}
+	away := watching(t, f)
 	f.Store.SetTreat(func(ip, _ string) Mode {
 		if away[ip] {
 			return Silent
@@ -95,12 +105,16 @@
 		return Serving
 	})
 	f.List(f.Servers["east-a.2"], "shop", "east-a", "draining", 0)
+	f.Configure(2, read, Route{Prefix: "/new/", Kind: "safe", Service: "shop"})
 	time.Sleep(2400 * time.Millisecond)
+	var served []*Box
 	for _, b := range f.Boxes {
 		if !away[b.IP] {
 			is.New(t).True(knowsLeaver(b, "east-a.2"))
+			served = append(served, b)
 		}
 	}
+	is.New(t).True(allServe("/new/", served)()) // configurations have the same bound
 }
 
 // TestShortSilenceOfTheStoreLeavesNoBoxDeaf: what is asked of a store that says nothing
