Windows of repeats and shifts are counted by the monotonic clock

Cause: they were counted by the time of day; a step ahead empties them (more repeats and shifts than the bounds allow, limited by saved tokens), a step back counts old buckets twice. Test: the core packages call nothing that reads the time of day (failed for both).

--- a/pkg/backend/spill.go
+++ b/pkg/backend/spill.go
@@ -11,7 +11,9 @@
 type spillGuard struct {
 	requests [2 * spillBuckets]int
 	spilled  [2 * spillBuckets]int
-	at       int64
+	// began is when the first request was counted; buckets are counted from then on.
+	began time.Time
+	at    int64
 }
 
 // request counts a request.
@@ -49,7 +51,10 @@
 }
 
 func (g *spillGuard) advance(terms *Terms, now time.Time) {
-	at := now.UnixNano() / int64(terms.ShiftWindow/spillBuckets)
+	if g.began.IsZero() {
+		g.began = now
+	}
+	at := int64(now.Sub(g.began) / (terms.ShiftWindow / spillBuckets))
 	size := int64(len(g.requests))
 	for steps := int64(0); g.at < at && steps < size; steps++ {
 		g.at++
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -42,6 +42,9 @@
 	// Now is the clock; it must be monotonic.
 	Now func() time.Time
 
+	// began is when the budget was made; buckets are counted from then on.
+	began time.Time
+
 	mu       sync.Mutex
 	services map[string]*account
 	// most is the largest number of boxes that was seen within a window, as
@@ -61,7 +64,7 @@
 
 // NewBudget makes a budget in which nothing is spent.
 func NewBudget(terms Terms, boxes func() int, now func() time.Time) *Budget {
-	return &Budget{Terms: terms, Boxes: boxes, Now: now, services: map[string]*account{}}
+	return &Budget{Terms: terms, Boxes: boxes, Now: now, began: now(), services: map[string]*account{}}
 }
 
 // Request counts a request for the service.
@@ -108,7 +111,7 @@
 
 // advance returns the service's account, with what is too old forgotten.
 func (b *Budget) advance(service string) *account {
-	now := b.Now().UnixNano() / int64(b.Terms.Window/(buckets-1))
+	now := int64(b.Now().Sub(b.began) / (b.Terms.Window / (buckets - 1)))
 	a := b.services[service]
 	if a == nil {
 		a = &account{at: now}
--- /dev/null
+++ b/pkg/timer/time_of_day_test.go
@@ -0,0 +1,46 @@
+package timer
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// monotonicPackages decide by spans of time, which a step of the time of day must not
+// change.
+var monotonicPackages = []string{"backend", "customer", "directory", "findings", "gossip", "objects", "quota", "retry", "routing", "watcher"}
+
+// timeOfDay are the methods of time.Time that read the time of day where the monotonic
+// clock is to be read. Windows of repeats and of shifts were counted by it: a step ahead
+// emptied them.
+var timeOfDay = map[string]bool{"Unix": true, "UnixNano": true, "UnixMilli": true, "UnixMicro": true, "Truncate": true, "UTC": true, "Local": true}
+
+func TestCoreReadsNoTimeOfDay(t *testing.T) {
+	is := is.New(t)
+	for _, name := range monotonicPackages {
+		files, err := filepath.Glob("../" + name + "/*.go")
+		is.NoErr(err)
+		is.True(len(files) > 0)
+		for _, path := range files {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(path)
+			is.NoErr(err)
+			file, err := parser.ParseFile(token.NewFileSet(), path, text, 0)
+			is.NoErr(err)
+			ast.Inspect(file, func(n ast.Node) bool {
+				if s, ok := n.(*ast.SelectorExpr); ok && timeOfDay[s.Sel.Name] {
+					t.Errorf("%s uses %s", path, s.Sel.Name)
+				}
+				return true
+			})
+		}
+	}
+}
