--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -226,3 +227,56 @@
 		}()
 	}
 }
+
+// The story. An availability zone was cut off. A box passed a request on to a server beyond the
+// cut, gave it up at its client's deadline, 0.8 s later, and closed the connection. When the cut
+// had healed the request arrived, 8 s after it was sent; the server had left meanwhile.
+//
+// The cause: a connection that is closed still delivers what it holds; only one that is reset
+// drops it. The kernel's time-out for unacknowledged bytes, 1.5 s, does not end a connection
+// that was closed before. The evidence: the log of the box ends the request at 0.8 s; the
+// server ran it 3.4 s after the cut had healed, when the kernel sent it once more.
+
+// TestExchangeThatIsGivenUpIsReset: nothing of it is delivered later.
+func TestExchangeThatIsGivenUpIsReset(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		end    func(cancel context.CancelFunc)
+		answer string
+	}{
+		{"the time is over", func(context.CancelFunc) {}, ""},
+		{"the client leaves", func(cancel context.CancelFunc) { cancel() }, ""},
+		{"the answer breaks off", func(context.CancelFunc) {}, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			p := NewPool(l.Addr().String(), 1, func(ctx context.Context, address string) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				a, err := p.Do(ctx, newRequest("once"))
+				if err == nil {
+					_, _ = io.ReadAll(a.Body)
+				}
+			}()
+			server, err := l.Accept()
+			is.NoErr(err)
+			defer func() { _ = server.Close() }()
+			_, err = io.WriteString(server, c.answer)
+			is.NoErr(err)
+			time.Sleep(20 * time.Millisecond)
+			c.end(cancel)
+			<-ended
+			_ = server.SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, err = io.Copy(io.Discard, server)
+			is.True(errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+}
