Package replica: a box's copies of what the store holds, out of package steering

Behaviour is meant to stay: followers, roles, what is taken over from other boxes, confirmations and looks move to a package without sockets, of which the tests of silences need no box any more.

--- a/pkg/steering/steering_calls.go
+++ b/pkg/replica/calls.go
@@ -1,4 +1,4 @@
-package steering
+package replica
 
 import (
 	"errors"
@@ -8,7 +8,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 )
 
@@ -17,41 +16,41 @@
 // hear nothing any more while another one is answered.
 // ================================================================
 
-// watchCalls returns what is to be called with each call for a kind of objects. It
+// tellsCalls returns what is to be called with each call for a kind of objects. It
 // tells how long ago the store last answered, the first call of a row that was not
 // answered, and the first one that is again; each single call in lines for debugging.
-func (n *Node) watchCalls(kind string, log *logging.Part) func(c objects.Call) {
+func (r *Replica) tellsCalls(kind string) func(c objects.Call) {
 	var answered atomic.Int64
-	answered.Store(int64(n.store.age()))
+	answered.Store(int64(r.contact.age()))
 	gauge := metrics.NewFunctionalGauge(func() int64 {
-		return (n.store.age() - time.Duration(answered.Load())).Milliseconds()
+		return (r.contact.age() - time.Duration(answered.Load())).Milliseconds()
 	})
-	if err := n.Metrics.Register("store.answered_ago."+kind, gauge); err != nil {
-		log.Warn("metric not told", map[string]any{"kind": kind, "error": err.Error()})
+	if err := r.Metrics.Register("store.answered_ago."+kind, gauge); err != nil {
+		r.StoreLog.Warn("metric not told", map[string]any{"kind": kind, "error": err.Error()})
 	}
 	var mu sync.Mutex
 	failed := 0
 	return func(c objects.Call) {
 		mu.Lock()
 		defer mu.Unlock()
-		silent := n.store.age() - time.Duration(answered.Load())
-		log.Debug("call ended", callFields(kind, c))
+		silent := r.contact.age() - time.Duration(answered.Load())
+		r.StoreLog.Debug("call ended", callFields(kind, c))
 		if isAnswer(c.Err) {
-			answered.Store(int64(n.store.age()))
+			answered.Store(int64(r.contact.age()))
 			if failed > 0 {
-				log.Info("store answers again", map[string]any{"kind": kind, "silent_ms": silent.Milliseconds(), "failed": failed})
+				r.StoreLog.Info("store answers again", map[string]any{"kind": kind, "silent_ms": silent.Milliseconds(), "failed": failed})
 			}
 			failed = 0
 			return
 		}
-		if !n.watching.Load() {
+		if !r.watching.Load() {
 			// Calls of a box that has left the role are cut short.
 			failed = 0
 			return
 		}
 		failed++
 		if failed == 1 {
-			log.Warn("store does not answer", callFields(kind, c))
+			r.StoreLog.Warn("store does not answer", callFields(kind, c))
 		}
 	}
 }
--- a/pkg/steering/store_contact.go
+++ b/pkg/replica/contact.go
@@ -1,4 +1,4 @@
-package steering
+package replica
 
 import (
 	"sync"
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// storeContact is what a box has seen of the platform's store.
-type storeContact struct {
+// contact is what a box has seen of the platform's store.
+type contact struct {
 	// started is the start of the box, and within the time of contact.
 	started time.Time
 	within  time.Duration
@@ -34,6 +34,16 @@
 // note notes that the copy was the newest at a time.
 func (c *confirmation) note(at time.Time) { raise(&c.at, int64(at.Sub(c.started))) }
 
+// told returns what heartbeats tell of the copy of a box that asks the store: how long ago
+// it was the newest, in milliseconds and one more; 0 for other boxes.
+func (c *confirmation) told(watching bool) uint32 {
+	ago, ok := c.ago()
+	if !ok || !watching {
+		return 0
+	}
+	return 1 + uint32(ago.Milliseconds())
+}
+
 // ago is how long ago the copy was last known to be the newest; ok is false if it
 // never was.
 func (c *confirmation) ago() (ago time.Duration, ok bool) {
@@ -41,15 +51,15 @@
 	return time.Since(c.started) - time.Duration(at), at != 0
 }
 
-func newStoreContact(started time.Time, within time.Duration) *storeContact {
-	c := &storeContact{started: started, within: within, failing: map[string]bool{}}
+func newContact(started time.Time, within time.Duration) *contact {
+	c := &contact{started: started, within: within, failing: map[string]bool{}}
 	c.configuration.started, c.list.started = started, started
 	return c
 }
 
 // setFailing notes whether the last call for a kind failed, and reports whether the
 // one before did.
-func (c *storeContact) setFailing(kind string, failing bool) (before bool) {
+func (c *contact) setFailing(kind string, failing bool) (before bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before = c.failing[kind]
@@ -58,14 +68,14 @@
 }
 
 // isFailing reports whether the last call for a kind was not answered.
-func (c *storeContact) isFailing(kind string) bool {
+func (c *contact) isFailing(kind string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.failing[kind]
 }
 
 // lost reports whether the last call for any kind was not answered.
-func (c *storeContact) lost() bool {
+func (c *contact) lost() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, failing := range c.failing {
@@ -78,15 +88,15 @@
 
 // forgetFailures takes no kind for failing any more: the box asks from now on, or has
 // left that to others.
-func (c *storeContact) forgetFailures() {
+func (c *contact) forgetFailures() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.failing)
 }
 
-func (c *storeContact) age() time.Duration { return time.Since(c.started) }
+func (c *contact) age() time.Duration { return time.Since(c.started) }
 
-func (c *storeContact) noteAnswer() { c.answered.Store(int64(c.age())) }
+func (c *contact) noteAnswer() { c.answered.Store(int64(c.age())) }
 
 // raise sets a moment to a later one.
 func raise(moment *atomic.Int64, to int64) {
@@ -103,18 +113,29 @@
 // on, the list of servers would not be trusted until 3.6 s after the time of contact, and
 // servers that left meanwhile without a word would be kept
 // (TestVanishedServerIsLeftAtOnceWhenTheStoreIsWell).
-func (c *storeContact) noteFailure(made time.Time) {
+func (c *contact) noteFailure(made time.Time) {
 	raise(&c.failed, int64(made.Sub(c.started)))
 }
 
 // answeredLately reports whether the store has answered this box lately.
-func (c *storeContact) answeredLately() bool {
+func (c *contact) answeredLately() bool {
 	return c.age()-time.Duration(c.answered.Load()) < c.within
 }
 
 // healthy reports whether the store has answered this box without fail for a
 // while.
-func (c *storeContact) healthy() bool {
+func (c *contact) healthy() bool {
 	failed := c.failed.Load()
 	return c.answeredLately() && (failed == 0 || c.age()-time.Duration(failed) > c.within)
 }
+
+// confirmed notes that the copy of a kind was the newest at a time. Of evacuations nothing
+// is told.
+func (c *contact) confirmed(kinds Kinds, kind string, at time.Time) {
+	switch kind {
+	case kinds.Configuration:
+		c.configuration.note(at)
+	case kinds.Servers:
+		c.list.note(at)
+	}
+}
--- /dev/null
+++ b/pkg/replica/follow.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/objects"
+)
+
+// ================================================================
+// This box's own calls of the store.
+// ================================================================
+
+const (
+	// watchShare is which part of the time of contact a watch waits. A store that falls
+	// silent never answers what it is asked meanwhile, and goes on answering what it was
+	// asked before; so each watch notices by itself, and asks anew, within that time. When
+	// the watches of servers and evacuations waited for 25 s and relied on that of the
+	// configuration, a silence of 1 s left them deaf for 26 s at all boxes
+	// (TestSilentStoreLeavesNoWatchDeaf).
+	watchShare = 0.6
+	// listWatchShare is which part of the time in which a server drains a watch of the
+	// servers waits. Each answer confirms the list, also to the boxes that rely on this
+	// one: with a heartbeat, half a second later at most.
+	listWatchShare = 0.5
+)
+
+func (r *Replica) newFollower(kind string) *objects.Follower {
+	wait := time.Duration(watchShare * float64(r.Contact))
+	if kind == r.Kinds.Servers {
+		wait = min(wait, time.Duration(listWatchShare*float64(r.Drain)))
+	}
+	f := objects.NewFollower(r.Client, r.mirrors[kind], wait, rand.Float64)
+	f.Allowed = r.watching.Load
+	f.ReadsOn = r.readsOn
+	f.Ended = r.tellsCalls(kind)
+	f.Succeeded = func() {
+		r.contact.noteAnswer()
+		r.contact.confirmed(r.Kinds, kind, time.Now())
+		r.storeSpoke(f, r.contact.setFailing(kind, false))
+		r.Answered()
+	}
+	f.Failed = func(error) {
+		if !r.watching.Load() {
+			return
+		}
+		r.contact.noteFailure(f.Began())
+		r.contact.setFailing(kind, true)
+	}
+	return f
+}
+
+// storeSpoke makes the other followers ask at once where they failed too. If the store
+// did not answer this one before, it was silent, and calls of others that are older
+// than the one it has answered now may hang.
+func (r *Replica) storeSpoke(answered *objects.Follower, failedBefore bool) {
+	for kind, f := range r.followers {
+		if f == answered {
+			continue
+		}
+		if failedBefore {
+			f.RestartBefore(answered.Began())
+		}
+		if r.contact.isFailing(kind) {
+			f.Hurry()
+		}
+	}
+}
--- a/pkg/steering/steering_store_test.go
+++ b/pkg/replica/silence_test.go
@@ -1,4 +1,4 @@
-package steering
+package replica
 
 import (
 	"context"
@@ -7,20 +7,21 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
-	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
 // The story. Servers were replaced one after the other when the platform's store said
@@ -186,28 +187,71 @@
 	}
 }
 
-// newNodeOf makes a box that asks the store of a test, without sockets.
-func newNodeOf(s *silentStore) *Node {
-	adapter := &Adapter{
-		Kinds: storeKinds,
-		Store: func(string, func(context.Context, string) (net.Conn, error), func(string)) *objects.Client {
-			return &objects.Client{List: s.list, Watch: s.watch}
-		},
-		Configuration: func(o objects.Object) (*routing.Configuration, error) {
-			c := &routing.Configuration{}
-			return c, json.Unmarshal(o.Spec, c)
-		},
-		Server: func(o objects.Object) (backend.Server, error) {
-			v := backend.Server{}
-			return v, json.Unmarshal(o.Spec, &v)
-		},
-	}
-	settings := settings.Defaults()
-	settings.Bounds.Contact = 4 * time.Second
-	settings.Bounds.Drain = 2500 * time.Millisecond
-	n := New(&settings, adapter, logging.NewAsyncJSONHandler(io.Discard))
-	n.watching.Store(true)
-	return n
+// modelBox is a box's copies of what the store of a test holds, with what it makes of
+// them, without sockets.
+type modelBox struct {
+	*Replica
+	set *backend.Set
+	// version is the one of the configuration in force.
+	version atomic.Uint64
+	group   sync.WaitGroup
+	stop    context.CancelFunc
+}
+
+const (
+	contactTime = 4 * time.Second
+	drainTime   = 2500 * time.Millisecond
+	// tickEvery is how often a box decides what it does next.
+	tickEvery = 100 * time.Millisecond
+)
+
+func newModelBox(t *testing.T, s *silentStore) *modelBox {
+	t.Helper()
+	b := &modelBox{}
+	ctx, stop := context.WithCancel(t.Context())
+	b.stop = stop
+	log := logging.For(logging.New(logging.NewAsyncJSONHandler(io.Discard), logging.ParseLevel("info")), "test")
+	region := func(string) string { return "east" }
+	b.set = backend.NewSet(backend.Terms{ShiftWindow: 2 * time.Second, Forget: 1500 * time.Millisecond}, "east-a", region, func() int { return 1 }, time.Now)
+	b.Replica = New(Options{
+		Kinds: storeKinds, Zone: "east-a", Contact: contactTime, Drain: drainTime,
+		Client:          &objects.Client{List: s.list, Watch: s.watch},
+		Members:         gossip.NewTable(gossip.Record{Box: "box", Zone: "east-a"}, time.Now, rand.IntN),
+		WatchersPerZone: func() int { return 1 },
+		Answered:        func() {},
+		Go:              func(work func()) { b.group.Go(work) }, Context: ctx,
+		Metrics: metrics.NewRegistry(), BoxLog: log, StoreLog: log,
+	})
+	b.OnChange(storeKinds.Servers, func(o objects.Object, gone bool) {
+		if gone {
+			b.set.Remove(o.Name, b.TrustsList())
+			return
+		}
+		var v backend.Server
+		if err := json.Unmarshal(o.Spec, &v); err != nil {
+			t.Error(err)
+		}
+		b.set.Put(v)
+	})
+	b.OnChange(storeKinds.Configuration, func(o objects.Object, _ bool) {
+		var version uint64
+		if err := json.Unmarshal(o.Spec, &version); err != nil {
+			t.Error(err)
+		}
+		b.version.Store(version)
+	})
+	return b
+}
+
+// run runs the box until it is stopped.
+func (b *modelBox) run() {
+	b.Run()
+	b.Go(func() {
+		for b.Context.Err() == nil {
+			b.Tick()
+			time.Sleep(tickEvery)
+		}
+	})
 }
 
 // replaceServers has one of five servers change each 0.6 s until the context ends.
@@ -232,19 +276,19 @@
 // begins, what it takes when it has been well for the time of contact is heard in time:
 // servers that leave, evacuations, configurations.
 func TestSilentStoreLeavesNoWatchDeaf(t *testing.T) {
-	forEachSilence(t, func(is *is.I, s *silentStore, n *Node) {
+	forEachSilence(t, func(is *is.I, s *silentStore, b *modelBox) {
 		s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop", Draining: true})
 		s.put(storeKinds.Evacuations, "east", struct{}{})
-		s.put(storeKinds.Configuration, "main", routing.Configuration{Version: 2})
+		s.put(storeKinds.Configuration, "main", 2)
 		time.Sleep(heardWithin)
-		for _, v := range n.Set.List() {
+		for _, v := range b.set.List() {
 			if v.ID == "leaver" {
 				is.True(v.Draining) // the server that left is known to leave
 			}
 		}
-		items, _ := n.mirrors[storeKinds.Evacuations].Items()
-		is.Equal(len(items), 3)                                   // the evacuations are known
-		is.Equal(n.table.Load().Configuration.Version, uint64(2)) // the configuration is in force
+		items, _ := b.Mirror(storeKinds.Evacuations).Items()
+		is.Equal(len(items), 3)               // the evacuations are known
+		is.Equal(b.version.Load(), uint64(2)) // the configuration is in force
 	})
 }
 
@@ -253,13 +297,13 @@
 // whose entry may have been lost while the store was away: kept for up to 2.25 s after news
 // that may take 0.9 s, it would get requests for longer than the 2.5 s that are allowed.
 func TestVanishedServerIsLeftAtOnceWhenTheStoreIsWell(t *testing.T) {
-	forEachSilence(t, func(is *is.I, s *silentStore, n *Node) {
+	forEachSilence(t, func(is *is.I, s *silentStore, b *modelBox) {
 		anywhere := func(string) bool { return true }
-		_, err := n.Set.Choose(&backend.Request{Service: "lone", RegionAllowed: anywhere})
+		_, err := b.set.Choose(&backend.Request{Service: "lone", RegionAllowed: anywhere})
 		is.NoErr(err)
 		s.remove(storeKinds.Servers, "lone")
 		time.Sleep(heardWithin)
-		_, err = n.Set.Choose(&backend.Request{Service: "lone", RegionAllowed: anywhere})
+		_, err = b.set.Choose(&backend.Request{Service: "lone", RegionAllowed: anywhere})
 		var choice *backend.ChoiceError
 		is.True(errors.As(err, &choice))
 		is.Equal(choice.Reason, backend.NoServer)
@@ -268,7 +312,7 @@
 
 // forEachSilence has the store fall silent for a while at many moments, while servers are
 // replaced, and calls play when it has been well for the time of contact.
-func forEachSilence(t *testing.T, play func(is *is.I, s *silentStore, n *Node)) {
+func forEachSilence(t *testing.T, play func(is *is.I, s *silentStore, b *modelBox)) {
 	for _, silence := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
 		for begin := time.Duration(0); begin < 3*time.Second; begin += 300 * time.Millisecond {
 			t.Run(fmt.Sprintf("%s from %s on", silence, begin), func(t *testing.T) {
@@ -278,21 +322,20 @@
 	}
 }
 
-func playSilence(t *testing.T, begin, silence time.Duration, play func(is *is.I, s *silentStore, n *Node)) {
+func playSilence(t *testing.T, begin, silence time.Duration, play func(is *is.I, s *silentStore, b *modelBox)) {
 	s := newSilentStore()
-	s.put(storeKinds.Configuration, "main", routing.Configuration{Version: 1})
+	s.put(storeKinds.Configuration, "main", 1)
 	s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop"})
 	s.put(storeKinds.Servers, "lone", backend.Server{ID: "lone", Service: "lone", Slots: 4})
 	s.put(storeKinds.Evacuations, "west", struct{}{})
-	n := newNodeOf(s)
+	b := newModelBox(t, s)
 	replacing, stopReplacing := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	running.Go(func() { replaceServers(replacing, s) })
-	for _, f := range n.followers {
-		running.Go(func() { f.Run(n.context) })
-	}
-	defer running.Wait()
-	defer n.stop()
+	var replacer sync.WaitGroup
+	replacer.Go(func() { replaceServers(replacing, s) })
+	b.run()
+	defer replacer.Wait()
+	defer b.group.Wait()
+	defer b.stop()
 	defer stopReplacing()
 	time.Sleep(4*time.Second + begin)
 	s.put(storeKinds.Evacuations, "south", struct{}{})
@@ -300,6 +343,6 @@
 	time.Sleep(silence)
 	s.setSilent(false)
 	stopReplacing()
-	time.Sleep(n.Settings.Bounds.Contact)
-	play(is.New(t), s, n)
+	time.Sleep(contactTime)
+	play(is.New(t), s, b)
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -25,18 +25,18 @@
 	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/quota"
+	"github.com/stoneworks/stoneworks/pkg/replica"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
-	"github.com/stoneworks/stoneworks/pkg/watcher"
 )
 
 // Adapter is what a platform's adapter brings.
 type Adapter struct {
 	// Kinds are the names of the kinds of objects in the store.
-	Kinds Kinds
+	Kinds replica.Kinds
 	// Store makes the client of the store.
 	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string)) *objects.Client
 	// Configuration, Server read objects of the store.
@@ -49,13 +49,6 @@
 	Directory func(resolve func(directory.Query) directory.Answer) HTTPHandler
 }
 
-// Kinds are the names of the kinds of objects in the store.
-type Kinds struct {
-	Configuration string
-	Servers       string
-	Evacuations   string
-}
-
 // Node is one box.
 type Node struct {
 	Settings *settings.Settings
@@ -64,35 +57,23 @@
 	Metrics  metrics.Registry
 
 	Members   *gossip.Table
+	Replica   *replica.Replica
 	Set       *backend.Set
 	Budget    *retry.Budget
 	Quota     *quota.Limiter
 	Directory *directory.Directory
 	Ingress   *ingress.Server
 
-	adapter   *Adapter
-	handler   *logging.AsyncHandler
-	log       *logging.Part
-	started   time.Time
-	table     atomic.Pointer[routing.Table]
-	mirrors   map[string]*objects.Mirror
-	followers []*objects.Follower
-	seeds     atomic.Pointer[[]string]
-	policy    atomic.Pointer[policy.Policy]
+	adapter *Adapter
+	handler *logging.AsyncHandler
+	log     *logging.Part
+	started time.Time
+	table   atomic.Pointer[routing.Table]
+	seeds   atomic.Pointer[[]string]
+	policy  atomic.Pointer[policy.Policy]
 
-	store *storeContact
-	// looks are this box's own questions for leaving servers, and claims what other
-	// boxes say of copies that this one does not have yet.
-	looks  looks
-	claims claims
-	// watching: this box is one that asks the store; unannounced: it has
-	// changes that it has not told its zone of yet.
-	watching    atomic.Bool
-	unannounced atomic.Bool
-	role        *watcher.Role
-	// roleMu keeps two decisions on the role apart.
-	roleMu sync.Mutex
-	pulls  *pulls
+	// packed are whole copies as they are handed over, and told is what this box last
+	// announced of itself.
 	packed packedMirrors
 	told   told
 	// findings are what other boxes are to know of backend servers, and
@@ -137,11 +118,8 @@
 		handler:  handler,
 		log:      logging.For(logger, "box"),
 		started:  started,
-		mirrors:  map[string]*objects.Mirror{},
 		pools:    map[string]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(time.Now),
-		pulls:    newPulls(),
-		store:    newStoreContact(started, s.Bounds.Contact),
 		ports:    &ports{},
 		refused:  map[string]bool{},
 	}
@@ -160,10 +138,9 @@
 		TTL: min(preferredTTL, s.LookupTTL), RegionOf: n.Topology.RegionOf,
 		Self: n.Members.Self, EachLive: n.Members.EachLive, RegionAllowed: n.hostAllowed,
 	}
+	n.newReplica(logging.For(logger, "store"))
 	n.newQuota()
 	n.newIngress(logging.For(logger, "request"))
-	n.role = watcher.New(func() int { return n.policy.Load().WatchersPerZone }, s.Bounds.Contact, n.started, rand.Float64())
-	n.newFollowers(logging.For(logger, "store"))
 	return n
 }
 
@@ -238,7 +215,7 @@
 		Policy:   n.policy.Load,
 		Dialect:  n.adapter.Dialect,
 		Table:    n.table.Load,
-		Current:  n.current,
+		Current:  n.Replica.Current,
 		Leaving:  n.leaving.Load,
 		Closed:   n.closed.Load,
 		Splitter: routing.NewSplitter(),
@@ -261,13 +238,6 @@
 // age returns how long this life of the box has lasted.
 func (n *Node) age() time.Duration { return time.Since(n.started) }
 
-// current reports whether the store answered lately, this box or one that
-// tells this box of it, so that what is not in the configuration does not
-// exist.
-func (n *Node) current() bool {
-	return n.store.answeredLately() || !n.watching.Load() && n.anyStoreHealthy()
-}
-
 // revokeMargin is by how much sooner than the bound a box stops to trust its keys: a
 // confirmation may have been on its way for as long.
 const revokeMargin = 500 * time.Millisecond
@@ -280,24 +250,10 @@
 	if !b.EnforceRevocation {
 		return true
 	}
-	ago, ok := n.store.configuration.ago()
+	ago, ok := n.Replica.ConfigurationAge()
 	return ok && ago <= b.Revoke-min(revokeMargin, b.Revoke/2)
 }
 
-// anyStoreHealthy reports whether the store has answered any other live box
-// without fail.
-func (n *Node) anyStoreHealthy() bool {
-	healthy := false
-	n.Members.EachLive(func(r *gossip.Record) { healthy = healthy || r.StoreHealthy })
-	return healthy
-}
-
-// trustsList reports whether a server that the store no longer lists is to be
-// taken as gone: the store has had no trouble lately, for this box or for any
-// other that is live. A store that was down for all may have lost entries of
-// servers that are well.
-func (n *Node) trustsList() bool { return n.store.healthy() || n.anyStoreHealthy() }
-
 // hostAllowed reports whether any route of the host may run in the region.
 func (n *Node) hostAllowed(host, region string) bool {
 	t := n.table.Load()
@@ -319,7 +275,7 @@
 // checkReady looks whether the box can serve requests: it has a configuration
 // and backend servers.
 func (n *Node) checkReady() {
-	ready := n.table.Load() != nil && n.Set.HasServers() && n.mirrors[n.adapter.Kinds.Evacuations].Synced()
+	ready := n.table.Load() != nil && n.Set.HasServers() && n.Replica.Mirror(n.adapter.Kinds.Evacuations).Synced()
 	if ready != n.ready.Swap(ready) {
 		n.readySince.Store(int64(n.age()))
 		n.log.Info("readiness changed", map[string]any{"ready": ready})
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -9,7 +9,6 @@
 
 	"github.com/stoneworks/stoneworks/pkg/findings"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
-	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/quota"
 )
 
@@ -27,9 +26,7 @@
 	n.checkReady()
 	n.refreshSelf()
 	n.sendBeat()
-	for kind, m := range n.mirrors {
-		n.catchUp(kind, m, false)
-	}
+	n.Replica.Beat()
 }
 
 func (n *Node) sendBeat() {
@@ -54,9 +51,8 @@
 		// The seeds may have started after this box.
 		n.sendBeat()
 	}
-	n.chooseRole()
-	n.lookForLeaving()
-	changed := n.watching.Load() && n.unannounced.Swap(false)
+	n.Replica.Tick()
+	changed := n.Replica.TakeNews()
 	n.refreshSelf()
 	self := n.Members.Self()
 	now := told{ready: self.Ready, storeHealthy: self.StoreHealthy, trying: self.Trying, serving: self.Serving}
@@ -67,22 +63,11 @@
 }
 
 func (n *Node) refreshSelf() {
-	versions := map[string]objects.Version{}
-	for kind, m := range n.mirrors {
-		if m.Synced() {
-			versions[kind] = m.Version()
-		}
-	}
-	synced := len(versions) == len(n.mirrors)
-	confirmed, listConfirmed := n.tellsConfirmed(&n.store.configuration), n.tellsConfirmed(&n.store.list)
 	n.Members.Update(func(self *gossip.Record) {
-		self.ConfirmedAgo, self.ListConfirmedAgo = confirmed, listConfirmed
-		self.Versions = versions
+		n.Replica.Tell(self)
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
 		self.Serving = n.serving()
-		self.StoreHealthy = n.watching.Load() && synced && n.store.healthy()
-		self.Trying = n.watching.Load() && !self.StoreHealthy
 	})
 }
 
@@ -151,6 +136,5 @@
 	for _, e := range greetings {
 		n.send(e)
 	}
-	n.catchUpWith(&m.From)
-	n.hearConfirmations(&m.From)
+	n.Replica.Hear(&m.From)
 }
--- a/pkg/steering/steering_mirrors_test.go
+++ b/pkg/steering/steering_mirrors_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/replica"
 )
 
 // newMirror makes a mirror of so many servers, with entries of their usual size.
@@ -41,7 +42,7 @@
 	is.NoErr(err)
 	r, err := gzip.NewReader(bytes.NewReader(later))
 	is.NoErr(err)
-	var body mirrorBody
+	var body replica.Handover
 	is.NoErr(json.NewDecoder(r).Decode(&body))
 	is.Equal(len(body.Items), 101)
 	is.Equal(body.At, uint64(101))
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -40,9 +40,7 @@
 	n.background.Go(func() { n.Timers.Run(n.context) })
 	n.background.Go(n.receiveDatagrams)
 	n.background.Go(func() { n.ports.serveClients(n.counting(n.Ingress)) })
-	for _, f := range n.followers {
-		n.background.Go(func() { f.Run(n.context) })
-	}
+	n.Replica.Run()
 	n.beat()
 	n.background.Go(n.meet)
 	n.log.Info("started", map[string]any{"box": n.Settings.Box, "zone": n.Settings.Zone, "life": n.started.UnixNano()})
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -1,155 +1,36 @@
 package steering
 
 import (
-	"math/rand/v2"
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
-	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/replica"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/watcher"
 )
 
-// watchShare is which part of the time of contact a watch waits. A store that falls
-// silent never answers what it is asked meanwhile, and goes on answering what it was
-// asked before; so each watch notices by itself, and asks anew, within that time. When
-// the watches of servers and evacuations waited for 25 s and relied on that of the
-// configuration, a silence of 1 s left them deaf for 26 s at all boxes
-// (TestSilentStoreLeavesNoWatchDeaf).
-const watchShare = 0.6
+// ================================================================
+// What this box makes of the store's objects.
+// ================================================================
 
-func (n *Node) newFollowers(log *logging.Part) {
-	kinds := n.adapter.Kinds
-	client := n.adapter.Store(n.Settings.Platform.Address, n.dialPeer, func(verb string) {
-		metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
+func (n *Node) newReplica(log *logging.Part) {
+	s, kinds := n.Settings, n.adapter.Kinds
+	n.Replica = replica.New(replica.Options{
+		Kinds: kinds, Zone: s.Zone, Contact: s.Bounds.Contact, Drain: s.Bounds.Drain,
+		Client: n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
+			metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
+		}),
+		Members: n.Members, Fetch: n.fetchMirror,
+		WatchersPerZone: func() int { return n.policy.Load().WatchersPerZone },
+		Answered:        n.checkReady,
+		Go:              n.background.Go, Context: n.context,
+		Metrics: n.Metrics, BoxLog: n.log, StoreLog: log,
 	})
-	all := []string{kinds.Configuration, kinds.Servers, kinds.Evacuations}
-	for _, kind := range all {
-		n.mirrors[kind] = objects.NewMirror(kind)
-	}
-	n.mirrors[kinds.Configuration].Changed = func(o objects.Object, gone bool) {
-		n.configurationChanged(log, o, gone)
-		n.unannounced.Store(true)
-	}
-	n.mirrors[kinds.Servers].Changed = func(o objects.Object, gone bool) {
-		n.serverChanged(log, o, gone)
-		n.unannounced.Store(true)
-	}
+	n.Replica.OnChange(kinds.Configuration, func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) })
+	n.Replica.OnChange(kinds.Servers, func(o objects.Object, gone bool) { n.serverChanged(log, o, gone) })
 	evacuated := map[string]bool{}
-	n.mirrors[kinds.Evacuations].Changed = func(o objects.Object, gone bool) {
-		n.evacuationChanged(log, evacuated, o, gone)
-		n.unannounced.Store(true)
-	}
-	for _, kind := range all {
-		n.followers = append(n.followers, n.newFollower(client, kind, log))
-	}
-}
-
-func (n *Node) newFollower(client *objects.Client, kind string, log *logging.Part) *objects.Follower {
-	wait := time.Duration(watchShare * float64(n.Settings.Bounds.Contact))
-	if kind == n.adapter.Kinds.Servers {
-		wait = min(wait, time.Duration(listWatchShare*float64(n.Settings.Bounds.Drain)))
-	}
-	f := objects.NewFollower(client, n.mirrors[kind], wait, rand.Float64)
-	f.Allowed = n.watching.Load
-	f.ReadsOn = func() bool {
-		n.roleMu.Lock()
-		defer n.roleMu.Unlock()
-		return n.role.ReadsOn(time.Now())
-	}
-	f.Ended = n.watchCalls(kind, log)
-	f.Succeeded = func() {
-		n.store.noteAnswer()
-		if c := n.confirmationOf(kind); c != nil {
-			c.note(time.Now())
-		}
-		n.storeSpoke(f, n.store.setFailing(kind, false))
-		n.checkReady()
-	}
-	f.Failed = func(error) {
-		if !n.watching.Load() {
-			return
-		}
-		n.store.noteFailure(f.Began())
-		n.store.setFailing(kind, true)
-	}
-	return f
-}
-
-// watcherSilence is how long a watching box may be silent before another takes
-// over: three heartbeats, some of which may be lost. Few boxes of each zone
-// watch the store, the others learn from them; what all of a zone miss, they
-// learn from other zones.
-const watcherSilence = 3 * gossip.Interval
-
-// chooseRole decides whether this box watches the store.
-func (n *Node) chooseRole() {
-	n.roleMu.Lock()
-	defer n.roleMu.Unlock()
-	watching := n.role.Watches(n.view(), time.Now())
-	if watching == n.watching.Swap(watching) {
-		return
-	}
-	n.log.Info("role changed", map[string]any{"watches_store": watching})
-	n.store.forgetFailures()
-	for _, f := range n.followers {
-		if watching {
-			f.Hurry()
-		} else {
-			f.Restart()
-		}
-	}
-}
-
-// view is what this box's role follows from.
-func (n *Node) view() watcher.View {
-	z := n.Members.Zone(watcherSilence)
-	return watcher.View{
-		HealthyBefore: z.HealthyBefore, TryingBefore: z.TryingBefore, IdleBefore: z.IdleBefore, ZoneHealthy: z.Healthy,
-		Synced: n.synced(), Answered: n.watching.Load() && n.store.healthy(),
-		StoreAnswers: n.store.healthy() || n.anyStoreHealthy(),
-	}
-}
-
-// synced reports whether this box has copies of all that the store holds.
-func (n *Node) synced() bool {
-	for _, m := range n.mirrors {
-		if !m.Synced() {
-			return false
-		}
-	}
-	return true
-}
-
-// followerOf returns the follower of a kind.
-func (n *Node) followerOf(kind string) *objects.Follower {
-	for _, f := range n.followers {
-		if f.Mirror.Kind == kind {
-			return f
-		}
-	}
-	return nil
-}
-
-// storeSpoke makes the other followers ask at once where they failed too. If the store
-// did not answer this one before, it was silent, and calls of others that are older
-// than the one it has answered now may hang.
-func (n *Node) storeSpoke(answered *objects.Follower, failedBefore bool) {
-	for _, f := range n.followers {
-		if f == answered {
-			continue
-		}
-		if failedBefore {
-			f.RestartBefore(answered.Began())
-		}
-		if n.store.isFailing(f.Mirror.Kind) {
-			f.Hurry()
-		}
-	}
+	n.Replica.OnChange(kinds.Evacuations, func(o objects.Object, gone bool) { n.evacuationChanged(log, evacuated, o, gone) })
 }
 
 // configurationChanged puts a configuration in force if it is newer.
@@ -186,7 +67,7 @@
 
 func (n *Node) serverChanged(log *logging.Part, o objects.Object, gone bool) {
 	if gone {
-		n.Set.Remove(o.Name, n.trustsList())
+		n.Set.Remove(o.Name, n.Replica.TrustsList())
 		return
 	}
 	v, err := n.adapter.Server(o)
