A failing test: fleets of boxes under drawn troubles, in a time of their own

Boxes with their heartbeats, copies and calls of the store, without sockets, in virtual time: the store refuses some boxes or all, falls silent, forgets; boxes and zones are cut off, boxes start anew. Whoever is in touch must know what the store took within its bound, and no box may take its configuration to be newer than it is. Fails: boxes that tell each other what they have only heard take a copy to be newer the more they talk.

--- /dev/null
+++ b/pkg/replica/fleet_test.go
@@ -0,0 +1,517 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/objects"
+)
+
+const (
+	// nearWay and farWay are how long a datagram takes within a region and between two,
+	// one way; one in lostOneIn is lost.
+	nearWay   = time.Millisecond
+	farWay    = 35 * time.Millisecond
+	lostOneIn = 40
+	// dialPatience is after what time a box that is not reached is given up.
+	dialPatience = 600 * time.Millisecond
+	// fleetTime is how long a fleet runs, and quietTime how long before its end no
+	// trouble begins.
+	fleetTime = 24 * time.Second
+	quietTime = 8 * time.Second
+	// checkEvery is how often all boxes are looked at.
+	checkEvery = 100 * time.Millisecond
+)
+
+// fleetZones are the zones of a fleet, by region.
+var fleetZones = map[string]string{"east-a": "east", "east-b": "east", "west-a": "west", "west-b": "west"}
+
+// fleetBox is one box of a fleet.
+type fleetBox struct {
+	name, zone string
+	table      *gossip.Table
+	replica    *Replica
+	stop       context.CancelFunc
+	group      sync.WaitGroup
+	told       [2]bool
+	mu         sync.Mutex
+	// struck is when the box or its way to the store was last in trouble.
+	struck time.Time
+	// troubles counts the troubles that strike it now.
+	troubles int
+}
+
+// fleet is boxes in one process, without sockets, whose time is the test's own.
+type fleet struct {
+	t      *testing.T
+	store  *modelStore
+	random *rand.Rand
+	mu     sync.Mutex
+	boxes  map[string]*fleetBox
+	// cuts are pairs of boxes or zones that do not reach each other.
+	cuts map[[2]string]int
+	// taken is when the store took a change, by kind and revision.
+	taken map[string]map[uint64]time.Time
+	// removed is the revision that took an object away, by kind and name.
+	removed map[string]uint64
+	// storeStruck is when the store as a whole was last in trouble, for all boxes.
+	storeStruck   time.Time
+	storeTroubles int
+	background    sync.WaitGroup
+	ended         context.Context
+}
+
+func (f *fleet) chance(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Intn(n)
+}
+
+// reaches reports whether two boxes reach each other.
+func (f *fleet) reaches(a, b *fleetBox) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, pair := range [][2]string{{a.name, b.name}, {b.name, a.name}, {a.zone, b.zone}, {b.zone, a.zone}, {a.name, "*"}, {b.name, "*"}} {
+		if f.cuts[pair] > 0 && a != b {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) box(name string) *fleetBox {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.boxes[name]
+}
+
+// names returns the boxes that run, in order.
+func (f *fleet) names() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for name := range f.boxes {
+		list = append(list, name)
+	}
+	sort.Strings(list)
+	return list
+}
+
+func wayBetween(a, b *fleetBox) time.Duration {
+	if fleetZones[a.zone] == fleetZones[b.zone] {
+		return nearWay
+	}
+	return farWay
+}
+
+// start starts a box, or a new life of one.
+func (f *fleet) start(name, zone string) {
+	b := &fleetBox{name: name, zone: zone, struck: time.Now()}
+	ctx, stop := context.WithCancel(f.ended)
+	b.stop = stop
+	b.table = gossip.NewTable(gossip.Record{Box: name, Zone: zone, Peers: name, Started: time.Now().UnixNano()}, time.Now, f.chance)
+	b.table.Seeds = func() []string { return []string{"east-a-0", "west-a-0", "west-b-1"} }
+	log := logging.For(logging.New(logging.NewAsyncJSONHandler(io.Discard), logging.ParseLevel("error")), "test")
+	b.replica = New(Options{
+		Kinds: storeKinds, Zone: zone, Contact: contactTime, Drain: drainTime,
+		Client: f.store.client(name), Members: b.table,
+		Fetch: func(ctx context.Context, source string, m *objects.Mirror) (*Handover, error) {
+			return f.fetch(ctx, b, source, m)
+		},
+		WatchersPerZone: func() int { return 1 }, Answered: func() {},
+		Go: func(work func()) { b.group.Go(work) }, Context: ctx,
+		Metrics: metrics.NewRegistry(), BoxLog: log, StoreLog: log,
+	})
+	f.mu.Lock()
+	f.boxes[name] = b
+	f.mu.Unlock()
+	b.replica.Run()
+	b.group.Go(func() { f.tick(ctx, b) })
+}
+
+// tick runs a box's own turns.
+func (f *fleet) tick(ctx context.Context, b *fleetBox) {
+	time.Sleep(time.Duration(f.chance(100)) * time.Millisecond)
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if turn%5 == 0 || b.table.Count() == 1 {
+			b.table.Expire()
+			b.table.Update(b.replica.Tell)
+			for _, e := range b.table.Beat() {
+				f.carry(b, e)
+			}
+			b.replica.Beat()
+		}
+		b.replica.Tick()
+		news := b.replica.TakeNews()
+		b.table.Update(b.replica.Tell)
+		self := b.table.Self()
+		if now := [2]bool{self.StoreHealthy, self.Trying}; news || now != b.told {
+			b.told = now
+			f.carry(b, b.table.Announce())
+		}
+		time.Sleep(tickEvery)
+	}
+}
+
+// carry takes a message to its receivers.
+func (f *fleet) carry(from *fleetBox, e gossip.Envelope) {
+	for _, name := range e.To {
+		if f.chance(lostOneIn) == 0 {
+			continue
+		}
+		f.background.Go(func() {
+			to := f.box(name)
+			if to == nil || !f.reaches(from, to) {
+				return
+			}
+			time.Sleep(wayBetween(from, to))
+			if f.box(name) != to || f.ended.Err() != nil {
+				return
+			}
+			answers, greetings := to.table.Receive(&e.Message)
+			for _, a := range answers {
+				f.carry(to, gossip.Envelope{Message: a, To: []string{from.name}})
+			}
+			for _, g := range greetings {
+				f.carry(to, g)
+			}
+			to.replica.Hear(&e.Message.From)
+		})
+	}
+}
+
+// fleetSeeds is how many fleets are played; 3,000 were by hand.
+var fleetSeeds = flag.Int("fleets", 60, "how many fleets are played")
+
+var errNotReached = errors.New("not reached")
+
+// fetch asks a box for its copy.
+func (f *fleet) fetch(ctx context.Context, b *fleetBox, source string, m *objects.Mirror) (*Handover, error) {
+	from := f.box(source)
+	if from == nil || !f.reaches(b, from) {
+		select {
+		case <-time.After(dialPatience):
+		case <-ctx.Done():
+		}
+		return nil, errNotReached
+	}
+	time.Sleep(2 * wayBetween(b, from))
+	theirs := from.replica.Mirror(m.Kind)
+	if m.Synced() {
+		if events, held, ok := theirs.EventsSince(m.Version().At); ok {
+			time.Sleep(wayBetween(b, from))
+			return &Handover{Events: events, Extent: held}, nil
+		}
+	}
+	if !theirs.Synced() {
+		return nil, errNotReached
+	}
+	items, held := theirs.Items()
+	time.Sleep(wayBetween(b, from))
+	return &Handover{Whole: true, Items: items, Extent: held}, nil
+}
+
+// ----------------------------------------------------------------
+// Troubles
+// ----------------------------------------------------------------
+
+// strike marks boxes as struck until the return value is called.
+func (f *fleet) strike(names ...string) (end func()) {
+	mark := func(change int) {
+		for _, name := range names {
+			if b := f.box(name); b != nil {
+				b.mu.Lock()
+				b.troubles += change
+				b.struck = time.Now()
+				b.mu.Unlock()
+			}
+		}
+	}
+	mark(1)
+	return func() { mark(-1) }
+}
+
+// some returns some of the boxes, one at least.
+func (f *fleet) some() []string {
+	names := f.names()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:1+f.random.Intn(len(names))]
+}
+
+// trouble plays one trouble and returns when it is over.
+func (f *fleet) trouble() {
+	time.Sleep(time.Duration(f.chance(int((fleetTime-quietTime-2*time.Second)/time.Millisecond))) * time.Millisecond)
+	lasts := time.Duration(200+f.chance(5000)) * time.Millisecond
+	switch f.chance(7) {
+	case 0, 1:
+		f.turnAway(f.some(), mood(1+f.chance(2)), lasts)
+	case 2:
+		f.storeDown(mood(1+f.chance(2)), lasts)
+	case 3:
+		f.compact()
+	case 4:
+		f.cut([2]string{f.some()[0], "*"}, lasts)
+	case 5:
+		f.cut([2]string{"east-a", "west-a"}, lasts)
+	case 6:
+		f.restart(f.some())
+	}
+}
+
+func (f *fleet) turnAway(names []string, m mood, lasts time.Duration) {
+	end := f.strike(names...)
+	defer end()
+	f.store.treat(m, names...)
+	time.Sleep(lasts)
+	f.store.treat(serving, names...)
+}
+
+func (f *fleet) markStore(change int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeTroubles += change
+	f.storeStruck = time.Now()
+}
+
+func (f *fleet) storeDown(m mood, lasts time.Duration) {
+	f.markStore(1)
+	defer f.markStore(-1)
+	names := f.names()
+	f.store.treat(m, names...)
+	time.Sleep(lasts)
+	f.store.treat(serving, names...)
+}
+
+func (f *fleet) compact() {
+	f.markStore(1)
+	f.store.compact()
+	f.markStore(-1)
+}
+
+// cut keeps two boxes or zones apart, or a box from all; their ways to the store stay.
+func (f *fleet) cut(pair [2]string, lasts time.Duration) {
+	add := func(n int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cuts[pair] += n
+	}
+	add(1)
+	time.Sleep(lasts)
+	add(-1)
+}
+
+// restart ends boxes and starts them again with nothing remembered.
+func (f *fleet) restart(names []string) {
+	for _, name := range names {
+		b := f.box(name)
+		if b == nil {
+			continue
+		}
+		f.mu.Lock()
+		delete(f.boxes, name)
+		f.mu.Unlock()
+		b.stop()
+		b.group.Wait()
+		f.background.Go(func() {
+			time.Sleep(500 * time.Millisecond)
+			if f.ended.Err() == nil {
+				f.start(name, b.zone)
+			}
+		})
+	}
+}
+
+// ----------------------------------------------------------------
+// Changes and checks
+// ----------------------------------------------------------------
+
+// bounds are after what time a change must be known to each box in touch, by kind.
+var bounds = map[string]time.Duration{
+	storeKinds.Servers: drainTime, storeKinds.Configuration: 2500 * time.Millisecond, storeKinds.Evacuations: 5 * time.Second,
+}
+
+// note notes when the store took its newest change of a kind, while it was well.
+func (f *fleet) note(kind string) {
+	f.store.mu.Lock()
+	at := f.store.at
+	f.store.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.taken[kind] == nil {
+		f.taken[kind] = map[uint64]time.Time{}
+	}
+	f.taken[kind][at] = time.Now()
+}
+
+// noteRemoval is note for a change that took an object away.
+func (f *fleet) noteRemoval(kind, name string) {
+	f.note(kind)
+	f.store.mu.Lock()
+	at := f.store.at
+	f.store.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.removed[kind+"/"+name] = at
+}
+
+// change changes something now and then.
+func (f *fleet) change(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(100+f.chance(900)) * time.Millisecond)
+		f.mu.Lock()
+		down := f.storeTroubles > 0
+		f.mu.Unlock()
+		if down {
+			continue
+		}
+		name := fmt.Sprint("server-", f.chance(9))
+		switch f.chance(6) {
+		case 0:
+			f.store.put(storeKinds.Configuration, "main", i)
+			f.note(storeKinds.Configuration)
+		case 1:
+			f.store.put(storeKinds.Evacuations, fmt.Sprint("zone-", f.chance(3)), i)
+			f.note(storeKinds.Evacuations)
+		case 2:
+			f.store.remove(storeKinds.Servers, name)
+			f.noteRemoval(storeKinds.Servers, name)
+		default:
+			f.store.put(storeKinds.Servers, name, i)
+			f.note(storeKinds.Servers)
+		}
+	}
+}
+
+// inTouch reports whether bounds in time bind a box: neither it nor the store was in
+// trouble within the time of contact.
+func (f *fleet) inTouch(b *fleetBox) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	return b.troubles == 0 && now.Sub(b.struck) > contactTime && f.storeTroubles == 0 && now.Sub(f.storeStruck) > contactTime
+}
+
+// check returns what a box that is in touch does not know although it must, and whether it
+// is wrong about how new its configuration is.
+func (f *fleet) check(b *fleetBox) string {
+	bound := f.inTouch(b)
+	for kind, within := range bounds {
+		m := b.replica.Mirror(kind)
+		items, _ := m.Items()
+		held := map[string]objects.Object{}
+		for _, o := range items {
+			held[o.Name] = o
+		}
+		f.store.mu.Lock()
+		current := f.store.objects[kind]
+		lacks := func(age time.Duration) string {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for name, o := range current {
+				if at, ok := f.taken[kind][o.Revision]; ok && time.Since(at) > age && held[name].Revision < o.Revision {
+					return fmt.Sprintf("%s: %s/%s of revision %d, taken %s ago, is not known (held: %d)", b.name, kind, name, o.Revision, time.Since(at), held[name].Revision)
+				}
+			}
+			for name, o := range held {
+				if _, ok := current[name]; ok {
+					continue
+				}
+				for revision, at := range f.taken[kind] {
+					if revision > o.Revision && time.Since(at) > age && f.isRemoval(kind, name, revision) {
+						return fmt.Sprintf("%s: %s/%s went with revision %d, %s ago, and is held as of %d", b.name, kind, name, revision, time.Since(at), o.Revision)
+					}
+				}
+			}
+			return ""
+		}
+		problem := ""
+		if bound && m.Synced() {
+			problem = lacks(within)
+		}
+		if age, ok := b.replica.ConfigurationAge(); problem == "" && kind == storeKinds.Configuration && ok {
+			if wrong := lacks(age + 2*way); wrong != "" {
+				problem = fmt.Sprintf("takes its configuration to be %s old: %s", age, wrong)
+			}
+		}
+		f.store.mu.Unlock()
+		if problem != "" {
+			return problem
+		}
+	}
+	return ""
+}
+
+// isRemoval reports whether a revision took an object away.
+func (f *fleet) isRemoval(kind, name string, revision uint64) bool {
+	return f.removed[kind+"/"+name] == revision
+}
+
+func playFleet(t *testing.T, seed int64) {
+	synctest.Test(t, func(t *testing.T) {
+		ended, end := context.WithCancel(t.Context())
+		f := &fleet{
+			t: t, store: newModelStore(), random: rand.New(rand.NewSource(seed)), boxes: map[string]*fleetBox{},
+			cuts: map[[2]string]int{}, taken: map[string]map[uint64]time.Time{}, removed: map[string]uint64{}, ended: ended,
+		}
+		f.store.put(storeKinds.Configuration, "main", -1)
+		f.store.put(storeKinds.Evacuations, "zone-0", -1)
+		for i := range 9 {
+			f.store.put(storeKinds.Servers, fmt.Sprint("server-", i), -1)
+		}
+		zones := []string{"east-a", "east-b", "west-a", "west-b"}
+		for i := range 8 + f.chance(5) {
+			f.start(fmt.Sprintf("%s-%d", zones[i%4], i/4), zones[i%4])
+		}
+		for range 1 + f.chance(4) {
+			f.background.Go(f.trouble)
+		}
+		changing, stopChanging := context.WithCancel(ended)
+		f.background.Go(func() { f.change(changing) })
+		problem := ""
+		for start := time.Now(); time.Since(start) < fleetTime && problem == ""; time.Sleep(checkEvery) {
+			for _, name := range f.names() {
+				if b := f.box(name); b != nil && problem == "" {
+					problem = f.check(b)
+				}
+			}
+		}
+		stopChanging()
+		end()
+		for _, name := range f.names() {
+			b := f.box(name)
+			b.stop()
+			b.group.Wait()
+		}
+		f.background.Wait()
+		if problem != "" {
+			t.Fatalf("seed %d: %s", seed, problem)
+		}
+	})
+}
+
+// TestBoxesInTouchKnowWhatTheStoreTook: whatever happens to others, a box that has been well,
+// and to which the store has been well, for the time of contact knows of each change within its
+// bound: leaving servers, configurations, evacuations. And no box ever takes its configuration to
+// be newer than it is, which the time for which keys hold rests on.
+func TestBoxesInTouchKnowWhatTheStoreTook(t *testing.T) {
+	for seed := range int64(*fleetSeeds) {
+		playFleet(t, seed)
+	}
+}
--- a/pkg/replica/silence_test.go
+++ b/pkg/replica/silence_test.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,152 +39,6 @@
 // for 26 s, at every box at once, while that of the configuration was answered each 2.4 s.
 // Boxes of other zones could not help, since the same silence had struck them.
 
-// storeKinds are the kinds of objects of the model's store.
-var storeKinds = Kinds{Configuration: "configuration", Servers: "servers", Evacuations: "evacuations"}
-
-// silentStore is a store whose answers take a while, and which can fall silent: what it
-// is asked meanwhile is never answered.
-type silentStore struct {
-	mu sync.Mutex
-	at uint64
-	// objects are all that there are, events all that ever happened, by kind.
-	objects map[string]map[string]objects.Object
-	events  map[string][]objects.Event
-	changed chan struct{}
-	silent  bool
-	// spoken is closed when the store speaks again.
-	spoken chan struct{}
-}
-
-// way is how long a call takes to the store, and its answer back.
-const way = 55 * time.Millisecond
-
-func newSilentStore() *silentStore {
-	s := &silentStore{
-		objects: map[string]map[string]objects.Object{}, events: map[string][]objects.Event{},
-		changed: make(chan struct{}), spoken: make(chan struct{}),
-	}
-	close(s.spoken)
-	return s
-}
-
-// put makes or replaces an object.
-func (s *silentStore) put(kind, name string, spec any) {
-	text, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
-	s.change(kind, name, text)
-}
-
-// remove takes an object away.
-func (s *silentStore) remove(kind, name string) { s.change(kind, name, nil) }
-
-func (s *silentStore) change(kind, name string, spec json.RawMessage) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.at++
-	o := objects.Object{Name: name, Revision: s.at, Spec: spec}
-	if s.objects[kind] == nil {
-		s.objects[kind] = map[string]objects.Object{}
-	}
-	if spec == nil {
-		delete(s.objects[kind], name)
-	} else {
-		s.objects[kind][name] = o
-	}
-	s.events[kind] = append(s.events[kind], objects.Event{Object: o, Gone: spec == nil})
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// setSilent makes the store fall silent, or speak again.
-func (s *silentStore) setSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if silent && !s.silent {
-		s.spoken = make(chan struct{})
-	}
-	if !silent && s.silent {
-		close(s.spoken)
-	}
-	s.silent = silent
-}
-
-// arrive takes a call to the store, and fails when nobody waits for it any more.
-func (s *silentStore) arrive(ctx context.Context) error {
-	time.Sleep(way)
-	s.mu.Lock()
-	silent := s.silent
-	s.mu.Unlock()
-	if silent {
-		<-ctx.Done()
-	}
-	return ctx.Err()
-}
-
-// answer brings an answer back. One that is due while the store is silent comes later.
-func (s *silentStore) answer(ctx context.Context) error {
-	s.mu.Lock()
-	spoken := s.spoken
-	s.mu.Unlock()
-	select {
-	case <-spoken:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	time.Sleep(way)
-	return ctx.Err()
-}
-
-func (s *silentStore) list(ctx context.Context, kind, _ string, _ bool) (objects.Page, error) {
-	if err := s.arrive(ctx); err != nil {
-		return objects.Page{}, &objects.UnavailableError{Cause: err}
-	}
-	s.mu.Lock()
-	page := objects.Page{Items: slices.Collect(maps.Values(s.objects[kind])), At: s.at}
-	s.mu.Unlock()
-	if err := s.answer(ctx); err != nil {
-		return objects.Page{}, &objects.UnavailableError{Cause: err}
-	}
-	return page, nil
-}
-
-func (s *silentStore) watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objects.Event, uint64, error) {
-	if err := s.arrive(ctx); err != nil {
-		return nil, 0, &objects.UnavailableError{Cause: err}
-	}
-	end := time.After(wait)
-	for {
-		s.mu.Lock()
-		var events []objects.Event
-		for _, e := range s.events[kind] {
-			if e.Object.Revision > since {
-				events = append(events, e)
-			}
-		}
-		at, changed := s.at, s.changed
-		s.mu.Unlock()
-		over := false
-		if len(events) == 0 {
-			select {
-			case <-changed:
-				continue
-			case <-end:
-				over = true
-			case <-ctx.Done():
-			}
-		}
-		if len(events) == 0 && !over {
-			return nil, 0, &objects.UnavailableError{Cause: ctx.Err()}
-		}
-		if err := s.answer(ctx); err != nil {
-			return nil, 0, &objects.UnavailableError{Cause: err}
-		}
-		return events, at, nil
-	}
-}
-
 // modelBox is a box's copies of what the store of a test holds, with what it makes of
 // them, without sockets.
 type modelBox struct {
@@ -205,7 +57,7 @@
 	tickEvery = 100 * time.Millisecond
 )
 
-func newModelBox(t *testing.T, s *silentStore) *modelBox {
+func newModelBox(t *testing.T, s *modelStore) *modelBox {
 	t.Helper()
 	b := &modelBox{}
 	ctx, stop := context.WithCancel(t.Context())
@@ -215,7 +67,7 @@
 	b.set = backend.NewSet(backend.Terms{ShiftWindow: 2 * time.Second, Forget: 1500 * time.Millisecond}, "east-a", region, func() int { return 1 }, time.Now)
 	b.Replica = New(Options{
 		Kinds: storeKinds, Zone: "east-a", Contact: contactTime, Drain: drainTime,
-		Client:          &objects.Client{List: s.list, Watch: s.watch},
+		Client:          s.client("box"),
 		Members:         gossip.NewTable(gossip.Record{Box: "box", Zone: "east-a"}, time.Now, rand.IntN),
 		WatchersPerZone: func() int { return 1 },
 		Answered:        func() {},
@@ -255,12 +107,12 @@
 }
 
 // replaceServers has one of five servers change each 0.6 s until the context ends.
-func replaceServers(ctx context.Context, s *silentStore) {
+func replaceServers(ctx context.Context, s *modelStore) {
 	for i := 0; ctx.Err() == nil; i++ {
 		s.mu.Lock()
-		silent := s.silent
+		m := s.moods["box"]
 		s.mu.Unlock()
-		if !silent {
+		if m == serving {
 			s.put(storeKinds.Servers, fmt.Sprint("replaced-", i%5), backend.Server{ID: fmt.Sprint("replaced-", i%5), Service: "shop", Cold: time.Duration(i)})
 		}
 		time.Sleep(600 * time.Millisecond)
@@ -276,7 +128,7 @@
 // begins, what it takes when it has been well for the time of contact is heard in time:
 // servers that leave, evacuations, configurations.
 func TestSilentStoreLeavesNoWatchDeaf(t *testing.T) {
-	forEachSilence(t, func(is *is.I, s *silentStore, b *modelBox) {
+	forEachSilence(t, func(is *is.I, s *modelStore, b *modelBox) {
 		s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop", Draining: true})
 		s.put(storeKinds.Evacuations, "east", struct{}{})
 		s.put(storeKinds.Configuration, "main", 2)
@@ -297,7 +149,7 @@
 // whose entry may have been lost while the store was away: kept for up to 2.25 s after news
 // that may take 0.9 s, it would get requests for longer than the 2.5 s that are allowed.
 func TestVanishedServerIsLeftAtOnceWhenTheStoreIsWell(t *testing.T) {
-	forEachSilence(t, func(is *is.I, s *silentStore, b *modelBox) {
+	forEachSilence(t, func(is *is.I, s *modelStore, b *modelBox) {
 		anywhere := func(string) bool { return true }
 		_, err := b.set.Choose(&backend.Request{Service: "lone", RegionAllowed: anywhere})
 		is.NoErr(err)
@@ -312,7 +164,7 @@
 
 // forEachSilence has the store fall silent for a while at many moments, while servers are
 // replaced, and calls play when it has been well for the time of contact.
-func forEachSilence(t *testing.T, play func(is *is.I, s *silentStore, b *modelBox)) {
+func forEachSilence(t *testing.T, play func(is *is.I, s *modelStore, b *modelBox)) {
 	for _, silence := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
 		for begin := time.Duration(0); begin < 3*time.Second; begin += 300 * time.Millisecond {
 			t.Run(fmt.Sprintf("%s from %s on", silence, begin), func(t *testing.T) {
@@ -322,8 +174,8 @@
 	}
 }
 
-func playSilence(t *testing.T, begin, silence time.Duration, play func(is *is.I, s *silentStore, b *modelBox)) {
-	s := newSilentStore()
+func playSilence(t *testing.T, begin, silence time.Duration, play func(is *is.I, s *modelStore, b *modelBox)) {
+	s := newModelStore()
 	s.put(storeKinds.Configuration, "main", 1)
 	s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop"})
 	s.put(storeKinds.Servers, "lone", backend.Server{ID: "lone", Service: "lone", Slots: 4})
@@ -339,9 +191,9 @@
 	defer stopReplacing()
 	time.Sleep(4*time.Second + begin)
 	s.put(storeKinds.Evacuations, "south", struct{}{})
-	s.setSilent(true)
+	s.treat(silent, "box")
 	time.Sleep(silence)
-	s.setSilent(false)
+	s.treat(serving, "box")
 	stopReplacing()
 	time.Sleep(contactTime)
 	play(is.New(t), s, b)
--- /dev/null
+++ b/pkg/replica/store_test.go
@@ -0,0 +1,209 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/objects"
+)
+
+// storeKinds are the kinds of objects of the model's store.
+var storeKinds = Kinds{Configuration: "configuration", Servers: "servers", Evacuations: "evacuations"}
+
+// mood is how the store treats a box.
+type mood int
+
+const (
+	serving mood = iota
+	// silent: what it is asked is never answered; what waits is answered when it speaks
+	// again.
+	silent
+	// refusing: what it is asked, and what waits, is refused at once.
+	refusing
+)
+
+// pageSize is how many objects a page of a list holds.
+const pageSize = 3
+
+// modelStore is a store whose answers take a while, and which may treat each box in its
+// own way.
+type modelStore struct {
+	mu sync.Mutex
+	at uint64
+	// oldest is the revision from which on the history is known.
+	oldest uint64
+	// objects are all that there are, events all that happened since oldest, by kind.
+	objects map[string]map[string]objects.Object
+	events  map[string][]objects.Event
+	moods   map[string]mood
+	// changed is closed when anything changes.
+	changed chan struct{}
+}
+
+// way is how long a call takes to the store, and its answer back.
+const way = 55 * time.Millisecond
+
+func newModelStore() *modelStore {
+	return &modelStore{
+		objects: map[string]map[string]objects.Object{}, events: map[string][]objects.Event{},
+		moods: map[string]mood{}, changed: make(chan struct{}),
+	}
+}
+
+// wake tells all that wait that something has changed. The store must be locked.
+func (s *modelStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put makes or replaces an object.
+func (s *modelStore) put(kind, name string, spec any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.change(kind, name, text)
+}
+
+// remove takes an object away.
+func (s *modelStore) remove(kind, name string) { s.change(kind, name, nil) }
+
+func (s *modelStore) change(kind, name string, spec json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	o := objects.Object{Name: name, Revision: s.at, Spec: spec}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]objects.Object{}
+	}
+	if spec == nil {
+		delete(s.objects[kind], name)
+	} else {
+		s.objects[kind][name] = o
+	}
+	s.events[kind] = append(s.events[kind], objects.Event{Object: o, Gone: spec == nil})
+	s.wake()
+}
+
+// treat sets how the store treats boxes from now on.
+func (s *modelStore) treat(m mood, boxes ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range boxes {
+		s.moods[b] = m
+	}
+	s.wake()
+}
+
+// compact forgets the history and cuts the watches.
+func (s *modelStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.oldest = s.at
+	clear(s.events)
+	s.wake()
+}
+
+// client returns the store as a box sees it.
+func (s *modelStore) client(box string) *objects.Client {
+	return &objects.Client{
+		List: func(ctx context.Context, kind, after string, _ bool) (objects.Page, error) {
+			return s.list(ctx, box, kind, after)
+		},
+		Watch: func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objects.Event, uint64, error) {
+			return s.watch(ctx, box, kind, since, wait)
+		},
+	}
+}
+
+// refusedStatus is what the store says to a box that it refuses.
+const refusedStatus = 503
+
+// arrive takes a call to the store.
+func (s *modelStore) arrive(ctx context.Context, box string) error {
+	time.Sleep(way)
+	s.mu.Lock()
+	m := s.moods[box]
+	s.mu.Unlock()
+	switch m {
+	case silent:
+		<-ctx.Done()
+	case refusing:
+		return &objects.UnavailableError{Status: refusedStatus}
+	}
+	return unavailable(ctx.Err())
+}
+
+func unavailable(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &objects.UnavailableError{Cause: err}
+}
+
+func (s *modelStore) list(ctx context.Context, box, kind, after string) (objects.Page, error) {
+	if err := s.arrive(ctx, box); err != nil {
+		return objects.Page{}, err
+	}
+	s.mu.Lock()
+	page := objects.Page{At: s.at}
+	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+		if name <= after {
+			continue
+		}
+		if len(page.Items) == pageSize {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, s.objects[kind][name])
+	}
+	s.mu.Unlock()
+	time.Sleep(way)
+	return page, unavailable(ctx.Err())
+}
+
+func (s *modelStore) watch(ctx context.Context, box, kind string, since uint64, wait time.Duration) ([]objects.Event, uint64, error) {
+	if err := s.arrive(ctx, box); err != nil {
+		return nil, 0, err
+	}
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		m, at, oldest, changed := s.moods[box], s.at, s.oldest, s.changed
+		var events []objects.Event
+		for _, e := range s.events[kind] {
+			if e.Object.Revision > since {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		switch over := !time.Now().Before(end); {
+		case m == refusing:
+			return nil, 0, &objects.UnavailableError{Status: refusedStatus}
+		case m == silent:
+		case since < oldest:
+			return nil, 0, &objects.CompactedError{}
+		case len(events) > 0 || over:
+			time.Sleep(way)
+			return events, at, unavailable(ctx.Err())
+		}
+		timer := time.NewTimer(max(time.Until(end), 0))
+		over := timer.C
+		if m == silent {
+			over = nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, 0, unavailable(ctx.Err())
+		}
+		timer.Stop()
+	}
+}
