Boxes say of their copies only what they know themselves

Cause: a box that asks the store told in heartbeats how long ago its copy was confirmed, by its own calls or by others' word. Each word counts from when it is heard, so two boxes that told each other gained the time of their datagrams at each turn (35 ms between regions, up to ten times a second). A list counted as a confirmation, although changes go on while its pages are read and the first one may be stale. And an answer out of turn carried ages of up to 0.1 s before. Keys could hold for longer than the settings say, and a box look too late for leaving servers.

Change: heartbeats tell what a box's own watches confirmed; ages are told as of when they are sent.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -73,8 +73,10 @@
 	// Changed is told when a box is first heard, comes back or falls silent.
 	Changed func(r Record, what string)
 
-	mu      sync.Mutex
-	self    Record
+	mu   sync.Mutex
+	self Record
+	// updated is when this box's own record was last changed.
+	updated time.Time
 	members map[string]*entry
 	// sorted are the members by name.
 	sorted []*entry
@@ -135,6 +137,7 @@
 	defer t.mu.Unlock()
 	served := t.self.Serving
 	change(&t.self)
+	t.updated = t.Now()
 	if t.self.Serving && !served {
 		t.servingSince = t.Now()
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -422,3 +422,17 @@
 		}
 	}
 }
+
+// TestConfirmationsAgeUntilTheyAreSent: an answer out of turn carries what the box noted of
+// itself a moment before.
+func TestConfirmationsAgeUntilTheyAreSent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Record{Box: "a", Zone: "z", Peers: "a"}, func() time.Time { return now }, func(int) int { return 0 })
+	table.Update(func(self *Record) { self.ConfirmedAgo, self.ListConfirmedAgo = 1+300, 0 })
+	now = now.Add(80 * time.Millisecond)
+	m := table.Announce().Message
+	is.Equal(m.From.ConfirmedAgo, uint32(1+380))
+	is.Equal(m.From.ListConfirmedAgo, uint32(0)) // this box does not ask the store
+	is.Equal(table.Self().ConfirmedAgo, uint32(1+300))
+}
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -56,8 +56,17 @@
 	return answers, greetings
 }
 
-// from returns a message that carries this box's own record.
-func (t *Table) from() Message { return Message{From: t.self} }
+// from returns a message that carries this box's own record, with spans of time as of now.
+func (t *Table) from() Message {
+	r := t.self
+	since := uint32(t.Now().Sub(t.updated).Milliseconds())
+	for _, ago := range []*uint32{&r.ConfirmedAgo, &r.ListConfirmedAgo} {
+		if *ago > 0 {
+			*ago += since
+		}
+	}
+	return Message{From: r}
+}
 
 // fromNow is the same with a beat that counts as a heartbeat where it arrives.
 // It goes to the own zone at least: no other zone may know a higher beat of a
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -57,6 +57,10 @@
 	// each that was not.
 	Succeeded func()
 	Failed    func(err error)
+	// Confirmed is called when the mirror holds all that had changed up to a time: with
+	// each answer to a watch. A list confirms nothing, since changes go on while its pages
+	// are read, and it may be stale.
+	Confirmed func(at time.Time)
 
 	mu sync.Mutex
 	// cancel ends the call that is waiting, and began is when it was made.
@@ -84,7 +88,7 @@
 func NewFollower(client *Client, mirror *Mirror, wait time.Duration, random func() float64) *Follower {
 	return &Follower{
 		Client: client, Mirror: mirror, Wait: wait, Random: random,
-		Ended: func(Call) {}, Succeeded: func() {}, Failed: func(error) {}, hurry: make(chan struct{}, 1),
+		Ended: func(Call) {}, Succeeded: func() {}, Failed: func(error) {}, Confirmed: func(time.Time) {}, hurry: make(chan struct{}, 1),
 	}
 }
 
@@ -242,7 +246,9 @@
 	if err != nil {
 		return 0, err
 	}
+	answered := time.Now()
 	f.Mirror.Apply(events, Exactly(at))
+	f.Confirmed(answered)
 	return len(events), nil
 }
 
--- a/pkg/replica/claims.go
+++ b/pkg/replica/claims.go
@@ -60,7 +60,8 @@
 // settleClaim takes the last claim of a kind for this box's copy if that lacks nothing of
 // what it was said of.
 func (r *Replica) settleClaim(kind string) {
-	if one, ok := r.claims.get(kind); ok && !r.mirrors[kind].Lacks(one.version) {
-		r.contact.confirmed(r.Kinds, kind, one.at)
+	one, ok := r.claims.get(kind)
+	if c := r.contact.of(r.Kinds, kind); ok && c != nil && !r.mirrors[kind].Lacks(one.version) {
+		c.hear(one.at)
 	}
 }
--- a/pkg/replica/contact.go
+++ b/pkg/replica/contact.go
@@ -25,32 +25,41 @@
 
 // confirmation is when a copy was last known to be the newest.
 type confirmation struct {
-	// started is the start of the box, and at the moment in nanoseconds after it; 0 if
-	// the copy never was.
-	started time.Time
-	at      atomic.Int64
+	// started is the start of the box. The moments are in nanoseconds after it, 0 if there
+	// is none: own, by this box's own calls; heard, by the word of another box.
+	started    time.Time
+	own, heard atomic.Int64
 }
 
-// note notes that the copy was the newest at a time.
-func (c *confirmation) note(at time.Time) { raise(&c.at, int64(at.Sub(c.started))) }
+// note notes that the copy was the newest at a time, by a call of this box's own.
+func (c *confirmation) note(at time.Time) { raise(&c.own, int64(at.Sub(c.started))) }
+
+// hear notes the same by the word of another box.
+func (c *confirmation) hear(at time.Time) { raise(&c.heard, int64(at.Sub(c.started))) }
+
+// ago is how long ago the copy was last known to be the newest, or how long the box has run
+// if it never was.
+func (c *confirmation) ago() time.Duration {
+	return time.Since(c.started) - time.Duration(max(c.own.Load(), c.heard.Load()))
+}
 
-// told returns what heartbeats tell of the copy of a box that asks the store: how long ago
-// it was the newest, in milliseconds and one more; 0 for other boxes.
+// ever reports whether the copy was ever known to be the newest.
+func (c *confirmation) ever() bool { return c.own.Load() != 0 || c.heard.Load() != 0 }
+
+// told returns what heartbeats tell of the copy: how long ago it was the newest, in
+// milliseconds and one more; 0 if this box does not ask the store. What it has only heard
+// is not told on: each word counts from when it is heard, so two boxes that told each other
+// took a copy to be newer the more they talked, by the time of their datagrams each time
+// (TestBoxesInTouchKnowWhatTheStoreTook, seed 31).
 func (c *confirmation) told(watching bool) uint32 {
-	ago, ok := c.ago()
-	if !ok || !watching {
+	own := c.own.Load()
+	if own == 0 || !watching {
 		return 0
 	}
+	ago := time.Since(c.started) - time.Duration(own)
 	return 1 + uint32(ago.Milliseconds())
 }
 
-// ago is how long ago the copy was last known to be the newest; ok is false if it
-// never was.
-func (c *confirmation) ago() (ago time.Duration, ok bool) {
-	at := c.at.Load()
-	return time.Since(c.started) - time.Duration(at), at != 0
-}
-
 func newContact(started time.Time, within time.Duration) *contact {
 	c := &contact{started: started, within: within, failing: map[string]bool{}}
 	c.configuration.started, c.list.started = started, started
@@ -129,13 +138,14 @@
 	return c.answeredLately() && (failed == 0 || c.age()-time.Duration(failed) > c.within)
 }
 
-// confirmed notes that the copy of a kind was the newest at a time. Of evacuations nothing
-// is told.
-func (c *contact) confirmed(kinds Kinds, kind string, at time.Time) {
+// of returns what is known of the copy of a kind, nil for evacuations, of which nothing is
+// told.
+func (c *contact) of(kinds Kinds, kind string) *confirmation {
 	switch kind {
 	case kinds.Configuration:
-		c.configuration.note(at)
+		return &c.configuration
 	case kinds.Servers:
-		c.list.note(at)
+		return &c.list
 	}
+	return nil
 }
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -36,10 +36,12 @@
 	f.Ended = r.tellsCalls(kind)
 	f.Succeeded = func() {
 		r.contact.noteAnswer()
-		r.contact.confirmed(r.Kinds, kind, time.Now())
 		r.storeSpoke(f, r.contact.setFailing(kind, false))
 		r.Answered()
 	}
+	if c := r.contact.of(r.Kinds, kind); c != nil {
+		f.Confirmed = c.note
+	}
 	f.Failed = func(error) {
 		if !r.watching.Load() {
 			return
--- a/pkg/replica/look.go
+++ b/pkg/replica/look.go
@@ -53,9 +53,9 @@
 // frozen or cut off, which their zone finds out later than a leaving server must be known
 // (TestBoxAsksItselfWhereAllThatAskAreTurnedAway).
 func (r *Replica) lookForLeaving() {
-	ago, ok := r.contact.list.ago()
+	ago := r.contact.list.ago()
 	longest := time.Duration(lookShare * float64(r.Drain))
-	if r.watching.Load() || !ok || ago < longest || !r.looks.begin(time.Now()) {
+	if r.watching.Load() || !r.synced() || ago < longest || !r.looks.begin(time.Now()) {
 		return
 	}
 	r.Go(func() {
@@ -79,12 +79,10 @@
 	defer cancel()
 	for _, kind := range r.Kinds.all() {
 		metrics.GetOrRegisterCounter("store.looks", r.Metrics).Inc(1)
-		made := time.Now()
 		if err := r.followers[kind].Look(ctx); err != nil {
 			return err
 		}
 		r.contact.noteAnswer()
-		r.contact.confirmed(r.Kinds, kind, made)
 	}
 	return nil
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -182,7 +182,7 @@
 // ConfigurationAge is how long ago the configuration was last known to be the newest; ok
 // is false if it never was.
 func (r *Replica) ConfigurationAge() (age time.Duration, ok bool) {
-	return r.contact.configuration.ago()
+	return r.contact.configuration.ago(), r.contact.configuration.ever()
 }
 
 // anyHealthy reports whether the store has answered any other live box without fail.
