Operators see how customers are served, and the worst tenth of them; look-ups by region as a property

Each box keeps which part of a customer's requests was answered within its target, since its start and lately (span of 10 s): a column of stoneworksctl customers, a line on the worst-served tenth, a metric. Requests over the limit and those that clients left are not counted. Look-ups: no box of another region is named where boxes of the client's serve, nor of one where the host may not run while others serve.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 )
@@ -86,3 +87,65 @@
 	d.Self = func() gossip.Record { return gossip.Record{} }
 	is.Equal(len(d.Resolve(Query{}).Addresses), 0)
 }
+
+// TestNoOtherRegionIsNamedNeedlessly: whatever boxes run, a client is named boxes of its own
+// region where there are any, else of regions where its host's requests may run, and only where
+// there are none of these any others; never one that is not ready or leaves.
+func TestNoOtherRegionIsNamedNeedlessly(t *testing.T) {
+	regions := map[string]string{"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b", "c-1": "c"}
+	zones := []string{"a-1", "a-2", "b-1", "b-2", "c-1"}
+	rapid.Check(t, func(t *rapid.T) {
+		var records []gossip.Record
+		for i := range rapid.IntRange(1, 14).Draw(t, "boxes") {
+			records = append(records, gossip.Record{
+				Box: fmt.Sprint("box-", i), Clients: fmt.Sprint("10.0.0.", i), Zone: rapid.SampledFrom(zones).Draw(t, "zone"),
+				Capacity: rapid.SampledFrom([]float64{0, 100, 1000}).Draw(t, "capacity"),
+				Ready:    rapid.IntRange(0, 9).Draw(t, "ready") > 0, Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+			})
+		}
+		allowed := map[string]bool{}
+		for _, r := range []string{"a", "b", "c"} {
+			allowed[r] = rapid.Bool().Draw(t, "allowed "+r)
+		}
+		d := &Directory{
+			TTL: time.Second, RegionOf: func(zone string) string { return regions[zone] },
+			Self: func() gossip.Record { return records[0] },
+			EachLive: func(f func(r *gossip.Record)) {
+				for i := range records[1:] {
+					f(&records[1+i])
+				}
+			},
+			RegionAllowed: func(_, region string) bool { return allowed[region] },
+		}
+		zone := rapid.SampledFrom(zones).Draw(t, "client")
+		own := regions[zone]
+		named := d.Resolve(Query{Host: "host", Region: own, Zone: zone}).Addresses
+		serves := map[string]bool{}
+		zoneOf := map[string]string{}
+		for _, r := range records {
+			if r.Ready && !r.Leaving {
+				serves[regions[r.Zone]] = true
+				zoneOf[r.Clients] = r.Zone
+			}
+		}
+		anyAllowed := false
+		for r := range serves {
+			anyAllowed = anyAllowed || allowed[r]
+		}
+		for _, address := range named {
+			z, ok := zoneOf[address]
+			if !ok {
+				t.Fatalf("%s does not serve", address)
+			}
+			switch region := regions[z]; {
+			case serves[own] && region != own:
+				t.Fatalf("%s of region %s is named, though boxes of %s serve", address, region, own)
+			case !serves[own] && anyAllowed && !allowed[region]:
+				t.Fatalf("%s of region %s is named, where the host's requests may not run", address, region)
+			}
+		}
+		if len(named) == 0 && len(serves) > 0 {
+			t.Fatal("boxes serve, and none is named")
+		}
+	})
+}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -93,6 +93,9 @@
 	// GiveBack returns what an admitted request took of the limit, since it has not
 	// run.
 	GiveBack func(c *customer.Customer)
+	// Settle notes whether a request of a customer, within its limit and not left by its
+	// client, was answered within its route's target.
+	Settle func(c *customer.Customer, inTime bool)
 	// Pool returns the connections to a backend server.
 	Pool func(server *backend.Server) *exchange.Pool
 	Now  func() time.Time
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -98,6 +98,9 @@
 	s := c.server
 	s.Count("failed." + string(f.Reason))
 	c.log("not answered: "+f.Detail, f.Reason, f.Status(), 1)
+	if f.Reason != outcome.ReasonCancelled && f.Reason != outcome.ReasonOverLimit {
+		c.settle(false)
+	}
 	if f.Reason == outcome.ReasonCancelled {
 		// Nobody reads an answer.
 		panic(http.ErrAbortHandler)
@@ -147,6 +150,7 @@
 
 func (c *call) answered(status int) {
 	s := c.server
+	c.settle(status < http.StatusInternalServerError)
 	s.Observe("request."+c.service, s.Now().Sub(c.start))
 	s.Count("answered")
 	clean := len(c.steps) == 1 && status < 500
--- a/pkg/ingress/ingress_customer.go
+++ b/pkg/ingress/ingress_customer.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// settle notes how the request of a customer has ended.
+func (c *call) settle(answered bool) {
+	if c.customer == nil {
+		return
+	}
+	target := c.route.TargetLatency
+	took := c.server.Now().Sub(c.start)
+	c.server.Settle(c.customer, answered && (target <= 0 || took <= target))
+}
+
 // isBound reports whether the request may not run in all regions.
 func (c *call) isBound() bool {
 	return c.route != nil && len(c.route.AllowedRegions) > 0 || c.customer != nil && len(c.customer.AllowedRegions) > 0
--- /dev/null
+++ b/pkg/standing/ledger.go
@@ -0,0 +1,105 @@
+package standing
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// ledgerSpan is the span of the averages: some bursts long, so that a customer of a few
+	// requests a second has a share that means something.
+	ledgerSpan = 10 * time.Second
+	// leastRequests is how many requests within the span make a customer count among the
+	// worst: with fewer, one late answer is most of its share.
+	leastRequests = 5
+	// worstShare is which part of the customers is the worst.
+	worstShare = 0.1
+)
+
+// Ledger counts how this box's customers are served. It has no input or output.
+type Ledger struct {
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
+
+	mu     sync.Mutex
+	totals map[string]*total
+}
+
+// total is what became of one customer's requests: all since the start, and the lately
+// ended ones, which fade.
+type total struct {
+	settled, inTime uint32
+	lately, good    float64
+	at              time.Time
+}
+
+// NewLedger makes a ledger in which nothing has ended.
+func NewLedger(now func() time.Time) *Ledger { return &Ledger{Now: now, totals: map[string]*total{}} }
+
+// Settle notes that a request of a customer has ended, in time or not. Requests over the
+// customer's limit, and those that their client left, are not noted.
+func (l *Ledger) Settle(customer string, inTime bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.totals[customer]
+	if t == nil {
+		t = &total{at: l.Now()}
+		l.totals[customer] = t
+	}
+	t.fade(l.Now())
+	t.settled++
+	t.lately++
+	if inTime {
+		t.inTime++
+		t.good++
+	}
+}
+
+func (t *total) fade(now time.Time) {
+	left := math.Exp(-now.Sub(t.at).Seconds() / ledgerSpan.Seconds())
+	t.lately *= left
+	t.good *= left
+	t.at = now
+}
+
+// Of returns how many requests of a customer have ended since the start, and how many of
+// these in time.
+func (l *Ledger) Of(customer string) (settled, inTime uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.totals[customer]
+	if t == nil {
+		return 0, 0
+	}
+	return t.settled, t.inTime
+}
+
+// Worst returns the share of requests answered in time of the worst-served tenth of the
+// customers, lately, and of how many customers that is; 1 and 0 where too few have asked.
+func (l *Ledger) Worst() (share float64, customers int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var shares []float64
+	for _, t := range l.totals {
+		t.fade(l.Now())
+		if t.lately >= leastRequests {
+			shares = append(shares, t.good/t.lately)
+		}
+	}
+	return worstOf(shares)
+}
+
+// worstOf returns the mean of the worst tenth of shares, rounded up, and how many that are.
+func worstOf(shares []float64) (mean float64, count int) {
+	if len(shares) == 0 {
+		return 1, 0
+	}
+	slices.Sort(shares)
+	count = int(math.Ceil(worstShare * float64(len(shares))))
+	for _, share := range shares[:count] {
+		mean += share / float64(count)
+	}
+	return mean, count
+}
--- /dev/null
+++ b/pkg/standing/ledger_test.go
@@ -0,0 +1,49 @@
+package standing
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestWorstTenthOfTheCustomers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := NewLedger(func() time.Time { return now })
+	share, customers := l.Worst()
+	is.Equal(share, 1.0)
+	is.Equal(customers, 0)
+	for i := range 20 {
+		for j := range 10 {
+			l.Settle(fmt.Sprint("customer-", i), j >= i) // the i-th has 10-i of 10 in time
+		}
+	}
+	l.Settle("rare", false) // one request says nothing
+	share, customers = l.Worst()
+	is.Equal(customers, 2)
+	is.True(math.Abs(share-0) < 1e-9) // those from the 10th on have none
+	settled, inTime := l.Of("customer-3")
+	is.Equal(settled, uint32(10))
+	is.Equal(inTime, uint32(7))
+	settled, _ = l.Of("nobody")
+	is.Equal(settled, uint32(0))
+}
+
+// TestWorstTenthIsThatOfLately: what was bad some time ago fades.
+func TestWorstTenthIsThatOfLately(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := NewLedger(func() time.Time { return now })
+	for range 20 {
+		l.Settle("a", false)
+	}
+	now = now.Add(3 * ledgerSpan)
+	for range 20 {
+		l.Settle("a", true)
+	}
+	share, _ := l.Worst()
+	is.True(share > 0.9)
+}
--- a/pkg/standing/standing.go
+++ b/pkg/standing/standing.go
@@ -38,6 +38,10 @@
 	Refused        uint32   `json:"refused"`
 	PerSecond      float64  `json:"per_second"`
 	Held           int      `json:"held"`
+	// Settled are its requests within its limit that have ended here, but for those that
+	// their clients left, and InTime those answered within their route's target.
+	Settled uint32 `json:"settled"`
+	InTime  uint32 `json:"in_time"`
 }
 
 // Row is a customer's sum over boxes.
@@ -55,7 +59,7 @@
 			r := rows[c.Name]
 			if r == nil {
 				r = &Row{Customer: c, Regions: map[string]*Customer{}}
-				r.Arrived, r.Admitted, r.Refused, r.PerSecond, r.Held = 0, 0, 0, 0, 0
+				r.Arrived, r.Admitted, r.Refused, r.PerSecond, r.Held, r.Settled, r.InTime = 0, 0, 0, 0, 0, 0, 0
 				rows[c.Name] = r
 			}
 			if r.Regions[b.Region] == nil {
@@ -78,23 +82,54 @@
 	c.Refused += o.Refused
 	c.PerSecond += o.PerSecond
 	c.Held += o.Held
+	c.Settled += o.Settled
+	c.InTime += o.InTime
 }
 
 // Print writes the rows as a table for a terminal: those first that were refused most.
 func Print(w io.Writer, rows []Row) error {
 	slices.SortStableFunc(rows, func(a, b Row) int { return int(int64(b.Refused) - int64(a.Refused)) })
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "CUSTOMER\tRATE\tBURST\tREGIONS\tKEYS\tPER SECOND\tARRIVED\tADMITTED\tREFUSED\tREFUSED BY REGION")
+	fmt.Fprintln(t, "CUSTOMER\tRATE\tBURST\tREGIONS\tKEYS\tPER SECOND\tARRIVED\tADMITTED\tREFUSED\tIN TIME\tREFUSED BY REGION")
 	for i := range rows {
 		r := &rows[i]
 		var refused []string
 		for _, region := range slices.Sorted(maps.Keys(r.Regions)) {
 			refused = append(refused, fmt.Sprintf("%s %d", region, r.Regions[region].Refused))
 		}
-		fmt.Fprintf(t, "%s\t%s\t%g\t%s\t%s\t%.1f\t%d\t%d\t%d\t%s\n",
-			r.Name, rate(r.Rate), r.Burst, orAll(r.AllowedRegions), strings.Join(r.Keys, ","), r.PerSecond, r.Arrived, r.Admitted, r.Refused, strings.Join(refused, ", "))
+		fmt.Fprintf(t, "%s\t%s\t%g\t%s\t%s\t%.1f\t%d\t%d\t%d\t%s\t%s\n",
+			r.Name, rate(r.Rate), r.Burst, orAll(r.AllowedRegions), strings.Join(r.Keys, ","), r.PerSecond, r.Arrived, r.Admitted, r.Refused, r.inTime(), strings.Join(refused, ", "))
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return printWorst(w, rows)
+}
+
+// printWorst writes how the worst-served tenth of the customers fare.
+func printWorst(w io.Writer, rows []Row) error {
+	var shares []float64
+	for i := range rows {
+		if rows[i].Settled >= leastRequests {
+			shares = append(shares, rows[i].share())
+		}
+	}
+	share, count := worstOf(shares)
+	if count == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(w, "\nworst tenth (%d of %d customers): %.0f%% in time\n", count, len(shares), 100*share)
+	return err
+}
+
+// share is the share of the customer's requests that were answered in time.
+func (c *Customer) share() float64 { return float64(c.InTime) / float64(max(1, c.Settled)) }
+
+func (c *Customer) inTime() string {
+	if c.Settled == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f%%", 100*c.share())
 }
 
 func rate(v float64) string {
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -29,6 +29,7 @@
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/standing"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
 )
@@ -61,6 +62,7 @@
 	Set       *backend.Set
 	Budget    *retry.Budget
 	Quota     *quota.Limiter
+	Ledger    *standing.Ledger
 	Directory *directory.Directory
 	Ingress   *ingress.Server
 
@@ -120,6 +122,7 @@
 		started:  started,
 		pools:    map[string]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(time.Now),
+		Ledger:   standing.NewLedger(time.Now),
 		ports:    &ports{},
 		refused:  map[string]bool{},
 	}
@@ -224,6 +227,7 @@
 		Admit:    n.admit,
 		KeysHold: n.keysHold,
 		GiveBack: func(c *customer.Customer) { n.Quota.GiveBack(c.Name) },
+		Settle:   func(c *customer.Customer, inTime bool) { n.Ledger.Settle(c.Name, inTime) },
 		Pool:     n.pool,
 		Now:      time.Now,
 		Random:   rand.Uint64,
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -27,6 +27,7 @@
 	{"failed.REASON", "requests", "answered by the box itself, by reason; callers.md lists them"},
 	{"config.refused", "configurations", "that do not parse or make no sense; the last good one stays in force"},
 	{"customer.refused.NAME", "requests", "over their customer's limit, of the first 100 that were refused any; of all others together under others"},
+	{"customer.worst_tenth", "share", "of the requests of the worst-served tenth of this box's customers that were answered within their target, lately"},
 	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
 	{"quota.sent", "datagrams", "of customers' limits, to other boxes"},
 	{"findings.sent", "findings", "of backend servers that are gone, told to other boxes"},
@@ -64,6 +65,8 @@
 			lines = append(lines, fmt.Sprintf("%s_total %d", flat, m.Count()))
 		case metrics.Gauge:
 			lines = append(lines, fmt.Sprintf("%s_milliseconds %d", flat, m.Value()))
+		case metrics.GaugeFloat64:
+			lines = append(lines, fmt.Sprintf("%s_share %.3f", flat, m.Value()))
 		case metrics.Timer:
 			t := m.Snapshot()
 			lines = append(lines, fmt.Sprintf("%s_total %d", flat, t.Count()))
@@ -83,7 +86,7 @@
 func WriteMetricTable(w io.Writer) {
 	fmt.Fprint(w, "# Metrics\n\nWritten by `stoneworksd --metrics`; a test keeps it so. A box tells them on its\n"+
 		"admin address under /metrics, a line each: `stoneworks_` and the name with `_`\n"+
-		"for dots, then `_total` for what is counted and `_milliseconds` for times.\n\n"+
+		"for dots, then `_total` for what is counted, `_milliseconds` for times and `_share` for shares.\n\n"+
 		"| Name | Unit | Meaning |\n|---|---|---|\n")
 	for _, m := range MetricTable {
 		fmt.Fprintf(w, "| `%s` | %s | %s |\n", m.Name, m.Unit, m.Meaning)
--- a/pkg/steering/steering_quota.go
+++ b/pkg/steering/steering_quota.go
@@ -52,6 +52,13 @@
 		Now:  time.Now, Random: rand.Float64,
 	}
 	n.Quota.Start()
+	worst := metrics.NewFunctionalGaugeFloat64(func() float64 {
+		share, _ := n.Ledger.Worst()
+		return share
+	})
+	if err := n.Metrics.Register("customer.worst_tenth", worst); err != nil {
+		n.log.Warn("metric not told", map[string]any{"metric": "customer.worst_tenth", "error": err.Error()})
+	}
 }
 
 // tickQuota does what is due for limits.
@@ -206,6 +213,7 @@
 	for i := range t.Configuration.Customers {
 		c := &t.Configuration.Customers[i]
 		s := n.Quota.Statement(c.Name)
+		settled, inTime := n.Ledger.Of(c.Name)
 		var keys []string
 		for _, k := range c.Keys {
 			keys = append(keys, k.String())
@@ -213,6 +221,7 @@
 		b.Customers = append(b.Customers, standing.Customer{
 			Name: c.Name, Keys: keys, Priority: c.Priority, Rate: c.Rate, Burst: c.Burst, AllowedRegions: c.AllowedRegions,
 			Arrived: s.Arrived, Admitted: s.Admitted, Refused: s.Refused, PerSecond: s.PerSecond, Held: s.Held,
+			Settled: settled, InTime: inTime,
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/test/machines/customers_test.go
+++ b/test/machines/customers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/standing"
 )
 
 // notes is a log that tests read while boxes write it.
@@ -317,3 +319,35 @@
 		eventually(t, "all serve again", all(200))
 	}
 }
+
+// TestOperatorsAreToldHowCustomersAreServed: a request in time, one that came late and one
+// that no server could take; what was over the limit or unauthorized is left out.
+func TestOperatorsAreToldHowCustomersAreServed(t *testing.T) {
+	is := is.New(t)
+	f := newCustomerFleet(t, io.Discard, 1, customers())
+	client := &Client{Address: f.Boxes[0].Clients}
+	defer client.Close()
+	is.Equal(client.Do("GET", "/read/1", "in-time", "", bearer(studioKey)).Status, 200)
+	for _, s := range f.Servers {
+		s.Work = 600 * time.Millisecond // the target is half a second
+	}
+	is.Equal(client.Do("GET", "/read/1", "late", "", bearer(studioKey)).Status, 200)
+	is.Equal(client.Do("GET", "/read/1", "unknown", "", bearer("unknown")).Status, 401)
+	for _, z := range Zones {
+		f.Store.Put("evacuations", z.Zone, map[string]any{})
+	}
+	eventually(t, "no server may take it", func() bool {
+		return client.Do("GET", "/read/1", "refused", "", bearer(studioKey)).Status == 503
+	})
+	answer, err := http.Get("http://" + f.Boxes[0].IP + ":8103" + standing.Path)
+	is.NoErr(err)
+	defer func() { _ = answer.Body.Close() }()
+	var told standing.Box
+	is.NoErr(json.NewDecoder(answer.Body).Decode(&told))
+	for _, c := range told.Customers {
+		if c.Name == "studio" {
+			is.Equal(c.InTime, uint32(1))
+			is.True(c.Settled >= 3)
+		}
+	}
+}
