Less urgent requests leave room at servers where more urgent ones are short

Cause: a full server refused all requests alike, though the users rank kinds and customers. Change: a server's limit for a request falls from 2.1 to 1.0 of its slots while more urgent ones found it at 1.5 lately; one in three is spared.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -101,6 +101,8 @@
 	// Key is the hash of the affinity key; requests without one give a random
 	// number.
 	Key uint64
+	// Priority is the rank of the request, 0 the most urgent.
+	Priority int
 	// Heavy requests carry large bodies; they are kept near where that costs
 	// nothing else.
 	Heavy bool
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -66,13 +66,13 @@
 
 // roomIn is after what time the server has worked off what makes it full and one more
 // request, given how long a typical server takes.
-func (c *candidate) roomIn(p *policy.Policy, typical time.Duration) time.Duration {
+func (c *candidate) roomIn(limit float64, typical time.Duration) time.Duration {
 	latency := c.health.latency
 	if latency == 0 {
 		latency = typical
 	}
 	slots := float64(max(1, c.Slots))
-	return time.Duration((c.busy - p.FullFill*slots + 1) * float64(latency) / slots)
+	return time.Duration((c.busy - limit*slots + 1) * float64(latency) / slots)
 }
 
 // Choose picks the server for a request. The error is a *ChoiceError.
@@ -86,12 +86,13 @@
 	}
 	near, far := s.candidates(g, r, now)
 	s.spill.request(&s.Terms, now)
-	best, place := s.pick(near, far, r.Key, now)
+	best, place, limit := s.pick(near, far, r, now)
 	if best == nil {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
-	if best.fill() >= s.Policy.FullFill {
-		return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: s.freeSlots(now, near, far), RoomIn: best.roomIn(&s.Policy, g.typicalLatency(now))}
+	best.order.met(&s.Policy, r.Priority, best.fill(), now)
+	if best.fill() >= limit {
+		return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: s.freeSlots(now, near, far), RoomIn: best.roomIn(limit, g.typicalLatency(now))}
 	}
 	return s.lease(best, place, r.Key, now), nil
 }
@@ -184,20 +185,27 @@
 }
 
 // pick takes the key's home, or where that is full, the first server elsewhere
-// if it is idle enough to do the work although it does not know the key.
-func (s *Set) pick(near, far []candidate, key uint64, now time.Time) (best *candidate, place int) {
-	best, place = s.home(near, key)
-	if best != nil && best.fill() < s.Policy.FullFill {
-		return best, place
+// if it is idle enough to do the work although it does not know the key. The limit is
+// how much of its slots the server may have taken for this request.
+func (s *Set) pick(near, far []candidate, r *Request, now time.Time) (best *candidate, place int, limit float64) {
+	best, place = s.home(near, r.Key)
+	if best != nil {
+		limit = best.order.limit(&s.Policy, r.Priority, now)
+		if best.fill() < limit {
+			return best, place, limit
+		}
 	}
-	other, otherPlace := s.home(far, key)
+	other, otherPlace := s.home(far, r.Key)
 	if best == nil {
-		return other, otherPlace
+		if other != nil {
+			limit = other.order.limit(&s.Policy, r.Priority, now)
+		}
+		return other, otherPlace, limit
 	}
 	if other != nil && other.fill() < s.Policy.IdleFill && s.spill.allow(s.Policy.SpillShare*s.Terms.MaxShift, &s.Terms, now) {
-		return other, otherPlace
+		return other, otherPlace, s.Policy.FullFill
 	}
-	return best, place
+	return best, place, limit
 }
 
 // home returns the key's home among the servers of the list, or for a hot key
--- /dev/null
+++ b/pkg/backend/order.go
@@ -0,0 +1,82 @@
+package backend
+
+import (
+	"math"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/policy"
+)
+
+// order knows which priorities are short of room at a server, so that less urgent requests
+// leave them some there. Known for the whole service, it refused requests at servers that
+// nobody more urgent asked: 0.011 of worth on two days of 79 customers with priorities.
+type order struct {
+	pressures map[int]*pressure
+	// yields counts the requests that were to leave room.
+	yields int
+}
+
+// pressure is the share of a priority's requests that found their server short of room: a
+// moving average over pressureSpan.
+type pressure struct {
+	share float64
+	at    time.Time
+}
+
+const (
+	// pressureSpan is the span of the average: some service times, so that a burst counts
+	// while it lasts.
+	pressureSpan = time.Second
+	// pressureWeight is the weight of one request.
+	pressureWeight = 0.1
+	// fullPressure is from which share on less urgent requests leave all the room that they
+	// are to leave.
+	fullPressure = 0.2
+	// leastPressure is below what nobody is short.
+	leastPressure = 0.005
+	// sparedOneIn: of the requests that are to leave room one in so many is not, so that no
+	// kind is served less than a third as often as more urgent ones, however long the
+	// shortage lasts.
+	sparedOneIn = 3
+)
+
+func (c *pressure) now(now time.Time) float64 {
+	return c.share * math.Exp(-now.Sub(c.at).Seconds()/pressureSpan.Seconds())
+}
+
+// met notes how full a request of a priority found its server.
+func (o *order) met(p *policy.Policy, priority int, fill float64, now time.Time) {
+	if o.pressures == nil {
+		o.pressures = map[int]*pressure{}
+	}
+	c := o.pressures[priority]
+	if c == nil {
+		c = &pressure{at: now}
+		o.pressures[priority] = c
+	}
+	sample := 0.0
+	if fill >= p.ShortFill {
+		sample = 1
+	}
+	before := c.now(now)
+	c.share, c.at = before+pressureWeight*(sample-before), now
+}
+
+// limit is how much of its slots a server may have taken to be given a request of a
+// priority: less where more urgent ones are short of room.
+func (o *order) limit(p *policy.Policy, priority int, now time.Time) float64 {
+	most := 0.0
+	for other, c := range o.pressures {
+		if other < priority {
+			most = max(most, c.now(now))
+		}
+	}
+	if most < leastPressure {
+		return p.FullFill
+	}
+	o.yields++
+	if o.yields%sparedOneIn == 0 {
+		return p.FullFill
+	}
+	return p.FullFill - (p.FullFill-p.YieldFill)*min(1, most/fullPressure)
+}
--- /dev/null
+++ b/pkg/backend/order_test.go
@@ -0,0 +1,111 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/policy"
+)
+
+// TestLessUrgentRequestsLeaveRoom: all of a server's fill where nobody more urgent is short of
+// room, less where somebody is, and all again a while after.
+func TestLessUrgentRequestsLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	p := policy.Default()
+	now := time.Unix(1000, 0)
+	o := order{}
+	is.Equal(o.limit(&p, 2, now), p.FullFill)
+	for range 20 {
+		o.met(&p, 2, p.FullFill, now) // its own shortage moves nothing
+		o.met(&p, 1, p.ShortFill-0.1, now)
+	}
+	is.Equal(o.limit(&p, 1, now), p.FullFill)
+	is.Equal(o.limit(&p, 2, now), p.FullFill)
+	for range 20 {
+		o.met(&p, 1, p.ShortFill, now)
+	}
+	is.Equal(o.limit(&p, 1, now), p.FullFill)
+	limits := map[float64]int{}
+	for range 30 {
+		limits[o.limit(&p, 2, now)]++
+	}
+	is.Equal(limits, map[float64]int{p.YieldFill: 20, p.FullFill: 10}) // one in three is spared
+	is.Equal(o.limit(&p, 0, now), p.FullFill)
+	now = now.Add(10 * pressureSpan)
+	is.Equal(o.limit(&p, 2, now), p.FullFill)
+}
+
+// playShortage plays ten seconds in which two kinds of requests ask a server of four slots for
+// four times what it can do, each request taking 100 ms, and returns which share of each was
+// answered within 250 ms.
+func playShortage(t *testing.T, urgent, other int) (urgentShare, otherShare float64) {
+	t.Helper()
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 1, 4), true)
+	const slots, work, target = 4, 100 * time.Millisecond, 250 * time.Millisecond
+	type running struct {
+		lease  *Lease
+		kind   int
+		came   time.Time
+		begins time.Time
+	}
+	var held []*running
+	var sent, inTime [2]int
+	free := [slots]time.Time{}
+	for tick := range 10_000 {
+		now := s.Now()
+		for i := 0; i < len(held); {
+			r := held[i]
+			if now.Before(r.begins.Add(work)) {
+				i++
+				continue
+			}
+			held = append(held[:i], held[i+1:]...)
+			r.lease.Done(Answered, &Load{Running: min(slots, len(held)+1), Waiting: max(0, len(held)+1-slots), Slots: slots})
+			if now.Sub(r.came) <= target {
+				inTime[r.kind]++
+			}
+		}
+		if tick%12 == 0 {
+			for i := range 2 {
+				kind := (i + tick/12) % 2
+				priority := []int{urgent, other}[kind]
+				sent[kind]++
+				lease, err := s.Choose(&Request{Service: "shop", Key: uint64(tick), Priority: priority, RegionAllowed: func(string) bool { return true }})
+				if err != nil {
+					continue
+				}
+				first := 0
+				for i := range free {
+					if free[i].Before(free[first]) {
+						first = i
+					}
+				}
+				begins := now
+				if free[first].After(now) {
+					begins = free[first]
+				}
+				free[first] = begins.Add(work)
+				held = append(held, &running{lease, kind, now, begins})
+			}
+		}
+		c.advance(time.Millisecond)
+	}
+	return float64(inTime[0]) / float64(sent[0]), float64(inTime[1]) / float64(sent[1])
+}
+
+// TestShortageServesTheMoreUrgentFirst, all alike where none is, and none never: a kind that
+// got nothing at all while more urgent ones took all that there is was seen here first.
+func TestShortageServesTheMoreUrgentFirst(t *testing.T) {
+	is := is.New(t)
+	a, b := playShortage(t, 1, 1)
+	t.Logf("equal: %.2f and %.2f in time", a, b)
+	is.True(a-b < 0.05 && b-a < 0.05)
+	urgent, other := playShortage(t, 1, 2)
+	t.Logf("urgent %.2f, others %.2f in time", urgent, other)
+	is.True(urgent > 1.5*other)
+	is.True(other > 0.25*(urgent+other)/2)
+	is.True(urgent+other >= 0.9*(a+b)) // nothing is left undone for it
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -84,6 +84,7 @@
 	// zone serve no clients.
 	keys  *keyTable
 	speed speed
+	order order
 }
 
 // group is the servers of one service.
--- a/pkg/ingress/ingress_customer.go
+++ b/pkg/ingress/ingress_customer.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// priority is the rank of the request: its customer's goes before its route's.
+func (c *call) priority() int {
+	if c.customer != nil {
+		return c.customer.Priority
+	}
+	return c.route.Priority
+}
+
 // settle notes how the request of a customer has ended.
 func (c *call) settle(answered bool) {
 	if c.customer == nil {
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -65,7 +65,7 @@
 
 func (c *call) choose() (*backend.Lease, *outcome.Failure) {
 	lease, err := c.server.Set.Choose(&backend.Request{
-		Service: c.service, Key: c.key, Heavy: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Tried: c.tried,
+		Service: c.service, Key: c.key, Priority: c.priority(), Heavy: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Tried: c.tried,
 	})
 	if err == nil {
 		return lease, nil
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -22,6 +22,11 @@
 	// does not know the key takes longer than waiting for one that does: 3.0
 	// measured worse by 0.006.
 	FullFill float64 `yaml:"full_fill" unit:"of its slots" least:"0.5" most:"100"`
+	// YieldFill is how much of its slots a home may have taken before a request is refused
+	// while more urgent ones of its service are short of room, and ShortFill how much the
+	// home of one of these must have taken for that.
+	YieldFill float64 `yaml:"yield_fill" unit:"of its slots" least:"0" most:"100"`
+	ShortFill float64 `yaml:"short_fill" unit:"of its slots" least:"0" most:"100"`
 
 	// RefusedFill is how much of its slots a server is taken to have taken
 	// that refused a request for want of room: nearly what makes it full.
@@ -122,6 +127,8 @@
 	return Policy{
 		IdleFill:         0.5,
 		FullFill:         2.1,
+		YieldFill:        1,
+		ShortFill:        1.5,
 		RefusedFill:      1.8,
 		HotShare:         0.35,
 		HotFill:          1,
--- a/pkg/replica/fleet_test.go
+++ b/pkg/replica/fleet_test.go
@@ -47,11 +47,6 @@
 	stop       context.CancelFunc
 	group      sync.WaitGroup
 	told       [2]bool
-	mu         sync.Mutex
-	// struck is when the box or its way to the store was last in trouble.
-	struck time.Time
-	// troubles counts the troubles that strike it now.
-	troubles int
 }
 
 // fleet is boxes in one process, without sockets, whose time is the test's own.
@@ -61,6 +56,10 @@
 	random *rand.Rand
 	mu     sync.Mutex
 	boxes  map[string]*fleetBox
+	// struck is when a box or its way to the store was last in trouble, and troubles how many
+	// strike it now, by name: they outlast a life of it.
+	struck   map[string]time.Time
+	troubles map[string]int
 	// cuts are pairs of boxes or zones that do not reach each other.
 	cuts map[[2]string]int
 	// taken is when the store took a change, by kind and revision.
@@ -119,7 +118,7 @@
 
 // start starts a box, or a new life of one.
 func (f *fleet) start(name, zone string) {
-	b := &fleetBox{name: name, zone: zone, struck: time.Now()}
+	b := &fleetBox{name: name, zone: zone}
 	ctx, stop := context.WithCancel(f.ended)
 	b.stop = stop
 	b.table = gossip.NewTable(gossip.Record{Box: name, Zone: zone, Peers: name, Started: time.Now().UnixNano()}, time.Now, f.chance)
@@ -137,6 +136,7 @@
 	})
 	f.mu.Lock()
 	f.boxes[name] = b
+	f.struck[name] = time.Now()
 	f.mu.Unlock()
 	b.replica.Run()
 	b.group.Go(func() { f.tick(ctx, b) })
@@ -231,22 +231,23 @@
 // strike marks boxes as struck until the return value is called.
 func (f *fleet) strike(names ...string) (end func()) {
 	mark := func(change int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for _, name := range names {
-			if b := f.box(name); b != nil {
-				b.mu.Lock()
-				b.troubles += change
-				b.struck = time.Now()
-				b.mu.Unlock()
-			}
+			f.troubles[name] += change
+			f.struck[name] = time.Now()
 		}
 	}
 	mark(1)
 	return func() { mark(-1) }
 }
 
-// some returns some of the boxes, one at least.
+// some returns some of the boxes that run, one at least if any does.
 func (f *fleet) some() []string {
 	names := f.names()
+	if len(names) == 0 {
+		return nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
@@ -265,7 +266,9 @@
 	case 3:
 		f.compact()
 	case 4:
-		f.cut([2]string{f.some()[0], "*"}, lasts)
+		if names := f.some(); len(names) > 0 {
+			f.cut([2]string{names[0], "*"}, lasts)
+		}
 	case 5:
 		f.cut([2]string{"east-a", "west-a"}, lasts)
 	case 6:
@@ -400,12 +403,10 @@
 // inTouch reports whether bounds in time bind a box: neither it nor the store was in
 // trouble within the time of contact.
 func (f *fleet) inTouch(b *fleetBox) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	return b.troubles == 0 && now.Sub(b.struck) > contactTime && f.storeTroubles == 0 && now.Sub(f.storeStruck) > contactTime
+	return f.troubles[b.name] == 0 && now.Sub(f.struck[b.name]) > contactTime && f.storeTroubles == 0 && now.Sub(f.storeStruck) > contactTime
 }
 
 // check returns what a box that is in touch does not know although it must, and whether it
@@ -468,7 +469,7 @@
 		ended, end := context.WithCancel(t.Context())
 		f := &fleet{
 			t: t, store: newModelStore(), random: rand.New(rand.NewSource(seed)), boxes: map[string]*fleetBox{},
-			cuts: map[[2]string]int{}, taken: map[string]map[uint64]time.Time{}, removed: map[string]uint64{}, ended: ended,
+			struck: map[string]time.Time{}, troubles: map[string]int{}, cuts: map[[2]string]int{}, taken: map[string]map[uint64]time.Time{}, removed: map[string]uint64{}, ended: ended,
 		}
 		f.store.put(storeKinds.Configuration, "main", -1)
 		f.store.put(storeKinds.Evacuations, "zone-0", -1)
