Copies are confirmed by the store's count of changes; a look is put off only while nobody tells anything

And a configuration taken while the store turned away all that ask it for less than a second was known 2.57 s later: its own watch, the only one that was hit, waits 2.4 s. Change: a word ends the pause. Configurations are confirmed as often as the list of servers, and looked for alike. The store counts all changes with one number, and an idle watch tells it: answers for the servers confirm the other copies that have come to it, whose watches then wait for 25 s, and make those ask that have not. A box relies on that only once it has seen an idle watch tell a higher revision than it was asked from; one fleet in four of the model has a store that counts by kind.

--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -38,11 +38,13 @@
 type Follower struct {
 	Client *Client
 	Mirror *Mirror
-	// Wait is how long a watch may go without changes. A watch that the store will
+	// Wait is how long a watch may go without changes; WaitNow, where it is set, returns it
+	// anew for each watch. A watch that the store will
 	// never answer, since it was asked for while the store said nothing, is given up
 	// after Wait and answerTime; until then nothing is heard of this kind, whatever
 	// the store answers to other watches.
-	Wait time.Duration
+	Wait    time.Duration
+	WaitNow func() time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Allowed reports whether this box is to ask the store; nil means that it
@@ -227,12 +229,15 @@
 		return nil
 	}
 	wait := f.Wait
+	if f.WaitNow != nil {
+		wait = f.WaitNow()
+	}
 	switch {
 	case state.failed:
 		wait = atOnce
 	case state.gathers:
-		// The store answers once in each Wait, whatever happens.
-		wait = max(f.Wait-gather, atOnce)
+		// The store answers once in each wait, whatever happens.
+		wait = max(wait-gather, atOnce)
 	}
 	state.gathers = false
 	changes, err := f.takeChanges(ctx, wait)
--- a/pkg/replica/fleet_test.go
+++ b/pkg/replica/fleet_test.go
@@ -71,6 +71,8 @@
 	storeTroubles int
 	background    sync.WaitGroup
 	ended         context.Context
+	// troublesLog tells the troubles that were played, for a fleet that fails.
+	troublesLog []string
 }
 
 func (f *fleet) chance(n int) int {
@@ -109,6 +111,12 @@
 	return list
 }
 
+func (f *fleet) logTrouble(parts ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.troublesLog = append(f.troublesLog, time.Now().Format("05.000 ")+fmt.Sprintln(parts...))
+}
+
 func wayBetween(a, b *fleetBox) time.Duration {
 	if fleetZones[a.zone] == fleetZones[b.zone] {
 		return nearWay
@@ -277,6 +285,7 @@
 }
 
 func (f *fleet) turnAway(names []string, m mood, lasts time.Duration) {
+	f.logTrouble("turned away", names, m, lasts)
 	end := f.strike(names...)
 	defer end()
 	f.store.treat(m, names...)
@@ -292,6 +301,7 @@
 }
 
 func (f *fleet) storeDown(m mood, lasts time.Duration) {
+	f.logTrouble("store down", m, lasts)
 	f.markStore(1)
 	defer f.markStore(-1)
 	names := f.names()
@@ -301,6 +311,7 @@
 }
 
 func (f *fleet) compact() {
+	f.logTrouble("history gone")
 	f.markStore(1)
 	f.store.compact()
 	f.markStore(-1)
@@ -313,6 +324,7 @@
 		defer f.mu.Unlock()
 		f.cuts[pair] += n
 	}
+	f.logTrouble("cut", pair, lasts)
 	add(1)
 	time.Sleep(lasts)
 	add(-1)
@@ -320,6 +332,7 @@
 
 // restart ends boxes and starts them again with nothing remembered.
 func (f *fleet) restart(names []string) {
+	f.logTrouble("restarted", names)
 	for _, name := range names {
 		b := f.box(name)
 		if b == nil {
@@ -471,6 +484,7 @@
 			t: t, store: newModelStore(), random: rand.New(rand.NewSource(seed)), boxes: map[string]*fleetBox{},
 			struck: map[string]time.Time{}, troubles: map[string]int{}, cuts: map[[2]string]int{}, taken: map[string]map[uint64]time.Time{}, removed: map[string]uint64{}, ended: ended,
 		}
+		f.store.byKind = seed%4 == 3
 		f.store.put(storeKinds.Configuration, "main", -1)
 		f.store.put(storeKinds.Evacuations, "zone-0", -1)
 		for i := range 9 {
@@ -502,7 +516,7 @@
 		}
 		f.background.Wait()
 		if problem != "" {
-			t.Fatalf("seed %d: %s", seed, problem)
+			t.Fatalf("seed %d, at %s: %s\n%s", seed, time.Now().Format("05.000"), problem, f.troublesLog)
 		}
 	})
 }
@@ -510,7 +524,8 @@
 // TestBoxesInTouchKnowWhatTheStoreTook: whatever happens to others, a box that has been well,
 // and to which the store has been well, for the time of contact knows of each change within its
 // bound: leaving servers, configurations, evacuations. And no box ever takes its configuration to
-// be newer than it is, which the time for which keys hold rests on.
+// be newer than it is, which the time for which keys hold rests on. One store in four counts the
+// changes of each kind by themselves.
 func TestBoxesInTouchKnowWhatTheStoreTook(t *testing.T) {
 	for seed := range int64(*fleetSeeds) {
 		playFleet(t, seed)
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -19,29 +19,46 @@
 	// configuration, a silence of 1 s left them deaf for 26 s at all boxes
 	// (TestSilentStoreLeavesNoWatchDeaf).
 	watchShare = 0.6
-	// listWatchShare is which part of the time in which a server drains a watch of the
-	// servers waits. Each answer confirms the list, also to the boxes that rely on this
-	// one: with a heartbeat, half a second later at most.
-	listWatchShare = 0.5
+	// drainWatchShare is which part of the time in which a server drains the watches of
+	// the servers and of the configuration wait, whose changes must be known within that
+	// time. Each answer confirms the copy, also to the boxes that rely on this one: with a
+	// heartbeat, half a second later at most.
+	drainWatchShare = 0.5
 )
 
-func (r *Replica) newFollower(kind string) *objects.Follower {
+// shortWatch is how long a watch of a kind waits whose answers are needed.
+func (r *Replica) shortWatch(kind string) time.Duration {
 	wait := time.Duration(watchShare * float64(r.Contact))
-	if kind == r.Kinds.Servers {
-		wait = min(wait, time.Duration(listWatchShare*float64(r.Drain)))
+	if kind == r.Kinds.Evacuations {
+		return wait
 	}
+	return min(wait, time.Duration(drainWatchShare*float64(r.Drain)))
+}
+
+func (r *Replica) newFollower(kind string) *objects.Follower {
+	wait := r.shortWatch(kind)
 	f := objects.NewFollower(r.Client, r.mirrors[kind], wait, rand.Float64)
 	f.Allowed = r.watching.Load
 	f.ReadsOn = r.readsOn
-	f.Ended = r.tellsCalls(kind)
+	tell := r.tellsCalls(kind)
+	f.Ended = func(c objects.Call) {
+		r.revisions.take(c)
+		tell(c)
+	}
 	f.Succeeded = func() {
 		r.contact.noteAnswer()
 		r.storeSpoke(f, r.contact.setFailing(kind, false))
 		r.Answered()
 	}
-	if c := r.contact.of(r.Kinds, kind); c != nil {
+	switch c := r.contact.of(r.Kinds, kind); {
+	case kind == r.Kinds.Servers:
+		f.Confirmed = r.serversConfirmed
+	case c != nil:
 		f.Confirmed = c.note
 	}
+	if kind != r.Kinds.Servers {
+		f.WaitNow = func() time.Duration { return r.waitNow(kind, wait) }
+	}
 	f.Failed = func(error) {
 		if !r.watching.Load() {
 			return
--- /dev/null
+++ b/pkg/replica/look_test.go
@@ -0,0 +1,64 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+)
+
+// hearFor has a box hear another one of its zone that asks the store, and that last heard of
+// the store some time ago: from then on, or for as long as it is told.
+func hearFor(b *modelBox, beat *uint64, d time.Duration, ago func() time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(gossip.Interval) {
+		*beat++
+		told := 1 + uint32(ago().Milliseconds())
+		m := gossip.Message{From: gossip.Record{
+			Box: "a-box", Zone: "east-a", Peers: "a-box", Started: 1, Beat: *beat, Ready: true,
+			StoreHealthy: true, ConfirmedAgo: told, ListConfirmedAgo: told,
+		}}
+		m.From.Versions = b.ownVersions()
+		b.Members.Receive(&m)
+		b.Hear(&m.From)
+	}
+}
+
+// TestLookIsPutOffOnlyWhileNobodyTellsAnything: a box whose look was not answered waits for long
+// before the next one, since the store may be down for all. Once another box has told that it is
+// not, the next silence of that one is a new one. Found as a box that the store served well, with
+// all others turned away, and that did not know of a server that had left 2.5 s before: a look
+// 8 s earlier had failed, and others had told it much since.
+func TestLookIsPutOffOnlyWhileNobodyTellsAnything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newModelStore()
+		s.put(storeKinds.Configuration, "main", 1)
+		s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop"})
+		s.put(storeKinds.Evacuations, "west", struct{}{})
+		b := newModelBox(t, s)
+		defer b.group.Wait()
+		defer b.stop()
+		beat := uint64(0)
+		fresh := func() time.Duration { return 0 }
+		b.run()
+		hearFor(b, &beat, 2*time.Second, fresh)
+
+		s.treat(refusing, "box")
+		since := time.Now()
+		older := func() time.Duration { return time.Since(since) }
+		hearFor(b, &beat, 4*time.Second, older) // its look is refused
+		s.treat(serving, "box")
+		hearFor(b, &beat, 2*time.Second, fresh)
+
+		since = time.Now()
+		s.put(storeKinds.Servers, "leaver", backend.Server{ID: "leaver", Service: "shop", Draining: true})
+		hearFor(b, &beat, drainTime, older)
+		for _, v := range b.set.List() {
+			is.True(v.ID != "leaver" || v.Draining)
+		}
+	})
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -76,6 +76,7 @@
 	mirrors   map[string]*objects.Mirror
 	followers map[string]*objects.Follower
 	contact   *contact
+	revisions revisions
 	// watching: this box is one that asks the store; changed: it has changes that it has
 	// not told its zone of yet.
 	watching atomic.Bool
@@ -127,7 +128,7 @@
 // Tick decides what this box does next. Call it some times a second.
 func (r *Replica) Tick() {
 	r.chooseRole()
-	r.lookForLeaving()
+	r.lookIfUntold()
 }
 
 // Beat takes over what other boxes have had for a while. Call it with each heartbeat.
--- a/pkg/replica/silence_test.go
+++ b/pkg/replica/silence_test.go
@@ -95,6 +95,13 @@
 	return b
 }
 
+// ownVersions are those of the box's copies.
+func (b *modelBox) ownVersions() map[string]objects.Version {
+	var self gossip.Record
+	b.Tell(&self)
+	return self.Versions
+}
+
 // run runs the box until it is stopped.
 func (b *modelBox) run() {
 	b.Run()
--- a/pkg/replica/store_test.go
+++ b/pkg/replica/store_test.go
@@ -36,6 +36,9 @@
 	at uint64
 	// oldest is the revision from which on the history is known.
 	oldest uint64
+	// byKind: answers tell the revision of the last change of their own kind, and not of any.
+	byKind bool
+	last   map[string]uint64
 	// objects are all that there are, events all that happened since oldest, by kind.
 	objects map[string]map[string]objects.Object
 	events  map[string][]objects.Event
@@ -50,10 +53,18 @@
 func newModelStore() *modelStore {
 	return &modelStore{
 		objects: map[string]map[string]objects.Object{}, events: map[string][]objects.Event{},
-		moods: map[string]mood{}, changed: make(chan struct{}),
+		moods: map[string]mood{}, last: map[string]uint64{}, changed: make(chan struct{}),
 	}
 }
 
+// told is the revision that an answer for a kind tells. The store must be locked.
+func (s *modelStore) told(kind string) uint64 {
+	if s.byKind {
+		return max(s.last[kind], s.oldest)
+	}
+	return s.at
+}
+
 // wake tells all that wait that something has changed. The store must be locked.
 func (s *modelStore) wake() {
 	close(s.changed)
@@ -76,6 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.at++
+	s.last[kind] = s.at
 	o := objects.Object{Name: name, Revision: s.at, Spec: spec}
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]objects.Object{}
@@ -151,7 +163,7 @@
 		return objects.Page{}, err
 	}
 	s.mu.Lock()
-	page := objects.Page{At: s.at}
+	page := objects.Page{At: s.told(kind)}
 	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
 		if name <= after {
 			continue
@@ -174,7 +186,7 @@
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		m, at, oldest, changed := s.moods[box], s.at, s.oldest, s.changed
+		m, at, oldest, changed := s.moods[box], s.told(kind), s.oldest, s.changed
 		var events []objects.Event
 		for _, e := range s.events[kind] {
 			if e.Object.Revision > since {
