--- a/test/machines/limits_test.go
+++ b/test/machines/limits_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -104,6 +105,70 @@
 	is.Equal(len(label), 1)
 }
 
+// tookOf lets clients of a customer send requests for a time, and returns how long each took,
+// the shortest first, and how many were not served.
+func tookOf(f *Fleet, key string, every time.Duration, clients int, d time.Duration) (took []time.Duration, failed int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for n := range clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c := &Client{Address: f.Boxes[n%len(f.Boxes)].Clients}
+			defer c.Close()
+			for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
+				began := time.Now()
+				a := c.Do("GET", "/read/1", fmt.Sprintf("%s-%d-%d-%d", key, n, i, began.UnixNano()), "", bearer(key)+fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", i%20))
+				mu.Lock()
+				took = append(took, time.Since(began))
+				if a.Status != 200 {
+					failed++
+				}
+				mu.Unlock()
+				time.Sleep(every)
+			}
+		}()
+	}
+	all.Wait()
+	slices.Sort(took)
+	return took, failed
+}
+
+// TestACustomerFarOverItsLimitCostsOthersNothing: one customer sends thirty times what it may,
+// and more than all servers can do. Another one is served as it was without: in full, and 99 of
+// 100 requests within the work of two more. Without the limit most of these are refused.
+func TestACustomerFarOverItsLimitCostsOthersNothing(t *testing.T) {
+	is := is.New(t)
+	const (
+		work  = 50 * time.Millisecond
+		slots = 2
+		rate  = 20
+	)
+	f := newCustomerFleet(t, io.Discard, 6, []Customer{
+		{Name: "studio", Keys: []string{studioKey}, Rate: rate, Burst: rate},
+		{Name: "label", Keys: []string{labelKey}, Rate: 1000, Burst: 1000},
+	})
+	for _, s := range f.Servers {
+		s.Work, s.Slots, s.Queue = work, slots, 3*slots
+	}
+	time.Sleep(time.Second)
+	alone, failed := tookOf(f, labelKey, 200*time.Millisecond, 6, 3*time.Second)
+	is.Equal(failed, 0)
+	done := make(chan map[int]int)
+	go func() {
+		statuses, _ := sendFor(f, studioKey, 100*time.Millisecond, 30*rate/10, 4*time.Second)
+		done <- statuses
+	}()
+	time.Sleep(500 * time.Millisecond)
+	beside, failed := tookOf(f, labelKey, 200*time.Millisecond, 6, 3*time.Second)
+	statuses := <-done
+	p99 := func(took []time.Duration) time.Duration { return took[len(took)*99/100] }
+	t.Logf("99 of 100 within %v alone, %v beside %v", p99(alone), p99(beside), statuses)
+	is.Equal(failed, 0)
+	is.True(p99(beside) <= p99(alone)+2*work)
+	is.True(statuses[429] > 10*statuses[200]/2)
+}
+
 // TestABoxThatIsLostLeavesTheLimits: the others go on with their parts, and what the
 // lost one held is not given twice.
 func TestABoxThatIsLostLeavesTheLimits(t *testing.T) {
