--- a/pkg/objects/calls.go
+++ b/pkg/objects/calls.go
@@ -48,9 +48,9 @@
 	return len(events), nil
 }
 
-// Look asks once for what has changed and takes it in, whether this box is to ask the
+// Poll asks once for what has changed and takes it in, whether this box is to ask the
 // store or not. The mirror must hold a list.
-func (f *Follower) Look(ctx context.Context) error {
+func (f *Follower) Poll(ctx context.Context) error {
 	_, err := f.takeChanges(ctx, atOnce)
 	var compacted *CompactedError
 	if errors.As(err, &compacted) {
--- a/pkg/replica/look_test.go
+++ b/pkg/replica/poll_test.go
@@ -27,12 +27,12 @@
 	}
 }
 
-// TestLookIsPutOffOnlyWhileNobodyTellsAnything: a box whose look was not answered waits for long
+// TestPollIsPutOffOnlyWhileNobodyTellsAnything: a box whose poll was not answered waits for long
 // before the next one, since the store may be down for all. Once another box has told that it is
 // not, the next silence of that one is a new one. Found as a box that the store served well, with
-// all others turned away, and that did not know of a server that had left 2.5 s before: a look
+// all others turned away, and that did not know of a server that had left 2.5 s before: a poll
 // 8 s earlier had failed, and others had told it much since.
-func TestLookIsPutOffOnlyWhileNobodyTellsAnything(t *testing.T) {
+func TestPollIsPutOffOnlyWhileNobodyTellsAnything(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newModelStore()
@@ -50,7 +50,7 @@
 		s.treat(refusing, "box")
 		since := time.Now()
 		older := func() time.Duration { return time.Since(since) }
-		hearFor(b, &beat, 4*time.Second, older) // its look is refused
+		hearFor(b, &beat, 4*time.Second, older) // its poll is refused
 		s.treat(serving, "box")
 		hearFor(b, &beat, 2*time.Second, fresh)
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -1,11 +1,11 @@
 // Package replica keeps a box's copies of what the platform's store holds, and knows how
 // new they are. The box asks the store itself or leaves that to another one of its zone
-// (see package watcher), takes over from other boxes what these know sooner, and looks
-// for itself where nobody has told it anything for long.
+// (see package watcher), takes over from other boxes what these know sooner, and polls
+// the store itself where nobody has told it anything for long.
 //
 // Example: a box leaves the store to box-1. The store turns box-1 away without a word.
 // Box-1 goes on sending heartbeats, which tell that it last heard of the list of servers
-// 0.5 s ago, then 1 s, then 1.5 s. At 2 s the box asks the store itself, and hears of the
+// 0.5 s ago, then 1 s, then 1.5 s. At 2 s the box polls the store itself, and hears of the
 // server that has left meanwhile.
 //
 // Calls of the store and of other boxes are made through function fields; this package
@@ -87,7 +87,7 @@
 
 	pulls  *pulls
 	claims claims
-	looks  looks
+	polls  polls
 }
 
 // New makes a replica that does not run yet.
@@ -128,7 +128,7 @@
 // Tick decides what this box does next. Call it some times a second.
 func (r *Replica) Tick() {
 	r.chooseRole()
-	r.lookIfUntold()
+	r.pollIfUntold()
 }
 
 // Beat takes over what other boxes have had for a while. Call it with each heartbeat.
