--- a/pkg/backend/order_test.go
+++ b/pkg/backend/order_test.go
@@ -39,8 +39,9 @@
 
 // playShortage plays ten seconds in which two kinds of requests ask a server of four slots for
 // four times what it can do, each request taking 100 ms, and returns which share of each was
-// answered within 250 ms.
-func playShortage(t *testing.T, urgent, other int) (urgentShare, otherShare float64) {
+// answered within 250 ms. Of the second kind one in a number of requests is sent, which leaves
+// the whole above twice what the server can do.
+func playShortage(t *testing.T, urgent, other, oneIn int) (urgentShare, otherShare float64) {
 	t.Helper()
 	s, c := newTestSet(1)
 	s.Replace(servers("east-a", 1, 4), true)
@@ -71,6 +72,9 @@
 		if tick%12 == 0 {
 			for i := range 2 {
 				kind := (i + tick/12) % 2
+				if kind == 1 && tick/12%oneIn != 0 {
+					continue
+				}
 				priority := []int{urgent, other}[kind]
 				sent[kind]++
 				lease, err := s.Choose(&Request{Service: "shop", Key: uint64(tick), Priority: priority, RegionAllowed: func(string) bool { return true }})
@@ -100,12 +104,22 @@
 // got nothing at all while more urgent ones took all that there is was seen here first.
 func TestShortageServesTheMoreUrgentFirst(t *testing.T) {
 	is := is.New(t)
-	a, b := playShortage(t, 1, 1)
+	a, b := playShortage(t, 1, 1, 1)
 	t.Logf("equal: %.2f and %.2f in time", a, b)
 	is.True(a-b < 0.05 && b-a < 0.05)
-	urgent, other := playShortage(t, 1, 2)
+	urgent, other := playShortage(t, 1, 2, 1)
 	t.Logf("urgent %.2f, others %.2f in time", urgent, other)
 	is.True(urgent > 1.5*other)
 	is.True(other > 0.25*(urgent+other)/2)
 	is.True(urgent+other >= 0.9*(a+b)) // nothing is left undone for it
 }
+
+// TestShortageServesSmallCustomersAsWell: of two customers of the same priority the one that sends
+// a ninth of what the other does is served as often, by the share of its requests.
+func TestShortageServesSmallCustomersAsWell(t *testing.T) {
+	is := is.New(t)
+	large, small := playShortage(t, 1, 1, 9)
+	t.Logf("large %.2f, small %.2f in time", large, small)
+	is.True(small > 0.5*large)
+	is.True(large > 0.5*small)
+}
