--- a/pkg/backend/order.go
+++ b/pkg/backend/order.go
@@ -9,8 +9,9 @@
 
 // order knows which priorities are short of room at a server, so that less urgent requests
 // leave them some there: on a day short of one service 238 and not 285 of 757 urgent ones were
-// refused, and 428 and not 359 of 1,022 others. Known for the whole service, it refused requests at servers that
-// nobody more urgent asked: 0.011 of worth on two days of 79 customers with priorities.
+// refused, and 428 and not 359 of 1,022 others. Known for the whole service, it refused
+// requests at servers that nobody more urgent asked: 0.011 of worth on two days of 79
+// customers with priorities.
 type order struct {
 	pressures map[int]*pressure
 	// yields counts the requests that were to leave room.
