--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -59,10 +59,12 @@
 	Abandoned
 	// Withdrawn: the server left before anything was sent.
 	Withdrawn
+	// Crashed: the server ended while it had the request, which it had not answered.
+	Crashed
 )
 
 // resultNames are the results' names in logs, by value.
-var resultNames = [...]string{"answered", "shed", "unreachable", "broken", "late", "stale", "abandoned", "withdrawn"}
+var resultNames = [...]string{"answered", "shed", "unreachable", "broken", "late", "stale", "abandoned", "withdrawn", "crashed"}
 
 // String returns the result's name in logs.
 func (r Result) String() string { return resultNames[r] }
--- a/pkg/backend/lease.go
+++ b/pkg/backend/lease.go
@@ -97,7 +97,7 @@
 		}
 	case Unreachable:
 		rests = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
-	case Broken:
+	case Broken, Crashed:
 		rests = v.health.failed(&s.Policy, now, 1)
 	case Abandoned:
 		v.health.unfinished(&s.Policy, l.workTime(now))
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -11,10 +11,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -47,6 +49,16 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ClosedUnanswered reports whether an exchange failed since the other side closed the
+// connection, or reset it, without a byte of an answer.
+func ClosedUnanswered(err error) bool {
+	var x *Error
+	if !errors.As(err, &x) || x.Stage != StageHeader {
+		return false
+	}
+	return errors.Is(x.Cause, io.EOF) || errors.Is(x.Cause, syscall.ECONNRESET) || errors.Is(x.Cause, syscall.EPIPE)
+}
+
 // FramingError says that an answer's body does not fit its framing.
 type FramingError struct {
 	Detail string
@@ -222,10 +234,25 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConnection(conn), nil
+}
+
+// Probe opens a connection and keeps it for another exchange. The error says why none came
+// up.
+func (p *Pool) Probe(ctx context.Context) error {
+	conn, err := p.Dial(ctx, p.Address)
+	if err != nil {
+		return err
+	}
+	p.put(newConnection(conn))
+	return nil
+}
+
+func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
 	c.r = bufio.NewReaderSize(conn, 16<<10)
 	c.w = bufio.NewWriterSize(c, 4<<10)
-	return c, nil
+	return c
 }
 
 func (p *Pool) pop() *connection {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 	"github.com/stoneworks/stoneworks/pkg/policy"
+	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 )
@@ -96,6 +97,9 @@
 	// Settle notes whether a request of a customer, within its limit and not left by its
 	// client, was answered within its route's target.
 	Settle func(c *customer.Customer, inTime bool)
+	// HasCrashed finds out whether a backend server, which has closed a connection without
+	// an answer, has ended. It takes one way there and back.
+	HasCrashed func(server *backend.Server) bool
 	// Pool returns the connections to a backend server.
 	Pool func(server *backend.Server) *exchange.Pool
 	Now  func() time.Time
@@ -148,7 +152,9 @@
 	ctx        context.Context
 	tried      []string
 	sent       int
-	steps      []step
+	// print is the request's fingerprint once it is asked for.
+	print *quarantine.Fingerprint
+	steps []step
 	// full is why no server was chosen, if all were full.
 	full *backend.ChoiceError
 }
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -193,6 +193,9 @@
 		fields["home_fill"] = math.Round(c.full.HomeFill*10) / 10
 		fields["free_slots"] = c.full.FreeSlots
 	}
+	if c.lostAny() {
+		fields["fingerprint"] = c.fingerprint().String()
+	}
 	for i, t := range c.steps {
 		t.log("try"+strconv.Itoa(i+1), fields)
 	}
--- a/pkg/ingress/ingress_body.go
+++ b/pkg/ingress/ingress_body.go
@@ -15,7 +15,8 @@
 type body struct {
 	whole  []byte
 	stream io.Reader
-	// length is that of a streamed body, -1 if unknown.
+	// head is the beginning of a streamed body, and length its length, -1 if unknown.
+	head   []byte
 	length int
 }
 
@@ -49,6 +50,7 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return nil
 	}
+	c.body.head = buffer.Bytes()
 	c.body.stream = io.MultiReader(&buffer, reader)
 	c.body.length = int(c.r.ContentLength)
 	return nil
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -81,6 +81,7 @@
 	// findings are what other boxes are to know of backend servers, and
 	// lastRequest when a client last sent one, in nanoseconds since the start.
 	findings    *findings.Outbox
+	crashes     crashChecks
 	lastRequest atomic.Int64
 	// readySince is when the box last became ready, in nanoseconds since the start.
 	readySince atomic.Int64
@@ -215,24 +216,25 @@
 
 func (n *Node) newIngress(log *logging.Part) {
 	n.Ingress = &ingress.Server{
-		Policy:   n.policy.Load,
-		Dialect:  n.adapter.Dialect,
-		Table:    n.table.Load,
-		Current:  n.Replica.Current,
-		Leaving:  n.leaving.Load,
-		Closed:   n.closed.Load,
-		Splitter: routing.NewSplitter(),
-		Set:      n.Set,
-		Budget:   n.Budget,
-		Admit:    n.admit,
-		KeysHold: n.keysHold,
-		GiveBack: func(c *customer.Customer) { n.Quota.GiveBack(c.Name) },
-		Settle:   func(c *customer.Customer, inTime bool) { n.Ledger.Settle(c.Name, inTime) },
-		Pool:     n.pool,
-		Now:      time.Now,
-		Random:   rand.Uint64,
-		Log:      log,
-		Count:    func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
+		Policy:     n.policy.Load,
+		Dialect:    n.adapter.Dialect,
+		Table:      n.table.Load,
+		Current:    n.Replica.Current,
+		Leaving:    n.leaving.Load,
+		Closed:     n.closed.Load,
+		Splitter:   routing.NewSplitter(),
+		Set:        n.Set,
+		Budget:     n.Budget,
+		Admit:      n.admit,
+		KeysHold:   n.keysHold,
+		GiveBack:   func(c *customer.Customer) { n.Quota.GiveBack(c.Name) },
+		Settle:     func(c *customer.Customer, inTime bool) { n.Ledger.Settle(c.Name, inTime) },
+		Pool:       n.pool,
+		HasCrashed: n.hasCrashed,
+		Now:        time.Now,
+		Random:     rand.Uint64,
+		Log:        log,
+		Count:      func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
 		Observe: func(name string, d time.Duration) {
 			metrics.GetOrRegisterTimer(name, n.Metrics).Update(d)
 		},
