--- /dev/null
+++ b/test/machines/crash_test.go
@@ -0,0 +1,239 @@
+package machines
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The story. One request for a preview crashed each server that ran it. The box sent it to
+// the next server, and to the one after that; the client got a 502 and came back to another
+// box, which had not seen it. 30 servers of 24 places ended within ten seconds, each with up
+// to 20 requests of others in flight, and half of the service was down for as long as the
+// request came.
+//
+// The cause: no box remembered a request beyond its own attempt, and none told another, so
+// each attempt killed as many servers as the route allows tries. The evidence: nearly all
+// sends were first sends (an eighth of the budget of repeats was used), the lines of lost
+// requests of all boxes share one request's path, and the number of servers that ended grew
+// with the attempts and never levelled off.
+
+// crashes is a service some of whose requests end the servers that run them. The platform
+// starts another server for each that has ended, under an id of its own.
+type crashes struct {
+	fleet *Fleet
+	// deadly reports whether a request ends servers.
+	deadly func(target string) bool
+
+	mu      sync.Mutex
+	started int
+	pending sync.WaitGroup
+	done    chan struct{}
+}
+
+// crashZones are where the servers of crashes start.
+var crashZones = []string{"east-a", "east-b", "west-a"}
+
+const (
+	// restartTime is after what time another server has taken the place of one that has
+	// ended, and lapseTime when the entry of that one goes.
+	restartTime = 600 * time.Millisecond
+	lapseTime   = 900 * time.Millisecond
+)
+
+func newCrashes(t *testing.T, f *Fleet, servers int, deadly func(target string) bool) *crashes {
+	t.Helper()
+	c := &crashes{fleet: f, deadly: deadly, done: make(chan struct{})}
+	for i := range servers {
+		c.start(t, crashZones[i%len(crashZones)])
+	}
+	t.Cleanup(func() {
+		close(c.done)
+		c.pending.Wait()
+	})
+	return c
+}
+
+// start starts a server in the zone.
+func (c *crashes) start(t *testing.T, zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	id := fmt.Sprintf("%s.%d", zone, c.started)
+	s, err := c.fleet.AddServer(id, "shop", zone, 4, 20*time.Millisecond)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	s.SetFault(func(r *Run) Fault {
+		if !c.deadly(r.Target) {
+			return NoFault
+		}
+		return Crash
+	})
+	s.OnCrash(func() { c.replace(t, id, zone) })
+}
+
+// replace starts another server in the place of one that has ended, and has its entry lapse.
+func (c *crashes) replace(t *testing.T, id, zone string) {
+	c.pending.Add(1)
+	go func() {
+		defer c.pending.Done()
+		if !c.wait(restartTime) {
+			return
+		}
+		c.start(t, zone)
+		if c.wait(lapseTime - restartTime) {
+			c.fleet.Store.Delete("servers", id)
+		}
+	}()
+}
+
+// wait reports whether the time has passed before the test was over.
+func (c *crashes) wait(d time.Duration) bool {
+	select {
+	case <-c.done:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// runs returns when servers began to run the target, in their order.
+func (c *crashes) runs(target string) []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var at []time.Time
+	for _, s := range c.fleet.Servers {
+		for _, r := range s.Runs() {
+			if r.Target == target {
+				at = append(at, r.At)
+			}
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	return at
+}
+
+// lateRuns counts the runs later than the time of contact after the third.
+func lateRuns(at []time.Time, contact time.Duration) int {
+	late := 0
+	for i, when := range at {
+		if i >= 3 && when.After(at[2].Add(contact)) {
+			late++
+		}
+	}
+	return late
+}
+
+// ordinaryPause is how long an ordinary client waits between two requests.
+const ordinaryPause = 5 * time.Millisecond
+
+// traffic sends ordinary requests to all boxes until it is stopped, and counts answers.
+type traffic struct {
+	stop    chan struct{}
+	running sync.WaitGroup
+	mu      sync.Mutex
+	answers map[string]int
+}
+
+// newTraffic starts clients of ordinary requests. Each request's target is its own, and
+// some have the affinity key of the requests that crash servers.
+func newTraffic(f *Fleet, clients int) *traffic {
+	tr := &traffic{stop: make(chan struct{}), answers: map[string]int{}}
+	for i := range clients {
+		tr.running.Add(1)
+		go func() {
+			defer tr.running.Done()
+			c := &Client{Address: f.Boxes[i%len(f.Boxes)].Clients}
+			defer c.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-tr.stop:
+					return
+				default:
+				}
+				time.Sleep(ordinaryPause)
+				id := fmt.Sprintf("ordinary-%d-%d", i, n)
+				tr.note(c.Do("GET", fmt.Sprintf("/read/%d/%d", i, n), id, "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", n%7)))
+			}
+		}()
+	}
+	return tr
+}
+
+func (tr *traffic) note(a *Answer) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.answers[fmt.Sprint(a.Status, " ", strings.TrimSpace(firstLine(a.Body)))]++
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	if strings.HasPrefix(line, "the answer") {
+		return "answer"
+	}
+	return line
+}
+
+// end stops the clients and returns what they got, and how often.
+func (tr *traffic) end() map[string]int {
+	close(tr.stop)
+	tr.running.Wait()
+	return tr.answers
+}
+
+// sendAgain sends the request again and again, to each box in turn, as clients do that come
+// back after a failure.
+func sendAgain(f *Fleet, method, target, body, extra string, every, total time.Duration) (answers map[int]int) {
+	answers = map[int]int{}
+	for i, end := 0, time.Now().Add(total); time.Now().Before(end); i++ {
+		c := &Client{Address: f.Boxes[i%len(f.Boxes)].Clients}
+		a := c.Do(method, target, fmt.Sprintf("deadly-%s-%d", strings.Trim(target, "/"), i), body, extra)
+		c.Close()
+		answers[a.Status]++
+		time.Sleep(every)
+	}
+	return answers
+}
+
+// TestRequestThatCrashesServersIsKeptFromThem: whatever box it comes to and however often, a
+// request under which three servers have ended reaches no more than three others once boxes
+// had the time of contact to tell each other; ordinary requests are served on.
+func TestRequestThatCrashesServersIsKeptFromThem(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0)
+	c := newCrashes(t, f, 9, func(target string) bool { return target == "/read/deadly" })
+	for i := range 3 {
+		_, err := f.AddBox(Zones[i].Zone)
+		is.NoErr(err)
+	}
+	eventually(t, "all boxes are ready and know each other", func() bool {
+		for _, b := range f.Boxes {
+			if !b.Node.Ready() || b.Members.Count() != len(f.Boxes) {
+				return false
+			}
+		}
+		return true
+	})
+	ordinary := newTraffic(f, 9)
+	time.Sleep(300 * time.Millisecond)
+	got := sendAgain(f, "GET", "/read/deadly", "", "X-Stoneworks-Affinity-Key: 3\r\n", 50*time.Millisecond, 4*time.Second)
+	counts := ordinary.end()
+	at := c.runs("/read/deadly")
+	t.Log("the deadly request's answers", got, "runs", len(at), "ordinary requests' answers", counts)
+	is.True(len(at) >= 3)                              // it was found out by what it did
+	is.True(lateRuns(at, 1500*time.Millisecond) <= 3)  // and kept from servers then
+	is.True(len(at) <= 6)                              // soon
+	is.Equal(counts["503 crashes_backend_servers"], 0) // no other request was taken for one
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	is.True(counts["200 answer"] >= total*98/100)
+}
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -38,6 +38,9 @@
 	Garbage
 	// Mute never answers.
 	Mute
+	// Crash ends the server while it works on the request: all its connections close
+	// without an answer, and its port refuses new ones.
+	Crash
 )
 
 // Run is one request that a server began to work on.
@@ -86,6 +89,7 @@
 
 	mu       sync.Mutex
 	fault    func(r *Run) Fault
+	ended    func()
 	busy     int
 	waiting  int
 	runs     []*Run
@@ -143,6 +147,25 @@
 	s.fault = fault
 }
 
+// OnCrash sets what is called when a request has ended the server.
+func (s *Server) OnCrash(ended func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = ended
+}
+
+// crash ends the server, and tells of it once.
+func (s *Server) crash() {
+	s.Close()
+	s.mu.Lock()
+	ended := s.ended
+	s.ended = nil
+	s.mu.Unlock()
+	if ended != nil {
+		ended()
+	}
+}
+
 // Runs returns the requests that were run.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -279,6 +302,10 @@
 	if !s.work(c, reader, s.workOf(run.Key)) {
 		return false
 	}
+	if fault == Crash {
+		s.crash()
+		return false
+	}
 	s.mu.Lock()
 	run.Ended = true
 	s.mu.Unlock()
