--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -9,13 +9,14 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/hashing"
 )
 
-// Server is one backend server as the platform lists it. Every start of a
-// server has an ID of its own.
+// Server is one backend server as the platform lists it. It may start again under the ID
+// that it had; see Life.
 type Server struct {
 	ID      string `json:"id"`
 	Service string `json:"service"`
@@ -26,6 +27,17 @@
 	Draining bool `json:"draining,omitempty"`
 	// Cold is for how much longer it stays cold, counted from when it was told.
 	Cold time.Duration `json:"cold,omitempty"`
+	// Born is when it started, in milliseconds since 1970 by its own clock; 0 if it does not
+	// say. It tells its lives apart.
+	Born int64 `json:"born,omitempty"`
+}
+
+// Life names one life of the server, from its start to its end.
+func (v *Server) Life() string {
+	if v.Born == 0 {
+		return v.ID
+	}
+	return v.ID + "@" + strconv.FormatInt(v.Born, 10)
 }
 
 // Load is what a server said of itself in an answer.
@@ -49,6 +61,8 @@
 	Shed
 	// Unreachable: no connection came up; nothing was sent.
 	Unreachable
+	// Refused: the server's port refused the connection; nothing was sent.
+	Refused
 	// Broken: the exchange failed after something was sent.
 	Broken
 	// Late: no answer came in time.
@@ -64,7 +78,7 @@
 )
 
 // resultNames are the results' names in logs, by value.
-var resultNames = [...]string{"answered", "shed", "unreachable", "broken", "late", "stale", "abandoned", "withdrawn", "crashed"}
+var resultNames = [...]string{"answered", "shed", "unreachable", "refused", "broken", "late", "stale", "abandoned", "withdrawn", "crashed"}
 
 // String returns the result's name in logs.
 func (r Result) String() string { return resultNames[r] }
