--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -39,8 +39,9 @@
 type Adapter struct {
 	// Kinds are the names of the kinds of objects in the store.
 	Kinds replica.Kinds
-	// Store makes the client of the store.
-	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string)) *objects.Client
+	// Store makes the client of the store. Calls are counted by their verbs; objects that
+	// cannot be read are told to unread.
+	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string), unread func(err error)) *objects.Client
 	// Configuration, Server read objects of the store.
 	Configuration func(o objects.Object) (*routing.Configuration, error)
 	Server        func(o objects.Object) (backend.Server, error)
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"fmt"
+
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
@@ -20,7 +22,7 @@
 		Kinds: kinds, Zone: s.Zone, Contact: s.Bounds.Contact, Drain: s.Bounds.Drain,
 		Client: n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
 			metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
-		}),
+		}, func(err error) { n.unreadObject(log, err) }),
 		Members: n.Members, Fetch: n.fetchMirror,
 		WatchersPerZone: func() int { return n.policy.Load().WatchersPerZone },
 		Answered:        n.checkReady,
@@ -65,14 +67,37 @@
 	log.Info("configuration in force", map[string]any{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes), "customers": len(c.Customers)})
 }
 
+// ZoneError says that a server is listed in a zone that the settings do not name.
+type ZoneError struct {
+	Server string
+	Zone   string
+}
+
+// Error implements error.
+func (e *ZoneError) Error() string {
+	return fmt.Sprintf("server %s: unknown zone %q", e.Server, e.Zone)
+}
+
+// unreadObject notes an object of the store that cannot be read; the others hold.
+func (n *Node) unreadObject(log *logging.Part, err error) {
+	metrics.GetOrRegisterCounter("store.unread", n.Metrics).Inc(1)
+	log.Warn("object not understood", map[string]any{"error": err.Error()})
+}
+
 func (n *Node) serverChanged(log *logging.Part, o objects.Object, gone bool) {
 	if gone {
 		n.Set.Remove(o.Name, n.Replica.TrustsList())
 		return
 	}
 	v, err := n.adapter.Server(o)
+	if err == nil && n.Topology.RegionOf(v.Zone) == "" {
+		err = &ZoneError{Server: v.ID, Zone: v.Zone}
+	}
 	if err != nil {
-		log.Warn("server not understood", map[string]any{"name": o.Name, "error": err.Error()})
+		// The entry is another writer's. It names no server, also where it has taken the
+		// place of one that did.
+		n.unreadObject(log, err)
+		n.Set.Remove(o.Name, true)
 		return
 	}
 	n.Set.Put(v)
