--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -37,9 +37,12 @@
 	if v.Born == 0 {
 		return v.ID
 	}
-	return v.ID + "@" + strconv.FormatInt(v.Born, 10)
+	return v.ID + lifeMark + strconv.FormatInt(v.Born, 10)
 }
 
+// lifeMark stands between the ID and the start in the name of a life.
+const lifeMark = "@"
+
 // Load is what a server said of itself in an answer.
 type Load struct {
 	Running int
--- a/pkg/backend/born_test.go
+++ b/pkg/backend/born_test.go
@@ -27,16 +27,14 @@
 
 	second := first
 	second.Born = 2000
-	second.Cold = 2 * time.Second
 	s.Put(second)
 	is.True(!old.Usable()) // what was chosen for the earlier life is chosen anew
 	lease, err := choose(s, 7)
 	is.NoErr(err)
 	is.Equal(lease.Born, int64(2000))
 	is.True(!lease.Known)
-	is.True(lease.Cold)
-	is.Equal(lease.Busy, s.Policy.FullFill*4) // that of a cold server, and nothing it holds
-	old.Done(Broken, nil)                     // the end of the earlier life
+	is.Equal(lease.Busy, 0.0) // it holds nothing
+	old.Done(Broken, nil)     // the end of the earlier life
 	old = nil
 	is.Equal(s.servers[first.ID].load.own, 1)
 	is.Equal(s.servers[first.ID].health.failures, 0)
@@ -52,34 +50,56 @@
 	third.Draining = true
 	s.Put(third)
 	s.Remove(first.ID, false)
-	third.Draining, third.Born, third.Cold = false, 3000, 0
+	third.Draining, third.Born = false, 3000
 	s.Put(third)
-	c.advance(time.Minute)
-	lease, err = choose(s, 7)
+	_, err = choose(s, 7)
 	is.NoErr(err)
-	is.True(!lease.Cold)
+
+	// Each life is cold from its own start.
+	third.Born, third.Cold = 4000, 2*time.Second
+	s.Put(third)
+	c.advance(1900 * time.Millisecond)
+	third.Born = 5000
+	s.Put(third)
+	c.advance(1900 * time.Millisecond)
+	is.True(c.at.Before(s.servers[first.ID].coldUntil))
 }
 
 // TestServerThatRefusedIsTakenToBeCold: one whose port refused connections has ended; what
-// answers there later under its id has just started, whatever the list says yet.
+// answers there later under its id has just started, whatever the list says yet. So it gets
+// no more than a cold one, until its entry tells of the new life or must have gone.
 func TestServerThatRefusedIsTakenToBeCold(t *testing.T) {
 	is := is.New(t)
-	s, c := newTestSet(4)
-	s.Put(servers("east-a", 1, 4)[0])
-	lose(s, "east-a-0", Refused)
-	c.advance(10 * time.Second)
-	s.Put(servers("east-a", 1, 4)[0]) // its entry is as it was
-	sent := 0
-	for range 40 {
-		if lease, err := choose(s, 7); err == nil {
-			lease.Done(Answered, nil)
-			sent++
+	for _, result := range []Result{Refused, Crashed} {
+		s, c := newTestSet(4)
+		v := servers("east-a", 1, 4)[0]
+		v.Born = 1000
+		sent := func(span time.Duration) (n int) {
+			for end := c.at.Add(span); c.at.Before(end); c.advance(10 * time.Millisecond) {
+				if lease, err := choose(s, 7); err == nil {
+					lease.Done(Answered, nil)
+					n++
+				}
+			}
+			return n
 		}
-		c.advance(10 * time.Millisecond)
+		s.Put(v)
+		lose(s, v.ID, result)
+		c.advance(3 * time.Second) // its rest is over
+		s.Put(v)                   // and its entry as it was
+		is.True(sent(time.Second) <= 5)
+		renewed := v
+		renewed.Born = 2000
+		s.Put(renewed)
+		is.Equal(sent(time.Second), 100)
+		lose(s, v.ID, result)
+		c.advance(startedAgainTime)
+		is.Equal(sent(time.Second), 100) // it was the same one
+		// Without word of its starts each has an id of its own.
+		v.Born = 0
+		s.Put(v)
+		lose(s, v.ID, result)
+		c.advance(3 * time.Second)
+		is.Equal(sent(time.Second), 100)
 	}
-	is.Equal(sent, 5) // this box's part of 11 x 1.5 + 5 in a second
-	c.advance(3500 * time.Millisecond)
-	lease, err := choose(s, 7)
-	is.NoErr(err)
-	is.True(!lease.Cold)
 }
--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -37,3 +37,15 @@
 	total := terms.ColdPerSecond*s.Terms.ColdOverage + s.Terms.ColdSlack
 	return int(math.Floor(total / float64(boxes)))
 }
+
+// startedAgainTime is within what time of its end a server that has started again is listed
+// anew, or else listed no more: three of its heartbeats of 1.5 s, and a second and more for the list to be known.
+const startedAgainTime = 6 * time.Second
+
+// mayHaveStartedAgain reports whether the server's port has lately refused a connection: that
+// life has ended, and what answers there next, under the same ID, has just started and is
+// cold, while the list still has the entry of before. A server that does not tell its starts
+// apart has another ID with each.
+func (v *server) mayHaveStartedAgain(now time.Time) bool {
+	return v.Born != 0 && !v.refused.IsZero() && now.Sub(v.refused) < startedAgainTime
+}
--- a/pkg/backend/finding.go
+++ b/pkg/backend/finding.go
@@ -1,11 +1,15 @@
 package backend
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Finding is what a box found of a server that others should know before the
 // platform's list tells them.
 type Finding struct {
-	// Server is the server's ID.
+	// Server names the server's life, see Server.Life: another one under its ID is not
+	// concerned.
 	Server string
 	// Stale: another server has its address, so it is gone for good. Otherwise
 	// no connection to it came up.
@@ -34,9 +38,9 @@
 func (s *Set) found(l *Lease, result Result, now time.Time) {
 	switch {
 	case result == Stale:
-		s.Found(Finding{Server: l.ID, Stale: true})
-	case result == Unreachable && now.Sub(s.zoneHeard[l.Zone]) < zoneFresh:
-		s.Found(Finding{Server: l.ID})
+		s.Found(Finding{Server: l.Life(), Stale: true})
+	case (result == Unreachable || result == Refused) && now.Sub(s.zoneHeard[l.Zone]) < zoneFresh:
+		s.Found(Finding{Server: l.Life()})
 	}
 }
 
@@ -47,8 +51,9 @@
 func (s *Set) Learn(box string, f Finding) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := s.servers[f.Server]
-	if v == nil || v.stale {
+	id, _, _ := strings.Cut(f.Server, lifeMark)
+	v := s.servers[id]
+	if v == nil || v.stale || v.Life() != f.Server {
 		return
 	}
 	now := s.Now()
--- a/pkg/backend/lease.go
+++ b/pkg/backend/lease.go
@@ -95,9 +95,15 @@
 			v.load.others = max(v.load.others, float64(v.Slots)*s.Policy.RefusedFill)
 			v.load.at = now
 		}
+	case Refused:
+		v.refused = now
+		rests = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
 	case Unreachable:
 		rests = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
-	case Broken, Crashed:
+	case Crashed:
+		v.refused = now
+		rests = v.health.failed(&s.Policy, now, 1)
+	case Broken:
 		rests = v.health.failed(&s.Policy, now, 1)
 	case Abandoned:
 		v.health.unfinished(&s.Policy, l.workTime(now))
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -75,6 +75,9 @@
 	stale bool
 
 	coldUntil time.Time
+	// refused is when its port last refused a connection, or it crashed under a request; see
+	// mayHaveStartedAgain.
+	refused   time.Time
 	coldSends []time.Time
 
 	health  health
@@ -173,6 +176,13 @@
 
 func (s *Set) put(v Server) {
 	old := s.servers[v.ID]
+	if old != nil && old.Born != v.Born {
+		// It has started again and knows nothing of before, nor does anything hold that was
+		// known of it; what was chosen for its earlier life is chosen anew.
+		s.leave(old)
+		s.Changed(v, "started again")
+		old = nil
+	}
 	if old == nil {
 		old = &server{hash: Hash(v.ID)}
 		s.servers[v.ID] = old
@@ -255,6 +265,14 @@
 	}
 }
 
+// TellsStart reports whether the server is known and tells when it started.
+func (s *Set) TellsStart(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.servers[id]
+	return v != nil && v.Born != 0
+}
+
 // Expire drops servers that have been missing for too long. Call it from time
 // to time.
 func (s *Set) Expire() {
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -174,6 +175,8 @@
 		c.finish(lease, backend.Abandoned, nil, start, err)
 	case isWithdrawn(err):
 		c.finish(lease, backend.Withdrawn, nil, start, err)
+	case !sent && errors.Is(err, syscall.ECONNREFUSED):
+		c.finish(lease, backend.Refused, nil, start, err)
 	case !sent:
 		c.finish(lease, backend.Unreachable, nil, start, err)
 	case late:
--- a/pkg/steering/steering_dial.go
+++ b/pkg/steering/steering_dial.go
@@ -85,7 +85,7 @@
 // pool returns the connections to a backend server. Each life of a server has
 // its own, so that no connection to an earlier one at the address is used.
 func (n *Node) pool(v *backend.Server) *exchange.Pool {
-	key := v.ID + " " + v.Address
+	key := v.Life() + " " + v.Address
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.pools[key]
@@ -101,7 +101,7 @@
 func (n *Node) dropPools() {
 	keep := map[string]bool{}
 	for _, v := range n.Set.List() {
-		keep[v.ID+" "+v.Address] = true
+		keep[v.Life()+" "+v.Address] = true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -45,7 +45,7 @@
 	{"store.unread", "objects", "of the store that cannot be read, or name no server; the others hold"},
 	{"store.polls", "calls", "of a box that leaves the store to others and had no word of the list of servers, or of the configuration, for long"},
 	{"store.answered_ago.KIND", "milliseconds", "since the store last answered this box for a kind of objects, at a box that asks it"},
-	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, broken, late, stale, abandoned, withdrawn, crashed"},
+	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, refused, broken, late, stale, abandoned, withdrawn, crashed"},
 	{"backend.connections", "connections", "opened to backend servers"},
 	{"backend.remote", "exchanges", "with backend servers of other regions"},
 }
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -78,6 +78,27 @@
 	return fmt.Sprintf("server %s: unknown zone %q", e.Server, e.Zone)
 }
 
+// StartError says that an entry does not tell when its server started, which earlier ones of
+// that server did.
+type StartError struct {
+	Server string
+}
+
+// Error implements error.
+func (e *StartError) Error() string { return "server " + e.Server + ": its start is not told any more" }
+
+// checkServer compares an entry that can be read with what is known. The error is a
+// *ZoneError or a *StartError.
+func (n *Node) checkServer(v *backend.Server) error {
+	if n.Topology.RegionOf(v.Zone) == "" {
+		return &ZoneError{Server: v.ID, Zone: v.Zone}
+	}
+	if v.Born == 0 && n.Set.TellsStart(v.ID) {
+		return &StartError{Server: v.ID}
+	}
+	return nil
+}
+
 // unreadObject notes an object of the store that cannot be read; the others hold.
 func (n *Node) unreadObject(log *logging.Part, err error) {
 	metrics.GetOrRegisterCounter("store.unread", n.Metrics).Inc(1)
@@ -90,8 +111,8 @@
 		return
 	}
 	v, err := n.adapter.Server(o)
-	if err == nil && n.Topology.RegionOf(v.Zone) == "" {
-		err = &ZoneError{Server: v.ID, Zone: v.Zone}
+	if err == nil {
+		err = n.checkServer(&v)
 	}
 	if err != nil {
 		// The entry is another writer's. It names no server, also where it has taken the
--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -25,14 +25,18 @@
 // with the attempts and never levelled off.
 
 // crashes is a service some of whose requests end the servers that run them. The platform
-// starts another server for each that has ended, under an id of its own.
+// starts another server for each that has ended, under an id of its own or the same one.
 type crashes struct {
 	fleet *Fleet
 	// deadly reports whether a request ends servers.
 	deadly func(target string) bool
 
+	// sameID: a server starts again under its id.
+	sameID bool
+
 	mu      sync.Mutex
 	started int
+	servers []*Server
 	// spared is a target that crashes no servers any more.
 	sparedMu sync.Mutex
 	spared   string
@@ -54,7 +58,7 @@
 	t.Helper()
 	c := &crashes{fleet: f, deadly: deadly, done: make(chan struct{})}
 	for i := range servers {
-		c.start(t, crashZones[i%len(crashZones)])
+		c.start(t, crashZones[i%len(crashZones)], "")
 	}
 	t.Cleanup(func() {
 		close(c.done)
@@ -63,17 +67,20 @@
 	return c
 }
 
-// start starts a server in the zone.
-func (c *crashes) start(t *testing.T, zone string) {
+// start starts a server in the zone, under the id or a new one.
+func (c *crashes) start(t *testing.T, zone, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.started++
-	id := fmt.Sprintf("%s.%d", zone, c.started)
+	if id == "" {
+		id = fmt.Sprintf("%s.%d", zone, c.started)
+	}
 	s, err := c.fleet.AddServer(id, "shop", zone, 4, 20*time.Millisecond)
 	if err != nil {
 		t.Error(err)
 		return
 	}
+	c.servers = append(c.servers, s)
 	s.SetFault(func(r *Run) Fault {
 		if !c.isDeadly(r.Target) {
 			return NoFault
@@ -106,7 +113,11 @@
 		if !c.wait(restartTime) {
 			return
 		}
-		c.start(t, zone)
+		if c.sameID {
+			c.start(t, zone, id)
+			return
+		}
+		c.start(t, zone, "")
 		if c.wait(lapseTime - restartTime) {
 			c.fleet.Store.Delete("servers", id)
 		}
@@ -128,7 +139,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var at []time.Time
-	for _, s := range c.fleet.Servers {
+	for _, s := range c.servers {
 		for _, r := range s.Runs() {
 			if r.Target == target {
 				at = append(at, r.At)
@@ -225,8 +236,15 @@
 // request under which three servers have ended reaches no more than three others once boxes
 // had the time of contact to tell each other; ordinary requests are served on.
 func TestRequestThatCrashesServersIsKeptFromThem(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		t.Run(fmt.Sprint("same id ", sameID), func(t *testing.T) { keepsFromServers(t, sameID) })
+	}
+}
+
+func keepsFromServers(t *testing.T, sameID bool) {
 	is := is.New(t)
 	f, c := newCrashFleet(t, func(target string) bool { return target == "/read/deadly" })
+	c.sameID = sameID
 	ordinary := newTraffic(f, 9)
 	time.Sleep(300 * time.Millisecond)
 	got := sendAgain(f, "GET", "/read/deadly", "", "X-Stoneworks-Affinity-Key: 3\r\n", 50*time.Millisecond, 4*time.Second)
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -82,6 +82,8 @@
 	Advertised string
 	Slots      int
 	Queue      int
+	// Born is when it started, in milliseconds since 1970.
+	Born int64
 	// Work is how long a request takes.
 	Work time.Duration
 	// Nature is what else decides how long; set it before the first request.
@@ -121,7 +123,7 @@
 	}
 	s := &Server{
 		ID: id, Address: l.Addr().String(), Slots: slots, Queue: 3 * slots, Work: work,
-		free: make(chan struct{}, slots), listener: l, conns: map[net.Conn]bool{},
+		free: make(chan struct{}, slots), listener: l, Born: time.Now().UnixMilli(), conns: map[net.Conn]bool{},
 	}
 	for range slots {
 		s.free <- struct{}{}
