--- a/pkg/daemon/daemon_steer.go
+++ b/pkg/daemon/daemon_steer.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/stoneworks/stoneworks/pkg/clock"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/steering"
@@ -35,7 +36,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	n := steering.New(s, platform.Adapter(), handler)
+	n := steering.New(s, platform.Adapter(), handler, clock.New())
 	if err := n.Start(); err != nil {
 		fmt.Fprintln(stderr, err)
 		n.Stop()
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -116,6 +116,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdleConns bounds the connections kept for another exchange.
 	MaxIdleConns int
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
 	// Idle learns for how long connections may rest; nil learns nothing.
 	Idle *IdleLimit
 	// Reusable reports whether a connection may carry another exchange after
@@ -150,6 +152,7 @@
 	return &Pool{
 		Address:      address,
 		Dial:         dial,
+		Now:          time.Now,
 		MaxIdleConns: maxIdle,
 		Reusable:     reusable,
 		Quiet:        quiet,
@@ -176,8 +179,8 @@
 const keepAliveMargin = time.Second
 
 // fresh reports whether the connection may be used again after its idle time.
-func (c *connection) fresh(maxIdle time.Duration) bool {
-	idle := time.Since(c.idleSince)
+func (c *connection) fresh(now time.Time, maxIdle time.Duration) bool {
+	idle := now.Sub(c.idleSince)
 	if c.keepAlive > 0 && idle > c.keepAlive-keepAliveMargin {
 		return false
 	}
@@ -222,9 +225,9 @@
 		if c == nil {
 			break
 		}
-		if c.fresh(maxIdle) && p.Quiet(c.Conn) {
+		if c.fresh(p.Now(), maxIdle) && p.Quiet(c.Conn) {
 			c.used = true
-			c.rested = time.Since(c.idleSince)
+			c.rested = p.Now().Sub(c.idleSince)
 			c.written = 0
 			return c, nil
 		}
@@ -269,7 +272,7 @@
 
 func (p *Pool) put(c *connection) {
 	_ = c.SetDeadline(time.Time{})
-	c.idleSince = time.Now()
+	c.idleSince = p.Now()
 	p.mu.Lock()
 	if !p.closed && len(p.idle) < p.MaxIdleConns {
 		p.idle = append(p.idle, c)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -185,7 +185,7 @@
 		c.fail(failure)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(s.Now()))
 	defer cancel()
 	c.ctx = ctx
 	if failure := c.admit(); failure != nil {
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -136,7 +136,7 @@
 	}
 	return func() {
 		_ = control.Flush()
-		_ = control.SetReadDeadline(c.server.Now().Add(drainTime))
+		_ = control.SetReadDeadline(time.Now().Add(drainTime))
 		_, _ = io.Copy(io.Discard, c.r.Body)
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- a/pkg/ingress/ingress_body.go
+++ b/pkg/ingress/ingress_body.go
@@ -35,7 +35,7 @@
 	}
 	// A client that stops sending must not hold the request past its time.
 	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(c.deadline)
+	_ = control.SetReadDeadline(time.Now().Add(c.deadline.Sub(c.server.Now())))
 	reader := http.MaxBytesReader(nil, c.r.Body, limit)
 	var buffer bytes.Buffer
 	if c.r.ContentLength > 0 && c.r.ContentLength <= bufferedBody {
--- a/pkg/objects/calls.go
+++ b/pkg/objects/calls.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return 0, err
 	}
-	answered := time.Now()
+	answered := f.Now()
 	f.Mirror.Apply(events, Exactly(at))
 	f.Confirmed(Answer{At: answered, Events: events})
 	return len(events), nil
@@ -64,7 +64,7 @@
 	defer cancel()
 	start, since := f.begin(), f.Mirror.Version().At
 	events, at, err := f.Client.Watch(ctx, f.Mirror.Kind, since, wait)
-	f.Ended(Call{Watch: true, Since: since, At: at, Objects: len(events), Took: time.Since(start), Err: err})
+	f.Ended(Call{Watch: true, Since: since, At: at, Objects: len(events), Took: f.Now().Sub(start), Err: err})
 	return events, at, err
 }
 
@@ -108,7 +108,7 @@
 	defer cancel()
 	start := f.begin()
 	p, err := f.Client.List(ctx, f.Mirror.Kind, after, stale)
-	f.Ended(Call{At: p.At, Objects: len(p.Items), Took: time.Since(start), Err: err})
+	f.Ended(Call{At: p.At, Objects: len(p.Items), Took: f.Now().Sub(start), Err: err})
 	return p, err
 }
 
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -45,6 +45,8 @@
 	// the store answers to other watches.
 	Wait    time.Duration
 	WaitNow func() time.Duration
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Allowed reports whether this box is to ask the store; nil means that it
@@ -95,7 +97,7 @@
 // NewFollower makes a follower that does not run yet.
 func NewFollower(client *Client, mirror *Mirror, wait time.Duration, random func() float64) *Follower {
 	return &Follower{
-		Client: client, Mirror: mirror, Wait: wait, Random: random,
+		Client: client, Mirror: mirror, Wait: wait, Now: time.Now, Random: random,
 		Ended: func(Call) {}, Succeeded: func() {}, Failed: func(error) {}, Confirmed: func(Answer) {}, hurry: make(chan struct{}, 1),
 	}
 }
@@ -206,7 +208,7 @@
 func (f *Follower) begin() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.began = time.Now()
+	f.began = f.Now()
 	return f.began
 }
 
--- a/pkg/replica/claims.go
+++ b/pkg/replica/claims.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		ago := time.Duration(told-1) * time.Millisecond
-		r.claims.put(kind, claim{version, time.Now().Add(-ago)})
+		r.claims.put(kind, claim{version, r.Now().Add(-ago)})
 		r.settleClaims(kind)
 	}
 }
--- a/pkg/replica/contact.go
+++ b/pkg/replica/contact.go
@@ -8,7 +8,8 @@
 
 // contact is what a box has seen of the platform's store.
 type contact struct {
-	// started is the start of the box, and within the time of contact.
+	// now is the clock, started the start of the box, and within the time of contact.
+	now     func() time.Time
 	started time.Time
 	within  time.Duration
 	// answered is when the store last did, and failed when the last call was made that
@@ -25,8 +26,9 @@
 
 // confirmation is when a copy was last known to be the newest.
 type confirmation struct {
-	// started is the start of the box. The moments are in nanoseconds after it, 0 if there
-	// is none: own, by this box's own calls; heard, by the word of another box.
+	// now is the clock and started the start of the box. The moments are in nanoseconds after
+	// it, 0 if there is none: own, by this box's own calls; heard, by the word of another box.
+	now        func() time.Time
 	started    time.Time
 	own, heard atomic.Int64
 }
@@ -40,7 +42,7 @@
 // ago is how long ago the copy was last known to be the newest, or how long the box has run
 // if it never was.
 func (c *confirmation) ago() time.Duration {
-	return time.Since(c.started) - time.Duration(max(c.own.Load(), c.heard.Load()))
+	return c.now().Sub(c.started) - time.Duration(max(c.own.Load(), c.heard.Load()))
 }
 
 // ever reports whether the copy was ever known to be the newest.
@@ -56,12 +58,14 @@
 	if own == 0 || !watching {
 		return 0
 	}
-	ago := time.Since(c.started) - time.Duration(own)
+	ago := c.now().Sub(c.started) - time.Duration(own)
 	return 1 + uint32(ago.Milliseconds())
 }
 
-func newContact(started time.Time, within time.Duration) *contact {
-	c := &contact{started: started, within: within, failing: map[string]bool{}}
+func newContact(now func() time.Time, within time.Duration) *contact {
+	started := now()
+	c := &contact{now: now, started: started, within: within, failing: map[string]bool{}}
+	c.configuration.now, c.list.now = now, now
 	c.configuration.started, c.list.started = started, started
 	return c
 }
@@ -103,7 +107,7 @@
 	clear(c.failing)
 }
 
-func (c *contact) age() time.Duration { return time.Since(c.started) }
+func (c *contact) age() time.Duration { return c.now().Sub(c.started) }
 
 func (c *contact) noteAnswer() { c.answered.Store(int64(c.age())) }
 
--- a/pkg/replica/fleet_test.go
+++ b/pkg/replica/fleet_test.go
@@ -133,6 +133,7 @@
 	b.table.Seeds = func() []string { return []string{"east-a-0", "west-a-0", "west-b-1"} }
 	log := logging.For(logging.New(logging.NewAsyncJSONHandler(io.Discard), logging.ParseLevel("error")), "test")
 	b.replica = New(Options{
+		Now:   time.Now,
 		Kinds: storeKinds, Zone: zone, Contact: contactTime, Drain: drainTime,
 		Client: f.store.client(name), Members: b.table,
 		Fetch: func(ctx context.Context, source string, m *objects.Mirror) (*Handover, error) {
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -38,6 +38,7 @@
 func (r *Replica) newFollower(kind string) *objects.Follower {
 	wait := r.shortWatch(kind)
 	f := objects.NewFollower(r.Client, r.mirrors[kind], wait, rand.Float64)
+	f.Now = r.Now
 	f.Allowed = r.watching.Load
 	f.ReadsOn = r.readsOn
 	tell := r.tellsCalls(kind)
--- a/pkg/replica/poll.go
+++ b/pkg/replica/poll.go
@@ -65,7 +65,7 @@
 	if r.watching.Load() || !r.synced() || ago < longest {
 		return
 	}
-	made := time.Now()
+	made := r.Now()
 	if !r.polls.begin(made, made.Add(-ago), pollAgain*r.Contact) {
 		return
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -61,6 +61,8 @@
 	WatchersPerZone func() int
 	// Answered is called when the store, or another box in its place, has told something.
 	Answered func()
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
 	// Go runs work in the background, and Context ends it all.
 	Go      func(work func())
 	Context context.Context
@@ -92,10 +94,10 @@
 
 // New makes a replica that does not run yet.
 func New(o Options) *Replica {
-	now := time.Now()
+	now := o.Now()
 	r := &Replica{
 		Options: o, mirrors: map[string]*objects.Mirror{}, followers: map[string]*objects.Follower{},
-		contact: newContact(now, o.Contact), revisions: newRevisions(), pulls: newPulls(),
+		contact: newContact(o.Now, o.Contact), revisions: newRevisions(), pulls: newPulls(),
 		role: watcher.New(o.WatchersPerZone, o.Contact, now, rand.Float64()),
 	}
 	for _, kind := range o.Kinds.all() {
@@ -217,7 +219,7 @@
 func (r *Replica) chooseRole() {
 	r.roleMu.Lock()
 	defer r.roleMu.Unlock()
-	watching := r.role.Watches(r.view(), time.Now())
+	watching := r.role.Watches(r.view(), r.Now())
 	if watching == r.watching.Swap(watching) {
 		return
 	}
@@ -246,5 +248,5 @@
 func (r *Replica) readsOn() bool {
 	r.roleMu.Lock()
 	defer r.roleMu.Unlock()
-	return r.role.ReadsOn(time.Now())
+	return r.role.ReadsOn(r.Now())
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/clock"
 	"github.com/stoneworks/stoneworks/pkg/customer"
 	"github.com/stoneworks/stoneworks/pkg/directory"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
@@ -57,6 +58,7 @@
 	Settings *settings.Settings
 	Topology *topology.Map
 	Timers   *timer.Service
+	Clock    *clock.Clock
 	Metrics  metrics.Registry
 
 	Members *gossip.Table
@@ -115,25 +117,27 @@
 }
 
 // New makes a box. Nothing runs before Start.
-func New(s *settings.Settings, adapter *Adapter, handler *logging.AsyncHandler) *Node {
+func New(s *settings.Settings, adapter *Adapter, handler *logging.AsyncHandler, c *clock.Clock) *Node {
 	logger := logging.New(handler, logging.ParseLevel(s.LogLevel))
-	started := time.Now()
+	started := c.Now()
 	n := &Node{
 		Settings: s,
 		Topology: topology.New(s.Zones, nil),
 		Timers:   timer.New(),
+		Clock:    c,
 		Metrics:  metrics.NewRegistry(),
 		adapter:  adapter,
 		handler:  handler,
 		log:      logging.For(logger, "box"),
 		started:  started,
 		pools:    map[string]*exchange.Pool{},
-		idle:     exchange.NewIdleLimit(time.Now),
-		Ledger:   standing.NewLedger(time.Now),
+		idle:     exchange.NewIdleLimit(c.Now),
+		Ledger:   standing.NewLedger(c.Now),
 		ports:    &ports{},
 		refused:  map[string]bool{},
 	}
-	n.findings = &findings.Outbox{Box: s.Box, Now: time.Now}
+	n.Timers.Now = c.Now
+	n.findings = &findings.Outbox{Box: s.Box, Now: n.Clock.Now}
 	n.background = conc.NewWaitGroup()
 	n.context, n.stop = context.WithCancel(context.Background())
 	n.seeds.Store(&s.Seeds)
@@ -143,7 +147,7 @@
 	n.setPolicy(s.Policy)
 	n.Budget = retry.NewBudget(retry.Terms{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
-	}, n.boxes, time.Now)
+	}, n.boxes, n.Clock.Now)
 	n.Directory = &directory.Directory{
 		TTL: min(preferredTTL, s.LookupTTL), RegionOf: n.Topology.RegionOf,
 		Self: n.Members.Self, EachLive: n.Members.EachLive, RegionAllowed: n.hostAllowed,
@@ -181,7 +185,7 @@
 
 // boxes returns among how many boxes shared bounds are divided.
 func (n *Node) boxes() int {
-	if time.Since(n.started) < settleTime {
+	if n.Clock.Since(n.started) < settleTime {
 		return 0
 	}
 	return n.Members.Count()
@@ -193,7 +197,7 @@
 		Box: s.Box, Zone: s.Zone, Clients: s.Advertise.Callers, Peers: s.Advertise.Peers,
 		Started: n.started.UnixNano(), Capacity: capacityOf(s.Machine),
 	}
-	n.Members = gossip.NewTable(self, time.Now, rand.IntN)
+	n.Members = gossip.NewTable(self, n.Clock.Now, rand.IntN)
 	n.Members.Seeds = func() []string { return *n.seeds.Load() }
 	n.Members.Changed = func(r gossip.Record, what string) {
 		n.membersChanged.Store(true)
@@ -206,7 +210,7 @@
 	n.Set = backend.NewSet(backend.Terms{
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
-	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, time.Now)
+	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, n.Clock.Now)
 	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
 		log.Info("server "+what, map[string]any{
@@ -241,7 +245,7 @@
 		Crashed:    n.noteCrash,
 		Quarantine: n.Quarantine,
 		Background: n.background.Go,
-		Now:        time.Now,
+		Now:        n.Clock.Now,
 		Random:     rand.Uint64,
 		Log:        log,
 		Count:      func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
@@ -252,7 +256,7 @@
 }
 
 // age returns how long this life of the box has lasted.
-func (n *Node) age() time.Duration { return time.Since(n.started) }
+func (n *Node) age() time.Duration { return n.Clock.Since(n.started) }
 
 // revokeMargin is by how much sooner than the bound a box stops to trust its keys: a
 // confirmation may have been on its way for as long.
--- a/pkg/steering/steering_dial.go
+++ b/pkg/steering/steering_dial.go
@@ -91,6 +91,7 @@
 	p := n.pools[key]
 	if p == nil {
 		p = exchange.NewPool(v.Address, idleConnections, n.dialServer)
+		p.Now = n.Clock.Now
 		p.Idle = n.idle
 		n.pools[key] = p
 	}
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -37,7 +37,7 @@
 	n.Quarantine = quarantine.NewTable(func() quarantine.Terms {
 		p := n.policy.Load()
 		return quarantine.Terms{Crashes: p.QuarantineAfter, Hold: p.QuarantineHold}
-	}, time.Now)
+	}, n.Clock.Now)
 	n.Quarantine.Changed = func(r quarantine.Record, what string) {
 		log.Warn("request "+what, map[string]any{
 			"fingerprint": r.Request.String(), "crashed": r.Crashed, "excused": r.Excused, "left_ms": r.Left.Milliseconds(),
--- a/pkg/steering/steering_quota.go
+++ b/pkg/steering/steering_quota.go
@@ -49,7 +49,7 @@
 		Terms: quota.Terms{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
 		Zone:  s.Zone, Zones: zones, Life: n.started.UnixNano(),
 		Self: quota.Box{Key: quota.KeyOf(s.Box), Address: s.Advertise.Peers},
-		Now:  time.Now, Random: rand.Float64,
+		Now:  n.Clock.Now, Random: rand.Float64,
 	}
 	n.Quota.Start()
 	worst := metrics.NewFunctionalGaugeFloat64(func() float64 {
@@ -89,8 +89,8 @@
 	h := &n.neighbourhood
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if n.membersChanged.Swap(false) || time.Since(h.at) >= neighbourhoodHolds || n.age() < 2*meetTime {
-		h.at = time.Now()
+	if n.membersChanged.Swap(false) || n.Clock.Since(h.at) >= neighbourhoodHolds || n.age() < 2*meetTime {
+		h.at = n.Clock.Now()
 		h.standing = n.Members.Standing(firstBoxes, quota.Allocators)
 		h.zones = map[string][]quota.Box{}
 		for zone, list := range h.standing.First {
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -82,21 +82,21 @@
 // answered all that it holds.
 func (n *Node) Leave(ctx context.Context) {
 	grace := n.Settings.Bounds.Grace
-	start := time.Now()
+	start := n.Clock.Now()
 	n.leaving.Store(true)
 	n.beat()
 	n.send(n.Members.Announce())
 	n.log.Info("leaving", map[string]any{"in_flight": n.inFlight.Load(), "grace": grace.String()})
 	n.sleep(ctx, time.Duration(closeShare*float64(grace)))
 	n.closed.Store(true)
-	left := grace - endMargin - time.Since(start)
+	left := grace - endMargin - n.Clock.Since(start)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	n.ports.shut(ctx)
 	for n.inFlight.Load() > 0 && ctx.Err() == nil {
 		n.sleep(ctx, drainPoll)
 	}
-	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": time.Since(start).Milliseconds()})
+	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": n.Clock.Since(start).Milliseconds()})
 }
 
 func (n *Node) sleep(ctx context.Context, d time.Duration) {
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -23,7 +23,7 @@
 		Client: n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
 			metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
 		}, func(err error) { n.unreadObject(log, err) }),
-		Members: n.Members, Fetch: n.fetchMirror,
+		Members: n.Members, Fetch: n.fetchMirror, Now: n.Clock.Now,
 		WatchersPerZone: func() int { return n.policy.Load().WatchersPerZone },
 		Answered:        n.checkReady,
 		Go:              n.background.Go, Context: n.context,
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/clock"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/settings"
@@ -53,6 +54,7 @@
 	Clients   string
 	Ready     string
 	Directory string
+	machine   *machine
 	endLog    context.CancelFunc
 }
 
@@ -180,13 +182,14 @@
 	handler := logging.NewAsyncJSONHandler(f.log)
 	logContext, endLog := context.WithCancel(context.Background())
 	go handler.Run(logContext)
-	node := steering.New(&s, platform.Adapter(), handler)
+	m := newMachine()
+	node := steering.New(&s, platform.Adapter(), handler, clock.NewOn(m.boottime))
 	if err := node.Start(); err != nil {
 		endLog()
 		node.Stop()
 		return nil, err
 	}
-	b := &Box{Node: node, IP: ip, endLog: endLog, Clients: s.Listen.Callers, Ready: s.Listen.Ready, Directory: s.Listen.Directory}
+	b := &Box{Node: node, IP: ip, machine: m, endLog: endLog, Clients: s.Listen.Callers, Ready: s.Listen.Ready, Directory: s.Listen.Directory}
 	f.Boxes = append(f.Boxes, b)
 	return b, nil
 }
--- /dev/null
+++ b/test/machines/suspended_test.go
@@ -0,0 +1,70 @@
+package machines
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSuspendedBoxKnowsHowOldItsCopiesAre: a box whose machine was suspended does not take
+// its configuration for fresh, and so does not say of a path that it does not exist.
+func TestSuspendedBoxKnowsHowOldItsCopiesAre(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	b := f.Boxes[0]
+	client := &Client{Address: b.Clients}
+	defer client.Close()
+	is.Equal(client.Do("GET", "/unknown/1", "before", "", "").Status, 404)
+	f.Store.SetTreat(func(string, string) Mode { return Silent })
+	b.Suspend(10 * time.Second)
+	is.Equal(client.Do("GET", "/unknown/1", "after", "", "").Status, 503)
+	is.Equal(client.Do("GET", "/read/1", "served", "", "").Status, 200) // with what it has
+}
+
+// TestRequestWhoseTimeASuspensionTookIsNotSentOn: its client has given it up.
+func TestRequestWhoseTimeASuspensionTookIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1", "east-a.2")
+	b := f.Boxes[0]
+	var suspended atomic.Bool
+	for _, s := range f.Servers {
+		s.SetFault(func(r *Run) Fault {
+			if r.Target != "/read/late" {
+				return NoFault
+			}
+			if !suspended.Swap(true) {
+				b.Suspend(5 * time.Second)
+			}
+			return Refuse
+		})
+	}
+	client := &Client{Address: b.Clients}
+	defer client.Close()
+	for i := range 30 { // which earn a repeat
+		is.Equal(client.Do("GET", "/read/earn", fmt.Sprint("earn-", i), "", "").Status, 200)
+	}
+	arrivals := func() int { return f.Servers["east-a.1"].Arrivals() + f.Servers["east-a.2"].Arrivals() }
+	before := arrivals()
+	a := client.Do("GET", "/read/late", "late", "", "")
+	is.Equal(a.Status, 503)
+	is.Equal(arrivals()-before, 1)
+}
+
+// TestSuspensionIsNoted in the log, with how long it was.
+func TestSuspensionIsNoted(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, "east-a.1")
+	log := &notes{}
+	f.log = log
+	b, err := f.AddBox("east-a")
+	is.NoErr(err)
+	eventually(t, "the box is ready", b.Node.Ready)
+	b.Suspend(3 * time.Second)
+	eventually(t, "the suspension is noted", func() bool {
+		return strings.Contains(log.String(), "the machine was suspended") && strings.Contains(log.String(), `"away_ms":`)
+	})
+}
