--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -109,6 +109,8 @@
 	// Pool returns the connections to a backend server.
 	Pool func(server *backend.Server) *exchange.Pool
 	Now  func() time.Time
+	// SyncClock has Now count what the machine was suspended for.
+	SyncClock func()
 	// Random returns a random number, for requests without a key.
 	Random func() uint64
 	Log    *logging.Part
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -53,8 +53,10 @@
 	return failure
 }
 
-// outOfTime says that nothing can be sent any more.
+// outOfTime says that nothing can be sent any more. The machine may have been suspended since
+// the last server was asked.
 func (c *call) outOfTime() *outcome.Failure {
+	c.server.SyncClock()
 	if c.r.Context().Err() != nil {
 		return outcome.NewNotRun(outcome.ReasonCancelled, "the client left")
 	}
@@ -236,7 +238,7 @@
 		c.server.Dialect.WriteCustomer(h, c.customer.Name)
 	}
 	x := &exchange.Request{Header: h, Body: c.body.whole, MaxIdle: idleOnce, Once: !c.route.Idempotent()}
-	x.Wanted = lease.Usable
+	x.Wanted = func() bool { return lease.Usable() && c.outOfTime() == nil }
 	x.Match = func(h *fasthttp.ResponseHeader) bool { return c.server.Dialect.Belongs(h, &c.meta) }
 	if c.route.Idempotent() {
 		x.MaxIdle = idleRepeatable
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -137,6 +137,7 @@
 		refused:  map[string]bool{},
 	}
 	n.Timers.Now = c.Now
+	n.noteSuspensions()
 	n.findings = &findings.Outbox{Box: s.Box, Now: n.Clock.Now}
 	n.background = conc.NewWaitGroup()
 	n.context, n.stop = context.WithCancel(context.Background())
@@ -246,6 +247,7 @@
 		Quarantine: n.Quarantine,
 		Background: n.background.Go,
 		Now:        n.Clock.Now,
+		SyncClock:  n.Clock.Sync,
 		Random:     rand.Uint64,
 		Log:        log,
 		Count:      func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -110,6 +110,7 @@
 			}
 			continue
 		}
+		n.Clock.Sync()
 		if findings.Is(buffer[:size]) {
 			n.receiveFindings(buffer[:size], from)
 			continue
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -35,6 +35,7 @@
 	{"quarantine.held", "requests", "that are kept from backend servers, since servers crashed under them"},
 	{"quarantine.sent", "records", "of requests that were at servers when they crashed, told to other boxes"},
 	{"quarantine.received", "records", "of requests that were at servers when they crashed, told by other boxes"},
+	{"suspended", "milliseconds", "for which the machine was suspended, in sum"},
 	{"heartbeats.unsent", "datagrams", "to other boxes not sent, since the address cannot be reached or the link is full"},
 	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
 	{"mirror.pulls.WHERE", "pulls", "of what the store holds, from boxes of the own zone or far ones"},
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -206,6 +206,7 @@
 // counting counts the requests on their way, and notes when the last one came.
 func (n *Node) counting(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.Clock.Sync()
 		n.lastRequest.Store(int64(n.age()))
 		n.inFlight.Add(1)
 		defer n.inFlight.Add(-1)
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// clockEvery is how often a box that nobody asks or tells anything looks whether its
+	// machine was suspended.
+	clockEvery = 50 * time.Millisecond
 	// dropPoolsEvery is how often connections to servers that are gone close.
 	dropPoolsEvery = 5 * time.Second
 	// announceEvery is how soon changes in the store are told to the zone.
@@ -32,6 +35,7 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
+	n.Timers.Every(clockEvery, n.Clock.Sync)
 	n.Timers.Every(gossip.Interval, n.beat)
 	n.Timers.Every(announceEvery, n.announce)
 	n.Timers.Every(quota.ReportEvery, n.tickQuota)
