--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -41,6 +41,7 @@
 	// Hits counts the pieces of data and connections that met a fault.
 	Hits atomic.Int64
 
+	address  string
 	listener net.Listener
 	mu       sync.Mutex
 	rule     func(source string) Fault
@@ -69,16 +70,37 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Target: target, listener: l, changed: make(chan struct{}), rule: func(string) Fault { return Fault{} }, pairs: map[*pair]bool{}}
-	go p.accept()
+	p := &Proxy{Target: target, address: l.Addr().String(), listener: l, changed: make(chan struct{}), rule: func(string) Fault { return Fault{} }, pairs: map[*pair]bool{}}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns where the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Close stops taking connections.
-func (p *Proxy) Close() { _ = p.listener.Close() }
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// Down has the address refuse connections, as that of a process that has ended does; those
+// that are open go on. Up takes connections again.
+func (p *Proxy) Down() { p.Close() }
+
+// Up ends Down.
+func (p *Proxy) Up() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // SetTarget sends connections that are opened from now on elsewhere.
 func (p *Proxy) SetTarget(target string) {
@@ -137,9 +159,9 @@
 	return p.rule(source), p.changed
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -81,13 +81,7 @@
 		return
 	}
 	c.servers = append(c.servers, s)
-	s.SetFault(func(r *Run) Fault {
-		if !c.isDeadly(r.Target) {
-			return NoFault
-		}
-		return Crash
-	})
-	s.OnCrash(func() { c.replace(t, id, zone) })
+	s.SetDeadly(c.isDeadly, func() { c.replace(t, id, zone) })
 }
 
 // isDeadly reports whether the target ends the server that runs it. It takes no lock that
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -38,9 +38,6 @@
 	Garbage
 	// Mute never answers.
 	Mute
-	// Crash ends the server while it works on the request: all its connections close
-	// without an answer, and its port refuses new ones.
-	Crash
 )
 
 // Run is one request that a server began to work on.
@@ -91,6 +88,7 @@
 
 	mu       sync.Mutex
 	fault    func(r *Run) Fault
+	deadly   func(target string) bool
 	ended    func()
 	busy     int
 	waiting  int
@@ -149,23 +147,32 @@
 	s.fault = fault
 }
 
-// OnCrash sets what is called when a request has ended the server.
-func (s *Server) OnCrash(ended func()) {
+// SetDeadly sets which requests end the server while it works on them: all its connections
+// close without an answer, and its port refuses new ones. Ended is called once, then.
+func (s *Server) SetDeadly(deadly func(target string) bool, ended func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended = ended
+	s.deadly, s.ended = deadly, ended
+}
+
+func (s *Server) isDeadly(target string) bool {
+	s.mu.Lock()
+	deadly := s.deadly
+	s.mu.Unlock()
+	return deadly != nil && deadly(target)
 }
 
 // crash ends the server, and tells of it once.
 func (s *Server) crash() {
-	s.Close()
 	s.mu.Lock()
 	ended := s.ended
 	s.ended = nil
 	s.mu.Unlock()
 	if ended != nil {
+		// What stands before the server is gone with it.
 		ended()
 	}
+	s.Close()
 }
 
 // Runs returns the requests that were run.
@@ -304,7 +311,7 @@
 	if !s.work(c, reader, s.workOf(run.Key)) {
 		return false
 	}
-	if fault == Crash {
+	if s.isDeadly(run.Target) {
 		s.crash()
 		return false
 	}
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sort"
 	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/outcome"
 )
 
 // ================================================================
@@ -62,6 +64,8 @@
 	{"keys-kept", keysKept},
 	{"limit", limit},
 	{"old-keys", oldKeys},
+	{"deadly-kept", deadlyKept},
+	{"others-sent", othersSent},
 	{"recovery", recovery},
 }
 
@@ -288,6 +292,62 @@
 	return found
 }
 
+// lateDeadly is how many retries of a request that has ended three servers may still reach
+// others once boxes had the time of contact to tell each other.
+const lateDeadly = 3
+
+// deadlyKept: a request that has ended three servers is kept from others.
+func deadlyKept(h *History) (found []string) {
+	for _, target := range h.Deadly {
+		ids := map[string]bool{}
+		for _, q := range h.Left {
+			if q.Target == target {
+				ids[q.ID] = true
+			}
+		}
+		var ended []time.Time
+		for _, list := range h.Runs {
+			for _, r := range list {
+				if r.Target == target {
+					ended = append(ended, r.At)
+				}
+			}
+		}
+		if len(ended) < 3 {
+			continue
+		}
+		sort.Slice(ended, func(i, j int) bool { return ended[i].Before(ended[j]) })
+		third, late := ended[2], 0
+		for _, list := range h.Arrivals {
+			for _, a := range list {
+				if ids[a.ID] && a.At.Sub(third) > boundContact+pace && !h.touched(a.From, a.At, a.At) {
+					late++
+				}
+			}
+		}
+		if late > lateDeadly {
+			found = append(found, fmt.Sprintf("%s reached servers %d times after three had ended under it, %d in all", target, late, len(ended)))
+		}
+	}
+	return found
+}
+
+// othersSent: no other request is taken for one that ends servers.
+func othersSent(h *History) (found []string) {
+	deadly := map[string]bool{}
+	for _, target := range h.Deadly {
+		deadly[target] = true
+	}
+	for _, list := range [][]Request{h.Requests, h.Left} {
+		for _, q := range list {
+			if q.Reason == string(outcome.ReasonCrashesServers) && !deadly[q.Target] {
+				found = append(found, fmt.Sprintf("%s (%s) was kept from servers", q.ID, q.Target))
+			}
+		}
+	}
+	return found
+}
+
 // recovery: once all faults are over, requests are answered.
 func recovery(h *History) []string {
 	r := h.Recovery
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -88,6 +88,19 @@
 				{Box: "b1", Life: 1, Version: 1, At: after(3 * time.Second), Status: 200},
 			}
 		},
+		"deadly-kept": func(h *History) {
+			h.Deadly = []string{"/read/deadly"}
+			for i := range 9 {
+				id, at := fmt.Sprint("d", i), after(time.Duration(i)*time.Second)
+				h.Left = append(h.Left, Request{ID: id, Kind: "safe", Method: "GET", Target: "/read/deadly"})
+				header := http.Header{"X-Stoneworks-Tenant": {usualCustomer}}
+				h.Runs["s1"] = append(h.Runs["s1"], machines.Run{ID: id, Method: "GET", Target: "/read/deadly", At: at, Header: header})
+				h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: id, From: "b1", At: at.Add(time.Duration(i/3) * time.Second)})
+			}
+		},
+		"others-sent": func(h *History) {
+			h.Left = append(h.Left, Request{ID: "o", Kind: "safe", Target: "/read/7", Status: 503, Reason: "crashes_backend_servers"})
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -102,6 +103,9 @@
 	q.Status = answer.Status
 	q.Whole = answer.Body == machines.AnswerBody(q.ID)
 	q.Signed = answer.Header.Get("X-Stoneworks-Response-Signature") != ""
+	if !q.Signed {
+		q.Reason = strings.TrimSpace(answer.Body)
+	}
 }
 
 // leave sends a request and closes the connection before the answer.
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -32,6 +32,8 @@
 	Whole bool
 	// Signed: the answer carries a server's signature.
 	Signed bool
+	// Reason is why a box refused it.
+	Reason string
 }
 
 // Probe is a question which configuration a box follows: it asks for a path
@@ -74,6 +76,8 @@
 	Probes []Probe
 	// OldKeys are requests with a key that only the given version had.
 	OldKeys []Probe
+	// Deadly are the targets that end the servers that run them.
+	Deadly []string
 	// KeysLogged are lines of logs with a key in them.
 	KeysLogged     []string
 	Runs           map[string][]machines.Run
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -41,23 +41,30 @@
 	StoreBlink Kind = "store-blink"
 	StoreMute  Kind = "store-mute"
 	LinkMute   Kind = "link-mute"
+	// RequestDeadly is a request that ends each server that runs it and comes again, at all
+	// boxes; ServerReborn a server that ends and starts again under its id; EntryForeign
+	// entries of servers that another writer has written.
+	RequestDeadly Kind = "request-deadly"
+	ServerReborn  Kind = "server-reborn"
+	EntryForeign  Kind = "entry-foreign"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed draws the same plan from the
 // same catalogue for ever, so kinds are added in a new one.
 type Catalogue []Kind
 
-// FirstKinds and AllKinds are the catalogues.
+// FirstKinds, SilentKinds and AllKinds are the catalogues.
 var (
 	FirstKinds = Catalogue{
 		BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
 		ServerDrain, ServerCrash, ServerReuse, ServerSpoils, LinkDelay, LinkReset, LinkSilent, LinkOneWay, Configure, Evacuate,
 	}
-	AllKinds = append(append(Catalogue{}, FirstKinds...), StoreBlink, StoreMute, LinkMute)
+	SilentKinds = append(append(Catalogue{}, FirstKinds...), StoreBlink, StoreMute, LinkMute)
+	AllKinds    = append(append(Catalogue{}, SilentKinds...), RequestDeadly, ServerReborn, EntryForeign)
 )
 
 // Catalogues are named by numbers, from 1, in seeds.txt and on the command line.
-var Catalogues = []Catalogue{FirstKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, AllKinds}
 
 // Event is one thing that happens.
 type Event struct {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -57,6 +57,7 @@
 type run struct {
 	Options
 	recorder
+	deadly   deadlyTargets
 	fleet    *machines.Fleet
 	boxes    []*processes.Box
 	store    *faultproxy.Proxy
--- a/test/soak/strikes.go
+++ b/test/soak/strikes.go
@@ -22,6 +22,8 @@
 	service string
 	zone    string
 	left    bool
+	// key names the server's life in the history: an id may have several.
+	key string
 }
 
 const (
@@ -57,9 +59,15 @@
 		return err
 	}
 	server.Advertised = s.link.Address()
-	s.server, s.left = server, false
+	server.SetDeadly(r.isDeadly, func() { r.serverEnded(s, server) })
 	s.link.SetTarget(server.Address)
-	r.note(func(*History) { r.fleet.Servers[id] = server })
+	r.note(func(*History) {
+		s.server, s.left, s.key = server, false, id
+		for n := 2; r.fleet.Servers[s.key] != nil; n++ {
+			s.key = fmt.Sprintf("%s#%d", id, n)
+		}
+		r.fleet.Servers[s.key] = server
+	})
 	r.fleet.List(server, s.service, s.zone, "ready", 0)
 	return nil
 }
@@ -112,6 +120,12 @@
 		r.configure()
 	case Evacuate:
 		r.evacuate(e)
+	case RequestDeadly:
+		r.sendDeadly(e)
+	case ServerReborn:
+		r.endServer(server)
+	case EntryForeign:
+		r.writeForeign(server, e)
 	}
 }
 
@@ -212,7 +226,7 @@
 	}
 	s.left = true
 	old := s.server
-	r.note(func(h *History) { h.Departures = append(h.Departures, Departure{Server: old.ID, At: time.Now()}) })
+	r.note(func(h *History) { h.Departures = append(h.Departures, Departure{Server: s.key, At: time.Now()}) })
 	wait := replaceAfter
 	switch e.Kind {
 	case ServerDrain:
