--- a/pkg/ingress/ingress_crash.go
+++ b/pkg/ingress/ingress_crash.go
@@ -10,7 +10,8 @@
 )
 
 // fingerprint names the request, whatever attempt at it this is. It is worked out only
-// where it is asked for: a hash of a body of 1 MiB takes about 0.6 ms.
+// where it is asked for: that of a request with a body of 1 MiB takes 0.8 ms
+// (BenchmarkFingerprint).
 func (c *call) fingerprint() quarantine.Fingerprint {
 	if c.print != nil {
 		return *c.print
--- a/pkg/quarantine/fingerprint_test.go
+++ b/pkg/quarantine/fingerprint_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -33,3 +34,15 @@
 		seen[f] = true
 	}
 }
+
+// BenchmarkFingerprint, once a request while anything is known of any: 0.5 us without a body.
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{0, 64 << 10, 1 << 20} {
+		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
+			i := Identity{Method: "GET", Host: "shop.example", Target: "/read/5e/4e51", Body: make([]byte, size), Length: int64(size)}
+			for b.Loop() {
+				FingerprintOf(&i)
+			}
+		})
+	}
+}
