--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -11,19 +11,17 @@
 package findings
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 const (
 	// wireVersion is the first byte of a message; heartbeats, which come to the
 	// same port, begin with others.
-	wireVersion = 0xf1
+	wireVersion = 0xf2
 	// together bounds the findings of one message, so that it fits one packet.
 	together = 48
 	// again is after what time the same is told of a server again.
@@ -37,37 +35,8 @@
 	Findings []backend.Finding
 }
 
-// WireError says that a datagram is not a message of this version.
-type WireError struct {
-	Problem string
-}
-
-// Error implements error.
-func (e *WireError) Error() string { return "findings: " + e.Problem }
-
-// Is reports whether a datagram claims to be a message.
-func Is(datagram []byte) bool { return len(datagram) > 0 && datagram[0] == wireVersion }
-
-// Encode returns the message as a datagram. The error is a *WireError.
-func Encode(m *Message) ([]byte, error) {
-	body, err := msgpack.Marshal(m)
-	if err != nil {
-		return nil, &WireError{Problem: err.Error()}
-	}
-	return append([]byte{wireVersion}, body...), nil
-}
-
-// Decode reads a datagram. The error is a *WireError.
-func Decode(datagram []byte) (*Message, error) {
-	if !Is(datagram) {
-		return nil, &WireError{Problem: fmt.Sprintf("%d bytes of another kind", len(datagram))}
-	}
-	m := &Message{}
-	if err := msgpack.Unmarshal(datagram[1:], m); err != nil {
-		return nil, &WireError{Problem: err.Error()}
-	}
-	return m, nil
-}
+// Wire packs messages.
+var Wire = packet.Codec[Message]{Kind: "findings", First: wireVersion}
 
 // Outbox gathers what this box finds until it is sent.
 type Outbox struct {
--- a/pkg/findings/findings_test.go
+++ b/pkg/findings/findings_test.go
@@ -9,22 +9,24 @@
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
+
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 func TestMessagesSurviveTheWire(t *testing.T) {
 	is := is.New(t)
 	m := &Message{Box: "edge-1", Findings: []backend.Finding{{Server: "i-1", Stale: true}, {Server: "i-2"}}}
-	datagram, err := Encode(m)
+	datagram, err := Wire.Encode(m)
 	is.NoErr(err)
-	back, err := Decode(datagram)
+	back, err := Wire.Decode(datagram)
 	is.NoErr(err)
 	is.Equal(back, m)
 }
 
 func TestOtherDatagramsAreRefused(t *testing.T) {
 	for _, datagram := range [][]byte{nil, {}, {2, 0x92}, {wireVersion}, {wireVersion, 0xff}, []byte("GET / HTTP/1.1")} {
-		_, err := Decode(datagram)
-		var wire *WireError
+		_, err := Wire.Decode(datagram)
+		var wire *packet.Error
 		if !errors.As(err, &wire) {
 			t.Errorf("%q: %v", datagram, err)
 		}
@@ -46,7 +48,7 @@
 	is.Equal(len(messages), 2)
 	is.Equal(len(messages[0].Findings)+len(messages[1].Findings), 60)
 	for i := range messages {
-		datagram, err := Encode(&messages[i])
+		datagram, err := Wire.Encode(&messages[i])
 		is.NoErr(err)
 		is.True(len(datagram) < 1400)
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -180,7 +180,7 @@
 		for _, table := range f.boxes {
 			for i, e := range table.Beat() {
 				is.True(len(e.To) <= []int{zoneFanOut, 2 * farFanOut, zoneFanOut}[i])
-				datagram, err := Encode(&e.Message)
+				datagram, err := Wire.Encode(&e.Message)
 				is.NoErr(err)
 				is.True(len(datagram) <= 700)
 				sent += len(e.To) * len(datagram)
--- a/pkg/gossip/wire.go
+++ b/pkg/gossip/wire.go
@@ -1,16 +1,15 @@
 package gossip
 
 import (
-	"bytes"
 	"encoding/binary"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
-// wireVersion is the first byte of a heartbeat. It changes with the fields of
-// Message, since those are told by their place and not by name: heartbeats
-// are most of what boxes say to each other, and names would be most of them.
+// wireVersion is the first byte of a heartbeat. It changes with the fields of Message.
 const wireVersion = 5
 
 // sightingSize is the size of a sighting on the wire, in bytes.
@@ -44,15 +43,15 @@
 	return e.EncodeBytes(packed)
 }
 
-// DecodeMsgpack implements msgpack.CustomDecoder. The error is a *WireError or
-// the library's.
+// DecodeMsgpack implements msgpack.CustomDecoder. The error is a *packet.Error
+// or the library's.
 func (s *Sightings) DecodeMsgpack(d *msgpack.Decoder) error {
 	packed, err := d.DecodeBytes()
 	if err != nil {
 		return err
 	}
 	if len(packed)%sightingSize != 0 {
-		return &WireError{Problem: fmt.Sprintf("sightings of %d bytes", len(packed))}
+		return &packet.Error{Kind: Wire.Kind, Problem: fmt.Sprintf("sightings of %d bytes", len(packed))}
 	}
 	*s = nil
 	for ; len(packed) > 0; packed = packed[sightingSize:] {
@@ -63,38 +62,5 @@
 	return nil
 }
 
-// WireError says that a datagram is not a heartbeat of this version.
-type WireError struct {
-	Problem string
-}
-
-// Error implements error.
-func (e *WireError) Error() string { return "heartbeat: " + e.Problem }
-
-// Encode returns the message as a datagram. The error is a *WireError.
-func Encode(m *Message) ([]byte, error) {
-	var b bytes.Buffer
-	b.WriteByte(wireVersion)
-	e := msgpack.NewEncoder(&b)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	if err := e.Encode(m); err != nil {
-		return nil, &WireError{Problem: err.Error()}
-	}
-	return b.Bytes(), nil
-}
-
-// Decode reads a datagram. The error is a *WireError.
-func Decode(datagram []byte) (*Message, error) {
-	if len(datagram) == 0 {
-		return nil, &WireError{Problem: "empty"}
-	}
-	if datagram[0] != wireVersion {
-		return nil, &WireError{Problem: fmt.Sprintf("version %d", datagram[0])}
-	}
-	m := &Message{}
-	if err := msgpack.Unmarshal(datagram[1:], m); err != nil {
-		return nil, &WireError{Problem: err.Error()}
-	}
-	return m, nil
-}
+// Wire packs heartbeats.
+var Wire = packet.Codec[Message]{Kind: "heartbeat", First: wireVersion}
--- a/pkg/gossip/wire_test.go
+++ b/pkg/gossip/wire_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/objects"
+
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 // fullRecord is a record with all that a box tells.
@@ -28,9 +30,9 @@
 		From: fullRecord("edge-1"), Others: []Record{fullRecord("edge-2"), {Box: "edge-3", Leaving: true}},
 		Seen: Sightings{{ID: 1 << 31, Beat: 117, Flags: FlagReady | FlagSilent}, {ID: 3}}, Ask: []uint32{7, 1 << 30}, Probe: true,
 	}
-	datagram, err := Encode(m)
+	datagram, err := Wire.Encode(m)
 	is.NoErr(err)
-	back, err := Decode(datagram)
+	back, err := Wire.Decode(datagram)
 	is.NoErr(err)
 	is.Equal(back, m)
 }
@@ -40,7 +42,7 @@
 func TestHeartbeatsAreSmall(t *testing.T) {
 	is := is.New(t)
 	m := &Message{From: fullRecord("edge-brum-digbeth-1")}
-	datagram, err := Encode(m)
+	datagram, err := Wire.Encode(m)
 	is.NoErr(err)
 	text, err := json.Marshal(m)
 	is.NoErr(err)
@@ -53,18 +55,18 @@
 // boxes that the receiver knows already.
 func TestSightingsAreSmall(t *testing.T) {
 	is := is.New(t)
-	alone, err := Encode(&Message{From: fullRecord("edge-1")})
+	alone, err := Wire.Encode(&Message{From: fullRecord("edge-1")})
 	is.NoErr(err)
 	m := &Message{From: fullRecord("edge-1"), Seen: make(Sightings, seenTogether)}
-	datagram, err := Encode(m)
+	datagram, err := Wire.Encode(m)
 	is.NoErr(err)
 	is.True(len(datagram)-len(alone) <= seenTogether*sightingSize+2)
 }
 
 func TestOtherDatagramsAreRefused(t *testing.T) {
 	for _, datagram := range [][]byte{nil, {}, {wireVersion}, {wireVersion, 0xff}, []byte(`{"from":{}}`), {wireVersion + 1, 0x92}} {
-		_, err := Decode(datagram)
-		var wire *WireError
+		_, err := Wire.Decode(datagram)
+		var wire *packet.Error
 		if !errors.As(err, &wire) {
 			t.Errorf("%q: %v", datagram, err)
 		}
@@ -72,13 +74,13 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	datagram, err := Encode(&Message{From: fullRecord("edge-1"), Others: []Record{fullRecord("edge-2")}})
+	datagram, err := Wire.Encode(&Message{From: fullRecord("edge-1"), Others: []Record{fullRecord("edge-2")}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(datagram)
 	f.Fuzz(func(t *testing.T, datagram []byte) {
-		m, err := Decode(datagram)
+		m, err := Wire.Decode(datagram)
 		if err == nil && m == nil {
 			t.Fatal("neither a message nor an error")
 		}
--- /dev/null
+++ b/pkg/packet/packet.go
@@ -0,0 +1,57 @@
+// Package packet packs what boxes tell each other, one message a datagram. The first byte
+// tells kinds of messages apart, which come to one port, and changes with the fields of
+// a message: they are told by their place and not by name, since names would be most of what
+// is sent.
+package packet
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Codec packs messages of one kind.
+type Codec[T any] struct {
+	// Kind names the messages in errors.
+	Kind string
+	// First is the first byte of their datagrams.
+	First byte
+}
+
+// Error says that a datagram is not a message of a kind, or that a message cannot be packed.
+type Error struct {
+	Kind    string
+	Problem string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Kind + ": " + e.Problem }
+
+// Is reports whether a datagram claims to be a message of the kind.
+func (c Codec[T]) Is(datagram []byte) bool { return len(datagram) > 0 && datagram[0] == c.First }
+
+// Encode returns the message as a datagram. The error is an *Error.
+func (c Codec[T]) Encode(m *T) ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte(c.First)
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(m); err != nil {
+		return nil, &Error{Kind: c.Kind, Problem: err.Error()}
+	}
+	return b.Bytes(), nil
+}
+
+// Decode reads a datagram. The error is an *Error.
+func (c Codec[T]) Decode(datagram []byte) (*T, error) {
+	if !c.Is(datagram) {
+		return nil, &Error{Kind: c.Kind, Problem: fmt.Sprintf("%d bytes of another kind or version", len(datagram))}
+	}
+	m := new(T)
+	if err := msgpack.Unmarshal(datagram[1:], m); err != nil {
+		return nil, &Error{Kind: c.Kind, Problem: err.Error()}
+	}
+	return m, nil
+}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 // clock is a time that tests move.
@@ -220,10 +222,10 @@
 	messages := Messages("edge-1", records)
 	var back []Record
 	for i := range messages {
-		datagram, err := Encode(&messages[i])
+		datagram, err := Wire.Encode(&messages[i])
 		is.NoErr(err)
 		is.True(len(datagram) < 1400)
-		m, err := Decode(datagram)
+		m, err := Wire.Decode(datagram)
 		is.NoErr(err)
 		is.Equal(m.Box, "edge-1")
 		back = append(back, m.Records...)
@@ -237,7 +239,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	good, err := Encode(&Message{Box: "edge-1", Records: []Record{{Request: 1, Crashed: []string{"i-1"}}}})
+	good, err := Wire.Encode(&Message{Box: "edge-1", Records: []Record{{Request: 1, Crashed: []string{"i-1"}}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -245,8 +247,8 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, datagram []byte) {
-		m, err := Decode(datagram)
-		var wire *WireError
+		m, err := Wire.Decode(datagram)
+		var wire *packet.Error
 		if err != nil && !errors.As(err, &wire) {
 			t.Fatalf("untyped error %v", err)
 		}
--- a/pkg/quarantine/wire.go
+++ b/pkg/quarantine/wire.go
@@ -1,10 +1,6 @@
 package quarantine
 
-import (
-	"fmt"
-
-	"github.com/vmihailenco/msgpack/v5"
-)
+import "github.com/stoneworks/stoneworks/pkg/packet"
 
 const (
 	// wireVersion is the first byte of a message; what else comes to the same port begins
@@ -24,37 +20,8 @@
 	Records []Record
 }
 
-// WireError says that a datagram is not a message of this version.
-type WireError struct {
-	Problem string
-}
-
-// Error implements error.
-func (e *WireError) Error() string { return "quarantine: " + e.Problem }
-
-// Is reports whether a datagram claims to be a message.
-func Is(datagram []byte) bool { return len(datagram) > 0 && datagram[0] == wireVersion }
-
-// Encode returns the message as a datagram. The error is a *WireError.
-func Encode(m *Message) ([]byte, error) {
-	body, err := msgpack.Marshal(m)
-	if err != nil {
-		return nil, &WireError{Problem: err.Error()}
-	}
-	return append([]byte{wireVersion}, body...), nil
-}
-
-// Decode reads a datagram. The error is a *WireError.
-func Decode(datagram []byte) (*Message, error) {
-	if !Is(datagram) {
-		return nil, &WireError{Problem: fmt.Sprintf("%d bytes of another kind", len(datagram))}
-	}
-	m := &Message{}
-	if err := msgpack.Unmarshal(datagram[1:], m); err != nil {
-		return nil, &WireError{Problem: err.Error()}
-	}
-	return m, nil
-}
+// Wire packs messages.
+var Wire = packet.Codec[Message]{Kind: "quarantine", First: wireVersion}
 
 // Messages divides records into messages that fit a packet each.
 func Messages(box string, records []Record) []Message {
--- a/pkg/steering/steering_findings.go
+++ b/pkg/steering/steering_findings.go
@@ -43,7 +43,7 @@
 		}
 	})
 	for i := range messages {
-		datagram, err := findings.Encode(&messages[i])
+		datagram, err := findings.Wire.Encode(&messages[i])
 		if err != nil {
 			n.log.Warn("findings not sent", map[string]any{"error": err.Error()})
 			continue
@@ -55,10 +55,9 @@
 
 // receiveFindings takes in what another box has found.
 func (n *Node) receiveFindings(datagram []byte, from *net.UDPAddr) {
-	m, err := findings.Decode(datagram)
+	m, err := findings.Wire.Decode(datagram)
 	if err != nil {
-		metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
-		n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
+		n.unread(from, err)
 		return
 	}
 	for _, f := range m.Findings {
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -77,7 +77,7 @@
 	if len(e.To) == 0 {
 		return
 	}
-	datagram, err := gossip.Encode(&e.Message)
+	datagram, err := gossip.Wire.Encode(&e.Message)
 	if err != nil {
 		n.log.Warn("heartbeat not sent", map[string]any{"error": err.Error()})
 		return
@@ -111,11 +111,11 @@
 			continue
 		}
 		n.Clock.Sync()
-		if findings.Is(buffer[:size]) {
+		if findings.Wire.Is(buffer[:size]) {
 			n.receiveFindings(buffer[:size], from)
 			continue
 		}
-		if quarantine.Is(buffer[:size]) {
+		if quarantine.Wire.Is(buffer[:size]) {
 			n.receiveRecords(buffer[:size], from)
 			continue
 		}
@@ -123,16 +123,21 @@
 			n.receiveQuota(buffer[:size], from)
 			continue
 		}
-		m, err := gossip.Decode(buffer[:size])
+		m, err := gossip.Wire.Decode(buffer[:size])
 		if err != nil {
-			metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
-			n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
+			n.unread(from, err)
 			continue
 		}
 		n.receive(m, from)
 	}
 }
 
+// unread notes a datagram that is no message of this version.
+func (n *Node) unread(from *net.UDPAddr, err error) {
+	metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
+	n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
+}
+
 // receive takes in a heartbeat, and answers it where that is asked for.
 func (n *Node) receive(m *gossip.Message, from *net.UDPAddr) {
 	answers, greetings := n.Members.Receive(m)
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -114,7 +114,7 @@
 func (n *Node) sendRecords(to []string, records []quarantine.Record) {
 	messages := quarantine.Messages(n.Settings.Box, records)
 	for i := range messages {
-		datagram, err := quarantine.Encode(&messages[i])
+		datagram, err := quarantine.Wire.Encode(&messages[i])
 		if err != nil {
 			n.log.Warn("crashes not told", map[string]any{"error": err.Error()})
 			continue
@@ -126,10 +126,9 @@
 
 // receiveRecords takes in what another box knows.
 func (n *Node) receiveRecords(datagram []byte, from *net.UDPAddr) {
-	m, err := quarantine.Decode(datagram)
+	m, err := quarantine.Wire.Decode(datagram)
 	if err != nil {
-		metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
-		n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
+		n.unread(from, err)
 		return
 	}
 	for i := range m.Records {
--- a/pkg/steering/steering_quota.go
+++ b/pkg/steering/steering_quota.go
@@ -146,8 +146,7 @@
 func (n *Node) receiveQuota(datagram []byte, from *net.UDPAddr) {
 	m, err := quota.Decode(datagram)
 	if err != nil {
-		metrics.GetOrRegisterCounter("heartbeats.unread", n.Metrics).Inc(1)
-		n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
+		n.unread(from, err)
 		return
 	}
 	n.Quota.Receive(m, from.String())
