--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -166,8 +166,9 @@
 	answers map[string]int
 }
 
-// newTraffic starts clients of ordinary requests. Each request's target is its own, and
-// some have the affinity key of the requests that crash servers.
+// newTraffic starts clients of ordinary requests. A third ask for one target, as for a track
+// that everybody hears; the others' targets are their own. Some have the affinity key of the
+// requests that crash servers.
 func newTraffic(f *Fleet, clients int) *traffic {
 	tr := &traffic{stop: make(chan struct{}), answers: map[string]int{}}
 	for i := range clients {
@@ -184,7 +185,11 @@
 				}
 				time.Sleep(ordinaryPause)
 				id := fmt.Sprintf("ordinary-%d-%d", i, n)
-				tr.note(c.Do("GET", fmt.Sprintf("/read/%d/%d", i, n), id, "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", n%7)))
+				target := fmt.Sprintf("/read/%d/%d", i, n)
+				if n%3 == 0 {
+					target = "/read/hot"
+				}
+				tr.note(c.Do("GET", target, id, "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", n%7)))
 			}
 		}()
 	}
@@ -342,3 +347,37 @@
 		is.True(b.Quarantine.Empty())
 	}
 }
+
+// TestSeveralRequestsCrashServersAtOnce: requests that crash servers are told apart from each
+// other and from what they take with them, also when each comes from several clients at once
+// and they have one affinity key, and so the same next servers.
+func TestSeveralRequestsCrashServersAtOnce(t *testing.T) {
+	is := is.New(t)
+	targets := []string{"/read/deadly-1", "/read/deadly-2", "/read/deadly-3"}
+	f, c := newCrashFleet(t, func(target string) bool { return slices.Contains(targets, target) })
+	ordinary := newTraffic(f, 9)
+	time.Sleep(300 * time.Millisecond)
+	var clients sync.WaitGroup
+	for _, target := range targets {
+		for range 3 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				sendAgain(f, "GET", target, "", "X-Stoneworks-Affinity-Key: 3\r\n", 50*time.Millisecond, 4*time.Second)
+			}()
+		}
+	}
+	clients.Wait()
+	counts := ordinary.end()
+	for _, target := range targets {
+		at := c.runs(target)
+		t.Log(target, "runs", len(at))
+		is.True(len(at) >= 3)
+		is.True(lateRuns(at, 1500*time.Millisecond) <= 3)
+	}
+	t.Log("ordinary requests' answers", counts)
+	is.Equal(counts["503 crashes_backend_servers"], 0)
+	for _, b := range f.Boxes {
+		is.Equal(len(b.Quarantine.Holds()), len(targets))
+	}
+}
