--- /dev/null
+++ b/pkg/ctl/ctl_boxes.go
@@ -0,0 +1,68 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// ================================================================
+// Calls of the admin addresses of boxes.
+// ================================================================
+
+// BoxError says that a box did not tell what it was asked.
+type BoxError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *BoxError) Error() string { return e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *BoxError) Unwrap() error { return e.Cause }
+
+// AnswerError is an answer of a box that is not what was asked for.
+type AnswerError struct{ Status int }
+
+// Error implements error.
+func (e *AnswerError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// askBoxes asks each address for the same. The problems, each a *BoxError, are of those that
+// did not tell; the error is a *UsageError.
+func askBoxes[T any](ctx context.Context, addresses []string, path string) (told []T, problems []error, err error) {
+	if len(addresses) == 0 {
+		return nil, nil, &UsageError{Problem: "needed: ADDRESS..., the admin addresses of boxes"}
+	}
+	for _, address := range addresses {
+		var one T
+		if err := callBox(ctx, http.MethodGet, address, path, &one); err != nil {
+			problems = append(problems, &BoxError{Address: address, Cause: err})
+			continue
+		}
+		told = append(told, one)
+	}
+	return told, problems, nil
+}
+
+// callBox makes one call and decodes its answer into the target, nil for none. The error is
+// an *AnswerError or that of the connection.
+func callBox(ctx context.Context, method, address, path string, target any) error {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK && answer.StatusCode != http.StatusNoContent {
+		return &AnswerError{Status: answer.StatusCode}
+	}
+	if target == nil {
+		return nil
+	}
+	return json.NewDecoder(answer.Body).Decode(target)
+}
--- /dev/null
+++ b/pkg/ctl/ctl_quarantine.go
@@ -0,0 +1,44 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"net/http"
+
+	"github.com/stoneworks/stoneworks/pkg/quarantine"
+)
+
+// verbQuarantine shows which requests boxes keep from backend servers.
+func verbQuarantine(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
+	return func(ctx context.Context, args []string) error {
+		boxes, problems, err := askBoxes[quarantine.Box](ctx, args, quarantine.Path)
+		if err != nil {
+			return err
+		}
+		if p.output == "json" {
+			err = json.NewEncoder(p.stdout).Encode(boxes)
+		} else {
+			err = quarantine.Print(p.stdout, boxes)
+		}
+		return errors.Join(append(problems, err)...)
+	}
+}
+
+// verbRelease has a box, and so all boxes, send a request to backend servers again.
+func verbRelease(_ *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := arguments(args, "FINGERPRINT", "ADDRESS"); err != nil {
+			return err
+		}
+		f, err := quarantine.ParseFingerprint(args[0])
+		if err != nil {
+			return &UsageError{Problem: err.Error()}
+		}
+		if err := callBox(ctx, http.MethodDelete, args[1], quarantine.Path+"/"+f.String(), nil); err != nil {
+			return &BoxError{Address: args[1], Cause: err}
+		}
+		return nil
+	}
+}
--- a/pkg/ctl/ctl_verbs.go
+++ b/pkg/ctl/ctl_verbs.go
@@ -31,6 +31,8 @@
 	{"plan", "plan SERVICE", "show which region serves which share of the clients, and how far a box is from the plan", verbPlan},
 	{"explain", "explain [-method M] [-path P] SERVICE CLIENT", "say where a request would go, and why", verbExplain},
 	{"customers", "customers ADDRESS...", "show limits of customers, and what was admitted and refused, from the admin addresses of boxes", verbCustomers},
+	{"quarantine", "quarantine ADDRESS...", "show requests that are kept from backend servers, since servers crashed under them, from the admin addresses of boxes", verbQuarantine},
+	{"release", "release FINGERPRINT ADDRESS", "send such a request to backend servers again, at all boxes; the admin address of any box", verbRelease},
 	{"report", "report [--every 2s] [--html FILE] LOG...", "sum up requests, outcomes and causes, from logs of boxes in JSON", verbReport},
 	{"trace", "trace [--before 5s] ID LOG...", "print one request's way, from logs of boxes in JSON", verbTrace},
 }
--- /dev/null
+++ b/pkg/quarantine/held.go
@@ -0,0 +1,76 @@
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Path is where a box tells operators what it holds, on its admin address. Path/FINGERPRINT,
+// deleted, is released.
+const Path = "/v1/quarantine"
+
+// Box is what one box tells operators.
+type Box struct {
+	Box  string `json:"box"`
+	Held []Held `json:"held"`
+}
+
+// Held is a request that is kept from servers.
+type Held struct {
+	Fingerprint string   `json:"fingerprint"`
+	Crashed     []string `json:"crashed"`
+	// LeftMS is for how long yet, in milliseconds.
+	LeftMS int64 `json:"left_ms"`
+}
+
+// HeldOf returns records as operators are told them, in the order of fingerprints.
+func HeldOf(records []Record) []Held {
+	list := []Held{}
+	for _, r := range records {
+		list = append(list, Held{Fingerprint: r.Request.String(), Crashed: r.Crashed, LeftMS: r.Left.Milliseconds()})
+	}
+	slices.SortFunc(list, func(a, b Held) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
+
+// FingerprintError says that a text is not a fingerprint.
+type FingerprintError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *FingerprintError) Error() string {
+	return fmt.Sprintf("%q is no fingerprint: 16 hexadecimal digits", e.Text)
+}
+
+// ParseFingerprint reads what Fingerprint.String wrote. The error is a *FingerprintError.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != 16 {
+		return 0, &FingerprintError{Text: text}
+	}
+	return Fingerprint(f), nil
+}
+
+// Print writes a table of what boxes hold. The error is the writer's.
+func Print(w io.Writer, boxes []Box) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	if _, err := fmt.Fprintln(t, "FINGERPRINT\tBOX\tLEFT\tSERVERS THAT CRASHED"); err != nil {
+		return err
+	}
+	for _, b := range boxes {
+		for _, h := range b.Held {
+			left := (time.Duration(h.LeftMS) * time.Millisecond).Round(time.Second)
+			if _, err := fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", h.Fingerprint, b.Box, left, strings.Join(h.Crashed, " ")); err != nil {
+				return err
+			}
+		}
+	}
+	return t.Flush()
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -115,6 +115,16 @@
 	t.tell(r)
 }
 
+// Release has nothing count against a held request any more, at all boxes, and reports
+// whether it was held.
+func (t *Table) Release(f Fingerprint) bool {
+	if _, held := t.Held(f); !held {
+		return false
+	}
+	t.Answered(f)
+	return true
+}
+
 // Learn takes in what another box knows.
 func (t *Table) Learn(told Record) {
 	t.mu.Lock()
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/standing"
@@ -176,6 +177,8 @@
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", n.serveMetrics)
 	admin.HandleFunc("GET "+standing.Path, n.serveCustomers)
+	admin.HandleFunc("GET "+quarantine.Path, n.serveQuarantine)
+	admin.HandleFunc("DELETE "+quarantine.Path+"/{fingerprint}", n.serveRelease)
 	for _, p := range []struct {
 		name, address string
 		handler       http.Handler
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -1,8 +1,10 @@
 package steering
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -136,3 +138,27 @@
 	}
 	metrics.GetOrRegisterCounter("quarantine.received", n.Metrics).Inc(int64(len(m.Records)))
 }
+
+// serveQuarantine tells operators which requests this box keeps from servers.
+func (n *Node) serveQuarantine(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	told := quarantine.Box{Box: n.Settings.Box, Held: quarantine.HeldOf(n.Quarantine.Holds())}
+	if err := json.NewEncoder(w).Encode(told); err != nil {
+		n.log.Debug("quarantine not sent", map[string]any{"error": err.Error()})
+	}
+}
+
+// serveRelease has a request sent to servers again that an operator takes to be harmless now.
+func (n *Node) serveRelease(w http.ResponseWriter, r *http.Request) {
+	f, err := quarantine.ParseFingerprint(r.PathValue("fingerprint"))
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case !n.Quarantine.Release(f):
+		http.Error(w, f.String()+" is not held", http.StatusNotFound)
+	default:
+		n.log.Info("request released by an operator", map[string]any{"fingerprint": f.String(), "from": r.RemoteAddr})
+		n.tellCrashes()
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -1,6 +1,7 @@
 package machines
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -10,6 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/ctl"
+	"github.com/stoneworks/stoneworks/pkg/quarantine"
 )
 
 // The story. One request for a preview crashed each server that ran it. The box sent it to
@@ -305,6 +309,32 @@
 	// Another body is another request.
 	c.spare("/buy/deadly")
 	is.Equal(client.Do("POST", "/buy/deadly", "other", "another body", "").Status, 200)
+	releases(t, f)
+	is.Equal(client.Do("POST", "/buy/deadly", "repaired", "the same body", "").Status, 200)
+}
+
+// releases has an operator release the one request that is held, at one box, and waits until
+// all have.
+func releases(t *testing.T, f *Fleet) {
+	t.Helper()
+	is := is.New(t)
+	admin := f.Boxes[1].Settings.Listen.Admin
+	var out, problems strings.Builder
+	is.Equal(ctl.Main([]string{"quarantine", "--output", "json", admin}, nil, &out, &problems), 0)
+	var boxes []quarantine.Box
+	is.NoErr(json.Unmarshal([]byte(out.String()), &boxes))
+	is.Equal(len(boxes[0].Held), 1)
+	is.Equal(ctl.Main([]string{"release", "7", admin}, nil, &out, &problems), 2)
+	is.True(ctl.Main([]string{"release", "0000000000000007", admin}, nil, &out, &problems) != 0) // not held
+	is.Equal(ctl.Main([]string{"release", boxes[0].Held[0].Fingerprint, admin}, nil, &out, &problems), 0)
+	eventually(t, "no box holds the request", func() bool {
+		for _, b := range f.Boxes {
+			if len(b.Quarantine.Holds()) > 0 {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 // TestBoxThatStartsLaterKnowsHeldRequests: it learns them from others before they cost it
