--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -183,6 +183,9 @@
 	}
 	if c.customer != nil {
 		fields["customer"] = c.customer.Name
+		if reason == outcome.ReasonOverLimit {
+			fields["rate_per_s"], fields["burst"] = c.customer.Rate, c.customer.Burst
+		}
 	}
 	if c.isBound() {
 		fields["bound"] = true
--- a/pkg/report/report.go
+++ b/pkg/report/report.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/outcome"
 	"github.com/stoneworks/stoneworks/pkg/trace"
 )
 
@@ -42,6 +43,10 @@
 
 // The causes, in the order in which they are looked for.
 const (
+	// CauseOverLimit: its customer was over its limit.
+	CauseOverLimit Cause = "over limit"
+	// CauseHeld: servers have crashed under earlier attempts at it.
+	CauseHeld Cause = "crashes servers"
 	// CauseNotTried: refused without being sent to any server.
 	CauseNotTried Cause = "not tried"
 	// CauseTriedAgain: a first server failed or refused it.
@@ -59,7 +64,9 @@
 )
 
 // Causes lists all causes in the order in which they are looked for.
-var Causes = []Cause{CauseNotTried, CauseTriedAgain, CauseServerFailed, CauseFirstUse, CauseQueued, CauseRemote, CauseSlow}
+var Causes = []Cause{
+	CauseOverLimit, CauseHeld, CauseNotTried, CauseTriedAgain, CauseServerFailed, CauseFirstUse, CauseQueued, CauseRemote, CauseSlow,
+}
 
 // Tally counts requests.
 type Tally struct {
@@ -276,7 +283,11 @@
 }
 
 func (q *request) cause() Cause {
-	switch {
+	switch reason := outcome.Reason(q.text("reason")); {
+	case reason == outcome.ReasonOverLimit:
+		return CauseOverLimit
+	case reason == outcome.ReasonCrashesServers:
+		return CauseHeld
 	case q.tries == 0:
 		return CauseNotTried
 	case q.tries > 1:
