--- a/test/machines/suspended_test.go
+++ b/test/machines/suspended_test.go
@@ -68,3 +68,19 @@
 		return strings.Contains(log.String(), "the machine was suspended") && strings.Contains(log.String(), `"away_ms":`)
 	})
 }
+
+// TestBoxThatWasAwayForLongIsNotAlone: one that has heard nobody for as long as it remembers
+// others, since its machine was suspended, does not take all that boxes share for its own part.
+func TestBoxThatWasAwayForLongIsNotAlone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, "east-a.1", "east-b.1", "west-a.1")
+	eventually(t, "all boxes know each other", allKnown(f))
+	b := f.Boxes[1]
+	eventually(t, "the box has settled", func() bool { return b.Set.Boxes() == 3 })
+	b.Suspend(2 * time.Minute)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		among := b.Set.Boxes()
+		is.True(among == 0 || among == 3)
+	}
+	eventually(t, "the box counts all again", func() bool { return b.Set.Boxes() == 3 })
+}
