--- a/pkg/gossip/beat.go
+++ b/pkg/gossip/beat.go
@@ -88,7 +88,7 @@
 	known := map[string]bool{t.self.Peers: true}
 	now := t.Now()
 	for _, e := range t.sorted {
-		if now.Sub(e.heard) > forgetAfter {
+		if now.Sub(e.heard) > ForgetAfter {
 			continue
 		}
 		known[e.Peers] = true
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -40,9 +40,9 @@
 	// two, boxes of a zone of 125 took 2.8 others an hour wrongly for silent
 	// where one datagram in 40 is lost (TestFalseSuspicionsAreRare).
 	probeAfter = 2 * Interval
-	// forgetAfter is how long a silent box counts among those that may still
+	// ForgetAfter is how long a silent box counts among those that may still
 	// be sending requests.
-	forgetAfter = time.Minute
+	ForgetAfter = time.Minute
 	// tellSilent is for how many heartbeats a box tells that another one of its
 	// zone is silent, and tellLive for how many that one has come or come back;
 	// passSilent is for how many boxes of other zones pass a silence on.
@@ -186,7 +186,7 @@
 	count := 1
 	now := t.Now()
 	for _, e := range t.members {
-		if now.Sub(e.heard) <= forgetAfter {
+		if now.Sub(e.heard) <= ForgetAfter {
 			count++
 		}
 	}
@@ -233,7 +233,7 @@
 
 // live reports whether a box may be named to clients.
 func (t *Table) live(e *entry, now time.Time) bool {
-	if e.silent || now.Sub(e.heard) > forgetAfter {
+	if e.silent || now.Sub(e.heard) > ForgetAfter {
 		return false
 	}
 	if e.Zone == t.self.Zone {
@@ -259,7 +259,7 @@
 		}
 	}
 	for id, at := range t.asked {
-		if now.Sub(at) > forgetAfter {
+		if now.Sub(at) > ForgetAfter {
 			delete(t.asked, id)
 		}
 	}
--- a/pkg/gossip/standing.go
+++ b/pkg/gossip/standing.go
@@ -57,7 +57,7 @@
 	heard := t.zones[t.self.Zone]
 	var list []*entry
 	for _, e := range t.sorted {
-		if e.Zone == t.self.Zone && heard.Sub(e.heard) <= forgetAfter {
+		if e.Zone == t.self.Zone && heard.Sub(e.heard) <= ForgetAfter {
 			list = append(list, e)
 		}
 	}
@@ -88,7 +88,7 @@
 		if t.self.precedes(&e.Record) {
 			place++
 		}
-		if place < sharing || t.zones[t.self.Zone].Sub(e.served) <= forgetAfter {
+		if place < sharing || t.zones[t.self.Zone].Sub(e.served) <= ForgetAfter {
 			total += weightOf(&e.Record)
 		}
 	}
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -76,6 +76,9 @@
 	handler *logging.AsyncHandler
 	log     *logging.Part
 	started time.Time
+	// resumed is when the box last went on after it had stood still for longer than it
+	// remembers others, in nanoseconds since the start.
+	resumed atomic.Int64
 	table   atomic.Pointer[routing.Table]
 	seeds   atomic.Pointer[[]string]
 	policy  atomic.Pointer[policy.Policy]
@@ -172,8 +175,8 @@
 	// entryReturn is within what the entry of a server that lives is back in
 	// the store, once that answers again.
 	entryReturn = 2 * time.Second
-	// settleTime is how long a box listens to others before it trusts its
-	// count of them.
+	// settleTime is how long a box that has started, or stood still for so long that it has
+	// forgotten others, listens before it trusts its count of them.
 	settleTime = 4 * gossip.Interval
 )
 
@@ -186,7 +189,7 @@
 
 // boxes returns among how many boxes shared bounds are divided.
 func (n *Node) boxes() int {
-	if n.Clock.Since(n.started) < settleTime {
+	if n.age()-time.Duration(n.resumed.Load()) < settleTime {
 		return 0
 	}
 	return n.Members.Count()
