--- a/pkg/replica/revisions.go
+++ b/pkg/replica/revisions.go
@@ -103,7 +103,7 @@
 	if m.Synced() && upTo > own {
 		m.Apply(nil, objects.Exactly(upTo))
 	}
-	return all
+	return all && m.Synced()
 }
 
 // waitNow is how long the next watch of a kind waits: as long as is needed to confirm the
--- a/pkg/replica/revisions_test.go
+++ b/pkg/replica/revisions_test.go
@@ -90,3 +90,16 @@
 		is.True(len(v.explained) <= mostExplained)
 	}
 }
+
+// TestCopyThatIsNotThereIsNotTheNewest, whatever changes this box was told of.
+func TestCopyThatIsNotThereIsNotTheNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newModelBox(t, newModelStore())
+		defer b.group.Wait()
+		defer b.stop()
+		b.revisions.shared = true
+		b.revisions.explain([]objects.Event{{Object: objects.Object{Name: "server", Revision: 1}}})
+		is.True(!b.reached(storeKinds.Configuration))
+	})
+}
