--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -411,3 +411,26 @@
 		is.Equal(len(b.Quarantine.Holds()), len(targets))
 	}
 }
+
+// TestHeldRequestsOutlastTheLossOfAllBoxes: where nobody is left to tell those that start, they
+// learn from the store what is held, also if the store was silent when it was.
+func TestHeldRequestsOutlastTheLossOfAllBoxes(t *testing.T) {
+	is := is.New(t)
+	f, c := newCrashFleet(t, func(target string) bool { return target == "/buy/deadly" })
+	f.Store.SetTreat(func(string, string) Mode { return Busy })
+	sendAgain(f, "POST", "/buy/deadly", "", "", 100*time.Millisecond, 700*time.Millisecond)
+	is.Equal(len(c.runs("/buy/deadly")), 3)
+	f.Store.SetTreat(nil)
+	time.Sleep(2 * time.Second)
+	for _, b := range f.Boxes {
+		b.Stop()
+	}
+	f.Boxes = nil
+	for i := range 3 {
+		_, err := f.AddBox(Zones[i].Zone)
+		is.NoErr(err)
+	}
+	eventually(t, "all boxes are ready and know each other", allKnown(f))
+	sendAgain(f, "POST", "/buy/deadly", "", "", 100*time.Millisecond, 700*time.Millisecond)
+	is.Equal(len(c.runs("/buy/deadly")), 3)
+}
--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -79,6 +79,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.serve)
+	mux.HandleFunc("POST /-/objects/{kind}", s.serveCreate)
+	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", s.serveDelete)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -153,10 +155,7 @@
 }
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
-	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
-	s.mu.Lock()
-	s.calls[ip]++
-	s.mu.Unlock()
+	s.countCall(r)
 	if s.refused(w, r) {
 		return
 	}
@@ -170,6 +169,52 @@
 	s.serveWatch(w, r, kind, since, time.Duration(wait)*time.Millisecond)
 }
 
+// serveCreate makes an object unless there is one of its name.
+func (s *Store) serveCreate(w http.ResponseWriter, r *http.Request) {
+	s.countCall(r)
+	if s.refused(w, r) {
+		return
+	}
+	var o storedObject
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Metadata.Name == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if s.Has(r.PathValue("kind"), o.Metadata.Name) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.Put(r.PathValue("kind"), o.Metadata.Name, o.Spec)
+	writeJSON(w, o)
+}
+
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
+	s.countCall(r)
+	if s.refused(w, r) {
+		return
+	}
+	if !s.Has(r.PathValue("kind"), r.PathValue("name")) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.Delete(r.PathValue("kind"), r.PathValue("name"))
+}
+
+// Has reports whether there is an object.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name] != nil
+}
+
+// countCall counts a call by who made it.
+func (s *Store) countCall(r *http.Request) {
+	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[ip]++
+}
+
 // modeOf returns how a call is treated now.
 func (s *Store) modeOf(r *http.Request) Mode {
 	s.mu.Lock()
