--- a/pkg/ingress/ingress_crash.go
+++ b/pkg/ingress/ingress_crash.go
@@ -85,8 +85,11 @@
 
 // cleared notes that a backend server lived to answer the request.
 func (c *call) cleared(verdict Verdict) {
-	if verdict.Signed && !c.server.Quarantine.Empty() {
-		c.server.Quarantine.Answered(c.fingerprint())
+	if !verdict.Signed || c.server.Quarantine.Empty() {
+		return
+	}
+	if c.server.Quarantine.Answered(c.fingerprint()) {
+		c.server.Released(c.fingerprint())
 	}
 }
 
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -46,6 +46,10 @@
 	// Watch returns what has changed since a revision, as soon as something
 	// has or after the wait, and the revision to go on from.
 	Watch func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error)
+	// Create writes a new object; one that is there already stays as it is. Remove deletes
+	// one, if it is there.
+	Create func(ctx context.Context, kind, name string, spec any) error
+	Remove func(ctx context.Context, kind, name string) error
 }
 
 // ================================================================
--- a/pkg/quarantine/held_test.go
+++ b/pkg/quarantine/held_test.go
@@ -35,3 +35,23 @@
 		is.True(typed)
 	}
 }
+
+// TestStoredHoldsAreReadBack, and nothing that a box would not have written.
+func TestStoredHoldsAreReadBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_770_320_509, 0)
+	r := Record{Request: 7, Crashed: []string{"i-1", "i-2@1770320509021", "i-3"}, Left: time.Minute}
+	stored := StoredOf(&r, now)
+	back, ok := stored.Record(7, now.Add(10*time.Second))
+	is.True(ok)
+	is.Equal(back, Record{Request: 7, Crashed: r.Crashed, Left: 50 * time.Second})
+	for _, s := range []Stored{
+		{}, {Crashed: r.Crashed}, {UntilMS: stored.UntilMS}, {Crashed: []string{""}, UntilMS: stored.UntilMS},
+		{Crashed: []string{strings.Repeat("i", 200)}, UntilMS: stored.UntilMS}, {Crashed: make([]string, 100), UntilMS: stored.UntilMS},
+	} {
+		_, ok := s.Record(7, now)
+		is.True(!ok)
+	}
+	_, ok = stored.Record(7, now.Add(time.Hour))
+	is.True(!ok)
+}
--- /dev/null
+++ b/pkg/quarantine/stored.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import "time"
+
+// Stored is a held request as the platform's store keeps it, under its fingerprint.
+type Stored struct {
+	Crashed []string `json:"crashed"`
+	// UntilMS is when the hold ends, in milliseconds since 1970. Boxes' clocks of the time of
+	// day are some seconds apart at most, a hundredth of a hold.
+	UntilMS int64 `json:"until_ms"`
+}
+
+// StoredOf returns a record as it is kept, given the time of day.
+func StoredOf(r *Record, now time.Time) Stored {
+	return Stored{Crashed: r.Crashed, UntilMS: now.Add(r.Left).UnixMilli()}
+}
+
+// longestName bounds the name of a server's life in what is read, in bytes.
+const longestName = 128
+
+// Record returns what is kept of a request, given the time of day; ok is false if it is over, or
+// nothing that a box would have written.
+func (s *Stored) Record(f Fingerprint, now time.Time) (r Record, ok bool) {
+	left := time.UnixMilli(s.UntilMS).Sub(now)
+	if left <= 0 || len(s.Crashed) == 0 || len(s.Crashed) > mostServers {
+		return Record{}, false
+	}
+	for _, name := range s.Crashed {
+		if name == "" || len(name) > longestName {
+			return Record{}, false
+		}
+	}
+	return Record{Request: f, Crashed: s.Crashed, Left: left}, true
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -90,39 +90,38 @@
 // Empty reports whether nothing is known of any request.
 func (t *Table) Empty() bool { return t.known.Load() == 0 }
 
-// Crashed notes that a server crashed while it had the request.
-func (t *Table) Crashed(f Fingerprint, server string) {
+// Crashed notes that a server crashed while it had the request, and returns what is known of
+// the request if that began to be held by it, nil if not.
+func (t *Table) Crashed(f Fingerprint, server string) (begun *Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.recordOf(f)
 	if r == nil || slices.Contains(r.crashed, server) {
-		return
+		return nil
 	}
+	before := t.Now().Before(r.until)
 	t.join(f, r, Record{Request: f, Crashed: []string{server}})
 	t.tell(r)
+	if before || !t.Now().Before(r.until) {
+		return nil
+	}
+	known := r.export(f, t.Now())
+	return &known
 }
 
 // Answered notes that a server has answered the request: it crashes no servers. What held
-// against it is excused, at all boxes.
-func (t *Table) Answered(f Fingerprint) {
+// against it is excused, at all boxes. It reports whether the request was held.
+func (t *Table) Answered(f Fingerprint) (released bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[f]
 	if r == nil || r.counted() == 0 {
-		return
+		return false
 	}
+	released = t.Now().Before(r.until)
 	t.join(f, r, Record{Request: f, Excused: r.crashed})
 	t.tell(r)
-}
-
-// Release has nothing count against a held request any more, at all boxes, and reports
-// whether it was held.
-func (t *Table) Release(f Fingerprint) bool {
-	if _, held := t.Held(f); !held {
-		return false
-	}
-	t.Answered(f)
-	return true
+	return released
 }
 
 // Learn takes in what another box knows.
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -40,6 +40,9 @@
 type Adapter struct {
 	// Kinds are the names of the kinds of objects in the store.
 	Kinds replica.Kinds
+	// HoldsKind is the name of the kind in which boxes keep what they hold, so that it outlasts
+	// the loss of all of them.
+	HoldsKind string
 	// Store makes the client of the store. Calls are counted by their verbs; objects that
 	// cannot be read are told to unread.
 	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string), unread func(err error)) *objects.Client
@@ -73,6 +76,7 @@
 	Ingress    *ingress.Server
 
 	adapter *Adapter
+	store   *objects.Client
 	handler *logging.AsyncHandler
 	log     *logging.Part
 	started time.Time
@@ -247,6 +251,7 @@
 		Pool:       n.pool,
 		HasCrashed: n.hasCrashed,
 		Crashed:    n.noteCrash,
+		Released:   n.removeHold,
 		Quarantine: n.Quarantine,
 		Background: n.background.Go,
 		Now:        n.Clock.Now,
--- /dev/null
+++ b/pkg/steering/steering_holds.go
@@ -0,0 +1,113 @@
+package steering
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/quarantine"
+)
+
+// ================================================================
+// Requests that are kept from servers, in the platform's store: where all boxes lose their
+// power, nobody is left to tell those that start. Of 1,500 fleets of a model that all lost it
+// once, 7 sent a request to more servers than they may while they learnt it anew, and 2 do with
+// what the store keeps (TestFleetsKeepTheRequestFromServers draws from these).
+// ================================================================
+
+const (
+	// holdCallTime bounds a call, and holdPause is the pause after one that failed, which
+	// doubles up to longestHoldPause.
+	holdCallTime     = 1200 * time.Millisecond
+	holdPause        = 500 * time.Millisecond
+	longestHoldPause = 8 * time.Second
+	// holdTries is how often a write is tried: for some 40 s. A store that is down for longer
+	// is the second trouble beside the loss of all boxes.
+	holdTries = 8
+)
+
+// tryCall makes a call of the store until it succeeds or has failed so many times.
+func (n *Node) tryCall(times int, what string, call func(ctx context.Context) error) {
+	pause := holdPause
+	for try := 1; ; try++ {
+		ctx, cancel := context.WithTimeout(n.context, holdCallTime)
+		err := call(ctx)
+		cancel()
+		if err == nil || n.context.Err() != nil {
+			return
+		}
+		n.log.Info(what+" failed", map[string]any{"try": try, "error": err.Error()})
+		if try >= times {
+			return
+		}
+		n.sleep(n.context, pause)
+		pause = min(2*pause, longestHoldPause)
+	}
+}
+
+// keepHold writes a request to the store that this box has begun to hold.
+func (n *Node) keepHold(r *quarantine.Record) {
+	n.tryCall(holdTries, "keeping a hold in the store", func(ctx context.Context) error {
+		if len(r.Crashed) > n.policy.Load().QuarantineAfter {
+			// The one of an earlier hold, which has ended.
+			if err := n.store.Remove(ctx, n.adapter.HoldsKind, r.Request.String()); err != nil {
+				return err
+			}
+		}
+		return n.store.Create(ctx, n.adapter.HoldsKind, r.Request.String(), quarantine.StoredOf(r, time.Now()))
+	})
+}
+
+// removeHold removes a request from the store that is held no longer.
+func (n *Node) removeHold(f quarantine.Fingerprint) {
+	n.background.Go(func() {
+		n.tryCall(holdTries, "removing a hold from the store", func(ctx context.Context) error {
+			return n.store.Remove(ctx, n.adapter.HoldsKind, f.String())
+		})
+	})
+}
+
+// mostReads bounds the tries of a box that starts; another one that lives tells it all the same.
+const mostReads = 1000
+
+// readHolds takes in what the store keeps.
+func (n *Node) readHolds() {
+	n.tryCall(mostReads, "reading holds from the store", n.readHoldsOnce)
+}
+
+func (n *Node) readHoldsOnce(ctx context.Context) error {
+	after, more := "", true
+	for more {
+		page, err := n.store.List(ctx, n.adapter.HoldsKind, after, true)
+		if err != nil {
+			return err
+		}
+		for _, o := range page.Items {
+			n.takeHold(o)
+			after = o.Name
+		}
+		more = page.More
+	}
+	return nil
+}
+
+// takeHold takes in one object. One that is over is removed.
+func (n *Node) takeHold(o objects.Object) {
+	f, err := quarantine.ParseFingerprint(o.Name)
+	var stored quarantine.Stored
+	if err == nil {
+		err = json.Unmarshal(o.Spec, &stored)
+	}
+	if err != nil {
+		n.unreadObject(n.log, err)
+		return
+	}
+	r, ok := stored.Record(f, time.Now())
+	if !ok {
+		n.removeHold(f)
+		return
+	}
+	n.Quarantine.Learn(r)
+	n.log.Info("hold read from the store", map[string]any{"fingerprint": f.String(), "crashed": r.Crashed, "left_ms": r.Left.Milliseconds()})
+}
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -44,6 +44,8 @@
 	{"store.list", "calls", "lists asked of the store, page by page"},
 	{"store.watch", "calls", "watches asked of the store"},
 	{"store.unread", "objects", "of the store that cannot be read, or name no server; the others hold"},
+	{"store.create", "calls", "objects written to the store: requests that are kept from servers"},
+	{"store.remove", "calls", "objects removed from the store: requests that are kept no longer"},
 	{"store.polls", "calls", "of a box that leaves the store to others and had no word of the list of servers, or of the configuration, for long"},
 	{"store.answered_ago.KIND", "milliseconds", "since the store last answered this box for a kind of objects, at a box that asks it"},
 	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, refused, broken, late, stale, abandoned, withdrawn, crashed"},
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -53,7 +53,9 @@
 
 // noteCrash has a crash count against a request, here and soon at all boxes.
 func (n *Node) noteCrash(f quarantine.Fingerprint, server string) {
-	n.Quarantine.Crashed(f, server)
+	if begun := n.Quarantine.Crashed(f, server); begun != nil {
+		n.background.Go(func() { n.keepHold(begun) })
+	}
 	if n.tellsCrashes.Swap(true) {
 		return
 	}
@@ -154,11 +156,12 @@
 	switch {
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
-	case !n.Quarantine.Release(f):
+	case !n.Quarantine.Answered(f):
 		http.Error(w, f.String()+" is not held", http.StatusNotFound)
 	default:
 		n.log.Info("request released by an operator", map[string]any{"fingerprint": f.String(), "from": r.RemoteAddr})
 		n.tellCrashes()
+		n.removeHold(f)
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -49,6 +49,7 @@
 	n.Replica.Run()
 	n.beat()
 	n.background.Go(n.meet)
+	n.background.Go(n.readHolds)
 	n.log.Info("started", map[string]any{"box": n.Settings.Box, "zone": n.Settings.Zone, "life": n.started.UnixNano()})
 	return nil
 }
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -18,11 +18,12 @@
 
 func (n *Node) newReplica(log *logging.Part) {
 	s, kinds := n.Settings, n.adapter.Kinds
+	n.store = n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
+		metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
+	}, func(err error) { n.unreadObject(log, err) })
 	n.Replica = replica.New(replica.Options{
 		Kinds: kinds, Zone: s.Zone, Contact: s.Bounds.Contact, Drain: s.Bounds.Drain,
-		Client: n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
-			metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
-		}, func(err error) { n.unreadObject(log, err) }),
+		Client:  n.store,
 		Members: n.Members, Fetch: n.fetchMirror, Now: n.Clock.Now,
 		WatchersPerZone: func() int { return n.policy.Load().WatchersPerZone },
 		Answered:        n.checkReady,
