--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -25,12 +25,12 @@
 	gatherCrashes = 2 * time.Millisecond
 	// quarantineEvery is how often a box looks whether anything is to be told again.
 	quarantineEvery = 100 * time.Millisecond
-	// largeFleet is from how many boxes on a first crash is not told to all of them: with
-	// 3,000 it would take 9 MB for the nine requests of a server that has crashed.
+	// largeFleet is from how many boxes on a first crash is not told to all of them: the requests
+	// of a server with nine slots may be at nine boxes, each of which would tell 3,000.
 	largeFleet = 64
 	// spreadEvery is how often a box tells some others of all requests that it holds, and
 	// spreadTo how many: one that has started meanwhile, or was cut off, hears of each six
-	// times a second, and of none within a second once in 400 times.
+	// times a second, and of none within a second once in 400 times in a large fleet.
 	spreadEvery = 500 * time.Millisecond
 	spreadTo    = 3
 )
