--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -264,3 +264,45 @@
 		}
 	})
 }
+
+// TestManyCrashesAreToldOnce: boxes that each know of more crashes than a record names come to
+// name the same ones; what they go on telling each other changes nothing and prolongs nothing.
+func TestManyCrashesAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	changes := 0
+	tables := []*Table{newTable(c), newTable(c), newTable(c)}
+	for i, table := range tables {
+		table.Changed = func(Record, string) { changes++ }
+		for k := range 2 * mostServers {
+			table.Crashed(1, fmt.Sprintf("i-%d-%d", (i+k)%3, k))
+		}
+	}
+	spread := func() {
+		for _, from := range tables {
+			for _, to := range tables {
+				for _, r := range from.Holds() {
+					to.Learn(r)
+				}
+			}
+			c.pass(20 * time.Millisecond)
+		}
+	}
+	for range 3 {
+		spread()
+	}
+	changes = 0
+	ends := tables[0].records[1].until
+	for range 100 {
+		spread()
+	}
+	is.Equal(changes, 0)
+	is.Equal(tables[0].records[1].until, ends)
+	is.Equal(tables[0].records[1].crashed, tables[1].records[1].crashed)
+	is.Equal(tables[0].records[1].crashed, tables[2].records[1].crashed)
+	// One more crash after the hold has ended holds the request again.
+	c.now = ends.Add(time.Second)
+	is.True(!held(tables[0], 1))
+	is.True(tables[0].Crashed(1, "z-last") != nil)
+	is.True(held(tables[0], 1))
+}
