--- a/pkg/backend/born_test.go
+++ b/pkg/backend/born_test.go
@@ -103,3 +103,33 @@
 		is.Equal(sent(time.Second), 100)
 	}
 }
+
+// TestServerThatRefusedWhileTheListIsOldIsTriedFirst: while the store cannot tell whether a server
+// has started again, it gets one request of a box at a time, and is taken to be cold once it
+// answers: it may have started just before.
+func TestServerThatRefusedWhileTheListIsOldIsTriedFirst(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(4)
+	s.Trusted = func() bool { return false }
+	v := servers("east-a", 1, 4)[0]
+	v.Born = 1000
+	s.Put(v)
+	lose(s, v.ID, Refused)
+	c.advance(startedAgainTime)
+	first, err := choose(s, 7)
+	is.NoErr(err)
+	_, err = choose(s, 8)
+	is.True(err != nil) // one at a time
+	first.Done(Refused, nil)
+	c.advance(startedAgainTime)
+	again, err := choose(s, 7)
+	is.NoErr(err)
+	again.Done(Answered, nil)
+	_, err = choose(s, 7)
+	is.True(err != nil) // it has just started, for all that is known
+	c.advance(3*time.Second + s.Policy.ColdMargin)
+	for range 3 {
+		_, err = choose(s, 7)
+		is.NoErr(err)
+	}
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -42,6 +42,8 @@
 	// Boxes returns among how many boxes a cold server's rate is divided; 0
 	// when that is not known.
 	Boxes func() int
+	// Trusted reports whether the list of servers follows the platform's.
+	Trusted func() bool
 	// Now is the clock; it must be monotonic.
 	Now func() time.Time
 	// Changed is told what the set came to believe of a server.
@@ -113,6 +115,7 @@
 func NewSet(terms Terms, zone string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
 	return &Set{
 		Terms: terms, Policy: policy.Default(), Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
+		Trusted:   func() bool { return true },
 		Changed:   func(Server, string) {},
 		Found:     func(Finding) {},
 		zoneHeard: map[string]time.Time{},
