--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -85,7 +85,7 @@
 		}
 		c := candidate{
 			server: v, score: weightedScore(mix(r.Key^v.hash), v.speed.weight()), slow: v.health.slow(&s.Policy, typical),
-			cold: now.Before(v.coldUntil) || v.mayHaveStartedAgain(now), tried: slices.Contains(r.Tried, v.ID),
+			cold: now.Before(v.coldUntil) || s.mayHaveStartedAgain(v, now), tried: slices.Contains(r.Tried, v.ID),
 		}
 		if c.cold && !s.mayWarm(v, now) {
 			continue
--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -44,8 +44,29 @@
 
 // mayHaveStartedAgain reports whether the server's port has lately refused a connection: that
 // life has ended, and what answers there next, under the same ID, has just started and is
-// cold, while the list still has the entry of before. A server that does not tell its starts
+// cold, while the list still has the entry of before. Where the list cannot tell later
+// either, one request of this box at a time finds out. A server that does not tell its starts
 // apart has another ID with each.
-func (v *server) mayHaveStartedAgain(now time.Time) bool {
-	return v.Born != 0 && !v.refused.IsZero() && now.Sub(v.refused) < startedAgainTime
+func (s *Set) mayHaveStartedAgain(v *server, now time.Time) bool {
+	switch {
+	case v.Born == 0 || v.refused.IsZero():
+		return false
+	case now.Sub(v.refused) < startedAgainTime:
+		return true
+	case s.Trusted():
+		return false
+	}
+	return v.load.own > 0
+}
+
+// answersAgain notes that a server answers whose port had refused: where the list could not
+// tell, it has just started for all that is known.
+func (s *Set) answersAgain(v *server) {
+	if v.refused.IsZero() {
+		return
+	}
+	v.refused = time.Time{}
+	if v.Born != 0 && !s.Trusted() {
+		s.startCold(v, s.terms[v.Service].ColdStart)
+	}
 }
--- a/pkg/backend/lease.go
+++ b/pkg/backend/lease.go
@@ -79,6 +79,7 @@
 	rests := false
 	switch result {
 	case Answered:
+		s.answersAgain(v)
 		v.health.heard = now
 		s.zoneHeard[l.Zone] = now
 		v.health.succeeded(&s.Policy, l.workTime(now))
@@ -88,6 +89,7 @@
 		v.keys.answered(l.key)
 		s.clear(v, now)
 	case Shed:
+		s.answersAgain(v)
 		v.health.heard = now
 		s.zoneHeard[l.Zone] = now
 		if !load.HasRoom() {
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -219,6 +219,7 @@
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
 	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, n.Clock.Now)
+	n.Set.Trusted = func() bool { return n.Replica.TrustsList() }
 	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
 		log.Info("server "+what, map[string]any{
