Sight: boxes tell of limits that backend servers name, and of headers that nothing reads

Logs and metrics could not tell a box that does not read a server's limit from one that keeps it by itself. A box now logs when a server begins to name a limit, changes it or names none any more, counts the answers that name one, and tells once of each header of the platform's own in answers that the adapter does not read. A limit that cannot be read is a typed error with a log line and a counter. No decision changes.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -50,6 +50,14 @@
 	Slots   int
 }
 
+// RateLimit is what an answer of a server says of how many requests it takes.
+type RateLimit struct {
+	// Named: the answer names a limit.
+	Named bool
+	// PerSecond is how many requests a second the server takes from all boxes together.
+	PerSecond float64
+}
+
 // HasRoom reports whether the server had free slots; false if it said nothing.
 func (l *Load) HasRoom() bool { return l != nil && l.Running+l.Waiting < l.Slots }
 
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -45,6 +45,10 @@
 	Signed bool
 	// Load is what it said of its load, or nil.
 	Load *backend.Load
+	// Limit is what it said of how many requests it takes.
+	Limit backend.RateLimit
+	// Problem is a header that cannot be read, or nil. What it would have said is not known.
+	Problem error
 }
 
 // Dialect names the headers of a deployment. All fields are needed.
@@ -58,6 +62,9 @@
 	ReadAnswer func(h *fasthttp.ResponseHeader) Verdict
 	// Belongs reports whether an answer is the one to the request.
 	Belongs func(h *fasthttp.ResponseHeader, m *Meta) bool
+	// Unread reports whether an answer's header of that name is the platform's own and none
+	// that ReadAnswer reads.
+	Unread func(name string) bool
 	// Internal reports whether a client's header of that name is not passed on.
 	Internal func(name string) bool
 	// CarriesKey reports whether a header of that name may carry a customer's key,
@@ -106,6 +113,11 @@
 	Released func(f quarantine.Fingerprint)
 	// Quarantine is what is known of requests that crash backend servers.
 	Quarantine *quarantine.Table
+	// Heard takes in what an answer says of its server besides its load. Sent is when the
+	// request was sent.
+	Heard func(server *backend.Server, verdict *Verdict, sent time.Time)
+	// Unread notes an answer's header that the platform's adapter does not know.
+	Unread func(name string)
 	// Background runs work that outlasts its request.
 	Background func(work func())
 	// Pool returns the connections to a backend server.
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -85,6 +85,9 @@
 		if isHopByHop(n, listed) {
 			continue
 		}
+		if c.server.Dialect.Unread(n) {
+			c.server.Unread(n)
+		}
 		out[n] = append(out[n], string(value))
 	}
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -101,6 +101,7 @@
 	// readySince is when the box last became ready, in nanoseconds since the start.
 	readySince atomic.Int64
 
+	limits        serverLimits
 	neighbourhood neighbourhood
 	// membersChanged: a box has come, gone or come back since limits last looked.
 	membersChanged atomic.Bool
@@ -163,6 +164,7 @@
 	n.newReplica(logging.For(logger, "store"))
 	n.newQuota()
 	n.newQuarantine(logging.For(logger, "quarantine"))
+	n.limits = serverLimits{log: logging.For(logger, "limits"), named: map[string]float64{}, unread: map[string]bool{}}
 	n.newIngress(logging.For(logger, "request"))
 	return n
 }
@@ -254,6 +256,8 @@
 		Crashed:    n.noteCrash,
 		Released:   n.removeHold,
 		Quarantine: n.Quarantine,
+		Heard:      n.heardOf,
+		Unread:     n.unreadHeader,
 		Background: n.background.Go,
 		Now:        n.Clock.Now,
 		SyncClock:  n.Clock.Sync,
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -35,6 +35,8 @@
 	{"quarantine.held", "requests", "that are kept from backend servers, since servers crashed under them"},
 	{"quarantine.sent", "records", "of requests that were at servers when they crashed, told to other boxes"},
 	{"quarantine.received", "records", "of requests that were at servers when they crashed, told by other boxes"},
+	{"limits.answers", "answers", "in which a backend server names how many requests a second it takes from all boxes together"},
+	{"limits.unread", "answers", "in which that cannot be read"},
 	{"suspended", "milliseconds", "for which the machine was suspended, in sum"},
 	{"heartbeats.unsent", "datagrams", "to other boxes not sent, since the address cannot be reached or the link is full"},
 	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
