Zones without a part of a small limit borrow of those that have one

What callers saw: a customer with a limit too small for all zones was refused in zones without a part. Cause: an allocator took what other zones may have to spare to be at most what its own zone may save, which is nothing there, so it asked nobody. Change: a division names the zones that hold a part, and what each of them may save.

--- a/pkg/quota/loans.go
+++ b/pkg/quota/loans.go
@@ -63,14 +63,14 @@
 // spareOf is how many tokens the zone may be able to spare: as many as it told, and
 // those that it has got since.
 func (a *allocator) spareOf(b *bucket, zone string) float64 {
-	if len(a.loans.zones[zone]) == 0 {
+	if len(a.loans.zones[zone]) == 0 || !slices.Contains(b.holders, zone) {
 		return 0
 	}
 	s, ok := b.loans.spare[zone]
 	if !ok {
-		return b.saved
+		return b.holderSaved
 	}
-	return min(b.saved, s.left+b.division.rate*a.now.Sub(s.at).Seconds())
+	return min(b.holderSaved, s.left+b.holderRate*a.now.Sub(s.at).Seconds())
 }
 
 // mayBorrow reports whether tokens may come from other zones.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -83,31 +83,35 @@
 	// saved and held bound a zone's tokens at its allocators and at its boxes.
 	saved float64
 	held  float64
+	// holders are the zones that have a part, and of each of them its rate and what its
+	// allocators may save. A zone without a part borrows of them; when what others may have to
+	// spare was taken from its own part, it never did (TestZonesWithoutAPartBorrow).
+	holders     []string
+	holderRate  float64
+	holderSaved float64
 }
 
 // divide returns the zone's part of the limit. A limit too small for all zones
 // is held by some of them; the others borrow.
 func (t *Terms) divide(id ID, l Limit, zone string, zones []string) division {
 	beyond := t.beyond(l)
-	holders := max(1, min(len(zones), int(savedPart*beyond/leastSaved)))
-	if holders < len(zones) && !holds(id, zone, zones, holders) {
-		return division{}
+	holders := zones
+	if count := max(1, int(savedPart*beyond/leastSaved)); count < len(zones) {
+		holders = firstZones(id, zones, count)
 	}
-	parts := float64(holders)
-	return division{rate: l.Rate / parts, saved: savedPart * beyond / parts, held: heldPart * beyond / parts}
+	parts := float64(len(holders))
+	d := division{holders: holders, holderRate: l.Rate / parts, holderSaved: savedPart * beyond / parts}
+	if slices.Contains(holders, zone) {
+		d.rate, d.saved, d.held = d.holderRate, d.holderSaved, heldPart*beyond/parts
+	}
+	return d
 }
 
-// holds reports whether the zone is one of the holders of the customer's limit: the
-// first ones in the customer's own order of zones.
-func holds(id ID, zone string, zones []string, holders int) bool {
-	own := zoneScore(id, zone)
-	before := 0
-	for _, z := range zones {
-		if z != zone && zoneScore(id, z) > own {
-			before++
-		}
-	}
-	return before < holders
+// firstZones returns so many zones: the first ones in the limit's own order of them.
+func firstZones(id ID, zones []string, count int) []string {
+	order := slices.Clone(zones)
+	slices.SortFunc(order, func(a, b string) int { return cmp.Compare(zoneScore(id, b), zoneScore(id, a)) })
+	return order[:count]
 }
 
 func zoneScore(id ID, zone string) uint64 { return hashing.Mix(uint64(id) ^ hashing.Of(zone)) }
