Quota keeps limits of backend servers too: the sum over boxes, as for customers

Ways looked at: each box an even part of a server's limit (2.7 a second is 1 request in 4 s for each of 12 boxes, with the floor of one request each 23 allowed where the bound is 21, and nothing for 74); one box a server that grants (alone after a cut each side would hold all, or one nothing); tokens as customers' limits have them, held in one place at a time. The last is there, with its explored states. A server's limit is divided between the zones of its own region, whose boxes send it most of what it gets; boxes elsewhere borrow. One that takes less than 0.25 a second gets that, within its bound, or nobody would hear when it takes more. What is named by customer is named by ID now.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -32,7 +32,7 @@
 	refused uint32
 }
 
-// account is what a box holds of one customer's limit.
+// account is what a box holds of one limit.
 type account struct {
 	id ID
 	counts
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -310,6 +310,9 @@
 		if d, ok := a.divide(id); !ok || len(b.short) == 0 && b.inUse == 0 && b.tokens >= d.saved {
 			delete(a.buckets, id)
 			delete(a.needy, id)
+			if !ok {
+				a.dropLines(id)
+			}
 		}
 	}
 	for key, g := range a.boxes {
@@ -322,6 +325,14 @@
 	}
 }
 
+// dropLines forgets what boxes have of a limit that has ended. Where it holds again, they count on
+// from where they were.
+func (a *allocator) dropLines(id ID) {
+	for _, g := range a.boxes {
+		delete(g.lines, id)
+	}
+}
+
 // mostSets is how many sets of allocators are kept: those of today and some that
 // boxes saw before.
 const mostSets = 8
--- a/pkg/quota/bench_test.go
+++ b/pkg/quota/bench_test.go
@@ -35,7 +35,7 @@
 				if i%10_000 == 0 {
 					l.Tick(view)
 				}
-				l.Arrive(list[i%customers].Name)
+				l.Arrive(IDOf(list[i%customers].Name))
 			}
 		})
 	}
--- a/pkg/quota/decision.go
+++ b/pkg/quota/decision.go
@@ -29,11 +29,11 @@
 	Answered <-chan struct{}
 }
 
-// Arrive decides on a request of a customer, which has just come.
-func (l *Limiter) Arrive(name string) Decision {
+// Arrive decides on a request of a customer, or to a backend server, which has just come.
+func (l *Limiter) Arrive(id ID) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.account(name)
+	a := l.account(id)
 	if a == nil {
 		return Decision{}
 	}
@@ -48,10 +48,10 @@
 }
 
 // Again decides on a request that has waited. With last set it waits no longer.
-func (l *Limiter) Again(name string, last bool) Decision {
+func (l *Limiter) Again(id ID, last bool) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.account(name)
+	a := l.account(id)
 	if a == nil {
 		return Decision{}
 	}
@@ -65,7 +65,7 @@
 	return d
 }
 
-// Statement is what has become of a customer's requests at this box since it started.
+// Statement is what has become of the requests under a limit at this box since it started.
 // Counts begin anew after 4,294,967,295.
 type Statement struct {
 	Arrived  uint32
@@ -77,11 +77,10 @@
 	Held int
 }
 
-// Statement returns what is known of a customer here; all zero where it has no limit.
-func (l *Limiter) Statement(name string) Statement {
+// Statement returns what is known of a limit here; all zero where there is none.
+func (l *Limiter) Statement(id ID) Statement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	id := IDOf(name)
 	a := l.accounts[id]
 	if a == nil {
 		c := l.retired[id]
@@ -94,10 +93,10 @@
 }
 
 // GiveBack returns the token of a request that was admitted and has not run.
-func (l *Limiter) GiveBack(name string) {
+func (l *Limiter) GiveBack(id ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a := l.account(name); a != nil {
+	if a := l.account(id); a != nil {
 		a.giveBack()
 		l.touch(a)
 	}
@@ -109,10 +108,9 @@
 	l.dirty[a.id] = a
 }
 
-// account returns the account of a customer, or nil if it has no limit.
-func (l *Limiter) account(name string) *account {
-	id := IDOf(name)
-	if _, limited := l.limits[id]; !limited {
+// account returns the account of a limit, or nil if there is none.
+func (l *Limiter) account(id ID) *account {
+	if _, limited := l.divide(id); !limited {
 		return nil
 	}
 	a := l.accounts[id]
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -31,14 +31,16 @@
 	customers map[string]*simCustomer
 	bytes     map[string]int
 	messages  map[string]int
+	// servers are backend servers that name limits; see server_test.go.
+	servers []simServer
 	// limiter makes a box's limiter; other ways than this package's are compared.
 	limiter func(b *simBox) simLimiter
 }
 
 // simLimiter is what the model needs of a limiter.
 type simLimiter interface {
-	Arrive(name string) Decision
-	Again(name string, last bool) Decision
+	Arrive(id ID) Decision
+	Again(id ID, last bool) Decision
 	Tick(v View)
 	Take() []Envelope
 	Receive(m *Message, address string)
@@ -64,6 +66,7 @@
 
 // simCustomer is one customer of the model.
 type simCustomer struct {
+	id       ID
 	limit    Limit
 	admitted []time.Time
 	sent     int
@@ -129,11 +132,11 @@
 	for i := range list {
 		c := &list[i]
 		l := Limit{Rate: c.Rate, Burst: c.Burst}
-		f.customers[c.Name] = &simCustomer{limit: l, bucket: l.Burst, bucketAt: simStart}
+		f.customers[c.Name] = &simCustomer{id: IDOf(c.Name), limit: l, bucket: l.Burst, bucketAt: simStart}
 	}
 	f.limiter = func(b *simBox) simLimiter {
 		l := &Limiter{
-			Terms: f.terms, Zone: b.zone, Zones: f.zones, Self: Box{Key: KeyOf(b.name), Address: b.name}, Life: b.life,
+			Terms: f.terms, ServerTerms: simServerTerms, Zone: b.zone, Zones: f.zones, Self: Box{Key: KeyOf(b.name), Address: b.name}, Life: b.life,
 			Now: func() time.Time { return f.now }, Random: f.random.Float64,
 		}
 		l.Start()
@@ -174,6 +177,7 @@
 		b.since = b.f.now
 		b.limiter = b.f.limiter(b)
 		b.limiter.SetCustomers(b.f.list)
+		b.hearOfServers()
 		b.tick(b.life)
 	})
 }
@@ -294,7 +298,7 @@
 		c.sent--
 		return
 	}
-	d := b.limiter.Arrive(name)
+	d := b.limiter.Arrive(c.id)
 	b.flush()
 	f.decided(b, name, d, within, f.now, b.life)
 }
@@ -316,7 +320,7 @@
 				return
 			}
 			if !b.frozen {
-				d = b.limiter.Again(name, f.now.Sub(start) >= 150*time.Millisecond)
+				d = b.limiter.Again(c.id, f.now.Sub(start) >= 150*time.Millisecond)
 				b.flush()
 			}
 			f.decided(b, name, d, within, start, life)
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -35,13 +35,15 @@
 	Message Message
 }
 
-// Limiter keeps customers within their limits: it decides for this box's clients, and
-// is the allocator of its zone where it is one of the first boxes.
+// Limiter keeps customers and backend servers within their limits: it decides for this box's
+// clients, and is the allocator of its zone where it is one of the first boxes.
 type Limiter struct {
-	Terms Terms
-	Zone  string
-	Zones []string
-	Self  Box
+	// Terms are what is promised of customers' limits, ServerTerms of backend servers'.
+	Terms       Terms
+	ServerTerms Terms
+	Zone        string
+	Zones       []string
+	Self        Box
 	// Life tells the lives of this box apart, and rises from one to the next.
 	Life int64
 	// Now is the clock; it must be monotonic.
@@ -49,9 +51,11 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 
-	mu       sync.Mutex
-	limits   map[ID]Limit
-	accounts map[ID]*account
+	mu sync.Mutex
+	// customers and servers are how their limits are divided.
+	customers map[ID]division
+	servers   map[ID]division
+	accounts  map[ID]*account
 	// dirty are the accounts that a report may have to tell of.
 	dirty     map[ID]*account
 	lending   *lending
@@ -59,7 +63,6 @@
 	view      View
 	ticks     int
 	out       []Envelope
-	divisions map[ID]division
 	// retired are the counts of accounts that were dropped: they go on from there,
 	// since allocators may remember them.
 	retired map[ID]counts
@@ -72,7 +75,8 @@
 	l.accounts = map[ID]*account{}
 	l.dirty = map[ID]*account{}
 	l.retired = map[ID]counts{}
-	l.limits = map[ID]Limit{}
+	l.customers = map[ID]division{}
+	l.servers = map[ID]division{}
 	l.lending = newLending(l.Self)
 	l.allocator = newAllocator(l.Self.Key, l.Life, l.Now(), l.divide, l.send)
 }
@@ -81,38 +85,94 @@
 func (l *Limiter) SetCustomers(list []customer.Customer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limits = map[ID]Limit{}
-	l.divisions = map[ID]division{}
+	before := l.customers
+	l.customers = map[ID]division{}
 	for i := range list {
 		if c := &list[i]; c.Rate > 0 {
 			id := IDOf(c.Name)
-			l.limits[id] = Limit{Rate: c.Rate, Burst: c.Burst}
-			l.divisions[id] = l.Terms.divide(id, l.limits[id], l.Zone, l.Zones)
+			beyond := l.Terms.beyond(Limit{Rate: c.Rate, Burst: c.Burst})
+			l.customers[id] = divide(id, c.Rate, beyond, l.Zone, l.Zones)
+			l.bind(id)
 		}
 	}
-	for id, a := range l.accounts {
-		if d, limited := l.divisions[id]; !limited {
-			l.retire(a)
-		} else if surplus := a.held() - int(d.held); surplus > 0 {
-			// A lower limit binds what is already held.
-			a.used += uint32(surplus)
-			l.touch(a)
-		}
+	for id := range before {
+		l.bind(id)
+	}
+}
+
+const (
+	// leastServerRate is how many requests a second a server gets that takes fewer: one in a
+	// window of 4 s, or nobody would hear when it takes more.
+	leastServerRate = 0.25
+	// mostServerRate bounds what a server may name, so that counts of tokens hold it.
+	mostServerRate = 1e6
+)
+
+// SetServer puts the limit that a backend server names in force, in requests a second, divided
+// between the given zones.
+func (l *Limiter) SetServer(id ID, perSecond float64, zones []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	perSecond = min(perSecond, mostServerRate)
+	rate := max(perSecond, leastServerRate)
+	beyond := l.ServerTerms.beyond(Limit{Rate: perSecond}) - (rate-perSecond)*l.ServerTerms.Window.Seconds()
+	l.servers[id] = divide(id, rate, beyond, l.Zone, zones)
+	l.bind(id)
+}
+
+// DropServer ends the limit of a backend server.
+func (l *Limiter) DropServer(id ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.servers, id)
+	l.bind(id)
+}
+
+// ForgetServer is DropServer for a life of a backend server that has ended, and is named no
+// more: what boxes count on from is dropped too.
+func (l *Limiter) ForgetServer(id ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.servers, id)
+	l.bind(id)
+	delete(l.retired, id)
+}
+
+// bind has a changed limit hold for what this box has of it.
+func (l *Limiter) bind(id ID) {
+	a := l.accounts[id]
+	if a == nil {
+		return
+	}
+	d, limited := l.divide(id)
+	if !limited {
+		l.retire(a)
+		return
+	}
+	if surplus := a.held() - int(d.held); surplus > 0 {
+		// A lower limit binds what is already held.
+		a.used += uint32(surplus)
+		l.touch(a)
 	}
 }
 
 func (l *Limiter) divide(id ID) (division, bool) {
-	d, ok := l.divisions[id]
+	if d, ok := l.customers[id]; ok {
+		return d, true
+	}
+	d, ok := l.servers[id]
 	return d, ok
 }
 
-// Limited reports whether any customer has a limit.
+// Limited reports whether anything has a limit.
 func (l *Limiter) Limited() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.limits) > 0
+	return l.isLimited()
 }
 
+func (l *Limiter) isLimited() bool { return len(l.customers)+len(l.servers) > 0 }
+
 // Granted reports whether this box has been granted anything yet.
 func (l *Limiter) Granted() bool {
 	l.mu.Lock()
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,5 +1,6 @@
-// Package quota keeps each customer's requests, summed over all boxes, within the
-// customer's limit, without a box that all others depend on.
+// Package quota keeps requests, summed over all boxes, within limits, without a box that all
+// others depend on: those of a customer within the customer's limit, and those to a backend
+// server within the limit that the server names.
 //
 // A customer's limit is a rate and a burst. The rate is divided in fixed parts: each
 // availability zone has an equal part of it, and in a zone each box has a part by its
@@ -20,6 +21,9 @@
 // customer's rate. Its allocator borrows from the five others ten times a second.
 // When the zone is cut off it goes on with its sixth, and the others with theirs.
 //
+// The limit of a backend server is divided between the zones of its own region alone, whose
+// boxes send it most of what it gets; boxes elsewhere borrow.
+//
 // What a box or an allocator forgets when it ends can only be tokens, so it costs
 // requests and never the limit. An allocator that starts has an empty bucket; no two
 // have the same part at a time, since a box lends its part to another one only when
@@ -36,12 +40,16 @@
 	"github.com/stoneworks/stoneworks/pkg/hashing"
 )
 
-// ID names a customer in messages: a hash of its name.
+// ID names what has a limit in messages: a hash of the name of a customer or of a backend
+// server's life.
 type ID uint64
 
 // IDOf returns the ID of the customer of that name.
 func IDOf(customer string) ID { return ID(hashing.Of("customer", customer)) }
 
+// ServerIDOf returns the ID of a backend server by the name of its life.
+func ServerIDOf(life string) ID { return ID(hashing.Of("server", life)) }
+
 // Terms are what is promised of all limits. In any Window a customer's requests stay
 // within (rate x Window + burst) x (1 + Overage) + Slack.
 type Terms struct {
@@ -50,7 +58,7 @@
 	Slack   float64
 }
 
-// Limit bounds a customer's requests.
+// Limit bounds the requests of a customer, or to a backend server.
 type Limit struct {
 	// Rate is in requests a second, 0 for no limit.
 	Rate float64
@@ -71,12 +79,12 @@
 // customer's limit: with fewer it could not serve two requests at once.
 const leastSaved = 2
 
-// beyond is how many requests more than at its rate a customer may send in a window.
+// beyond is how many requests more than at the rate may be sent in a window.
 func (t *Terms) beyond(l Limit) float64 {
 	return t.Overage*l.Rate*t.Window.Seconds() + (1+t.Overage)*l.Burst + t.Slack
 }
 
-// division is how a customer's limit is divided between zones.
+// division is how a limit is divided between zones.
 type division struct {
 	// rate is a zone's part of the rate, in tokens a second.
 	rate float64
@@ -91,16 +99,15 @@
 	holderSaved float64
 }
 
-// divide returns the zone's part of the limit. A limit too small for all zones
-// is held by some of them; the others borrow.
-func (t *Terms) divide(id ID, l Limit, zone string, zones []string) division {
-	beyond := t.beyond(l)
+// divide returns the zone's part of a rate, beyond which so many requests may be sent in a
+// window. One too small for all of the zones is held by some of them; the others borrow.
+func divide(id ID, rate, beyond float64, zone string, zones []string) division {
 	holders := zones
 	if count := max(1, int(savedPart*beyond/leastSaved)); count < len(zones) {
 		holders = firstZones(id, zones, count)
 	}
 	parts := float64(len(holders))
-	d := division{holders: holders, holderRate: l.Rate / parts, holderSaved: savedPart * beyond / parts}
+	d := division{holders: holders, holderRate: rate / parts, holderSaved: savedPart * beyond / parts}
 	if slices.Contains(holders, zone) {
 		d.rate, d.saved, d.held = d.holderRate, d.holderSaved, heldPart*beyond/parts
 	}
--- a/pkg/quota/states_test.go
+++ b/pkg/quota/states_test.go
@@ -178,7 +178,7 @@
 
 func (w *world) request(i int) {
 	if w.up(i) {
-		w.boxes[i].Arrive(worldCustomer)
+		w.boxes[i].Arrive(IDOf(worldCustomer))
 		w.collect(i)
 	}
 }
--- a/pkg/quota/ways_test.go
+++ b/pkg/quota/ways_test.go
@@ -14,9 +14,9 @@
 // partLimiter is a bucket of a box's own for each customer.
 type partLimiter struct {
 	box     *simBox
-	buckets map[string]*partBucket
+	buckets map[ID]*partBucket
 	// part returns the box's part of the customer's limit.
-	part func(b *simBox, name string) float64
+	part func(b *simBox, id ID) float64
 }
 
 type partBucket struct {
@@ -28,14 +28,14 @@
 
 func (l *partLimiter) SetCustomers(list []customer.Customer) {
 	for _, c := range list {
-		l.buckets[c.Name] = &partBucket{limit: Limit{Rate: c.Rate, Burst: c.Burst}, at: l.box.f.now, arrived: newRate(demandSpan, l.box.f.now)}
+		l.buckets[IDOf(c.Name)] = &partBucket{limit: Limit{Rate: c.Rate, Burst: c.Burst}, at: l.box.f.now, arrived: newRate(demandSpan, l.box.f.now)}
 	}
 }
 
-func (l *partLimiter) Arrive(name string) Decision {
-	b, now := l.buckets[name], l.box.f.now
+func (l *partLimiter) Arrive(id ID) Decision {
+	b, now := l.buckets[id], l.box.f.now
 	b.arrived.add(1, now)
-	part := l.part(l.box, name)
+	part := l.part(l.box, id)
 	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*part*b.limit.Rate, max(1, part*b.limit.Burst))
 	b.at = now
 	if b.tokens < 1 {
@@ -45,13 +45,13 @@
 	return Decision{Verdict: Admitted}
 }
 
-func (l *partLimiter) Again(string, bool) Decision { return Decision{Verdict: Refused} }
-func (l *partLimiter) Tick(View)                   {}
-func (l *partLimiter) Take() []Envelope            { return nil }
-func (l *partLimiter) Receive(*Message, string)    {}
+func (l *partLimiter) Again(ID, bool) Decision  { return Decision{Verdict: Refused} }
+func (l *partLimiter) Tick(View)                {}
+func (l *partLimiter) Take() []Envelope         { return nil }
+func (l *partLimiter) Receive(*Message, string) {}
 
 // equalPart is one of as many as there are large boxes, which serve clients.
-func equalPart(b *simBox, _ string) float64 {
+func equalPart(b *simBox, _ ID) float64 {
 	n := 0.0
 	for _, o := range b.f.boxes {
 		if o.capacity > 1000 {
@@ -63,12 +63,12 @@
 
 // demandPart follows the demand of the boxes that this one reaches. What they tell is
 // as new as if it took no time.
-func demandPart(b *simBox, name string) float64 {
-	own := b.limiter.(*partLimiter).buckets[name].arrived.now(b.f.now)
+func demandPart(b *simBox, id ID) float64 {
+	own := b.limiter.(*partLimiter).buckets[id].arrived.now(b.f.now)
 	sum, n := 0.0, 0.0
 	for _, o := range b.f.boxes {
 		if o.capacity > 1000 && o.up && (o == b || !b.f.cut(b, o)) {
-			sum += o.limiter.(*partLimiter).buckets[name].arrived.now(b.f.now)
+			sum += o.limiter.(*partLimiter).buckets[id].arrived.now(b.f.now)
 			n++
 		}
 	}
@@ -79,14 +79,14 @@
 // ways are all that are compared.
 var ways = []struct {
 	name string
-	part func(b *simBox, name string) float64
+	part func(b *simBox, id ID) float64
 }{{"equal parts", equalPart}, {"parts by demand", demandPart}, {"this package", nil}}
 
-func newWayFleet(part func(b *simBox, name string) float64, list []customer.Customer) *fleet {
+func newWayFleet(part func(b *simBox, id ID) float64, list []customer.Customer) *fleet {
 	f := newSimFleet(1, 6, 2, 10, list)
 	if part != nil {
 		f.limiter = func(b *simBox) simLimiter {
-			return &partLimiter{box: b, buckets: map[string]*partBucket{}, part: part}
+			return &partLimiter{box: b, buckets: map[ID]*partBucket{}, part: part}
 		}
 	}
 	f.start()
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -249,7 +249,7 @@
 		Budget:     n.Budget,
 		Admit:      n.admit,
 		KeysHold:   n.keysHold,
-		GiveBack:   func(c *customer.Customer) { n.Quota.GiveBack(c.Name) },
+		GiveBack:   func(c *customer.Customer) { n.Quota.GiveBack(quota.IDOf(c.Name)) },
 		Settle:     func(c *customer.Customer, inTime bool) { n.Ledger.Settle(c.Name, inTime) },
 		Pool:       n.pool,
 		HasCrashed: n.hasCrashed,
--- a/pkg/steering/steering_quota.go
+++ b/pkg/steering/steering_quota.go
@@ -156,7 +156,8 @@
 // admit decides whether a customer's request is within its limit. It waits for the
 // zone's allocator where this box holds no token.
 func (n *Node) admit(ctx context.Context, c *customer.Customer) (admitted bool, retryAfter time.Duration) {
-	d := n.Quota.Arrive(c.Name)
+	id := quota.IDOf(c.Name)
+	d := n.Quota.Arrive(id)
 	if d.Verdict == quota.Waiting {
 		n.sendQuota()
 		wait := admitTime
@@ -168,11 +169,11 @@
 		for d.Verdict == quota.Waiting {
 			select {
 			case <-d.Answered:
-				d = n.Quota.Again(c.Name, false)
+				d = n.Quota.Again(id, false)
 			case <-timeout.C:
-				d = n.Quota.Again(c.Name, true)
+				d = n.Quota.Again(id, true)
 			case <-ctx.Done():
-				d = n.Quota.Again(c.Name, true)
+				d = n.Quota.Again(id, true)
 			}
 		}
 		n.sendQuota()
@@ -211,7 +212,7 @@
 	b := standing.Box{Box: n.Settings.Box, Zone: n.Settings.Zone, Region: n.Topology.RegionOf(n.Settings.Zone), Version: t.Configuration.Version}
 	for i := range t.Configuration.Customers {
 		c := &t.Configuration.Customers[i]
-		s := n.Quota.Statement(c.Name)
+		s := n.Quota.Statement(quota.IDOf(c.Name))
 		settled, inTime := n.Ledger.Of(c.Name)
 		var keys []string
 		for _, k := range c.Keys {
