--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -440,7 +440,7 @@
 	s.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d", s.busy, s.waiting, s.Slots)
 	if s.limit != "" {
-		extra += "X-Stoneworks-Server-Limit: " + s.limit + "\r\n"
+		extra += "Server-Limit: " + s.limit + "\r\n"
 		s.namings = append(s.namings, Naming{To: sourceOf(c), At: time.Now(), Limit: s.limit})
 	}
 	s.mu.Unlock()
