Soak: servers that name limits, alone or a whole service's, with a check of the sum over boxes

A fourth catalogue draws them beside strikes under which a limit still binds (what a slow link holds back arrives together), the fifth beside all kinds. The check counts, as the users' rule does, what boxes sent that the server had told for half a second and that were not struck within the time of contact; its control and its excuses are tested.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -66,6 +66,7 @@
 	{"old-keys", oldKeys},
 	{"deadly-kept", deadlyKept},
 	{"others-sent", othersSent},
+	{"server-limit", serverLimits},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -101,6 +101,14 @@
 		"others-sent": func(h *History) {
 			h.Left = append(h.Left, Request{ID: "o", Kind: "safe", Target: "/read/7", Status: 503, Reason: "crashes_backend_servers"})
 		},
+		"server-limit": func(h *History) {
+			h.Limited = []Limited{{Server: "s1", PerSecond: 1, From: after(10 * time.Second), Namings: []machines.Naming{{To: "b1", At: after(10 * time.Second)}}}}
+			for i := range 12 {
+				id, at := fmt.Sprint("n", i), after(13*time.Second+time.Duration(i)*100*time.Millisecond)
+				h.Requests = append(h.Requests, Request{ID: id, Whole: true, Signed: true, Timeout: time.Second, Sent: at, Ended: at})
+				h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: id, From: "b1", At: at})
+			}
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
@@ -133,6 +141,30 @@
 	is.Equal(len(Judge(h)), 2)
 }
 
+// TestLimitsCountWhoWasTold: of what a limited server gets, what boxes sent that it had not told, or
+// had told just now, or that were struck, is not counted.
+func TestLimitsCountWhoWasTold(t *testing.T) {
+	is := is.New(t)
+	h := calm()
+	h.Limited = []Limited{{Server: "s1", PerSecond: 0, From: start, Namings: []machines.Naming{{To: "b1", At: after(10 * time.Second)}}}}
+	for i := range 30 {
+		id, at := fmt.Sprint("n", i), after(10*time.Second+time.Duration(i)*10*time.Millisecond)
+		h.Requests = append(h.Requests, Request{ID: id, Whole: true, Signed: true, Timeout: time.Second, Sent: at, Ended: at})
+		h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: id, From: "b1", At: at})
+	}
+	is.Equal(Judge(h), nil)
+	h.Limited[0].Namings[0].At = after(9 * time.Second)
+	is.Equal(len(Judge(h)), 1)
+	h.Limited[0].Namings[0].To = "b2"
+	is.Equal(Judge(h), nil)
+	h.Limited[0].Namings[0].To = "b1"
+	h.Spans = []Span{{Kind: BoxPause, What: "b1", From: after(8 * time.Second), To: after(9 * time.Second)}}
+	is.Equal(Judge(h), nil)
+	h.Spans[0].What = "b2"
+	h.Limited[0].To = after(10 * time.Second)
+	is.Equal(Judge(h), nil) // it named none any more
+}
+
 func TestPlansReplay(t *testing.T) {
 	is := is.New(t)
 	for _, kinds := range Catalogues {
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -78,6 +78,8 @@
 	OldKeys []Probe
 	// Deadly are the targets that end the servers that run them.
 	Deadly []string
+	// Limited are the limits that servers named.
+	Limited []Limited
 	// KeysLogged are lines of logs with a key in them.
 	KeysLogged     []string
 	Runs           map[string][]machines.Run
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -47,24 +47,33 @@
 	RequestDeadly Kind = "request-deadly"
 	ServerReborn  Kind = "server-reborn"
 	EntryForeign  Kind = "entry-foreign"
+	// ServerLimited is a server, or all of a service, that names the requests a second that it
+	// takes from all boxes together.
+	ServerLimited Kind = "server-limited"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed draws the same plan from the
 // same catalogue for ever, so kinds are added in a new one.
 type Catalogue []Kind
 
-// FirstKinds, SilentKinds and AllKinds are the catalogues.
+// FirstKinds, SilentKinds, DeadlyKinds, LimitKinds and AllKinds are the catalogues. LimitKinds are
+// those under which a server's limit still binds: what a link holds back arrives together.
 var (
 	FirstKinds = Catalogue{
 		BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
 		ServerDrain, ServerCrash, ServerReuse, ServerSpoils, LinkDelay, LinkReset, LinkSilent, LinkOneWay, Configure, Evacuate,
 	}
 	SilentKinds = append(append(Catalogue{}, FirstKinds...), StoreBlink, StoreMute, LinkMute)
-	AllKinds    = append(append(Catalogue{}, SilentKinds...), RequestDeadly, ServerReborn, EntryForeign)
+	DeadlyKinds = append(append(Catalogue{}, SilentKinds...), RequestDeadly, ServerReborn, EntryForeign)
+	LimitKinds  = Catalogue{
+		BoxStop, BoxKill, BoxPause, BoxReload, StoreSilent, StoreCut, ServerDrain, ServerCrash, ServerReborn, ServerSpoils,
+		LinkReset, Configure, Evacuate, RequestDeadly, ServerLimited,
+	}
+	AllKinds = append(append(Catalogue{}, DeadlyKinds...), ServerLimited)
 )
 
 // Catalogues are named by numbers, from 1, in seeds.txt and on the command line.
-var Catalogues = []Catalogue{FirstKinds, SilentKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, AllKinds}
 
 // Event is one thing that happens.
 type Event struct {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -201,6 +201,9 @@
 		h.Runs[id] = s.Runs()
 		h.Arrivals[id] = s.ArrivalLog()
 	}
+	for i := range h.Limited {
+		h.Limited[i].Namings = r.fleet.Servers[h.Limited[i].Server].Namings()
+	}
 	h.KeysLogged = r.keysLogged()
 	return h
 }
--- a/test/soak/strikes.go
+++ b/test/soak/strikes.go
@@ -124,6 +124,8 @@
 		r.sendDeadly(e)
 	case ServerReborn:
 		r.endServer(server)
+	case ServerLimited:
+		r.nameLimits(server, e)
 	case EntryForeign:
 		r.writeForeign(server, e)
 	}
