One place gathers the live boxes and those that serve clients

Findings, crashes and limits each gathered them; three loops became one function, and two draws of some of them another. No behaviour changes.

--- a/pkg/steering/steering_findings.go
+++ b/pkg/steering/steering_findings.go
@@ -7,7 +7,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/stoneworks/stoneworks/pkg/findings"
-	"github.com/stoneworks/stoneworks/pkg/gossip"
 )
 
 // ================================================================
@@ -36,12 +35,7 @@
 	if len(messages) == 0 {
 		return
 	}
-	var to []string
-	n.Members.EachLive(func(r *gossip.Record) {
-		if r.Serving {
-			to = append(to, r.Peers)
-		}
-	})
+	_, to := n.liveBoxes()
 	for i := range messages {
 		datagram, err := findings.Wire.Encode(&messages[i])
 		if err != nil {
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -86,6 +87,24 @@
 	n.sendEach(e.To, datagram)
 }
 
+// liveBoxes returns where all other live boxes take datagrams, and where those do that are known to
+// serve clients.
+func (n *Node) liveBoxes() (all, serving []string) {
+	n.Members.EachLive(func(r *gossip.Record) {
+		all = append(all, r.Peers)
+		if r.Serving {
+			serving = append(serving, r.Peers)
+		}
+	})
+	return all, serving
+}
+
+// someOf returns so many of the addresses, drawn at random. It changes their order.
+func someOf(addresses []string, count int) []string {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
+
 // sendEach sends a datagram to each address. One that cannot be sent is like one
 // that is lost: the next one takes its place, so it is only counted.
 func (n *Node) sendEach(addresses []string, datagram []byte) {
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
-	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/quota"
@@ -112,32 +113,21 @@
 	if len(records) == 0 {
 		return
 	}
-	var all, concerned []string
-	n.Members.EachLive(func(r *gossip.Record) {
-		all = append(all, r.Peers)
-		if r.Serving {
-			concerned = append(concerned, r.Peers)
-		}
-	})
-	if len(all) <= largeFleet {
-		n.sendLimits(all, records)
-		return
-	}
-	v := n.quotaView()
-	for _, list := range append([][]quota.Box{v.First}, mapValues(v.Zones)...) {
-		for _, b := range list {
-			concerned = append(concerned, b.Address)
-		}
+	all, serving := n.liveBoxes()
+	if len(all) > largeFleet {
+		all = append(serving, n.allocators()...)
 	}
-	n.sendLimits(concerned, records)
+	n.sendLimits(all, records)
 }
 
-func mapValues(zones map[string][]quota.Box) [][]quota.Box {
-	lists := make([][]quota.Box, 0, len(zones))
-	for _, list := range zones {
-		lists = append(lists, list)
+// allocators returns where boxes that may grant tokens take datagrams.
+func (n *Node) allocators() (addresses []string) {
+	v := n.quotaView()
+	lists := slices.AppendSeq([][]quota.Box{v.First}, maps.Values(v.Zones))
+	for _, b := range slices.Concat(lists...) {
+		addresses = append(addresses, b.Address)
 	}
-	return lists
+	return addresses
 }
 
 // spreadLimits tells some boxes of limits that this one knows, so that one that has started or was
@@ -152,11 +142,9 @@
 		listed[records[i].Server] = n.Set.Lists(records[i].Server)
 	}
 	n.Limits.Expire(func(life string) bool { return listed[life] }, gone)
-	var all []string
-	n.Members.EachLive(func(r *gossip.Record) { all = append(all, r.Peers) })
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	all, _ := n.liveBoxes()
 	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
-	n.sendLimits(all[:min(spreadTo, len(all))], records[:min(spreadRecords, len(records))])
+	n.sendLimits(someOf(all, spreadTo), records[:min(spreadRecords, len(records))])
 }
 
 func (n *Node) sendLimits(to []string, records []serverlimit.Record) {
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 )
@@ -85,13 +83,7 @@
 			usual = append(usual, r)
 		}
 	}
-	var all, serving []string
-	n.Members.EachLive(func(r *gossip.Record) {
-		all = append(all, r.Peers)
-		if r.Serving {
-			serving = append(serving, r.Peers)
-		}
-	})
+	all, serving := n.liveBoxes()
 	n.sendRecords(all, rare)
 	if len(all) > largeFleet {
 		all = serving
@@ -109,10 +101,8 @@
 	if len(held) == 0 {
 		return
 	}
-	var all []string
-	n.Members.EachLive(func(r *gossip.Record) { all = append(all, r.Peers) })
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	n.sendRecords(all[:min(spreadTo, len(all))], held)
+	all, _ := n.liveBoxes()
+	n.sendRecords(someOf(all, spreadTo), held)
 }
 
 func (n *Node) sendRecords(to []string, records []quarantine.Record) {
