Boxes that have started since a limit ended are heard; old ends are spread no more

A box that starts counts changes of a limit from the beginning, and those that know a later one did not take its word until they had an answer of their own; now they tell it what they know, and its next answer gets a number that holds (TestBoxThatStartsAnewIsHeard, failed before). Ends are spread for a minute. The choice counts a request once for the bound on spilling, also where it has asked for room.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -60,7 +60,9 @@
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
 	near, far := s.candidates(g, r, now)
-	s.spill.request(&s.Terms, now)
+	if !r.Asked {
+		s.spill.request(&s.Terms, now)
+	}
 	var denied denials
 	for denied.count <= mostDenied {
 		best, place, limit := s.pick(near, far, r, denied.count > 0, now)
--- a/pkg/serverlimit/table.go
+++ b/pkg/serverlimit/table.go
@@ -67,6 +67,8 @@
 	// tells is how often the record is to be told yet, from tellAt on; toldAt is when it last was.
 	tells          int
 	tellAt, toldAt time.Time
+	// changed is when the record last did.
+	changed time.Time
 	// missing is since when the server is not listed, zero while it is.
 	missing time.Time
 }
@@ -130,6 +132,11 @@
 		}
 	}
 	if !told.holdsOver(&e.Record) {
+		if told.Named && !e.Named {
+			// The other box has started since, and counts from the beginning: once it knows this
+			// record, what the server names next gets a number that holds.
+			e.tell()
+		}
 		return
 	}
 	if told.Named {
@@ -171,12 +178,22 @@
 }
 
 // All returns all records, in the order of servers.
-func (t *Table) All() []Record {
+func (t *Table) All() []Record { return t.list(func(*entry) bool { return true }) }
+
+// InForce returns the records that name limits, or that have changed within the time.
+func (t *Table) InForce(within time.Duration) []Record {
+	now := t.Now()
+	return t.list(func(e *entry) bool { return e.Named || now.Sub(e.changed) < within })
+}
+
+func (t *Table) list(wanted func(e *entry) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]Record, 0, len(t.records))
 	for _, e := range t.records {
-		list = append(list, e.Record)
+		if wanted(e) {
+			list = append(list, e.Record)
+		}
 	}
 	slices.SortFunc(list, func(a, b Record) int { return strings.Compare(a.Server, b.Server) })
 	return list
@@ -212,7 +229,7 @@
 // set puts a record in force.
 func (t *Table) set(e *entry, r Record) {
 	before := e.Record
-	e.Record = r
+	e.Record, e.changed = r, t.Now()
 	switch {
 	case r.Named && !before.Named:
 		t.named.Add(1)
--- a/pkg/serverlimit/table_test.go
+++ b/pkg/serverlimit/table_test.go
@@ -131,6 +131,44 @@
 	}
 }
 
+// TestBoxThatStartsAnewIsHeard: a box that has started since a limit ended counts from the beginning;
+// it is told what others know, and then others hear it.
+func TestBoxThatStartsAnewIsHeard(t *testing.T) {
+	is := is.New(t)
+	c := &clock{at: time.Unix(1000, 0)}
+	old, anew := NewTable(c.now), NewTable(c.now)
+	old.Learn(Record{Server: server.Life(), Named: true, PerSecond: 3, Number: 3})
+	old.Learn(Record{Server: server.Life(), Number: 4})
+	is.Equal(len(old.Due()), 0)
+	anew.Answered(server, names(2), true, c.at)
+	for _, r := range anew.Due() {
+		old.Learn(r)
+	}
+	is.True(old.Empty()) // what it knows is later, for all it can tell
+	for _, r := range old.Due() {
+		anew.Learn(r)
+	}
+	c.advance(tellPause)
+	anew.Answered(server, names(2), true, c.at)
+	for _, r := range anew.Due() {
+		old.Learn(r)
+	}
+	perSecond, named := old.Of(server.Life())
+	is.True(named && perSecond == 2)
+}
+
+// TestEndsAreSpreadForAWhile, and limits as long as they hold.
+func TestEndsAreSpreadForAWhile(t *testing.T) {
+	is := is.New(t)
+	l, c, _ := newTestTable()
+	l.Learn(Record{Server: "i-1", Named: true, PerSecond: 3, Number: 1})
+	l.Learn(Record{Server: "i-2", Number: 2})
+	is.Equal(len(l.InForce(time.Minute)), 2)
+	c.advance(time.Minute)
+	is.Equal(len(l.InForce(time.Minute)), 1)
+	is.Equal(len(l.All()), 2)
+}
+
 // TestMemoryIsBounded: servers that name no limit any more make room, others keep theirs.
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -34,6 +34,8 @@
 	// spreadRecords bounds the limits of which a box tells some others each spreadEvery: 2.7 KB a
 	// second of the 11 KB that control may take. One that starts hears of 48 a second.
 	spreadRecords = 8
+	// endSpreads is for how long boxes are told that a limit has ended.
+	endSpreads = time.Minute
 	// gone is how long a life of a server may be missing from the list until it is forgotten.
 	gone = time.Minute
 )
@@ -133,15 +135,16 @@
 // spreadLimits tells some boxes of limits that this one knows, so that one that has started or was
 // cut off hears of them, and forgets servers that are gone.
 func (n *Node) spreadLimits() {
-	records := n.Limits.All()
-	if len(records) == 0 {
+	known := n.Limits.All()
+	if len(known) == 0 {
 		return
 	}
 	listed := map[string]bool{}
-	for i := range records {
-		listed[records[i].Server] = n.Set.Lists(records[i].Server)
+	for i := range known {
+		listed[known[i].Server] = n.Set.Lists(known[i].Server)
 	}
 	n.Limits.Expire(func(life string) bool { return listed[life] }, gone)
+	records := n.Limits.InForce(endSpreads)
 	all, _ := n.liveBoxes()
 	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 	n.sendLimits(someOf(all, spreadTo), records[:min(spreadRecords, len(records))])
