Read once more: the choice in short steps, one way to tell boxes of records

The loop of Choose says what it does a step a line; records of crashes and of limits are sent by one function.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -73,24 +73,22 @@
 			best.order.met(&s.Policy, r.Priority, best.fill(), now)
 			return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: s.freeSlots(now, near, far), RoomIn: best.roomIn(limit, g.typicalLatency(now))}
 		}
-		switch admission, roomIn := s.admit(best, r, now); admission {
-		case Open:
+		admission, roomIn := s.admit(best, r, now)
+		if admission == Open {
 			return nil, &ChoiceError{Reason: Undecided, Service: r.Service, Server: best.Server}
-		case Denied:
+		}
+		if admission == Denied {
 			best.order.met(&s.Policy, r.Priority, max(best.fill(), s.Policy.ShortFill), now)
-			denied.add(roomIn)
 			best.passed = true
-		default:
-			best.order.met(&s.Policy, r.Priority, best.fill(), now)
-			l := s.lease(best, place, r.Key, now)
-			l.Metered, l.Denied = admission == Granted, denied.count
-			return l, nil
+			denied.add(roomIn)
+			continue
 		}
+		best.order.met(&s.Policy, r.Priority, best.fill(), now)
+		l := s.lease(best, place, r.Key, now)
+		l.Metered, l.Denied = admission == Granted, denied.count
+		return l, nil
 	}
-	if denied.count > 0 {
-		return nil, &ChoiceError{Reason: Limited, Service: r.Service, RoomIn: denied.roomIn}
-	}
-	return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
+	return nil, denied.noServer(r.Service)
 }
 
 // mostDenied bounds how many servers are passed over whose limits leave no room: with half of a
@@ -111,6 +109,14 @@
 	d.count++
 }
 
+// noServer says why no server is left.
+func (d *denials) noServer(service string) *ChoiceError {
+	if d.count > 0 {
+		return &ChoiceError{Reason: Limited, Service: service, RoomIn: d.roomIn}
+	}
+	return &ChoiceError{Reason: NoServer, Service: service}
+}
+
 // admit reports whether the limit that the server may have named leaves room for the request, and
 // for more urgent ones that lately found none.
 func (s *Set) admit(c *candidate, r *Request, now time.Time) (a Admission, roomIn time.Duration) {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -62,8 +62,8 @@
 	ReadAnswer func(h *fasthttp.ResponseHeader) Verdict
 	// Belongs reports whether an answer is the one to the request.
 	Belongs func(h *fasthttp.ResponseHeader, m *Meta) bool
-	// Unread reports whether an answer's header of that name is the platform's own and none
-	// that ReadAnswer reads.
+	// Unread reports whether an answer's header of that name may say something of the server, and
+	// ReadAnswer does not read it.
 	Unread func(name string) bool
 	// Internal reports whether a client's header of that name is not passed on.
 	Internal func(name string) bool
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -124,6 +124,10 @@
 func (l *Limiter) DropServer(id ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dropServer(id)
+}
+
+func (l *Limiter) dropServer(id ID) {
 	delete(l.servers, id)
 	l.bind(id)
 }
@@ -133,8 +137,7 @@
 func (l *Limiter) ForgetServer(id ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.servers, id)
-	l.bind(id)
+	l.dropServer(id)
 	delete(l.retired, id)
 }
 
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/findings"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/packet"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/quota"
 	"github.com/stoneworks/stoneworks/pkg/serverlimit"
@@ -105,6 +106,20 @@
 	return addresses[:min(count, len(addresses))]
 }
 
+// tellBoxes sends messages to boxes, and counts under the metric the entries that were told, once for
+// each box.
+func tellBoxes[T any](n *Node, wire packet.Codec[T], metric string, to []string, messages []T, count func(m *T) int) {
+	for i := range messages {
+		datagram, err := wire.Encode(&messages[i])
+		if err != nil {
+			n.log.Warn(wire.Kind+" not told", map[string]any{"error": err.Error()})
+			continue
+		}
+		n.sendEach(to, datagram)
+		metrics.GetOrRegisterCounter(metric, n.Metrics).Inc(int64(count(&messages[i]) * len(to)))
+	}
+}
+
 // sendEach sends a datagram to each address. One that cannot be sent is like one
 // that is lost: the next one takes its place, so it is only counted.
 func (n *Node) sendEach(addresses []string, datagram []byte) {
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -151,16 +151,8 @@
 }
 
 func (n *Node) sendLimits(to []string, records []serverlimit.Record) {
-	messages := serverlimit.Messages(n.Settings.Box, records)
-	for i := range messages {
-		datagram, err := serverlimit.Wire.Encode(&messages[i])
-		if err != nil {
-			n.log.Warn("limits not told", map[string]any{"error": err.Error()})
-			continue
-		}
-		n.sendEach(to, datagram)
-		metrics.GetOrRegisterCounter("limits.sent", n.Metrics).Inc(int64(len(messages[i].Records) * len(to)))
-	}
+	tellBoxes(n, serverlimit.Wire, "limits.sent", to, serverlimit.Messages(n.Settings.Box, records),
+		func(m *serverlimit.Message) int { return len(m.Records) })
 }
 
 // receiveLimits takes in what another box knows.
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -106,16 +106,8 @@
 }
 
 func (n *Node) sendRecords(to []string, records []quarantine.Record) {
-	messages := quarantine.Messages(n.Settings.Box, records)
-	for i := range messages {
-		datagram, err := quarantine.Wire.Encode(&messages[i])
-		if err != nil {
-			n.log.Warn("crashes not told", map[string]any{"error": err.Error()})
-			continue
-		}
-		n.sendEach(to, datagram)
-		metrics.GetOrRegisterCounter("quarantine.sent", n.Metrics).Inc(int64(len(messages[i].Records) * len(to)))
-	}
+	tellBoxes(n, quarantine.Wire, "quarantine.sent", to, quarantine.Messages(n.Settings.Box, records),
+		func(m *quarantine.Message) int { return len(m.Records) })
 }
 
 // receiveRecords takes in what another box knows.
