--- a/test/prove/promise_7_test.go
+++ b/test/prove/promise_7_test.go
@@ -51,6 +51,19 @@
 	})
 }
 
+// TestPromise7CutOff is the same for a box that is cut off from the others and from the platform,
+// whose list drops it, while its callers still reach it: the others take its part of the slots over,
+// and it goes on using it.
+func TestPromise7CutOff(t *testing.T) {
+	prove(t, 7, "own-view", func(p *proof) {
+		l := p.start("small")
+		flood := p.startFlood(2)
+		p.boxIsCutOff(l)
+		flood.end()
+		p.checkPeaks()
+	})
+}
+
 func capacityPerSecond(p *proof) float64 {
 	s := p.d.Shape
 	return float64(s.Services[0].Servers*s.Slots) * 1000 / serviceMS
@@ -145,15 +158,7 @@
 // platform's list drop and name them, so that slots change hands all the time.
 func (p *proof) boxesComeAndGo() {
 	all := p.d.BoxList()
-	without := func(gone int) []platform.Box {
-		var list []platform.Box
-		for i, b := range all {
-			if i != gone {
-				list = append(list, b)
-			}
-		}
-		return list
-	}
+	without := func(gone int) []platform.Box { return without(all, gone) }
 	for _, i := range []int{0, 3} {
 		p.fault()
 		p.d.Kill(i)
@@ -180,6 +185,29 @@
 	time.Sleep(2 * time.Second)
 }
 
+func without(all []platform.Box, gone int) []platform.Box {
+	var list []platform.Box
+	for i, b := range all {
+		if i != gone {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// boxIsCutOff cuts a box off from the others and the platform, which names it no more, while its
+// callers still reach it.
+func (p *proof) boxIsCutOff(l *links) {
+	all := p.d.BoxList()
+	p.fault()
+	l.cutBox(p.d, 0)
+	p.must(p.d.SetBoxList(without(all, 0)))
+	time.Sleep(9 * time.Second)
+	l.heal()
+	p.must(p.d.SetBoxList(all))
+	time.Sleep(2 * time.Second)
+}
+
 // setFrozen notes which box stands still; -1 for none.
 func (p *proof) setFrozen(i int) {
 	p.mu.Lock()
