--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -75,7 +75,7 @@
 	{ReasonOverLimit, 429, "the customer's requests are over its limit"},
 	{ReasonNotReady, 503, "the box has no configuration yet"},
 	{ReasonBoxLeaving, 503, "the box is stopping and takes no new requests; look up again"},
-	{ReasonNoCapacity, 503, "every slot that the request may use is taken"},
+	{ReasonNoCapacity, 503, "every slot that the request may use is taken, or every server that may take it takes no more requests for now"},
 	{ReasonNoServer, 503, "no backend server that the request may use is reachable"},
 	{ReasonDeadline, 503, "the deadline leaves no time to run the request"},
 	{ReasonConnect, 503, "the backend server accepted no connection"},
