--- a/test/machines/server_limit_news_test.go
+++ b/test/machines/server_limit_news_test.go
@@ -176,3 +176,26 @@
 		return again.Arrivals() > 5
 	})
 }
+
+// TestLimitInALargeFleet: above largeFleet boxes tell those that serve clients and those that grant;
+// the sum of 72 boxes stays within the limit, and the server gets most of what it takes.
+func TestLimitInALargeFleet(t *testing.T) {
+	is := is.New(t)
+	const limit = "2.7"
+	f := newLimitFleet(t, 72)
+	clients := newTraffic(f, 24)
+	time.Sleep(2 * time.Second)
+	s := busiest(f)
+	before := s.Arrivals()
+	s.SetLimit(limit)
+	eventually(t, "all boxes know the limit", allHold(f, s, limit))
+	time.Sleep(limitContact)
+	settled := time.Now()
+	time.Sleep(limitWindow + 2*time.Second)
+	got, taken := mostWhileLimited(s), arrivedSince(s, settled)
+	span := time.Since(settled)
+	t.Logf("%d in two seconds before, then at most %d in %s where %d are allowed, %d in %s; answers %v",
+		before, got, limitWindow, allowedBy(limit), taken, span.Round(time.Millisecond), clients.end())
+	is.True(got <= allowedBy(limit))
+	is.True(float64(taken) >= 2.7*span.Seconds()/2)
+}
