--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -105,8 +105,9 @@
 	readySince atomic.Int64
 
 	neighbourhood neighbourhood
-	// unread are headers of answers that nothing here reads.
+	// unreadHeaders are headers of answers that nothing here reads.
 	unreadHeaders headerNames
+	unreadLimits  logGate
 	// membersChanged: a box has come, gone or come back since limits last looked.
 	membersChanged atomic.Bool
 	// limitsChanged: a limit of a backend server has changed since boxes were last told.
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -36,6 +37,9 @@
 	spreadRecords = 8
 	// endSpreads is for how long boxes are told that a limit has ended.
 	endSpreads = time.Minute
+	// unreadEvery is how often a limit that cannot be read is told: a server may name one in each
+	// answer. All are counted.
+	unreadEvery = time.Second
 	// gone is how long a life of a server may be missing from the list until it is forgotten.
 	gone = time.Minute
 )
@@ -92,7 +96,9 @@
 func (n *Node) heardOf(server *backend.Server, v *ingress.Verdict, sent time.Time) {
 	if v.Problem != nil {
 		metrics.GetOrRegisterCounter("limits.unread", n.Metrics).Inc(1)
-		n.log.Warn("limit not read", map[string]any{"server": server.ID, "error": v.Problem.Error()})
+		if n.unreadLimits.pass(n.age(), unreadEvery) {
+			n.log.Warn("limit not read", map[string]any{"server": server.ID, "error": v.Problem.Error()})
+		}
 		return
 	}
 	if v.Stale {
@@ -247,9 +253,22 @@
 }
 
 // ----------------------------------------------------------------
-// Headers that nothing reads
+// Limits and headers that nothing reads
 // ----------------------------------------------------------------
 
+// logGate lets one log line pass in a time. What is kept is one more than when the last one did, in
+// nanoseconds, and 0 before the first.
+type logGate struct{ last atomic.Int64 }
+
+// pass reports whether a line may be written now; the time counts from any fixed moment.
+func (g *logGate) pass(now, every time.Duration) bool {
+	last := g.last.Load()
+	if last != 0 && now+1-time.Duration(last) < every {
+		return false
+	}
+	return g.last.CompareAndSwap(last, int64(now)+1)
+}
+
 // headerNames are names of headers.
 type headerNames struct {
 	mu    sync.Mutex
