--- a/test/machines/server_limit_news_test.go
+++ b/test/machines/server_limit_news_test.go
@@ -56,18 +56,13 @@
 	})
 }
 
-// home is the server that got the requests that send has just sent through a box.
-func home(f *Fleet) *Server {
-	return busiest(f)
-}
-
 // TestLimitIsKnownWhereNobodyWasTold: boxes that have sent the server nothing know its limit, also
 // one that starts later; and all know when it ends, changes, or cannot be read.
 func TestLimitIsKnownWhereNobodyWasTold(t *testing.T) {
 	is := is.New(t)
 	f := newLimitFleet(t, 3)
 	send(t, f, 0, 3, 0)
-	s := home(f)
+	s := busiest(f)
 	s.SetLimit("9")
 	hears(t, f, 0, s)
 	eventually(t, "all boxes know the limit", allHold(f, s, "9"))
@@ -95,7 +90,7 @@
 	is := is.New(t)
 	f := newLimitFleet(t, 6)
 	send(t, f, 0, 3, 0)
-	s := home(f)
+	s := busiest(f)
 	s.SetLimit("0")
 	clients := newTraffic(f, 12)
 	time.Sleep(limitContact)
@@ -160,7 +155,7 @@
 	is := is.New(t)
 	f := newLimitFleet(t, 3)
 	send(t, f, 0, 3, 0)
-	s := home(f)
+	s := busiest(f)
 	s.SetLimit("0")
 	hears(t, f, 0, s)
 	eventually(t, "all boxes know the limit", allHold(f, s, "0"))
