--- a/pkg/quota/server_test.go
+++ b/pkg/quota/server_test.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// hearOfServers has a box that starts hear of limits after a while. Until then it keeps from the
-// servers in the model, since what it sends is not counted.
+// hearOfServers has a box that starts hear of limits after a while. What it sends until then takes no
+// token, and counts all the same.
 func (b *simBox) hearOfServers() {
 	for _, s := range b.f.servers {
 		life := b.life
