Sight: what servers say of leaving and rest is read, counted and logged

Neither log nor metric told what a server asks for with a 503, and the words of refusals were looked at by nobody: headers that nothing reads were looked for only in answers that are passed on. Now the adapter reads Server-Leaving and, on a 503, Retry-After (seconds, fractions, dates, the longest of several, an hour at most); what cannot be read is a typed error, counted and logged once a second, and one malformed header hides no other. No decision is changed.

limits.unread keeps its meaning; words.unread counts all malformed headers.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -56,6 +56,8 @@
 	Named bool
 	// PerSecond is how many requests a second the server takes from all boxes together.
 	PerSecond float64
+	// Malformed: it names something that cannot be read, which ends no limit of before.
+	Malformed bool
 }
 
 // HasRoom reports whether the server had free slots; false if it said nothing.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -47,8 +47,12 @@
 	Load *backend.Load
 	// Limit is what it said of how many requests it takes.
 	Limit backend.RateLimit
-	// Problem is a header that cannot be read, or nil. What it would have said is not known.
-	Problem error
+	// Leaving: it says that it leaves.
+	Leaving bool
+	// Rest is for how long it wants no requests from this box, 0 if it has not asked for that.
+	Rest time.Duration
+	// Problems are headers that cannot be read. What they would have said is not known.
+	Problems []error
 }
 
 // Dialect names the headers of a deployment. All fields are needed.
@@ -62,9 +66,9 @@
 	ReadAnswer func(h *fasthttp.ResponseHeader) Verdict
 	// Belongs reports whether an answer is the one to the request.
 	Belongs func(h *fasthttp.ResponseHeader, m *Meta) bool
-	// Unread reports whether an answer's header of that name may say something of the server, and
-	// ReadAnswer does not read it.
-	Unread func(name string) bool
+	// Unread reports whether a header of that name of an answer of some status may say something
+	// of the server, and ReadAnswer does not read it.
+	Unread func(name string, status int) bool
 	// Internal reports whether a client's header of that name is not passed on.
 	Internal func(name string) bool
 	// CarriesKey reports whether a header of that name may carry a customer's key,
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -85,10 +85,18 @@
 		if isHopByHop(n, listed) {
 			continue
 		}
-		if c.server.Dialect.Unread(n) {
+		out[n] = append(out[n], string(value))
+	}
+}
+
+// noteUnread notes the headers of an answer, passed on or not, that the platform's adapter does
+// not know.
+func (c *call) noteUnread(answer *exchange.Answer) {
+	for name := range answer.Header.All() {
+		n := http.CanonicalHeaderKey(string(name))
+		if !isHopByHop(n, nil) && c.server.Dialect.Unread(n, answer.Header.StatusCode()) {
 			c.server.Unread(n)
 		}
-		out[n] = append(out[n], string(value))
 	}
 }
 
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -170,6 +170,7 @@
 	c.sent++
 	verdict := s.Dialect.ReadAnswer(&answer.Header)
 	s.Heard(&lease.Server, &verdict, start)
+	c.noteUnread(answer)
 	switch {
 	case verdict.Stale, verdict.NotRun:
 		return c.rejected(lease, start, answer, verdict)
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -107,7 +107,8 @@
 	neighbourhood neighbourhood
 	// unreadHeaders are headers of answers that nothing here reads.
 	unreadHeaders headerNames
-	unreadLimits  logGate
+	// unreadWords, leavingWords and restWords bound the log lines of what servers say.
+	unreadWords, leavingWords, restWords logGate
 	// membersChanged: a box has come, gone or come back since limits last looked.
 	membersChanged atomic.Bool
 	// limitsChanged: a limit of a backend server has changed since boxes were last told.
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -37,9 +35,6 @@
 	spreadRecords = 8
 	// endSpreads is for how long boxes are told that a limit has ended.
 	endSpreads = time.Minute
-	// unreadEvery is how often a limit that cannot be read is told: a server may name one in each
-	// answer. All are counted.
-	unreadEvery = time.Second
 	// gone is how long a life of a server may be missing from the list until it is forgotten.
 	gone = time.Minute
 )
@@ -91,17 +86,10 @@
 // What servers and other boxes say
 // ----------------------------------------------------------------
 
-// heardOf takes in what an answer says of its server's limit. One that another server gave in
-// its place says nothing of it.
-func (n *Node) heardOf(server *backend.Server, v *ingress.Verdict, sent time.Time) {
-	if v.Problem != nil {
+// heardLimit takes in what an answer says of its server's limit.
+func (n *Node) heardLimit(server *backend.Server, v *ingress.Verdict, sent time.Time) {
+	if v.Limit.Malformed {
 		metrics.GetOrRegisterCounter("limits.unread", n.Metrics).Inc(1)
-		if n.unreadLimits.pass(n.age(), unreadEvery) {
-			n.log.Warn("limit not read", map[string]any{"server": server.ID, "error": v.Problem.Error()})
-		}
-		return
-	}
-	if v.Stale {
 		return
 	}
 	if v.Limit.Named {
@@ -251,45 +239,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	n.logUnsent("limits", json.NewEncoder(w).Encode(told))
 }
-
-// ----------------------------------------------------------------
-// Limits and headers that nothing reads
-// ----------------------------------------------------------------
-
-// logGate lets one log line pass in a time. What is kept is one more than when the last one did, in
-// nanoseconds, and 0 before the first.
-type logGate struct{ last atomic.Int64 }
-
-// pass reports whether a line may be written now; the time counts from any fixed moment.
-func (g *logGate) pass(now, every time.Duration) bool {
-	last := g.last.Load()
-	if last != 0 && now+1-time.Duration(last) < every {
-		return false
-	}
-	return g.last.CompareAndSwap(last, int64(now)+1)
-}
-
-// headerNames are names of headers.
-type headerNames struct {
-	mu    sync.Mutex
-	names map[string]bool
-}
-
-// mostUnread bounds the headers that are remembered as unread.
-const mostUnread = 32
-
-// unreadHeader tells once of a header of answers that nothing here reads: it may say what
-// the platform's pages say and the adapter does not know.
-func (n *Node) unreadHeader(name string) {
-	h := &n.unreadHeaders
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.names[name] || len(h.names) >= mostUnread {
-		return
-	}
-	if h.names == nil {
-		h.names = map[string]bool{}
-	}
-	h.names[name] = true
-	n.log.Warn("header of answers not read", map[string]any{"header": name})
-}
