Stand-in: backend servers say that they leave, and ask boxes for rest

What a server says of itself is one table of words with what it has said to whom, in place of one pair of methods for its limit.

--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -100,19 +100,7 @@
 	conns    map[net.Conn]bool
 	// known are the keys that it remembers, the latest last.
 	known []string
-	// limit is what its answers say of how many requests a second it takes, empty for nothing,
-	// and namings are the answers that have said so.
-	limit   string
-	namings []Naming
-}
-
-// Naming is one answer that named a limit.
-type Naming struct {
-	// To is the IP number that got it.
-	To string
-	At time.Time
-	// Limit is what it named.
-	Limit string
+	words words
 }
 
 // Nature is what a server's answers depend on. The zero value is a server whose
@@ -188,21 +176,6 @@
 	s.Close()
 }
 
-// SetLimit sets what answers say of how many requests a second the server takes; empty for
-// nothing.
-func (s *Server) SetLimit(limit string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.limit = limit
-}
-
-// Namings returns the answers that named a limit.
-func (s *Server) Namings() []Naming {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Naming(nil), s.namings...)
-}
-
 // Runs returns the requests that were run.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -439,10 +412,7 @@
 func (s *Server) head(c net.Conn, id string, status, length int, signed bool, extra string) {
 	s.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d", s.busy, s.waiting, s.Slots)
-	if s.limit != "" {
-		extra += "Server-Limit: " + s.limit + "\r\n"
-		s.namings = append(s.namings, Naming{To: sourceOf(c), At: time.Now(), Limit: s.limit})
-	}
+	extra += s.words.lines(sourceOf(c), status)
 	s.mu.Unlock()
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
--- /dev/null
+++ b/test/machines/server_words.go
@@ -0,0 +1,80 @@
+package machines
+
+import (
+	"net/http"
+	"time"
+)
+
+// Word is a header by which a server says something of itself in its answers, named as the
+// users' pages do.
+type Word string
+
+// The words.
+const (
+	// SaysLimit: it takes so many requests a second from all boxes together.
+	SaysLimit Word = "Server-Limit"
+	// SaysLeaving: it leaves.
+	SaysLeaving Word = "Server-Leaving"
+	// SaysRest: it wants no requests from the box that gets this for so many seconds. It stands
+	// in refusals with 503 alone; see Refuse.
+	SaysRest Word = "Retry-After"
+)
+
+var allWords = []Word{SaysLimit, SaysLeaving, SaysRest}
+
+// Saying is one answer with a word.
+type Saying struct {
+	// To is the IP number that got it.
+	To string
+	At time.Time
+	// Value is what was said.
+	Value string
+}
+
+// words are what a server says now, and has said.
+type words struct {
+	now  map[Word]string
+	said map[Word][]Saying
+}
+
+// lines returns the lines of an answer's header that hold the words.
+func (w *words) lines(to string, status int) string {
+	text := ""
+	for _, word := range allWords {
+		value := w.now[word]
+		if value == "" || word == SaysRest && status != http.StatusServiceUnavailable {
+			continue
+		}
+		text += string(word) + ": " + value + "\r\n"
+		w.said[word] = append(w.said[word], Saying{To: to, At: time.Now(), Value: value})
+	}
+	return text
+}
+
+// Say sets what answers say from now on; empty for nothing.
+func (s *Server) Say(word Word, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.words.now == nil {
+		s.words.now, s.words.said = map[Word]string{}, map[Word][]Saying{}
+	}
+	s.words.now[word] = value
+}
+
+// Said returns the answers that had the word.
+func (s *Server) Said(word Word) []Saying {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Saying(nil), s.words.said[word]...)
+}
+
+// AskForRest has the server turn all requests away and ask the boxes that sent them for so many
+// seconds of rest; with "" it works as before.
+func (s *Server) AskForRest(seconds string) {
+	s.Say(SaysRest, seconds)
+	if seconds == "" {
+		s.SetFault(nil)
+		return
+	}
+	s.SetFault(func(*Run) Fault { return Refuse })
+}
--- a/test/soak/limited.go
+++ b/test/soak/limited.go
@@ -27,7 +27,7 @@
 	// To is zero if it names the limit until the end.
 	To time.Time
 	// Namings are the answers that name it.
-	Namings []machines.Naming
+	Namings []machines.Saying
 }
 
 // nameLimits has a server name a limit, and for one event in four all servers of its service.
@@ -54,9 +54,9 @@
 	if server == nil {
 		return
 	}
-	server.SetLimit(strconv.FormatFloat(perSecond, 'g', -1, 64))
+	server.Say(machines.SaysLimit, strconv.FormatFloat(perSecond, 'g', -1, 64))
 	r.later(d, func() {
-		server.SetLimit("")
+		server.Say(machines.SaysLimit, "")
 		r.note(func(h *History) { h.Limited[index].To = time.Now() })
 	})
 }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -202,7 +202,7 @@
 		h.Arrivals[id] = s.ArrivalLog()
 	}
 	for i := range h.Limited {
-		h.Limited[i].Namings = r.fleet.Servers[h.Limited[i].Server].Namings()
+		h.Limited[i].Namings = r.fleet.Servers[h.Limited[i].Server].Said(machines.SaysLimit)
 	}
 	h.KeysLogged = r.keysLogged()
 	return h
