--- a/pkg/serverlimit/serverlimit.go
+++ b/pkg/serverstatus/serverstatus.go
@@ -1,5 +1,5 @@
-// Package serverlimit keeps what backend servers say of how many requests a second they take from
-// all boxes together. A server says so in its answers, for as long as it holds; a box that gets
+// Package serverstatus keeps what backend servers say of themselves in their answers: how many
+// requests a second they take from all boxes together, for as long as that holds. A box that gets
 // such an answer tells the others, so that those hold it too that have not sent the server
 // anything yet. Keeping the sum of all boxes within the limit is package quota's matter.
 //
@@ -9,7 +9,7 @@
 // ends one only if its request was sent after the limit was last heard of.
 //
 // This package has no input or output: messages are handed in and out.
-package serverlimit
+package serverstatus
 
 // Record is what is known of one life of a backend server.
 type Record struct {
--- a/pkg/serverlimit/table_test.go
+++ b/pkg/serverstatus/table_test.go
@@ -1,4 +1,4 @@
-package serverlimit
+package serverstatus
 
 import (
 	"errors"
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -30,7 +30,7 @@
 	"github.com/stoneworks/stoneworks/pkg/replica"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/serverlimit"
+	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/standing"
 	"github.com/stoneworks/stoneworks/pkg/timer"
@@ -72,8 +72,8 @@
 	Quota   *quota.Limiter
 	// Quarantine is what is known of requests that crash backend servers.
 	Quarantine *quarantine.Table
-	// Limits are the limits that backend servers name.
-	Limits    *serverlimit.Table
+	// Statuses are what backend servers say of themselves.
+	Statuses  *serverstatus.Table
 	Ledger    *standing.Ledger
 	Directory *directory.Directory
 	Ingress   *ingress.Server
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -13,7 +13,7 @@
 	"github.com/stoneworks/stoneworks/pkg/packet"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/quota"
-	"github.com/stoneworks/stoneworks/pkg/serverlimit"
+	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 )
 
 // ================================================================
@@ -154,7 +154,7 @@
 			n.receiveRecords(buffer[:size], from)
 			continue
 		}
-		if serverlimit.Wire.Is(buffer[:size]) {
+		if serverstatus.Wire.Is(buffer[:size]) {
 			n.receiveLimits(buffer[:size], from)
 			continue
 		}
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -16,7 +16,7 @@
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/quota"
-	"github.com/stoneworks/stoneworks/pkg/serverlimit"
+	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 )
 
 // ================================================================
@@ -40,25 +40,25 @@
 )
 
 func (n *Node) newLimits(log *logging.Part) {
-	n.Limits = serverlimit.NewTable(n.Clock.Now)
-	n.Limits.Changed = func(r serverlimit.Record, what serverlimit.Change) {
+	n.Statuses = serverstatus.NewTable(n.Clock.Now)
+	n.Statuses.Changed = func(r serverstatus.Record, what serverstatus.Change) {
 		n.bindLimit(&r, what)
 		log.Info("limit of server "+what.String(), map[string]any{
 			"server": r.Server, "zone": r.Zone, "per_s": r.PerSecond, "number": r.Number,
 		})
 	}
-	n.Set.Limited = func() bool { return !n.Limits.Empty() }
+	n.Set.Limited = func() bool { return !n.Statuses.Empty() }
 	n.Set.Admit = n.admitTo
 	n.Set.Release = n.releaseRoom
 }
 
 // bindLimit has a server's limit hold, or hold no more.
-func (n *Node) bindLimit(r *serverlimit.Record, what serverlimit.Change) {
+func (n *Node) bindLimit(r *serverstatus.Record, what serverstatus.Change) {
 	id := quota.ServerIDOf(r.Server)
 	switch what {
-	case serverlimit.Ended:
+	case serverstatus.Ended:
 		n.Quota.DropServer(id)
-	case serverlimit.Forgotten:
+	case serverstatus.Forgotten:
 		n.Quota.ForgetServer(id)
 	default:
 		n.Quota.SetServer(id, r.PerSecond, n.zonesOfRegion(r.Zone))
@@ -95,7 +95,7 @@
 	if v.Limit.Named {
 		metrics.GetOrRegisterCounter("limits.answers", n.Metrics).Inc(1)
 	}
-	n.Limits.Answered(server, v.Limit, v.Signed, sent)
+	n.Statuses.Answered(server, v.Limit, v.Signed, sent)
 	if n.limitsChanged.Swap(false) {
 		n.tellLimits()
 		n.tickQuota()
@@ -105,7 +105,7 @@
 // tellLimits tells others of limits that have changed: all boxes, and in a large fleet those that
 // serve clients and those that grant.
 func (n *Node) tellLimits() {
-	records := n.Limits.Due()
+	records := n.Statuses.Due()
 	if len(records) == 0 {
 		return
 	}
@@ -129,7 +129,7 @@
 // spreadLimits tells some boxes of limits that this one knows, so that one that has started or was
 // cut off hears of them, and forgets servers that are gone.
 func (n *Node) spreadLimits() {
-	known := n.Limits.All()
+	known := n.Statuses.All()
 	if len(known) == 0 {
 		return
 	}
@@ -137,27 +137,27 @@
 	for i := range known {
 		listed[known[i].Server] = n.Set.Lists(known[i].Server)
 	}
-	n.Limits.Expire(func(life string) bool { return listed[life] }, gone)
-	records := n.Limits.InForce(endSpreads)
+	n.Statuses.Expire(func(life string) bool { return listed[life] }, gone)
+	records := n.Statuses.InForce(endSpreads)
 	all, _ := n.liveBoxes()
 	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 	n.sendLimits(someOf(all, spreadTo), records[:min(spreadRecords, len(records))])
 }
 
-func (n *Node) sendLimits(to []string, records []serverlimit.Record) {
-	tellBoxes(n, serverlimit.Wire, "limits.sent", to, serverlimit.Messages(n.Settings.Box, records),
-		func(m *serverlimit.Message) int { return len(m.Records) })
+func (n *Node) sendLimits(to []string, records []serverstatus.Record) {
+	tellBoxes(n, serverstatus.Wire, "limits.sent", to, serverstatus.Messages(n.Settings.Box, records),
+		func(m *serverstatus.Message) int { return len(m.Records) })
 }
 
 // receiveLimits takes in what another box knows.
 func (n *Node) receiveLimits(datagram []byte, from *net.UDPAddr) {
-	m, err := serverlimit.Wire.Decode(datagram)
+	m, err := serverstatus.Wire.Decode(datagram)
 	if err != nil {
 		n.unread(from, err)
 		return
 	}
 	for _, r := range m.Records {
-		n.Limits.Learn(r)
+		n.Statuses.Learn(r)
 	}
 	metrics.GetOrRegisterCounter("limits.received", n.Metrics).Inc(int64(len(m.Records)))
 	if n.limitsChanged.Swap(false) {
@@ -178,7 +178,7 @@
 // has that take it. One that yields leaves it to more urgent ones.
 func (n *Node) admitTo(server *backend.Server, ask, yield bool) (a backend.Admission, roomIn time.Duration) {
 	life := server.Life()
-	if _, named := n.Limits.Of(life); !named {
+	if _, named := n.Statuses.Of(life); !named {
 		return backend.Unlimited, 0
 	}
 	if yield {
@@ -226,13 +226,13 @@
 
 // serveLimits tells operators which limits this box knows of, and what became of its requests.
 func (n *Node) serveLimits(w http.ResponseWriter, _ *http.Request) {
-	told := serverlimit.Box{Box: n.Settings.Box, Limits: []serverlimit.Limit{}}
-	for _, r := range n.Limits.All() {
+	told := serverstatus.Box{Box: n.Settings.Box, Limits: []serverstatus.Limit{}}
+	for _, r := range n.Statuses.All() {
 		if !r.Named {
 			continue
 		}
 		s := n.Quota.Statement(quota.ServerIDOf(r.Server))
-		told.Limits = append(told.Limits, serverlimit.Limit{
+		told.Limits = append(told.Limits, serverstatus.Limit{
 			Server: r.Server, Zone: r.Zone, PerSecond: r.PerSecond, Admitted: s.Admitted, Denied: s.Refused, AskedPerSecond: s.PerSecond,
 		})
 	}
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -10,7 +10,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/routing"
-	"github.com/stoneworks/stoneworks/pkg/serverlimit"
+	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/standing"
 )
@@ -178,7 +178,7 @@
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", n.serveMetrics)
 	admin.HandleFunc("GET "+standing.Path, n.serveCustomers)
-	admin.HandleFunc("GET "+serverlimit.Path, n.serveLimits)
+	admin.HandleFunc("GET "+serverstatus.Path, n.serveLimits)
 	admin.HandleFunc("GET "+quarantine.Path, n.serveQuarantine)
 	admin.HandleFunc("DELETE "+quarantine.Path+"/{fingerprint}", n.serveRelease)
 	for _, p := range []struct {
--- a/test/machines/server_limit_news_test.go
+++ b/test/machines/server_limit_news_test.go
@@ -23,7 +23,7 @@
 func allHold(f *Fleet, s *Server, limit string) func() bool {
 	return func() bool {
 		for _, b := range f.Boxes {
-			perSecond, named := b.Limits.Of(lifeOf(s))
+			perSecond, named := b.Statuses.Of(lifeOf(s))
 			if named != (limit != "") || named && strconv.FormatFloat(perSecond, 'g', -1, 64) != limit {
 				return false
 			}
@@ -159,7 +159,7 @@
 	s.Say(SaysLimit, "0")
 	hears(t, f, 0, s)
 	eventually(t, "all boxes know the limit", allHold(f, s, "0"))
-	is.Equal(f.Boxes[1].Limits.Empty(), false)
+	is.Equal(f.Boxes[1].Statuses.Empty(), false)
 	again, err := NewServer(f.network+".100", s.ID, 4, 10*time.Millisecond)
 	is.NoErr(err)
 	s.Close()
