Servers that ask a box for rest get nothing from it for that time

What callers saw: each second some 30 of 290 previews refused, whose second server was one of the seven too that turned all away; the servers got up to all that their keys ask for while they had asked for 3 s of rest. Cause: what a server asks for with a 503 was read by nobody. A refusal made it count as full, by a load that is soon old and that its next answer corrects, so its keys came back after 5 ms to 1.4 s. Ruled out: a rest of the box's own that is too short (there is no least pause); answers that cross (the seven gave nothing but refusals). Change: for the longest time that a server asked for it is no candidate at this box, however short of servers the box is, and what waits for a connection to it goes elsewhere. The word is for one box, so others are not told. Then one request at a time finds out whether it takes requests again, until one is answered. Its keys go to the next server; out of the region go no more requests than may leave a full one; where all rest, a request is refused at once, with the time at which the first one is ready and up to a quarter of that.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -110,6 +110,8 @@
 	Full Reason = "full"
 	// Limited: those that may take it have named limits, which leave no room now.
 	Limited Reason = "limited"
+	// Resting: those that may take it have asked this box for rest.
+	Resting Reason = "resting"
 	// Undecided: whether the limit of the server that it prefers leaves room is to be asked
 	// first; see Request.Asked.
 	Undecided Reason = "undecided"
@@ -125,7 +127,7 @@
 	HomeFill  float64
 	FreeSlots int
 	// RoomIn is after what time the home is expected to have worked off what it has too
-	// much, or a limit to leave room again, 0 if that is not known.
+	// much, a limit to leave room again, or a time of rest to end, 0 if that is not known.
 	RoomIn time.Duration
 	// Server is the one whose limit is to be asked for, where Reason is Undecided.
 	Server Server
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -65,7 +65,7 @@
 	}
 	var denied denials
 	for denied.count <= mostDenied {
-		best, place, limit := s.pick(near, far, r, denied.count > 0, now)
+		best, place, limit := s.pick(near, far, r, denied.count > 0 || s.resting.near > 0, now)
 		if best == nil {
 			break
 		}
@@ -85,10 +85,10 @@
 		}
 		best.order.met(&s.Policy, r.Priority, best.fill(), now)
 		l := s.lease(best, place, r.Key, now)
-		l.Metered, l.Denied = admission == Granted, denied.count
+		l.Metered, l.Denied, l.Resting = admission == Granted, denied.count, s.resting.count
 		return l, nil
 	}
-	return nil, denied.noServer(r.Service)
+	return nil, s.noServer(&denied, r.Service, now)
 }
 
 // mostDenied bounds how many servers are passed over whose limits leave no room: with half of a
@@ -109,12 +109,16 @@
 	d.count++
 }
 
-// noServer says why no server is left.
-func (d *denials) noServer(service string) *ChoiceError {
-	if d.count > 0 {
-		return &ChoiceError{Reason: Limited, Service: service, RoomIn: d.roomIn}
+// noServer says why no server is left, and when the first of those that were passed over has room.
+func (s *Set) noServer(denied *denials, service string, now time.Time) *ChoiceError {
+	e := &ChoiceError{Reason: NoServer, Service: service}
+	if s.resting.count > 0 {
+		e.Reason, e.RoomIn = Resting, s.resting.roomIn(now)
 	}
-	return &ChoiceError{Reason: NoServer, Service: service}
+	if denied.count > 0 && (e.RoomIn == 0 || denied.roomIn < e.RoomIn) {
+		e.Reason, e.RoomIn = Limited, denied.roomIn
+	}
+	return e
 }
 
 // admit reports whether the limit that the server may have named leaves room for the request, and
@@ -131,17 +135,24 @@
 
 // candidates returns the servers of the region in which the key has its home,
 // and all others, each with those first that the key prefers and that were not
-// tried, in their order. The lists are good until the next call.
+// tried, in their order. Those that have asked for rest are left out, and noted in s.resting. All
+// is good until the next call.
 func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []candidate) {
 	share := s.localShareOf(g, r, now)
 	stays := fraction(mix(r.Key+1)) < g.shareOfKind(share, r.Heavy)
 	typical := g.typicalLatency(now)
 	g.compareSpeeds(&s.Policy, now)
 	near, far = s.near[:0], s.far[:0]
+	s.resting = resting{}
 	for _, v := range g.servers {
 		if !s.usable(v) || !r.RegionAllowed(v.region) {
 			continue
 		}
+		isNear := (v.region == s.Region) == stays
+		if v.rest.refuses(now) {
+			s.resting.add(v, isNear)
+			continue
+		}
 		c := candidate{
 			server: v, score: weightedScore(mix(r.Key^v.hash), v.speed.weight()), slow: v.health.slow(&s.Policy, typical),
 			cold: now.Before(v.coldUntil) || s.mayHaveStartedAgain(v, now), tried: slices.Contains(r.Tried, v.ID),
@@ -153,7 +164,7 @@
 			c.last = true
 			c.score = 0
 		}
-		if (v.region == s.Region) == stays {
+		if isNear {
 			near = append(near, c)
 		} else {
 			far = append(far, c)
@@ -223,9 +234,10 @@
 // if it is idle enough to do the work although it does not know the key. The limit is
 // how much of its slots the server may have taken for this request.
 //
-// Where limits have taken all servers of the region out, no more requests leave it than a full
-// region may send elsewhere: one whose servers all name limits would move at once.
-func (s *Set) pick(near, far []candidate, r *Request, limited bool, now time.Time) (best *candidate, place int, limit float64) {
+// Where limits or rest have taken all servers of the region out, which is what short says, no more
+// requests leave it than a full region may send elsewhere: one whose servers all name limits would
+// move at once.
+func (s *Set) pick(near, far []candidate, r *Request, short bool, now time.Time) (best *candidate, place int, limit float64) {
 	best, place = s.home(near, r.Key)
 	if best != nil {
 		limit = best.order.limit(&s.Policy, r.Priority, now)
@@ -234,7 +246,7 @@
 		}
 	}
 	other, otherPlace := s.home(far, r.Key)
-	if best == nil && !limited {
+	if best == nil && !short {
 		if other != nil {
 			limit = other.order.limit(&s.Policy, r.Priority, now)
 		}
--- a/pkg/backend/lease.go
+++ b/pkg/backend/lease.go
@@ -21,6 +21,8 @@
 	// and Denied is how many servers were passed over whose limits leave no room.
 	Metered bool
 	Denied  int
+	// Resting is how many servers were passed over that have asked for rest.
+	Resting int
 	// Known is true if the server has lately answered this box for the key.
 	Known bool
 	// Expected is how long the server was expected to take, from its typical
@@ -31,6 +33,8 @@
 	server *server
 	key    uint64
 	start  time.Time
+	// trial: it finds out whether a server takes requests again that has asked for rest.
+	trial bool
 }
 
 // lease has a server take a request.
@@ -53,6 +57,9 @@
 		Server: v.Server, Remote: v.region != s.Region, Cold: c.cold, Home: place, Busy: c.busy,
 		Known: v.keys.has(key), set: s, server: v, key: key, start: now,
 	}
+	if v.rest.returning {
+		v.rest.trial, l.trial = true, true
+	}
 	if !v.load.at.IsZero() {
 		l.LoadAge = now.Sub(v.load.at)
 	}
@@ -60,14 +67,16 @@
 	return l
 }
 
-// Usable reports whether the server may still get the request: since it was
-// chosen it may have left, or its zone may have been evacuated.
+// Usable reports whether the server may get requests at all: since it was chosen it may have left,
+// or its zone may have been evacuated. See Wanted.
 func (l *Lease) Usable() bool {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
-	return l.server.group != nil && l.set.usable(l.server)
+	return l.usable()
 }
 
+func (l *Lease) usable() bool { return l.server.group != nil && l.set.usable(l.server) }
+
 // Done ends the lease with the result and with what the server said of its
 // load, nil if it said nothing.
 func (l *Lease) Done(result Result, load *Load) {
@@ -83,9 +92,13 @@
 	if l.Metered && result.unsent() {
 		s.Release(&l.Server)
 	}
+	if l.trial {
+		v.rest.trial = false
+	}
 	rests := false
 	switch result {
 	case Answered:
+		v.rest.returning = v.rest.returning && !l.trial
 		s.answersAgain(v)
 		v.health.heard = now
 		s.zoneHeard[l.Zone] = now
--- /dev/null
+++ b/pkg/backend/rest.go
@@ -0,0 +1,72 @@
+package backend
+
+import "time"
+
+// A server that turns a request away may ask the box that sent it for rest: for so long it wants no
+// requests from that box. What it asks of one box says nothing of others, so boxes do not tell each
+// other. After the time one request at a time finds out whether it takes requests again: all that its
+// keys ask for would else come back at once, to be turned away if it is not well yet.
+
+// rest is what a server has asked this box for.
+type rest struct {
+	// until is the end of the time for which it wants nothing.
+	until time.Time
+	// returning: it has asked for rest, and run no request since.
+	returning bool
+	// trial: a request is on its way that finds out.
+	trial bool
+}
+
+// refuses reports whether the server is to get nothing now.
+func (r *rest) refuses(now time.Time) bool {
+	return now.Before(r.until) || r.returning && r.trial
+}
+
+// Rest has a life of a server get nothing from this box for a time, or for the rest of a longer one,
+// and reports whether that began now.
+func (s *Set) Rest(life string, d time.Duration) (began bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.ofLife(life)
+	if v == nil || d <= 0 {
+		return false
+	}
+	now := s.Now()
+	began = !now.Before(v.rest.until)
+	if until := now.Add(d); until.After(v.rest.until) {
+		v.rest.until = until
+	}
+	v.rest.returning = true
+	return began
+}
+
+// resting are the servers that a choice has passed over since they have asked for rest.
+type resting struct {
+	// count is how many, and near how many of the region in which the key has its home.
+	count, near int
+	// until is when the first of them takes requests again, zero if that is not known.
+	until time.Time
+}
+
+func (r *resting) add(v *server, near bool) {
+	r.count++
+	if near {
+		r.near++
+	}
+	if until := v.rest.until; r.until.IsZero() || until.Before(r.until) {
+		r.until = until
+	}
+}
+
+// roomIn is after what time the first of them takes requests again, 0 if that is not known.
+func (r *resting) roomIn(now time.Time) time.Duration {
+	return max(0, r.until.Sub(now))
+}
+
+// Wanted reports whether the server may still get the request: since it was chosen it may have left,
+// or asked for rest.
+func (l *Lease) Wanted() bool {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	return l.usable() && !l.set.Now().Before(l.server.rest.until)
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -66,8 +66,9 @@
 	mu sync.Mutex
 	// zoneHeard is when a server of a zone last answered this box.
 	zoneHeard map[string]time.Time
-	// near and far are the room of candidates.
+	// near and far are the room of candidates, and resting what the last choice passed over.
 	near, far []candidate
+	resting   resting
 	servers   map[string]*server
 	services  map[string]*group
 	evacuated map[string]bool
@@ -96,6 +97,7 @@
 	coldSends []time.Time
 
 	health  health
+	rest    rest
 	hearsay hearsay
 	load    loadEstimate
 	// keys is nil until the server is sent its first request: most boxes of a
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -107,6 +107,8 @@
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.comeBackTo(choice.RoomIn))
 	case errors.As(err, &choice) && choice.Reason == backend.Limited:
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the servers that may take it take no more for now, by limits that they name").WithRetryAfter(c.comeBackTo(choice.RoomIn))
+	case errors.As(err, &choice) && choice.Reason == backend.Resting:
+		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the servers that may take it have asked for rest").WithRetryAfter(c.comeBackAfter(choice.RoomIn))
 	}
 	return outcome.NewNotRun(outcome.ReasonNoServer, "no server may take it").WithRetryAfter(c.comeBack())
 }
@@ -122,6 +124,16 @@
 	return max(p.ReturnSoon, min(p.ReturnMost, time.Duration((0.5+chance)*float64(room))))
 }
 
+// comeBackAfter is when a server takes requests again that has asked for rest, spread by a quarter of
+// that: sooner nobody is served.
+func (c *call) comeBackAfter(rest time.Duration) time.Duration {
+	if rest <= 0 {
+		return c.comeBack()
+	}
+	chance := float64(c.server.Random()%1024) / 1024
+	return rest + time.Duration(chance*float64(min(rest/4, c.server.Policy().ReturnMost)))
+}
+
 // comeBack spreads refused clients over a while, so that they do not return
 // all at once.
 func (c *call) comeBack() time.Duration {
@@ -270,7 +282,7 @@
 		c.server.Dialect.WriteCustomer(h, c.customer.Name)
 	}
 	x := &exchange.Request{Header: h, Body: c.body.whole, MaxIdle: idleOnce, Once: !c.route.Idempotent()}
-	x.Wanted = func() bool { return lease.Usable() && c.outOfTime() == nil }
+	x.Wanted = func() bool { return lease.Wanted() && c.outOfTime() == nil }
 	x.Match = func(h *fasthttp.ResponseHeader) bool { return c.server.Dialect.Belongs(h, &c.meta) }
 	if c.route.Idempotent() {
 		x.MaxIdle = idleRepeatable
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -107,8 +107,8 @@
 	neighbourhood neighbourhood
 	// unreadHeaders are headers of answers that nothing here reads.
 	unreadHeaders headerNames
-	// unreadWords and restWords bound the log lines of what servers say.
-	unreadWords, restWords logGate
+	// unreadWords bounds the log lines of headers that cannot be read.
+	unreadWords logGate
 	// membersChanged: a box has come, gone or come back since limits last looked.
 	membersChanged atomic.Bool
 	// statusChanged: what a backend server says has changed since boxes were last told.
--- a/pkg/steering/steering_status.go
+++ b/pkg/steering/steering_status.go
@@ -68,13 +68,14 @@
 	n.Set.Leave(server.Life())
 }
 
-// heardRest takes in that a server wants no requests from this box for a time.
+// heardRest takes in that a server wants no requests from this box for a time. What it asks of one
+// box is no word to others.
 func (n *Node) heardRest(server *backend.Server, v *ingress.Verdict) {
 	if v.Rest == 0 {
 		return
 	}
 	metrics.GetOrRegisterCounter("words.rest", n.Metrics).Inc(1)
-	if n.restWords.pass(n.age(), wordsEvery) {
+	if n.Set.Rest(server.Life(), v.Rest) {
 		n.log.Info("server asks for rest", map[string]any{"server": server.ID, "rest_ms": v.Rest.Milliseconds()})
 	}
 }
