--- a/test/machines/server_words.go
+++ b/test/machines/server_words.go
@@ -24,8 +24,9 @@
 
 // Saying is one answer with a word.
 type Saying struct {
-	// To is the IP number that got it.
+	// To is the IP number that got it, and ID the request that it answers.
 	To string
+	ID string
 	At time.Time
 	// Value is what was said.
 	Value string
@@ -38,7 +39,7 @@
 }
 
 // lines returns the lines of an answer's header that hold the words.
-func (w *words) lines(to string, status int) string {
+func (w *words) lines(to, id string, status int) string {
 	text := ""
 	for _, word := range allWords {
 		value := w.now[word]
@@ -46,7 +47,7 @@
 			continue
 		}
 		text += string(word) + ": " + value + "\r\n"
-		w.said[word] = append(w.said[word], Saying{To: to, At: time.Now(), Value: value})
+		w.said[word] = append(w.said[word], Saying{To: to, ID: id, At: time.Now(), Value: value})
 	}
 	return text
 }
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -67,6 +67,8 @@
 	{"deadly-kept", deadlyKept},
 	{"others-sent", othersSent},
 	{"server-limit", serverLimits},
+	{"leaving-kept", leavingKept},
+	{"rest-kept", restKept},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -43,6 +43,19 @@
 	controls := map[string]func(h *History){
 		"customer":  func(h *History) { h.Runs["s1"][0].Header.Set("X-Stoneworks-Tenant", "somebody-else") },
 		"keys-kept": func(h *History) { h.Runs["s1"][1].Header.Set("Authorization", "Bearer "+keyOf(usualCustomer)) },
+		"leaving-kept": func(h *History) {
+			h.Leavings = map[string][]machines.Saying{"s1": {{To: "b1", ID: "r0", At: start, Value: "1"}}}
+			late := h.Requests[0]
+			late.ID, late.Sent, late.Ended = "late", after(3*time.Second), after(3*time.Second+time.Millisecond)
+			h.Requests = append(h.Requests, late)
+			h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: "late", From: "b1", At: late.Sent})
+		},
+		"rest-kept": func(h *History) {
+			h.Rests = map[string][]machines.Saying{"s1": {{To: "b1", ID: "r0", At: start, Value: "3"}}}
+			for i := range 3 {
+				h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: fmt.Sprint("again", i), From: "b1", At: after(2500 * time.Millisecond)})
+			}
+		},
 		"limit": func(h *History) {
 			for i := range 200 {
 				id := fmt.Sprint("l", i)
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -80,6 +80,10 @@
 	Deadly []string
 	// Limited are the limits that servers named.
 	Limited []Limited
+	// Leavings and Rests are, by server, the answers that said that it leaves, and those that asked
+	// for rest.
+	Leavings map[string][]machines.Saying
+	Rests    map[string][]machines.Saying
 	// KeysLogged are lines of logs with a key in them.
 	KeysLogged     []string
 	Runs           map[string][]machines.Run
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -50,14 +50,20 @@
 	// ServerLimited is a server, or all of a service, that names the requests a second that it
 	// takes from all boxes together.
 	ServerLimited Kind = "server-limited"
+	// ServerLeaves is a server that leaves and says so in its answers alone; ServerRests one, or all of
+	// a service, that turns all requests away and asks the boxes for rest.
+	ServerLeaves Kind = "server-leaves"
+	ServerRests  Kind = "server-rests"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed draws the same plan from the
 // same catalogue for ever, so kinds are added in a new one.
 type Catalogue []Kind
 
-// FirstKinds, SilentKinds, DeadlyKinds, LimitKinds and AllKinds are the catalogues. LimitKinds are
-// those under which a server's limit still binds: what a link holds back arrives together.
+// FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, FormerKinds, WordKinds and AllKinds are the
+// catalogues. LimitKinds are those under which a server's limit still binds: what a link holds back
+// arrives together. WordKinds are those with what servers say of themselves, beside crashes, cuts from
+// the store and its silence.
 var (
 	FirstKinds = Catalogue{
 		BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
@@ -69,11 +75,13 @@
 		BoxStop, BoxKill, BoxPause, BoxReload, StoreSilent, StoreCut, ServerDrain, ServerCrash, ServerReborn, ServerSpoils,
 		LinkReset, Configure, Evacuate, RequestDeadly, ServerLimited,
 	}
-	AllKinds = append(append(Catalogue{}, DeadlyKinds...), ServerLimited)
+	FormerKinds = append(append(Catalogue{}, DeadlyKinds...), ServerLimited)
+	WordKinds   = append(append(Catalogue{}, LimitKinds...), StoreBusy, StoreBlink, StoreMute, ServerLeaves, ServerRests, ServerLeaves, ServerRests)
+	AllKinds    = append(append(Catalogue{}, FormerKinds...), ServerLeaves, ServerRests)
 )
 
 // Catalogues are named by numbers, from 1, in seeds.txt and on the command line.
-var Catalogues = []Catalogue{FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, FormerKinds, WordKinds, AllKinds}
 
 // Event is one thing that happens.
 type Event struct {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -197,9 +197,13 @@
 	h := &r.history
 	h.Runs = map[string][]machines.Run{}
 	h.Arrivals = map[string][]machines.Arrival{}
+	h.Leavings = map[string][]machines.Saying{}
+	h.Rests = map[string][]machines.Saying{}
 	for id, s := range r.fleet.Servers {
 		h.Runs[id] = s.Runs()
 		h.Arrivals[id] = s.ArrivalLog()
+		h.Leavings[id] = s.Said(machines.SaysLeaving)
+		h.Rests[id] = s.Said(machines.SaysRest)
 	}
 	for i := range h.Limited {
 		h.Limited[i].Namings = r.fleet.Servers[h.Limited[i].Server].Said(machines.SaysLimit)
--- a/test/soak/strikes.go
+++ b/test/soak/strikes.go
@@ -126,6 +126,10 @@
 		r.endServer(server)
 	case ServerLimited:
 		r.nameLimits(server, e)
+	case ServerLeaves:
+		r.leaveInAnswers(server, e)
+	case ServerRests:
+		r.askForRest(server, e)
 	case EntryForeign:
 		r.writeForeign(server, e)
 	}
