Fields of the store's objects that nothing reads are told, as headers of answers are

Headers of answers were looked at; entries of servers, configurations and evacuations were not. Each unknown field is logged once by its path, never its value, which may be a key.

--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -50,6 +50,8 @@
 	// Configuration, Server read objects of the store.
 	Configuration func(o objects.Object) (*routing.Configuration, error)
 	Server        func(o objects.Object) (backend.Server, error)
+	// UnreadFields returns the fields of an object that neither of them reads.
+	UnreadFields func(kind string, o objects.Object) []string
 	// Dialect names the headers.
 	Dialect *ingress.Dialect
 	// Readiness and Directory serve the platform's and clients' questions.
@@ -105,10 +107,10 @@
 	readySince atomic.Int64
 
 	neighbourhood neighbourhood
-	// unreadHeaders are headers of answers that nothing here reads.
-	unreadHeaders headerNames
-	// unreadWords bounds the log lines of headers that cannot be read.
-	unreadWords logGate
+	// unread are words of the platform that nothing here reads.
+	unknown unknownWords
+	// malformedHeaders bounds the log lines of headers that cannot be read.
+	malformedHeaders logGate
 	// membersChanged: a box has come, gone or come back since limits last looked.
 	membersChanged atomic.Bool
 	// statusChanged: what a backend server says has changed since boxes were last told.
--- a/pkg/steering/steering_status.go
+++ b/pkg/steering/steering_status.go
@@ -11,6 +11,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/ingress"
+	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 )
 
@@ -38,7 +39,7 @@
 func (n *Node) heardOf(server *backend.Server, v *ingress.Verdict, sent time.Time) {
 	for _, problem := range v.Problems {
 		metrics.GetOrRegisterCounter("words.unread", n.Metrics).Inc(1)
-		if n.unreadWords.pass(n.age(), wordsEvery) {
+		if n.malformedHeaders.pass(n.age(), wordsEvery) {
 			n.log.Warn("header of answers malformed", map[string]any{"server": server.ID, "error": problem.Error()})
 		}
 	}
@@ -157,27 +158,42 @@
 	return g.last.CompareAndSwap(last, int64(now)+1)
 }
 
-// headerNames are names of headers.
-type headerNames struct {
+// unknownWords are words that have been told.
+type unknownWords struct {
 	mu    sync.Mutex
-	names map[string]bool
+	words map[string]bool
 }
 
-// mostUnread bounds the headers that are remembered as unread.
-const mostUnread = 32
+// mostUnread bounds the words that are remembered as unread.
+const mostUnread = 64
+
+// first reports whether a word has not been told yet.
+func (u *unknownWords) first(word string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.words[word] || len(u.words) >= mostUnread {
+		return false
+	}
+	if u.words == nil {
+		u.words = map[string]bool{}
+	}
+	u.words[word] = true
+	return true
+}
 
 // unreadHeader tells once of a header of answers that nothing here reads: it may say what
 // the platform's pages say and the adapter does not know.
 func (n *Node) unreadHeader(name string) {
-	h := &n.unreadHeaders
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.names[name] || len(h.names) >= mostUnread {
-		return
+	if n.unknown.first(name) {
+		n.log.Warn("header of answers not read", map[string]any{"header": name})
 	}
-	if h.names == nil {
-		h.names = map[string]bool{}
+}
+
+// noteFields tells once of each field of the store's objects that nothing here reads.
+func (n *Node) noteFields(kind string, o objects.Object) {
+	for _, field := range n.adapter.UnreadFields(kind, o) {
+		if n.unknown.first(field) {
+			n.log.Warn("field of objects not read", map[string]any{"field": field, "object": o.Name, "revision": o.Revision})
+		}
 	}
-	h.names[name] = true
-	n.log.Warn("header of answers not read", map[string]any{"header": name})
 }
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -30,10 +30,19 @@
 		Go:              n.background.Go, Context: n.context,
 		Metrics: n.Metrics, BoxLog: n.log, StoreLog: log,
 	})
-	n.Replica.OnChange(kinds.Configuration, func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) })
-	n.Replica.OnChange(kinds.Servers, func(o objects.Object, gone bool) { n.serverChanged(log, o, gone) })
 	evacuated := map[string]bool{}
-	n.Replica.OnChange(kinds.Evacuations, func(o objects.Object, gone bool) { n.evacuationChanged(log, evacuated, o, gone) })
+	for kind, changed := range map[string]func(o objects.Object, gone bool){
+		kinds.Configuration: func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) },
+		kinds.Servers:       func(o objects.Object, gone bool) { n.serverChanged(log, o, gone) },
+		kinds.Evacuations:   func(o objects.Object, gone bool) { n.evacuationChanged(log, evacuated, o, gone) },
+	} {
+		n.Replica.OnChange(kind, func(o objects.Object, gone bool) {
+			changed(o, gone)
+			if !gone {
+				n.noteFields(kind, o)
+			}
+		})
+	}
 }
 
 // configurationChanged puts a configuration in force if it is newer.
--- a/test/machines/server_words.go
+++ b/test/machines/server_words.go
@@ -6,7 +6,7 @@
 )
 
 // Word is a header by which a server says something of itself in its answers, named as the
-// users' pages do.
+// users' pages do. Tests may make others.
 type Word string
 
 // The words.
@@ -20,8 +20,6 @@
 	SaysRest Word = "Retry-After"
 )
 
-var allWords = []Word{SaysLimit, SaysLeaving, SaysRest}
-
 // Saying is one answer with a word.
 type Saying struct {
 	// To is the IP number that got it, and ID the request that it answers.
@@ -41,8 +39,7 @@
 // lines returns the lines of an answer's header that hold the words.
 func (w *words) lines(to, id string, status int) string {
 	text := ""
-	for _, word := range allWords {
-		value := w.now[word]
+	for word, value := range w.now {
 		if value == "" || word == SaysRest && status != http.StatusServiceUnavailable {
 			continue
 		}
