Failing tests: cold servers get nothing, also where there are no others, and in any fleet

Where all servers of a service are cold each request is refused as if they were full: 0 of 100 served where the bound allows 63. The even part of what a cold server bears is none from 22 boxes on. The order in which boxes might send in turn is there, and used by nothing yet.

--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -38,6 +38,17 @@
 	return int(math.Floor(total / float64(boxes)))
 }
 
+// ComesFirst reports whether a box comes before another one in the order in which boxes send to a
+// cold server where there are more of them than it bears requests: those of its region first, which
+// have most of its keys, and else by a hash, so that each server has others.
+func ComesFirst(v *Server, box, region, other, otherRegion, own string) bool {
+	if (region == own) != (otherRegion == own) {
+		return region == own
+	}
+	hash, otherHash := Hash(v.ID, box), Hash(v.ID, other)
+	return hash < otherHash || hash == otherHash && box < other
+}
+
 // startedAgainTime is within what time of its end a server that has started again is listed
 // anew, or else listed no more: three of its heartbeats of 1.5 s, and a second and more for the list to be known.
 const startedAgainTime = 6 * time.Second
--- /dev/null
+++ b/pkg/backend/cold_test.go
@@ -0,0 +1,108 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// playCold has a fleet of boxes, two zones of each of three regions, send all that they may to one cold server
+// for three seconds, and returns the most requests in a second, and all.
+func playCold(t *testing.T, boxes int) (most, all int) {
+	t.Helper()
+	zones := []string{"east-a", "east-b", "west-a", "west-b", "north-a", "north-b"}
+	c := &clock{at: time.Unix(1000, 0)}
+	var names []string
+	for i := range boxes {
+		names = append(names, fmt.Sprintf("%s.%d", zones[i%len(zones)], i))
+	}
+	var sets []*Set
+	for i := range boxes {
+		zone := zones[i%len(zones)]
+		s := NewSet(Terms{ColdOverage: 1.5, ColdSlack: 5, MaxShift: 0.15, ShiftWindow: 2 * time.Second}, zone, regionOf, func() int { return boxes }, c.now)
+		s.SetServices(map[string]ServiceTerms{"shop": {ColdStart: 3 * time.Second, ColdPerSecond: 11}})
+		s.ColdPlace = func(v *Server) int {
+			place := 0
+			for j := range boxes {
+				if ComesFirst(v, names[j], regionOf(zones[j%len(zones)]), names[i], regionOf(zone), regionOf(v.Zone)) {
+					place++
+				}
+			}
+			return place
+		}
+		list := servers("west-a", 1, 4)
+		list[0].Cold = time.Minute
+		s.Replace(list, true)
+		sets = append(sets, s)
+	}
+	var sent []time.Time
+	for range 15 {
+		c.advance(200 * time.Millisecond)
+		for _, s := range sets {
+			if l, err := choose(s, 1); err == nil {
+				sent = append(sent, c.at)
+				l.Done(Answered, nil)
+			}
+		}
+	}
+	for i := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(sent[i]) <= time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most, len(sent)
+}
+
+// TestServiceThatIsColdServesWhatItBears. The story: all servers of a service were cold, as after a loss of power,
+// and each request was refused for want of room for as long as that took, though a cold server bears some requests
+// a second. What the choice calls better than nothing was never chosen.
+func TestServiceThatIsColdServesWhatItBears(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	list := servers("east-a", 3, 4)
+	for i := range list {
+		list[i].Cold = 3 * time.Second
+	}
+	s.Replace(list, true)
+	got := map[string]int{}
+	for key := range 100 {
+		if l, err := choose(s, mix(uint64(key))); err == nil {
+			got[l.ID]++
+			is.True(l.Cold)
+			l.Done(Answered, nil)
+		}
+		c.advance(10 * time.Millisecond)
+	}
+	t.Log(got, "of 100 requests in a second")
+	for _, v := range list {
+		is.True(got[v.ID] >= 21/4 && got[v.ID] <= 21)
+	}
+	warm := servers("east-b", 1, 4)
+	s.Replace(append(list, warm...), true)
+	for key := range 20 {
+		l, err := choose(s, mix(uint64(key)))
+		is.NoErr(err)
+		is.Equal(l.ID, warm[0].ID) // one that is warm goes first
+		l.Done(Answered, nil)
+		c.advance(50 * time.Millisecond)
+	}
+}
+
+// TestColdServerIsWarmedByFleetsOfAnySize. The story: each box has an even part of what a cold server bears from
+// all boxes together, 21 requests a second here, rounded down: from 22 boxes on nobody sent it anything while it was
+// cold, however long that took, and all that its keys ask for came at once when it was not.
+func TestColdServerIsWarmedByFleetsOfAnySize(t *testing.T) {
+	for _, boxes := range []int{1, 6, 12, 21, 22, 74, 300, 1000} {
+		is := is.New(t)
+		most, all := playCold(t, boxes)
+		t.Logf("%d boxes: at most %d requests in a second, %d in three", boxes, most, all)
+		is.True(most <= 21)
+		is.True(all >= 3*21/4) // a quarter of what it bears, at least
+	}
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"sort"
 	"sync"
 	"time"
@@ -42,6 +43,9 @@
 	// Boxes returns among how many boxes a cold server's rate is divided; 0
 	// when that is not known.
 	Boxes func() int
+	// ColdPlace returns this box's place, from 0, among all that may send requests to a cold
+	// server, in the order of ComesFirst. It runs under the set's lock and must not call it.
+	ColdPlace func(server *Server) int
 	// Trusted reports whether the list of servers follows the platform's.
 	Trusted func() bool
 	// Now is the clock; it must be monotonic.
@@ -131,6 +135,7 @@
 func NewSet(terms Terms, zone string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
 	return &Set{
 		Terms: terms, Policy: policy.Default(), Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
+		ColdPlace:  func(*Server) int { return math.MaxInt },
 		Trusted:    func() bool { return true },
 		Changed:    func(Server, string) {},
 		Found:      func(Finding) {},
