Cold servers serve what they bear where there are no others

What callers saw: while all servers of a region or service are cold, as after a loss of power, each request was refused for want of room, though each server bears some requests a second (cold_per_s). Change: cold servers come after all others, in the key's order, with their own load; a region that is cold as a whole first uses idle servers elsewhere, within the cap on shifts. Servers that have failed stay as they were.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,8 +15,8 @@
 	// busy is set for those that may be picked; see weigh.
 	busy float64
 	cold bool
-	// last: it rests or is cold, and is better than nothing.
-	last bool
+	// resting: it has failed, and is better than nothing.
+	resting bool
 	// slow: the request would find out whether the server has recovered.
 	slow bool
 	// tried: the request was already sent to it. It keeps its place, so that
@@ -31,11 +32,14 @@
 // on a busy machine).
 func (c *candidate) weigh(p *policy.Policy, now time.Time) {
 	c.busy = c.load.busy(p, c.Slots, c.health.latency, now)
-	if c.last {
+	if c.resting {
 		c.busy += float64(c.Slots) * p.FullFill
 	}
 }
 
+// last reports whether the server comes after all others: it is cold, or has failed.
+func (c *candidate) last() bool { return c.cold || c.resting }
+
 // fill is how much of its slots the server has taken.
 func (c *candidate) fill() float64 { return c.busy / float64(max(1, c.Slots)) }
 
@@ -122,9 +126,13 @@
 		if c.cold && !s.mayWarm(v, now) {
 			continue
 		}
-		if v.health.resting(now) || c.cold {
-			c.last = true
-			c.score = 0
+		switch {
+		case v.health.resting(now):
+			c.resting = true
+			c.score = math.Inf(-1)
+		case c.cold:
+			// Below all others, in the key's order.
+			c.score = -1 / c.score
 		}
 		if isNear {
 			near = append(near, c)
@@ -187,9 +195,11 @@
 	list[0] = c
 }
 
-// pick takes the key's home, or where that is full, the first server elsewhere
+// pick takes the key's home, or where that is full or cold, the first server elsewhere
 // if it is idle enough to do the work although it does not know the key. The limit is
-// how much of its slots the server may have taken for this request.
+// how much of its slots the server may have taken for this request. A cold home serves what it
+// bears where nothing else may: with nothing sent to it, a service that is cold as a whole would
+// refuse every request until it is warm.
 //
 // Where limits or rest have taken all servers of the region out, which is what short says, no more
 // requests leave it than a full region may send elsewhere: one whose servers all name limits would
@@ -198,7 +208,7 @@
 	best, place = s.home(near, r.Key)
 	if best != nil {
 		limit = best.order.limit(&s.Policy, r.Priority, now)
-		if best.fill() < limit {
+		if best.fill() < limit && !best.last() {
 			return best, place, limit
 		}
 	}
@@ -209,7 +219,7 @@
 		}
 		return other, otherPlace, limit
 	}
-	if other != nil && other.fill() < s.Policy.IdleFill && s.spill.allow(s.Policy.SpillShare*s.Terms.MaxShift, &s.Terms, now) {
+	if other != nil && !other.last() && other.fill() < s.Policy.IdleFill && s.spill.allow(s.Policy.SpillShare*s.Terms.MaxShift, &s.Terms, now) {
 		return other, otherPlace, s.Policy.FullFill
 	}
 	return best, place, limit
@@ -267,7 +277,7 @@
 	free := 0.0
 	for _, list := range lists {
 		for i := range list {
-			if c := &list[i]; !c.last {
+			if c := &list[i]; !c.last() {
 				c.weigh(&s.Policy, now)
 				free += max(0, float64(c.Slots)-c.busy)
 			}
