Cold servers are sent requests by as many boxes as they bear, in fleets of any size

What callers saw: from 22 boxes on (14 with other figures of the bound) nobody may send a cold server anything, so all that its keys ask for comes at once when it is warm, and where there are no other servers all is refused. Cause: an even part of what it bears, rounded down, is none. Change: boxes send half of what it bears: evenly, or where that is less than one, one request a second at as many boxes as that is, in an order that all work out alike (the server's region first, then by a hash). The other half is for boxes that have not heard that it is cold, and for boxes that count a few others too many or too few, each of which is wrong about its place by as many.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -111,7 +111,7 @@
 	near, far = s.near[:0], s.far[:0]
 	s.resting = resting{}
 	for _, v := range g.servers {
-		if !s.usable(v) || !r.RegionAllowed(v.region) {
+		if !s.usable(v) || !r.RegionAllowed(v.region) || s.isFoundOut(v, now) {
 			continue
 		}
 		isNear := (v.region == s.Region) == stays
--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -1,19 +1,22 @@
 package backend
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// coldWindow is the span in which a cold server's requests are counted.
-const coldWindow = time.Second
+const (
+	// coldWindow is the span in which a cold server's requests are counted.
+	coldWindow = time.Second
+	// coldShare is which part of what a cold server bears boxes send it that know that it is cold. The
+	// rest is for those that have not heard of it yet, and for boxes that know unlike sets of boxes.
+	coldShare = 0.5
+	// coldPlaceEvery is how often a box works its place out anew: with each heartbeat it may change.
+	coldPlaceEvery = 500 * time.Millisecond
+)
 
 // mayWarm reports whether this box may send one more request to a cold
 // server. The bound holds for the sum over all boxes, which do not ask each
-// other: each has its part of it, and where that is less than one request
-// nobody may send.
+// other: each has its part of it.
 func (s *Set) mayWarm(v *server, now time.Time) bool {
-	part := s.coldPart(v)
+	part := s.coldPart(v, now)
 	if part < 1 {
 		return false
 	}
@@ -27,15 +30,26 @@
 	return len(recent) < part
 }
 
-// coldPart is how many requests in any second this box may send.
-func (s *Set) coldPart(v *server) int {
+// coldPart is how many requests in any second this box may send: an even part, or where that is less
+// than one, one at as many boxes as the server bears requests. A box that counts a few others too
+// many or too few is wrong about its place by as many.
+func (s *Set) coldPart(v *server, now time.Time) int {
 	boxes := s.Boxes()
 	if boxes <= 0 {
 		return 0
 	}
 	terms := s.terms[v.Service]
-	total := terms.ColdPerSecond*s.Terms.ColdOverage + s.Terms.ColdSlack
-	return int(math.Floor(total / float64(boxes)))
+	total := int(coldShare * (terms.ColdPerSecond*s.Terms.ColdOverage + s.Terms.ColdSlack))
+	if total >= boxes {
+		return total / boxes
+	}
+	if now.Sub(v.coldPlaceAt) >= coldPlaceEvery {
+		v.coldPlace, v.coldPlaceAt = s.ColdPlace(&v.Server), now
+	}
+	if v.coldPlace < total {
+		return 1
+	}
+	return 0
 }
 
 // ComesFirst reports whether a box comes before another one in the order in which boxes send to a
@@ -55,29 +69,28 @@
 
 // mayHaveStartedAgain reports whether the server's port has lately refused a connection: that
 // life has ended, and what answers there next, under the same ID, has just started and is
-// cold, while the list still has the entry of before. Where the list cannot tell later
-// either, one request of this box at a time finds out. A server that does not tell its starts
+// cold, while the list still has the entry of before. A server that does not tell its starts
 // apart has another ID with each.
 func (s *Set) mayHaveStartedAgain(v *server, now time.Time) bool {
-	switch {
-	case v.Born == 0 || v.refused.IsZero():
-		return false
-	case now.Sub(v.refused) < startedAgainTime:
-		return true
-	case s.Trusted():
-		return false
-	}
-	return v.load.own > 0
+	return v.Born != 0 && !v.refused.IsZero() && now.Sub(v.refused) < startedAgainTime
+}
+
+// isFoundOut reports whether a request is on its way that finds out whether such a server is there
+// again, where the list cannot tell later either: one request of this box at a time does.
+func (s *Set) isFoundOut(v *server, now time.Time) bool {
+	return v.Born != 0 && !v.refused.IsZero() && !s.mayHaveStartedAgain(v, now) && !s.Trusted() && v.load.own > 0
 }
 
-// answersAgain notes that a server answers whose port had refused: where the list could not
-// tell, it has just started for all that is known.
-func (s *Set) answersAgain(v *server) {
-	if v.refused.IsZero() {
+// answersAgain notes that a server answers whose port had refused. A list that can be trusted tells
+// in time whether it has started again; where it cannot be, it has just started for all that is
+// known.
+func (s *Set) answersAgain(v *server, now time.Time) {
+	trusted := s.Trusted()
+	if v.refused.IsZero() || trusted && s.mayHaveStartedAgain(v, now) {
 		return
 	}
 	v.refused = time.Time{}
-	if v.Born != 0 && !s.Trusted() {
+	if v.Born != 0 && !trusted {
 		s.startCold(v, s.terms[v.Service].ColdStart)
 	}
 }
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -100,6 +100,10 @@
 	// mayHaveStartedAgain.
 	refused   time.Time
 	coldSends []time.Time
+	// coldPlace is this box's place among those that may send to the server while it is cold, as of
+	// coldPlaceAt.
+	coldPlace   int
+	coldPlaceAt time.Time
 
 	health  health
 	rest    rest
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -181,12 +181,18 @@
 
 // Count returns how many boxes may be sending requests, this one included.
 func (t *Table) Count() int {
+	return 1 + t.CountOthers(func(*Record) bool { return true })
+}
+
+// CountOthers returns how many of the other boxes that may be sending requests are as wanted, which
+// must not call the table.
+func (t *Table) CountOthers(wanted func(r *Record) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 1
+	count := 0
 	now := t.Now()
 	for _, e := range t.members {
-		if now.Sub(e.heard) <= ForgetAfter {
+		if now.Sub(e.heard) <= ForgetAfter && wanted(&e.Record) {
 			count++
 		}
 	}
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -211,6 +211,14 @@
 	return n.Members.Count()
 }
 
+// coldPlace returns the box's place among those that may send requests to a cold server.
+func (n *Node) coldPlace(v *backend.Server) int {
+	own, region := n.Topology.RegionOf(n.Settings.Zone), n.Topology.RegionOf(v.Zone)
+	return n.Members.CountOthers(func(r *gossip.Record) bool {
+		return backend.ComesFirst(v, r.Box, n.Topology.RegionOf(r.Zone), n.Settings.Box, own, region)
+	})
+}
+
 func (n *Node) newMembers(log *logging.Part) {
 	s := n.Settings
 	self := gossip.Record{
@@ -231,6 +239,7 @@
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
 	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, n.Clock.Now)
+	n.Set.ColdPlace = n.coldPlace
 	n.Set.Trusted = func() bool { return n.Replica.TrustsList() }
 	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
