--- a/pkg/backend/set_test.go
+++ b/pkg/backend/set_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -556,3 +557,23 @@
 	}
 	is.True(!near.health.resting(c.at))
 }
+
+// TestWhereAllHaveFailedTheEndOfTheirRestIsTold. The story: the only servers that may take a request had failed and
+// rested for half a second and more. Requests were refused as if the servers were full, with a time to come back of
+// some milliseconds, after which they were refused again.
+func TestWhereAllHaveFailedTheEndOfTheirRestIsTold(t *testing.T) {
+	is := is.New(t)
+	s, c := newTestSet(1)
+	s.Replace(servers("east-a", 2, 4), true)
+	for _, id := range []string{"east-a-0", "east-a-1"} {
+		lose(s, id, Unreachable)
+		c.advance(100 * time.Millisecond)
+	}
+	_, err := choose(s, 1)
+	var choice *ChoiceError
+	is.True(errors.As(err, &choice))
+	is.Equal(choice.RoomIn, s.Policy.FirstRest-200*time.Millisecond) // the first one's rest
+	c.advance(choice.RoomIn)
+	_, err = choose(s, 1)
+	is.NoErr(err)
+}
