Where all servers have failed, clients are told when the first is tried again

What callers saw: with all servers that may take a request resting after failures, each was refused as if they were full, and asked back after some milliseconds, to be refused again until a rest of 0.5 to 8 s was over. Cause: a server that rests was counted as full, and the time to come back worked out from its load. Change: such a request is refused at once with no_backend_server, and when the first server is tried again, spread by up to a quarter of that. To ask a server again before costs up to 600 ms a connection in vain.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -112,6 +112,8 @@
 	Limited Reason = "limited"
 	// Resting: those that may take it have asked this box for rest.
 	Resting Reason = "resting"
+	// Failing: those that may take it have failed a moment ago, and rest.
+	Failing Reason = "failing"
 	// Undecided: whether the limit of the server that it prefers leaves room is to be asked
 	// first; see Request.Asked.
 	Undecided Reason = "undecided"
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -73,6 +73,9 @@
 		if best == nil {
 			break
 		}
+		if best.resting {
+			return nil, s.allFail(r.Service, now, near, far)
+		}
 		if best.fill() >= limit {
 			best.order.met(&s.Policy, r.Priority, best.fill(), now)
 			return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: s.freeSlots(now, near, far), RoomIn: best.roomIn(limit, g.typicalLatency(now))}
@@ -99,6 +102,24 @@
 	return nil, s.noServer(&denied, r.Service, now)
 }
 
+// allFail says when the first server is tried again, all of which have failed a moment ago or are passed
+// over: of the region in which the key has its home, if it has any. Clients that are asked back sooner
+// are refused again.
+func (s *Set) allFail(service string, now time.Time, near, far []candidate) *ChoiceError {
+	e := &ChoiceError{Reason: Failing, Service: service, RoomIn: s.resting.roomIn(now)}
+	list := near
+	if len(list) == 0 {
+		list = far
+	}
+	for i := range list {
+		c := &list[i]
+		if in := c.health.restUntil.Sub(now); c.resting && !c.tried && (e.RoomIn == 0 || in < e.RoomIn) {
+			e.RoomIn = in
+		}
+	}
+	return e
+}
+
 // candidates returns the servers of the region in which the key has its home,
 // and all others, each with those first that the key prefers and that were not
 // tried, in their order. Those that have asked for rest are left out, and noted in s.resting. All
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -100,15 +100,18 @@
 
 // notChosen says why no server was chosen, and when the client may come back.
 func (c *call) notChosen(err error) *outcome.Failure {
-	var choice *backend.ChoiceError
-	switch {
-	case errors.As(err, &choice) && choice.Reason == backend.Full:
+	choice := &backend.ChoiceError{}
+	errors.As(err, &choice)
+	switch choice.Reason {
+	case backend.Full:
 		c.full = choice
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.comeBackTo(choice.RoomIn))
-	case errors.As(err, &choice) && choice.Reason == backend.Limited:
+	case backend.Limited:
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the servers that may take it take no more for now, by limits that they name").WithRetryAfter(c.comeBackTo(choice.RoomIn))
-	case errors.As(err, &choice) && choice.Reason == backend.Resting:
+	case backend.Resting:
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the servers that may take it have asked for rest").WithRetryAfter(c.comeBackAfter(choice.RoomIn))
+	case backend.Failing:
+		return outcome.NewNotRun(outcome.ReasonNoServer, "the servers that may take it have failed a moment ago").WithRetryAfter(c.comeBackAfter(choice.RoomIn))
 	}
 	return outcome.NewNotRun(outcome.ReasonNoServer, "no server may take it").WithRetryAfter(c.comeBack())
 }
@@ -124,8 +127,8 @@
 	return max(p.ReturnSoon, min(p.ReturnMost, time.Duration((0.5+chance)*float64(room))))
 }
 
-// comeBackAfter is when a server takes requests again that has asked for rest, spread by a quarter of
-// that: sooner nobody is served.
+// comeBackAfter is when a server is sent requests again that has asked for rest, or failed, spread by a
+// quarter of that: sooner nobody is served.
 func (c *call) comeBackAfter(rest time.Duration) time.Duration {
 	if rest <= 0 {
 		return c.comeBack()
