Comments say what a thing guards against; figures and history leave them

pkg/policy, and where this change passed: limits, held requests, the order of priorities, the weighing of servers.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -27,9 +27,7 @@
 }
 
 // weigh works out how busy the server is. Of a thousand servers that may get a
-// request a handful comes to be weighed: a choice among 1,361 took 96 to 155 us
-// where all were, and 58 to 102 us so (BenchmarkChooseAmongMany, four runs in turn
-// on a busy machine).
+// request a handful comes to be weighed, since weighing takes longer than ordering.
 func (c *candidate) weigh(p *policy.Policy, now time.Time) {
 	c.busy = c.load.busy(p, c.Slots, c.health.latency, now)
 	if c.resting {
--- a/pkg/backend/health.go
+++ b/pkg/backend/health.go
@@ -86,8 +86,7 @@
 
 // loadTimes is for how many times of working off what a server holds its word on that
 // counts in full. A box that takes a server for full sends it nothing, and hears nothing from
-// it either: with half a second whatever the pace, one of 15 ms a request was refused requests
-// for 0.8 s that it could have done after 40 ms (TestLoadOfAQuickServerIsSoonOld).
+// it either: a quick one would be refused requests for long that it could have done.
 const loadTimes = 6
 
 // busy returns how many requests the server holds, as far as is known, given how long it
--- a/pkg/backend/order.go
+++ b/pkg/backend/order.go
@@ -8,10 +8,8 @@
 )
 
 // order knows which priorities are short of room at a server, so that less urgent requests
-// leave them some there: on a day short of one service 238 and not 285 of 757 urgent ones were
-// refused, and 428 and not 359 of 1,022 others. Known for the whole service, it refused
-// requests at servers that nobody more urgent asked: 0.011 of worth on two days of 79
-// customers with priorities.
+// leave them some there. It is known for each server: for a whole service, requests would be
+// refused at servers that nobody more urgent asks.
 type order struct {
 	pressures map[int]*pressure
 	// yields counts the requests that were to leave room.
@@ -43,7 +41,7 @@
 	// shortage lasts.
 	sparedOneIn = 3
 	// sparedTokenOneIn is the same at a server that names a limit, of which the first to ask gets
-	// what there is: with one in three spared, others had a share of 0.09 beside 0.41.
+	// what there is.
 	sparedTokenOneIn = 2
 )
 
@@ -84,9 +82,7 @@
 }
 
 // yieldsToken reports whether a request of a priority leaves what the server takes by its limit to
-// more urgent ones, which lately found no room there. Where both kinds ask for twice what it takes,
-// 0.38 of the urgent ones and 0.12 of the others get it so, and 0.26 and 0.24 without
-// (TestLimitServesTheMoreUrgentFirst).
+// more urgent ones, which lately found no room there.
 func (o *order) yieldsToken(priority int, now time.Time) bool {
 	if o.moreUrgent(priority, now) < leastPressure {
 		return false
--- a/pkg/ingress/ingress_crash.go
+++ b/pkg/ingress/ingress_crash.go
@@ -69,9 +69,8 @@
 	return held || c.crashes >= crashesPerAttempt
 }
 
-// keptBack rejects a request under which several backend servers have crashed. Nobody
-// remembered them once: one request that came again ended 30 servers of 24 places within
-// ten seconds, at all boxes in turn (TestRequestThatCrashesServersIsKeptFromThem).
+// keptBack rejects a request under which several backend servers have crashed. It comes again, at
+// all boxes in turn, and would end one server after the other.
 func (c *call) keptBack() *outcome.Failure {
 	if c.server.Quarantine.Empty() {
 		return nil
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy holds the figures by which a box decides, in one place, so
 // that two sets of them can be compared without a change of code. It is data
-// and checks only. docs/decisions.md has the measurements that are referred to.
+// and checks only. docs/decisions.md has the measurements.
 package policy
 
 import (
@@ -14,13 +14,11 @@
 // settings, its unit and the bounds within which it makes sense.
 type Policy struct {
 	// IdleFill is how much of its slots a server of another region may have
-	// taken to be given keys whose home is full: 0.9 measured no better, never
-	// doing so worse by 0.010 to 0.023.
+	// taken to be given keys whose home is full.
 	IdleFill float64 `yaml:"idle_fill" unit:"of its slots" least:"0" most:"100"`
 	// FullFill is how much of its slots a home may have taken before requests
 	// are refused or go elsewhere. It is well above 1, since a server that
-	// does not know the key takes longer than waiting for one that does: 3.0
-	// measured worse by 0.006.
+	// does not know the key takes longer than waiting for one that does.
 	FullFill float64 `yaml:"full_fill" unit:"of its slots" least:"0.5" most:"100"`
 	// YieldFill is how much of its slots a home may have taken before a request is refused
 	// while more urgent ones of its service are short of room, and ShortFill how much the
@@ -122,13 +120,12 @@
 	LogAnsweredEvery int `yaml:"log_answered_every" unit:"requests" least:"1" most:"1000000"`
 
 	// WatchersPerZone is how many boxes of a zone watch the platform's store;
-	// the others learn from them. A second one costs a third more calls and
-	// measured worse by 0.004; while the only one has ended, the zone learns
+	// the others learn from them. While the only one has ended, the zone learns
 	// from other zones until another box takes over.
 	WatchersPerZone int `yaml:"watchers_per_zone" unit:"boxes" least:"1" most:"1000"`
 }
 
-// Default returns the figures that measured best.
+// Default returns the figures that hold where the settings name none.
 func Default() Policy {
 	return Policy{
 		IdleFill:         0.5,
--- a/pkg/steering/steering_holds.go
+++ b/pkg/steering/steering_holds.go
@@ -11,9 +11,7 @@
 
 // ================================================================
 // Requests that are kept from servers, in the platform's store: where all boxes lose their
-// power, nobody is left to tell those that start. Of 1,500 fleets of a model that all lost it
-// once, 7 sent a request to more servers than they may while they learnt it anew, and 2 do with
-// what the store keeps (TestFleetsKeepTheRequestFromServers draws from these).
+// power, nobody is left to tell those that start.
 // ================================================================
 
 const (
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -111,10 +111,8 @@
 // Requests
 // ----------------------------------------------------------------
 
-// Nothing once read the limits that servers name: one of 2.7 requests a second got 45 in four seconds
-// of 12 boxes. Each box by itself cannot keep it, since 12 would send 130 so; so each request
-// takes a token of the limit's sum over all boxes (TestServerThatNamesItsLimit: 997 requests in four
-// seconds of six boxes before, 11 and 12 now).
+// Each box by itself cannot keep a limit that holds for all of them together, so each request takes a
+// token of the limit's sum over all boxes.
 
 // admitTo reports whether the limit that a server may name leaves room for one more request, and
 // has that take it. One that yields leaves it to more urgent ones.
