--- a/pkg/backend/rest.go
+++ b/pkg/backend/rest.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // A server that turns a request away may ask the box that sent it for rest: for so long it wants no
 // requests from that box. What it asks of one box says nothing of others, so boxes do not tell each
@@ -40,6 +44,27 @@
 	return began
 }
 
+// RestOf is a server that has asked this box for rest, and for how much longer.
+type RestOf struct {
+	Server Server
+	Left   time.Duration
+}
+
+// Resting returns the servers that rest now, by ID.
+func (s *Set) Resting() []RestOf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	var list []RestOf
+	for _, v := range s.servers {
+		if now.Before(v.rest.until) {
+			list = append(list, RestOf{Server: v.Server, Left: v.rest.until.Sub(now)})
+		}
+	}
+	slices.SortFunc(list, func(a, b RestOf) int { return strings.Compare(a.Server.ID, b.Server.ID) })
+	return list
+}
+
 // resting are the servers that a choice has passed over since they have asked for rest.
 type resting struct {
 	// count is how many, and near how many of the region in which the key has its home.
--- a/pkg/ctl/ctl_limits.go
+++ b/pkg/ctl/ctl_limits.go
@@ -5,21 +5,33 @@
 	"encoding/json"
 	"errors"
 	"flag"
+	"io"
 
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 )
 
+// verbServers shows what backend servers say of themselves, as boxes know it.
+func verbServers(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
+	return showBoxes(p, serverstatus.PathSaid, serverstatus.PrintSaid)
+}
+
 // verbLimits shows which limits backend servers name, as boxes know them.
 func verbLimits(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
+	return showBoxes(p, serverstatus.Path, serverstatus.Print)
+}
+
+// showBoxes asks boxes for what they tell at a path of their admin addresses, and prints it as a
+// table, or as JSON.
+func showBoxes[T any](p *program, path string, print func(w io.Writer, boxes []T) error) func(ctx context.Context, args []string) error {
 	return func(ctx context.Context, args []string) error {
-		boxes, problems, err := askBoxes[serverstatus.Box](ctx, args, serverstatus.Path)
+		boxes, problems, err := askBoxes[T](ctx, args, path)
 		if err != nil {
 			return err
 		}
 		if p.output == "json" {
 			err = json.NewEncoder(p.stdout).Encode(boxes)
 		} else {
-			err = serverstatus.Print(p.stdout, boxes)
+			err = print(p.stdout, boxes)
 		}
 		return errors.Join(append(problems, err)...)
 	}
--- a/pkg/ctl/ctl_quarantine.go
+++ b/pkg/ctl/ctl_quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"flag"
 	"net/http"
 
@@ -12,18 +10,7 @@
 
 // verbQuarantine shows which requests boxes keep from backend servers.
 func verbQuarantine(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
-	return func(ctx context.Context, args []string) error {
-		boxes, problems, err := askBoxes[quarantine.Box](ctx, args, quarantine.Path)
-		if err != nil {
-			return err
-		}
-		if p.output == "json" {
-			err = json.NewEncoder(p.stdout).Encode(boxes)
-		} else {
-			err = quarantine.Print(p.stdout, boxes)
-		}
-		return errors.Join(append(problems, err)...)
-	}
+	return showBoxes(p, quarantine.Path, quarantine.Print)
 }
 
 // verbRelease has a box, and so all boxes, send a request to backend servers again.
--- a/pkg/serverstatus/operators.go
+++ b/pkg/serverstatus/operators.go
@@ -4,10 +4,15 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 )
 
-// Path is where a box tells operators what it knows of servers' limits, on its admin address.
-const Path = "/v1/server-limits"
+// Path is where a box tells operators what it knows of servers' limits, on its admin address, and
+// PathSaid all that servers say of themselves.
+const (
+	Path     = "/v1/server-limits"
+	PathSaid = "/v1/server-words"
+)
 
 // Box is what one box tells operators.
 type Box struct {
@@ -44,3 +49,46 @@
 	}
 	return t.Flush()
 }
+
+// SaidBox is what backend servers say of themselves, as one box knows it.
+type SaidBox struct {
+	Box     string `json:"box"`
+	Servers []Said `json:"servers"`
+}
+
+// Said is what one server says.
+type Said struct {
+	// Server names the server's life, see backend.Server.Life.
+	Server string `json:"server"`
+	Zone   string `json:"zone"`
+	// Leaving: it leaves.
+	Leaving bool `json:"leaving,omitempty"`
+	// RestMS is for how much longer it wants no requests of this box, in milliseconds.
+	RestMS int64 `json:"rest_ms,omitempty"`
+	// PerSecond is how many requests a second it takes from all boxes together, nil for any.
+	PerSecond *float64 `json:"per_s,omitempty"`
+}
+
+// PrintSaid writes what servers say as a table, a line a server and box.
+func PrintSaid(w io.Writer, boxes []SaidBox) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	if _, err := fmt.Fprintln(t, "SERVER\tZONE\tLEAVES\tREST\tPER S\tBOX"); err != nil {
+		return err
+	}
+	for _, b := range boxes {
+		for _, s := range b.Servers {
+			leaves, perSecond := "no", "-"
+			if s.Leaving {
+				leaves = "yes"
+			}
+			if s.PerSecond != nil {
+				perSecond = fmt.Sprintf("%g", *s.PerSecond)
+			}
+			rest := time.Duration(s.RestMS) * time.Millisecond
+			if _, err := fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", s.Server, s.Zone, leaves, rest, perSecond, b.Box); err != nil {
+				return err
+			}
+		}
+	}
+	return t.Flush()
+}
--- a/pkg/steering/steering_status.go
+++ b/pkg/steering/steering_status.go
@@ -1,8 +1,11 @@
 package steering
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,6 +144,34 @@
 	}
 }
 
+// ----------------------------------------------------------------
+// Operators
+// ----------------------------------------------------------------
+
+// serveSaid tells operators what backend servers say of themselves, as this box knows it.
+func (n *Node) serveSaid(w http.ResponseWriter, _ *http.Request) {
+	rests := map[string]int64{}
+	records := n.Statuses.InForce(0)
+	for _, r := range n.Set.Resting() {
+		life := r.Server.Life()
+		rests[life] = r.Left.Milliseconds()
+		known := func(other serverstatus.Record) bool { return other.Server == life }
+		if !slices.ContainsFunc(records, known) {
+			records = append(records, serverstatus.Record{Server: life, Zone: r.Server.Zone})
+		}
+	}
+	told := serverstatus.SaidBox{Box: n.Settings.Box, Servers: []serverstatus.Said{}}
+	for _, r := range records {
+		said := serverstatus.Said{Server: r.Server, Zone: r.Zone, Leaving: r.Leaving, RestMS: rests[r.Server]}
+		if r.Named {
+			said.PerSecond = &r.PerSecond
+		}
+		told.Servers = append(told.Servers, said)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	n.logUnsent("servers", json.NewEncoder(w).Encode(told))
+}
+
 // ----------------------------------------------------------------
 // What nothing reads
 // ----------------------------------------------------------------
--- a/test/machines/leaving_test.go
+++ b/test/machines/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,6 +101,7 @@
 	_, err := f.AddBox(Zones[1].Zone)
 	is.NoErr(err)
 	eventually(t, "a box that starts later knows it", knownToLeave(f, s))
+	is.True(strings.Contains(operatorsSee(t, f, 2), lifeOf(s)))
 	s.Say(SaysLeaving, "")
 	before := s.Arrivals()
 	for box := range f.Boxes {
--- a/test/machines/rest_test.go
+++ b/test/machines/rest_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/ctl"
 )
 
 // The story. Seven of 24 backend servers turned all requests away for nine seconds, with 503, and asked each
@@ -115,6 +118,14 @@
 	is.Equal(do(101).Status, 200)
 }
 
+// operatorsSee is what operators are told of what servers say, by one box.
+func operatorsSee(t *testing.T, f *Fleet, box int) string {
+	t.Helper()
+	var out, problems strings.Builder
+	is.New(t).Equal(ctl.Main([]string{"servers", f.Boxes[box].Settings.Listen.Admin}, nil, &out, &problems), 0)
+	return out.String()
+}
+
 // TestRestIsOfOneBox: others go on, and so does another life of the server.
 func TestRestIsOfOneBox(t *testing.T) {
 	is := is.New(t)
@@ -124,6 +135,8 @@
 	s.AskForRest("60")
 	hears(t, f, 0, s)
 	s.AskForRest("")
+	is.True(strings.Contains(operatorsSee(t, f, 0), lifeOf(s)))
+	is.True(!strings.Contains(operatorsSee(t, f, 1), lifeOf(s)))
 	before := s.Arrivals()
 	send(t, f, 0, 20, 0)
 	is.Equal(s.Arrivals(), before)
