--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -100,6 +100,7 @@
 	conns    map[net.Conn]bool
 	// known are the keys that it remembers, the latest last.
 	known []string
+	// words are what it says of itself: Server-Limit, Server-Leaving, and Retry-After in refusals.
 	words words
 }
 
