--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -76,7 +76,7 @@
 		LinkReset, Configure, Evacuate, RequestDeadly, ServerLimited,
 	}
 	FormerKinds = append(append(Catalogue{}, DeadlyKinds...), ServerLimited)
-	WordKinds   = append(append(Catalogue{}, LimitKinds...), StoreBusy, StoreBlink, StoreMute, ServerLeaves, ServerRests, ServerLeaves, ServerRests)
+	WordKinds   = append(append(Catalogue{}, LimitKinds...), StoreBusy, StoreBlink, StoreMute, ServerLeaves, ServerRests)
 	AllKinds    = append(append(Catalogue{}, FormerKinds...), ServerLeaves, ServerRests)
 )
 
