Read once more: one word for one thing, one rank of boxes, one look at each answer's headers

A server that rests by the box's own judgement is failing, one that asked for it rests. The order of boxes that send to a cold server is a number. Headers of answers that are passed on are looked at where they are copied, as before, and those of refusals by themselves. One line tells of a server that leaves, not two.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -15,8 +15,8 @@
 	// busy is set for those that may be picked; see weigh.
 	busy float64
 	cold bool
-	// resting: it has failed, and is better than nothing.
-	resting bool
+	// failing: it has failed a moment ago, and rests by this box's own judgement.
+	failing bool
 	// slow: the request would find out whether the server has recovered.
 	slow bool
 	// tried: the request was already sent to it. It keeps its place, so that
@@ -30,13 +30,13 @@
 // request a handful comes to be weighed, since weighing takes longer than ordering.
 func (c *candidate) weigh(p *policy.Policy, now time.Time) {
 	c.busy = c.load.busy(p, c.Slots, c.health.latency, now)
-	if c.resting {
+	if c.failing {
 		c.busy += float64(c.Slots) * p.FullFill
 	}
 }
 
 // last reports whether the server comes after all others: it is cold, or has failed.
-func (c *candidate) last() bool { return c.cold || c.resting }
+func (c *candidate) last() bool { return c.cold || c.failing }
 
 // fill is how much of its slots the server has taken.
 func (c *candidate) fill() float64 { return c.busy / float64(max(1, c.Slots)) }
@@ -71,7 +71,7 @@
 		if best == nil {
 			break
 		}
-		if best.resting {
+		if best.failing {
 			return nil, s.allFail(r.Service, now, near, far)
 		}
 		if best.fill() >= limit {
@@ -111,7 +111,7 @@
 	}
 	for i := range list {
 		c := &list[i]
-		if in := c.health.restUntil.Sub(now); c.resting && !c.tried && (e.RoomIn == 0 || in < e.RoomIn) {
+		if in := c.health.restUntil.Sub(now); c.failing && !c.tried && (e.RoomIn == 0 || in < e.RoomIn) {
 			e.RoomIn = in
 		}
 	}
@@ -130,7 +130,7 @@
 	near, far = s.near[:0], s.far[:0]
 	s.resting = resting{}
 	for _, v := range g.servers {
-		if !s.usable(v) || !r.RegionAllowed(v.region) || s.isFoundOut(v, now) {
+		if !s.usable(v) || !r.RegionAllowed(v.region) || s.isProbed(v, now) {
 			continue
 		}
 		isNear := (v.region == s.Region) == stays
@@ -147,7 +147,7 @@
 		}
 		switch {
 		case v.health.resting(now):
-			c.resting = true
+			c.failing = true
 			c.score = math.Inf(-1)
 		case c.cold:
 			// Below all others, in the key's order.
--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -52,15 +52,18 @@
 	return 0
 }
 
-// ComesFirst reports whether a box comes before another one in the order in which boxes send to a
-// cold server where there are more of them than it bears requests: those of its region first, which
-// have most of its keys, and else by a hash, so that each server has others.
-func ComesFirst(v *Server, box, region, other, otherRegion, own string) bool {
-	if (region == own) != (otherRegion == own) {
-		return region == own
+// farRank is what ranks of boxes in other regions than the server's have in common.
+const farRank = 1 << 63
+
+// ColdRank orders boxes, the lowest first, that may send requests to a cold server where there are more
+// of them than it bears: those of its region first (near), which have most of its keys, and else
+// by a hash, so that each server has others.
+func ColdRank(v *Server, box string, near bool) uint64 {
+	rank := Hash(v.ID, box) &^ farRank
+	if !near {
+		rank |= farRank
 	}
-	hash, otherHash := Hash(v.ID, box), Hash(v.ID, other)
-	return hash < otherHash || hash == otherHash && box < other
+	return rank
 }
 
 // startedAgainTime is within what time of its end a server that has started again is listed
@@ -75,9 +78,9 @@
 	return v.Born != 0 && !v.refused.IsZero() && now.Sub(v.refused) < startedAgainTime
 }
 
-// isFoundOut reports whether a request is on its way that finds out whether such a server is there
+// isProbed reports whether a request is on its way that finds out whether such a server is there
 // again, where the list cannot tell later either: one request of this box at a time does.
-func (s *Set) isFoundOut(v *server, now time.Time) bool {
+func (s *Set) isProbed(v *server, now time.Time) bool {
 	return v.Born != 0 && !v.refused.IsZero() && !s.mayHaveStartedAgain(v, now) && !s.Trusted() && v.load.own > 0
 }
 
--- a/pkg/backend/cold_test.go
+++ b/pkg/backend/cold_test.go
@@ -25,8 +25,9 @@
 		s.SetServices(map[string]ServiceTerms{"shop": {ColdStart: 3 * time.Second, ColdPerSecond: 11}})
 		s.ColdPlace = func(v *Server) int {
 			place := 0
+			own := ColdRank(v, names[i], regionOf(zone) == regionOf(v.Zone))
 			for j := range boxes {
-				if ComesFirst(v, names[j], regionOf(zones[j%len(zones)]), names[i], regionOf(zone), regionOf(v.Zone)) {
+				if ColdRank(v, names[j], regionOf(zones[j%len(zones)]) == regionOf(v.Zone)) < own {
 					place++
 				}
 			}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -44,7 +44,7 @@
 	// when that is not known.
 	Boxes func() int
 	// ColdPlace returns this box's place, from 0, among all that may send requests to a cold
-	// server, in the order of ComesFirst. It runs under the set's lock and must not call it.
+	// server, in the order of ColdRank. It runs under the set's lock and must not call it.
 	ColdPlace func(server *Server) int
 	// Trusted reports whether the list of servers follows the platform's.
 	Trusted func() bool
@@ -53,7 +53,8 @@
 	// Changed is told what the set came to believe of a server.
 	Changed func(server Server, what string)
 	// Limited reports whether any server is known to name a limit, NamesLimit whether one does, and
-	// Admit whether that of a server leaves room for one more request, and when it will where it is denied. With ask
+	// Admit whether that of a server leaves room for one more request, and when it will where it is
+	// denied. With ask
 	// false the answer is not Open, and with yield set a server that names a limit is denied,
 	// whatever it has room for. Release gives back what was granted and not used. All run
 	// under the set's lock and must not call it.
--- a/pkg/ctl/ctl_limits.go
+++ b/pkg/ctl/ctl_limits.go
@@ -17,7 +17,7 @@
 
 // verbLimits shows which limits backend servers name, as boxes know them.
 func verbLimits(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
-	return showBoxes(p, serverstatus.Path, serverstatus.Print)
+	return showBoxes(p, serverstatus.PathLimits, serverstatus.Print)
 }
 
 // showBoxes asks boxes for what they tell at a path of their admin addresses, and prints it as a
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -85,21 +85,28 @@
 		if isHopByHop(n, listed) {
 			continue
 		}
+		c.noteUnread(n, answer)
 		out[n] = append(out[n], string(value))
 	}
 }
 
-// noteUnread notes the headers of an answer, passed on or not, that the platform's adapter does
-// not know.
-func (c *call) noteUnread(answer *exchange.Answer) {
+// noteRefusal notes the headers of an answer that is not passed on.
+func (c *call) noteRefusal(answer *exchange.Answer) {
 	for name := range answer.Header.All() {
 		n := http.CanonicalHeaderKey(string(name))
-		if !isHopByHop(n, nil) && c.server.Dialect.Unread(n, answer.Header.StatusCode()) {
-			c.server.Unread(n)
+		if !isHopByHop(n, nil) {
+			c.noteUnread(n, answer)
 		}
 	}
 }
 
+// noteUnread notes a header of an answer that the platform's adapter does not know.
+func (c *call) noteUnread(name string, answer *exchange.Answer) {
+	if c.server.Dialect.Unread(name, answer.Header.StatusCode()) {
+		c.server.Unread(name)
+	}
+}
+
 // abortBody makes reading the client's body return.
 func (c *call) abortBody() {
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -185,7 +185,6 @@
 	c.sent++
 	verdict := s.Dialect.ReadAnswer(&answer.Header)
 	s.Heard(&lease.Server, &verdict, start)
-	c.noteUnread(answer)
 	switch {
 	case verdict.Stale, verdict.NotRun:
 		return c.rejected(lease, start, answer, verdict)
@@ -199,6 +198,7 @@
 
 // rejected handles a backend server's word that it did not run the request.
 func (c *call) rejected(lease *backend.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
+	c.noteRefusal(answer)
 	// The body is read so that the connection can be used again.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, 4<<10))
 	_ = answer.Body.Close()
--- a/pkg/serverstatus/operators.go
+++ b/pkg/serverstatus/operators.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// Path is where a box tells operators what it knows of servers' limits, on its admin address, and
+// PathLimits is where a box tells operators what it knows of servers' limits, on its admin address, and
 // PathSaid all that servers say of themselves.
 const (
-	Path     = "/v1/server-limits"
-	PathSaid = "/v1/server-words"
+	PathLimits = "/v1/server-limits"
+	PathSaid   = "/v1/server-words"
 )
 
 // Box is what one box tells operators.
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -213,10 +213,12 @@
 
 // coldPlace returns the box's place among those that may send requests to a cold server.
 func (n *Node) coldPlace(v *backend.Server) int {
-	own, region := n.Topology.RegionOf(n.Settings.Zone), n.Topology.RegionOf(v.Zone)
-	return n.Members.CountOthers(func(r *gossip.Record) bool {
-		return backend.ComesFirst(v, r.Box, n.Topology.RegionOf(r.Zone), n.Settings.Box, own, region)
-	})
+	region := n.Topology.RegionOf(v.Zone)
+	rank := func(box, zone string) uint64 {
+		return backend.ColdRank(v, box, n.Topology.RegionOf(zone) == region)
+	}
+	own := rank(n.Settings.Box, n.Settings.Zone)
+	return n.Members.CountOthers(func(r *gossip.Record) bool { return rank(r.Box, r.Zone) < own })
 }
 
 func (n *Node) newMembers(log *logging.Part) {
--- a/pkg/steering/steering_limits.go
+++ b/pkg/steering/steering_limits.go
@@ -33,7 +33,6 @@
 	n.Statuses.Changed = func(r serverstatus.Record, what serverstatus.Change) {
 		if what == serverstatus.Leaves {
 			n.statusChanged.Store(true)
-			log.Info("server says that it leaves", map[string]any{"server": r.Server, "zone": r.Zone})
 			return
 		}
 		n.bindLimit(&r, what)
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -178,7 +178,7 @@
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", n.serveMetrics)
 	admin.HandleFunc("GET "+standing.Path, n.serveCustomers)
-	admin.HandleFunc("GET "+serverstatus.Path, n.serveLimits)
+	admin.HandleFunc("GET "+serverstatus.PathLimits, n.serveLimits)
 	admin.HandleFunc("GET "+serverstatus.PathSaid, n.serveSaid)
 	admin.HandleFunc("GET "+quarantine.Path, n.serveQuarantine)
 	admin.HandleFunc("DELETE "+quarantine.Path+"/{fingerprint}", n.serveRelease)
--- a/test/machines/leaving_test.go
+++ b/test/machines/leaving_test.go
@@ -108,16 +108,7 @@
 		send(t, f, box, 3, 0)
 	}
 	is.Equal(s.Arrivals(), before) // an answer or a list without the word does not end it
-	again, err := NewServer(f.network+".100", s.ID, 4, 10*time.Millisecond)
-	is.NoErr(err)
-	s.Close()
-	again.Born = s.Born + 1000
-	f.Servers[s.ID] = again
-	f.List(again, "shop", "east-a", "ready", 0)
-	eventually(t, "boxes use the next life", func() bool {
-		send(t, f, 0, 5, 0)
-		return again.Arrivals() > 5
-	})
+	usesNextLife(t, f, s)
 }
 
 // TestAllServersLeave: once all have said so, requests are refused at once, and have not run.
--- a/test/machines/rest_test.go
+++ b/test/machines/rest_test.go
@@ -144,16 +144,7 @@
 		send(t, f, box, 3, 0)
 	}
 	is.True(s.Arrivals() > before)
-	again, err := NewServer(f.network+".100", s.ID, 4, 10*time.Millisecond)
-	is.NoErr(err)
-	s.Close()
-	again.Born = s.Born + 1000
-	f.Servers[s.ID] = again
-	f.List(again, "shop", "east-a", "ready", 0)
-	eventually(t, "the box uses the next life", func() bool {
-		send(t, f, 0, 5, 0)
-		return again.Arrivals() > 5
-	})
+	usesNextLife(t, f, s)
 }
 
 // TestRestThatCannotBeRead asks for nothing, is counted, and hides no other word.
--- a/test/machines/server_limit_news_test.go
+++ b/test/machines/server_limit_news_test.go
@@ -160,13 +160,20 @@
 	hears(t, f, 0, s)
 	eventually(t, "all boxes know the limit", allHold(f, s, "0"))
 	is.Equal(f.Boxes[1].Statuses.Empty(), false)
+	usesNextLife(t, f, s)
+}
+
+// usesNextLife has a server end and start again under its id, and sees to it that the first box uses it.
+func usesNextLife(t *testing.T, f *Fleet, s *Server) {
+	t.Helper()
+	is := is.New(t)
 	again, err := NewServer(f.network+".100", s.ID, 4, 10*time.Millisecond)
 	is.NoErr(err)
 	s.Close()
 	again.Born = s.Born + 1000
 	f.Servers[s.ID] = again
 	f.List(again, "shop", "east-a", "ready", 0)
-	eventually(t, "boxes use the new life", func() bool {
+	eventually(t, "boxes use the next life", func() bool {
 		send(t, f, 0, 5, 0)
 		return again.Arrivals() > 5
 	})
