--- a/test/machines/suspended_test.go
+++ b/test/machines/suspended_test.go
@@ -84,3 +84,48 @@
 	}
 	eventually(t, "the box counts all again", func() bool { return b.Set.Boxes() == 3 })
 }
+
+// TestRestEndsInASuspension: what a server asked for is over when the machine has been away for as long; and
+// that it leaves is known still.
+func TestRestEndsInASuspension(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1", "east-a.2")
+	b := f.Boxes[0]
+	client := &Client{Address: b.Clients}
+	defer client.Close()
+	do := func(i int) *Answer {
+		return client.Do("GET", "/read/1", fmt.Sprint("r-", i), "", "X-Stoneworks-Affinity-Key: 1\r\n")
+	}
+	is.Equal(do(0).Status, 200)
+	home, other := f.Servers["east-a.1"], f.Servers["east-a.2"]
+	if home.Arrivals() == 0 {
+		home, other = other, home
+	}
+	home.AskForRest("30")
+	for i := range 5 {
+		do(1 + i)
+	}
+	home.AskForRest("")
+	rested := home.Arrivals()
+	is.True(rested <= 2)
+	b.Suspend(20 * time.Second)
+	for i := range 5 {
+		is.Equal(do(10+i).Status, 200)
+	}
+	is.Equal(home.Arrivals(), rested)
+	b.Suspend(20 * time.Second)
+	for i := range 5 {
+		is.Equal(do(20+i).Status, 200)
+	}
+	is.True(home.Arrivals() > rested)
+	other.Say(SaysLeaving, "1")
+	home.AskForRest("1")
+	do(30)
+	left := other.Arrivals()
+	b.Suspend(20 * time.Second)
+	home.AskForRest("")
+	for i := range 5 {
+		is.Equal(do(40+i).Status, 200)
+	}
+	is.Equal(other.Arrivals(), left)
+}
