Places among boxes cost two numbers each, and configurations are looked at for unread fields now and then

Suspected, from reading: a configuration of 79 customers was decoded a second time at each change, and the order of boxes for a cold server hashed two names for each box and server, which 1,600 cold servers and 295 boxes would feel. A box that does not know as many others as it counts has the last place.

--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -44,7 +44,7 @@
 		return total / boxes
 	}
 	if now.Sub(v.coldPlaceAt) >= coldPlaceEvery {
-		v.coldPlace, v.coldPlaceAt = s.ColdPlace(&v.Server), now
+		v.coldPlace, v.coldPlaceAt = s.coldPlaceOf(v, boxes), now
 	}
 	if v.coldPlace < total {
 		return 1
@@ -52,18 +52,33 @@
 	return 0
 }
 
-// farRank is what ranks of boxes in other regions than the server's have in common.
-const farRank = 1 << 63
+// Peer is another box, as far as the order is concerned in which boxes send to a cold server.
+type Peer struct {
+	Region string
+	// Hash is that of the box's name, see Hash.
+	Hash uint64
+}
 
-// ColdRank orders boxes, the lowest first, that may send requests to a cold server where there are more
-// of them than it bears: those of its region first (near), which have most of its keys, and else
-// by a hash, so that each server has others.
-func ColdRank(v *Server, box string, near bool) uint64 {
-	rank := Hash(v.ID, box) &^ farRank
-	if !near {
-		rank |= farRank
+// coldPlaceOf returns this box's place, from 0, in the order in which boxes send to a cold server where
+// there are more of them than it bears requests: those of its region first, which have most of
+// its keys, and else by a hash, so that each server has others. It runs for each cold server, of which
+// there may be a thousand, and each box, so names are hashed beforehand.
+//
+// A box that does not know all the others yet, of so many boxes, has the last place.
+func (s *Set) coldPlaceOf(v *server, boxes int) int {
+	peers := s.Peers()
+	if len(peers)+1 < boxes {
+		return boxes
+	}
+	near, own := s.Region == v.region, mix(v.hash^s.Self)
+	place := 0
+	for _, p := range peers {
+		peerNear := p.Region == v.region
+		if peerNear && !near || peerNear == near && mix(v.hash^p.Hash) < own {
+			place++
+		}
 	}
-	return rank
+	return place
 }
 
 // startedAgainTime is within what time of its end a server that has started again is listed
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"math"
 	"sort"
 	"sync"
 	"time"
@@ -43,9 +42,10 @@
 	// Boxes returns among how many boxes a cold server's rate is divided; 0
 	// when that is not known.
 	Boxes func() int
-	// ColdPlace returns this box's place, from 0, among all that may send requests to a cold
-	// server, in the order of ColdRank. It runs under the set's lock and must not call it.
-	ColdPlace func(server *Server) int
+	// Self is the hash of this box's name, and Peers returns the other boxes that may send
+	// requests. It runs under the set's lock and must not call it.
+	Self  uint64
+	Peers func() []Peer
 	// Trusted reports whether the list of servers follows the platform's.
 	Trusted func() bool
 	// Now is the clock; it must be monotonic.
@@ -140,7 +140,7 @@
 func NewSet(terms Terms, zone string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
 	return &Set{
 		Terms: terms, Policy: policy.Default(), Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
-		ColdPlace:  func(*Server) int { return math.MaxInt },
+		Peers:      func() []Peer { return nil },
 		Trusted:    func() bool { return true },
 		Changed:    func(Server, string) {},
 		Found:      func(Finding) {},
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -181,22 +181,22 @@
 
 // Count returns how many boxes may be sending requests, this one included.
 func (t *Table) Count() int {
-	return 1 + t.CountOthers(func(*Record) bool { return true })
+	count := 1
+	t.EachOther(func(*Record) { count++ })
+	return count
 }
 
-// CountOthers returns how many of the other boxes that may be sending requests are as wanted, which
-// must not call the table.
-func (t *Table) CountOthers(wanted func(r *Record) bool) int {
+// EachOther calls f for each of the other boxes that may be sending requests. It must not call the
+// table.
+func (t *Table) EachOther(f func(r *Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
 	now := t.Now()
 	for _, e := range t.members {
-		if now.Sub(e.heard) <= ForgetAfter && wanted(&e.Record) {
-			count++
+		if now.Sub(e.heard) <= ForgetAfter {
+			f(&e.Record)
 		}
 	}
-	return count
 }
 
 // Zone is what the boxes of this box's own zone say of the store. "Before" are
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -107,10 +107,14 @@
 	readySince atomic.Int64
 
 	neighbourhood neighbourhood
+	// peerList is what choices know of other boxes; see peers.
+	peerList peerList
 	// unread are words of the platform that nothing here reads.
 	unknown unknownWords
 	// malformedHeaders bounds the log lines of headers that cannot be read.
 	malformedHeaders logGate
+	// configurationFields bounds how often configurations are looked at for unread fields.
+	configurationFields logGate
 	// membersChanged: a box has come, gone or come back since limits last looked.
 	membersChanged atomic.Bool
 	// statusChanged: what a backend server says has changed since boxes were last told.
@@ -211,14 +215,26 @@
 	return n.Members.Count()
 }
 
-// coldPlace returns the box's place among those that may send requests to a cold server.
-func (n *Node) coldPlace(v *backend.Server) int {
-	region := n.Topology.RegionOf(v.Zone)
-	rank := func(box, zone string) uint64 {
-		return backend.ColdRank(v, box, n.Topology.RegionOf(zone) == region)
+// peersEvery is how often the list of other boxes is made anew for choices: as often as heartbeats
+// come.
+const peersEvery = gossip.Interval
+
+// peerList is the list of other boxes as of at.
+type peerList struct {
+	list []backend.Peer
+	at   time.Time
+}
+
+// peers returns the other boxes that may send requests. The set calls it, one call at a time.
+func (n *Node) peers() []backend.Peer {
+	now := n.Clock.Now()
+	if p := &n.peerList; p.at.IsZero() || now.Sub(p.at) >= peersEvery {
+		p.at, p.list = now, p.list[:0]
+		n.Members.EachOther(func(r *gossip.Record) {
+			p.list = append(p.list, backend.Peer{Region: n.Topology.RegionOf(r.Zone), Hash: backend.Hash(r.Box)})
+		})
 	}
-	own := rank(n.Settings.Box, n.Settings.Zone)
-	return n.Members.CountOthers(func(r *gossip.Record) bool { return rank(r.Box, r.Zone) < own })
+	return n.peerList.list
 }
 
 func (n *Node) newMembers(log *logging.Part) {
@@ -241,7 +257,7 @@
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
 	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, n.Clock.Now)
-	n.Set.ColdPlace = n.coldPlace
+	n.Set.Self, n.Set.Peers = backend.Hash(n.Settings.Box), n.peers
 	n.Set.Trusted = func() bool { return n.Replica.TrustsList() }
 	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
--- a/pkg/steering/steering_status.go
+++ b/pkg/steering/steering_status.go
@@ -26,6 +26,8 @@
 	// wordsEvery is how often something that a server may say in each answer is logged. All
 	// answers are counted.
 	wordsEvery = time.Second
+	// configurationEvery is how often a configuration is looked at for fields that nothing reads.
+	configurationEvery = 30 * time.Second
 	// statusesEvery is how often a box looks whether anything that servers say is to be told again.
 	statusesEvery = 100 * time.Millisecond
 	// spreadRecords bounds the servers of which a box tells some others each spreadEvery: 2.7 KB a
@@ -220,8 +222,12 @@
 	}
 }
 
-// noteFields tells once of each field of the store's objects that nothing here reads.
+// noteFields tells once of each field of the store's objects that nothing here reads. Of
+// configurations, which are large and each of which is whole, it looks at one in a while.
 func (n *Node) noteFields(kind string, o objects.Object) {
+	if kind == n.adapter.Kinds.Configuration && !n.configurationFields.pass(n.age(), configurationEvery) {
+		return
+	}
 	for _, field := range n.adapter.UnreadFields(kind, o) {
 		if n.unknown.first(field) {
 			n.log.Warn("field of objects not read", map[string]any{"field": field, "object": o.Name, "revision": o.Revision})
