--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -55,6 +55,8 @@
 	At     time.Time
 	// Ended is false if the client's connection closed before.
 	Ended bool
+	// Left is when the server was told, by the connection's end, that nobody waits; zero if it was not.
+	Left time.Time
 }
 
 // Arrival is one request that reached a server, run or not.
@@ -311,6 +313,9 @@
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
 	if !s.work(c, reader, s.workOf(run.Key)) {
+		s.mu.Lock()
+		run.Left = time.Now()
+		s.mu.Unlock()
 		return false
 	}
 	if s.isDeadly(run.Target) {
