A client that leaves ends its requests also if it has sent further ones behind them

Cause: net/http notices a leaving client by reading one byte behind the request that it serves. A byte of a next request ends its look-out (its source says so); the end of the connection is seen when the answer is written, and the requests behind are read and sent to servers after that. Evidence: with all logs, 1,539 of 3,670 requests whose clients had left were found so within 2 ms of being read, 888 of them sent to servers, all of station-reads, the one kind of request that clients pipeline; none of the two other kinds.

Change: pkg/pipeline wraps a client's connection. Framing is followed only where there is no doubt.

--- /dev/null
+++ b/pkg/pipeline/framing.go
@@ -0,0 +1,106 @@
+package pipeline
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// mostHeader bounds a header that is looked at here, in bytes. The server has its own limit.
+const mostHeader = 64 << 10
+
+// framing follows where the requests of a connection begin and end. It takes a form only where there
+// is no doubt about it; what a connection carries from the first doubt on is not looked at.
+type framing struct {
+	// head is the part of a header that has come.
+	head []byte
+	// bodyLeft is how many bytes of the request's body are still to come.
+	bodyLeft int64
+	// opaque: the ends of requests are not known any more.
+	opaque bool
+}
+
+// isBetween reports whether the last request has come whole and nothing of the next one has.
+func (f *framing) isBetween() bool {
+	return !f.opaque && f.bodyLeft == 0 && len(f.head) == 0
+}
+
+// advance takes bytes as they come, and returns how many of them belong to the request that they
+// continue or begin. The rest belongs to later requests, and is to be given again.
+func (f *framing) advance(data []byte) int {
+	if f.opaque {
+		return len(data)
+	}
+	taken := 0
+	if f.bodyLeft == 0 {
+		taken = f.header(data)
+	}
+	if f.opaque {
+		return len(data)
+	}
+	part := min(f.bodyLeft, int64(len(data)-taken))
+	f.bodyLeft -= part
+	return taken + int(part)
+}
+
+// header takes bytes of a header, and returns how many there were.
+func (f *framing) header(data []byte) int {
+	before := len(f.head)
+	head := data
+	if before > 0 {
+		f.head = append(f.head, data...)
+		head = f.head
+	}
+	end := headerEnd(head)
+	switch {
+	case end > mostHeader || end < 0 && len(head) > mostHeader:
+		f.opaque = true
+		return len(data)
+	case end < 0:
+		if before == 0 {
+			f.head = append(f.head, data...)
+		}
+		return len(data)
+	}
+	length, ok := bodyLength(head[:end])
+	f.head = f.head[:0]
+	f.bodyLeft = length
+	f.opaque = !ok
+	return end - before
+}
+
+// headerEnd returns the length of a header with its empty line, -1 if it has not come whole.
+func headerEnd(data []byte) int {
+	i := bytes.Index(data, []byte("\r\n\r\n"))
+	if i < 0 {
+		return -1
+	}
+	return i + 4
+}
+
+// bodyLength returns the length of the body that a header announces. It is not ok if there may be
+// another reading of it, or if only the body tells.
+func bodyLength(head []byte) (length int64, ok bool) {
+	lines := strings.Split(strings.TrimSuffix(string(head), "\r\n\r\n"), "\r\n")
+	if lines[0] == "" {
+		return 0, false
+	}
+	found := false
+	for _, line := range lines[1:] {
+		name, value, isField := strings.Cut(line, ":")
+		if !isField || strings.ContainsAny(line, "\r\n") || strings.ContainsAny(name, " \t") {
+			return 0, false
+		}
+		switch {
+		case strings.EqualFold(name, "Transfer-Encoding"), strings.EqualFold(name, "Upgrade"):
+			return 0, false
+		case strings.EqualFold(name, "Content-Length"):
+			n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 62)
+			if err != nil || found {
+				return 0, false
+			}
+			length, found = int64(n), true
+		}
+	}
+	return length, !strings.ContainsAny(lines[0], "\r\n")
+}
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/pipeline"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
@@ -107,7 +108,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		p.hand(c)
+		p.hand(pipeline.NewConn(c))
 	}
 }
 
