Requests that a client sends at once on a connection are served at once, if they may be repeated

What callers saw: of station-reads, the kind of request that clients send before the one before is answered, a quarter was late at boxes and servers that had room; 6,968 requests took more than half of their objective to reach a server.

Cause: a connection's requests are served one after the other, so that one waits for the servers of those in front of it.

Change: pkg/pipeline starts the requests behind the one that is served as soon as they have come whole: at most eight a connection, GET without a body on routes that may be repeated, behind such ones only, and none at a box that stops. Their answers are held, at most 256 KiB each, until net/http reads their request and takes the answer to it. A planned stop waits for them before it closes connections. What is in any doubt is served as before.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -229,6 +229,17 @@
 	}
 }
 
+// MayRunAhead reports whether a request may be served at the same time as others of its
+// connection: if it may be repeated, and the box is not stopping, since then its connection closes.
+func (s *Server) MayRunAhead(r *http.Request) bool {
+	table := s.Table()
+	if table == nil || s.Leaving() {
+		return false
+	}
+	route := table.Find(r.Host, r.URL.EscapedPath())
+	return route != nil && route.Idempotent()
+}
+
 // prepare reads the request's header and finds its route.
 func (c *call) prepare() *outcome.Failure {
 	s := c.server
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -1,9 +1,12 @@
 package pipeline
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
+	"sync"
 )
 
 const (
@@ -12,21 +15,47 @@
 	mostPending = 16 << 10
 	// readSize is how much is read at a time of a connection that carries further requests, in bytes.
 	readSize = 4 << 10
+	// mostAhead bounds the requests of a connection that are served ahead.
+	mostAhead = 8
 )
 
 // Conn is a client's connection as net/http reads it. Reads hand out no byte of a request before
 // the one in front of it is read whole.
 type Conn struct {
 	net.Conn
+	handler *Handler
+	// context ends when the client leaves or the connection is closed.
+	context context.Context
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
 	framing framing
-	// pending has come behind the request that is read or served.
+	// pending has come behind the request that is read or served; the requests in its first
+	// started bytes are served ahead, and stand in ahead in their order.
 	pending []byte
+	started int
+	ahead   []*answer
+	// isOpen: those behind the request that is served may be served too.
+	isOpen bool
 	// failure ended the connection's stream.
 	failure error
 }
 
-// NewConn wraps a client's connection.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.drop()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// drop ends what is served ahead.
+func (c *Conn) drop() {
+	c.cancel()
+	c.isOpen = false
+	c.handler.running.Add(-int64(len(c.ahead)))
+	c.ahead = nil
+}
 
 // CloseWrite ends what is written, before the connection is closed: a client may still be sending
 // and must not lose its answer to a reset. net/http looks for this method.
@@ -39,54 +68,132 @@
 
 // Read implements net.Conn. net/http calls it from one goroutine at a time.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	isBetween, held, failure := c.framing.isBetween(), len(c.pending), c.failure
+	c.mu.Unlock()
 	switch {
-	case c.failure != nil:
-		return 0, c.failure
-	case len(p) == 1 && c.framing.isBetween():
+	case failure != nil:
+		return 0, failure
+	case len(p) == 1 && isBetween:
 		// Only its look-out for a client that leaves reads a single byte there; what begins a
 		// request reads as much as fits its buffer.
 		return c.watch(p)
-	case len(c.pending) > 0:
+	case held > 0:
 		return c.handOut(p), nil
 	}
 	n, err := c.Conn.Read(p)
-	own := c.framing.advance(p[:n])
-	if own < n {
-		c.pending = append(c.pending[:0], p[own:n]...)
+	return c.keep(p[:n]), c.note(err)
+}
+
+// keep keeps what lies behind the request that has come, and returns how much that one has.
+func (c *Conn) keep(data []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := c.framing.advance(data)
+	if own < len(data) {
+		c.pending = append(c.pending[:0], data[own:]...)
 	}
-	return own, c.note(err)
+	return own
 }
 
 // handOut hands out what is pending of the next request.
 func (c *Conn) handOut(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	n := copy(p, c.pending)
 	n = c.framing.advance(p[:n])
 	c.pending = c.pending[:copy(c.pending, c.pending[n:])]
+	c.started = max(0, c.started-n)
 	return n
 }
 
 // watch reads until the client leaves, or until net/http stops it by a deadline. It returns a
 // byte only when no more may be held.
 func (c *Conn) watch(p []byte) (int, error) {
-	for len(c.pending) < mostPending {
-		chunk := p
-		if len(c.pending) > 0 {
+	chunk := p
+	for {
+		c.mu.Lock()
+		held := len(c.pending)
+		c.mu.Unlock()
+		if held >= mostPending {
+			return c.handOut(p), nil
+		}
+		if held > 0 && len(chunk) == 1 {
 			chunk = make([]byte, readSize)
 		}
 		n, err := c.Conn.Read(chunk)
+		c.mu.Lock()
 		c.pending = append(c.pending, chunk[:n]...)
+		c.startAhead()
+		c.mu.Unlock()
 		if err != nil {
 			return 0, c.note(err)
 		}
 	}
-	return c.handOut(p), nil
 }
 
 // note keeps an error that ends the stream, and returns it. A deadline does not end it.
 func (c *Conn) note(err error) error {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
 		c.failure = err
 		c.pending = nil
+		c.drop()
+		c.mu.Unlock()
 	}
 	return err
 }
+
+// ----------------------------------------------------------------
+// Serving ahead
+// ----------------------------------------------------------------
+
+// open lets requests behind the one that is served be served too; shut ends that.
+func (c *Conn) open() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isOpen = c.context.Err() == nil
+	c.startAhead()
+}
+
+func (c *Conn) shut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isOpen = false
+}
+
+// startAhead serves the requests that have come whole, up to the first that may not be served
+// ahead.
+func (c *Conn) startAhead() {
+	for c.isOpen && len(c.ahead) < mostAhead {
+		head := nextHead(c.pending[c.started:])
+		if head == nil {
+			return
+		}
+		a := c.handler.begin(c.context, head)
+		if a == nil {
+			return
+		}
+		c.started += len(head)
+		c.ahead = append(c.ahead, a)
+	}
+}
+
+// take returns the answer to a request that was served ahead, nil if it was not.
+func (c *Conn) take(r *http.Request) *answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ahead) == 0 {
+		return nil
+	}
+	a := c.ahead[0]
+	if !a.isTo(r) {
+		// net/http has read another request than framing has found.
+		c.handler.Count("pipeline.mismatch")
+		c.drop()
+		return nil
+	}
+	c.ahead = c.ahead[1:]
+	c.handler.running.Add(-1)
+	return a
+}
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -1,7 +1,10 @@
 package pipeline
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -18,20 +21,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	go func() { _ = s.Serve(&wrapping{l}) }()
+	h := &Handler{
+		Next: handler, MayRunAhead: func(r *http.Request) bool { return r.URL.Path == "/ahead" },
+		Count: func(name string) { t.Log(name) },
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ConnContext: ConnContext}
+	go func() { _ = s.Serve(&wrapping{l, h}) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return l.Addr().String()
 }
 
-type wrapping struct{ net.Listener }
+type wrapping struct {
+	net.Listener
+	handler *Handler
+}
 
 func (l *wrapping) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(c), nil
+	return l.handler.Wrap(c), nil
 }
 
 func dial(t *testing.T, address string) net.Conn {
@@ -88,3 +98,61 @@
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 413"))
 }
+
+// TestAnswersComeInOrder: whatever takes how long, and however long its answer is.
+func TestAnswersComeInOrder(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		var wait, size int
+		_, err := fmt.Sscanf(r.Header.Get("Want"), "%d %d", &wait, &size)
+		if err != nil {
+			http.Error(w, "what is wanted cannot be read", http.StatusBadRequest)
+			return
+		}
+		time.Sleep(time.Duration(wait) * time.Millisecond)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		half := strings.Repeat("x", size/2)
+		_, _ = io.WriteString(w, half)
+		_, _ = io.WriteString(w, half)
+	})
+	c := dial(t, address)
+	const requests = 60
+	var stream strings.Builder
+	sizes := make([]int, requests)
+	for i := range requests {
+		sizes[i] = 2 * r.IntN(mostHeld)
+		path := []string{"/ahead", "/ahead", "/ahead", "/one"}[r.IntN(4)]
+		fmt.Fprintf(&stream, "GET %s HTTP/1.1\r\nHost: h\r\nId: %d\r\nWant: %d %d\r\n\r\n", path, i, r.IntN(30), sizes[i])
+	}
+	go func() { _, _ = io.WriteString(c, stream.String()) }()
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	reader := bufio.NewReader(c)
+	for i := range requests {
+		a, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(a.Header.Get("Id"), fmt.Sprint(i))
+		body, err := io.ReadAll(a.Body)
+		is.NoErr(err)
+		is.Equal(len(body), sizes[i])
+	}
+}
+
+// TestAbortedAnswerEndsItsConnection: those in front of it are answered whole, those behind are not.
+func TestAbortedAnswerEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		if r.Header.Get("Abort") != "" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := dial(t, address)
+	request := "GET /ahead HTTP/1.1\r\nHost: h\r\n"
+	_, err := io.WriteString(c, request+"\r\n"+request+"Abort: 1\r\n\r\n"+request+"\r\n")
+	is.NoErr(err)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	all, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(strings.Count(string(all), "HTTP/1.1 200"), 1)
+}
--- a/pkg/steering/steering_holds.go
+++ b/pkg/steering/steering_holds.go
@@ -39,7 +39,7 @@
 		if try >= times {
 			return
 		}
-		n.sleep(n.context, pause)
+		sleep(n.context, pause)
 		pause = min(2*pause, longestHoldPause)
 	}
 }
--- a/pkg/steering/steering_metrics.go
+++ b/pkg/steering/steering_metrics.go
@@ -49,6 +49,8 @@
 	{"heartbeats.unsent", "datagrams", "to other boxes not sent, since the address cannot be reached or the link is full"},
 	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
 	{"mirror.pulls.WHERE", "pulls", "of what the store holds, from boxes of the own zone or far ones"},
+	{"pipeline.ahead", "requests", "served at the same time as one that their client has sent before them on the same connection"},
+	{"pipeline.mismatch", "connections", "on which net/http read another request than was served ahead; its service was stopped"},
 	{"retry.sent", "requests", "sent to a second backend server after a first had got them"},
 	{"retry.denied", "requests", "not sent again, since the budget was spent"},
 	{"store.list", "calls", "lists asked of the store, page by page"},
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -33,6 +33,8 @@
 	intake  *intake
 	limits  routing.Limits
 	handler http.Handler
+	// ahead serves requests that clients send ahead.
+	ahead *pipeline.Handler
 }
 
 // intake is a listener that is handed its connections.
@@ -80,6 +82,7 @@
 		// The library adds some for its own bookkeeping.
 		MaxHeaderBytes: p.limits.HeaderBytes,
 		ErrorLog:       nil,
+		ConnContext:    pipeline.ConnContext,
 	}
 	p.fronts = append(p.fronts, p.front)
 	p.intake = &intake{Listener: p.clients, accepted: make(chan net.Conn), closed: make(chan struct{})}
@@ -91,9 +94,9 @@
 }
 
 // serveClients hands the clients' connections to the server in force.
-func (p *ports) serveClients(handler http.Handler) {
+func (p *ports) serveClients(handler *pipeline.Handler) {
 	p.mu.Lock()
-	p.handler = handler
+	p.handler, p.ahead = handler, handler
 	if p.limits == (routing.Limits{}) {
 		p.limits = routing.DefaultLimits
 	}
@@ -108,7 +111,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		p.hand(pipeline.NewConn(c))
+		p.hand(p.ahead.Wrap(c))
 	}
 }
 
@@ -132,12 +135,16 @@
 	}
 }
 
-// shut stops taking connections and waits for requests that are on their way.
+// shut stops taking connections and waits for requests that are on their way. What is served ahead
+// is waited for first, since the answer in front of it closes its connection from then on.
 func (p *ports) shut(ctx context.Context) {
 	_ = p.clients.Close()
 	p.mu.Lock()
-	fronts := p.fronts
+	fronts, ahead := p.fronts, p.ahead
 	p.mu.Unlock()
+	for ahead != nil && ahead.Running() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
 	for _, s := range fronts {
 		_ = s.Shutdown(ctx)
 	}
@@ -210,6 +217,13 @@
 	return nil
 }
 
+// clients serves clients' requests, those that a client sends ahead at the same time.
+func (n *Node) clients() *pipeline.Handler {
+	return &pipeline.Handler{
+		Next: n.counting(n.Ingress), MayRunAhead: n.Ingress.MayRunAhead, Count: n.Ingress.Count,
+	}
+}
+
 // counting counts the requests on their way, and notes when the last one came.
 func (n *Node) counting(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/steering/steering_quarantine.go
+++ b/pkg/steering/steering_quarantine.go
@@ -58,7 +58,7 @@
 		return
 	}
 	n.background.Go(func() {
-		n.sleep(n.context, gatherCrashes)
+		sleep(n.context, gatherCrashes)
 		n.tellsCrashes.Store(false)
 		n.tellCrashes()
 	})
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -47,7 +47,7 @@
 	n.Timers.Every(dropPoolsEvery, n.dropPools)
 	n.background.Go(func() { n.Timers.Run(n.context) })
 	n.background.Go(n.receiveDatagrams)
-	n.background.Go(func() { n.ports.serveClients(n.counting(n.Ingress)) })
+	n.background.Go(func() { n.ports.serveClients(n.clients()) })
 	n.Replica.Run()
 	n.beat()
 	n.background.Go(n.meet)
@@ -68,7 +68,7 @@
 // meet makes a box that starts known to others, and its zone to it.
 func (n *Node) meet() {
 	for n.age() < meetTime && n.context.Err() == nil {
-		n.sleep(n.context, meetEvery)
+		sleep(n.context, meetEvery)
 		if n.Members.Count() == 1 {
 			n.sendBeat()
 		}
@@ -94,19 +94,19 @@
 	n.beat()
 	n.send(n.Members.Announce())
 	n.log.Info("leaving", map[string]any{"in_flight": n.inFlight.Load(), "grace": grace.String()})
-	n.sleep(ctx, time.Duration(closeShare*float64(grace)))
+	sleep(ctx, time.Duration(closeShare*float64(grace)))
 	n.closed.Store(true)
 	left := grace - endMargin - n.Clock.Since(start)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	n.ports.shut(ctx)
 	for n.inFlight.Load() > 0 && ctx.Err() == nil {
-		n.sleep(ctx, drainPoll)
+		sleep(ctx, drainPoll)
 	}
 	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": n.Clock.Since(start).Milliseconds()})
 }
 
-func (n *Node) sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -29,6 +29,10 @@
 	// goneAfter.
 	goneShare = 0.02
 	goneAfter = 8 * time.Millisecond
+	// aheadShare of the requests that may be repeated are sent with up to mostAhead others, before
+	// the first one is answered.
+	aheadShare = 0.2
+	mostAhead  = 5
 )
 
 // routes are those that every configuration has.
@@ -75,17 +79,15 @@
 	defer c.Close()
 	for time.Now().Before(end) {
 		route := routes[random.Intn(len(routes))]
-		q := Request{
-			ID: newID(), Kind: route.Kind, Method: "GET", Target: route.Prefix + fmt.Sprint(random.Intn(1000)),
-			Box: b.IP, Life: b.Life(), Timeout: time.Duration(route.TimeoutMS) * time.Millisecond,
-		}
-		if route.Kind != "safe" {
-			q.Method, q.Body = "POST", "body of "+q.ID
-		}
-		q.Sent = time.Now()
-		if random.Float64() < goneShare {
+		q := newRequest(b, &route, random)
+		switch {
+		case random.Float64() < goneShare:
 			r.leave(c, &q, random)
-		} else {
+		case route.Kind == "safe" && random.Float64() < aheadShare:
+			r.askAhead(c, b, &route, random)
+			time.Sleep(clientPause)
+			continue
+		default:
 			r.ask(c, &q, random)
 		}
 		r.note(func(h *History) { h.Requests = append(h.Requests, q) })
@@ -93,8 +95,47 @@
 	}
 }
 
+// newRequest returns a request of the route that is sent now.
+func newRequest(b *processes.Box, route *machines.Route, random *rand.Rand) Request {
+	q := Request{
+		ID: newID(), Kind: route.Kind, Method: "GET", Target: route.Prefix + fmt.Sprint(random.Intn(1000)),
+		Box: b.IP, Life: b.Life(), Timeout: time.Duration(route.TimeoutMS) * time.Millisecond, Sent: time.Now(),
+	}
+	if route.Kind != "safe" {
+		q.Method, q.Body = "POST", "body of "+q.ID
+	}
+	return q
+}
+
 func (r *run) ask(c *machines.Client, q *Request, random *rand.Rand) {
-	answer := c.Do(q.Method, q.Target, q.ID, q.Body, extraOf(random))
+	read(c, q, c.Do(q.Method, q.Target, q.ID, q.Body, extraOf(random)))
+}
+
+// askAhead sends requests before the first of them is answered. Those behind an answer that closes
+// the connection are not read, and are sent again later, as other requests.
+func (r *run) askAhead(c *machines.Client, b *processes.Box, route *machines.Route, random *rand.Rand) {
+	var sent []Request
+	for range 2 + random.Intn(mostAhead-1) {
+		q := newRequest(b, route, random)
+		if c.Send(q.Method, q.Target, q.ID, q.Body, extraOf(random)) != nil {
+			c.Close()
+			return
+		}
+		sent = append(sent, q)
+	}
+	for i := range sent {
+		q := &sent[i]
+		answer := c.Read()
+		read(c, q, answer)
+		r.note(func(h *History) { h.Requests = append(h.Requests, *q) })
+		if answer.Problem != nil || answer.Last {
+			return
+		}
+	}
+}
+
+// read notes what a client got.
+func read(c *machines.Client, q *Request, answer *machines.Answer) {
 	q.Ended = time.Now()
 	if answer.Problem != nil {
 		c.Close()
