--- /dev/null
+++ b/test/machines/client_leaves_test.go
@@ -0,0 +1,124 @@
+package machines
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestWhereverARequestIsItsClientMayLeave: a server is told at once that nobody waits, and nothing is sent
+// to one after that.
+func TestWhereverARequestIsItsClientMayLeave(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		method, target, body string
+		// busy are requests of other clients that take all slots first.
+		busy int
+		// cut: the first server ends the exchange without an answer.
+		cut bool
+		// runs is how many servers have begun with the request when its client leaves.
+		runs int
+	}{
+		{name: "running, may be repeated", method: "GET", target: "/read/1", runs: 1},
+		{name: "running, may run once", method: "POST", target: "/buy/1", body: "one", runs: 1},
+		{name: "running, an upload", method: "POST", target: "/up/1", body: "one", runs: 1},
+		{name: "queued at its server", method: "GET", target: "/read/1", busy: 4},
+		{name: "repeated at a second server", method: "GET", target: "/read/1", cut: true, runs: 2},
+		{name: "body on its way to the box", method: "POST", target: "/up/1", body: "half"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			names := []string{"east-a.1"}
+			if c.cut {
+				names = append(names, "east-a.2")
+			}
+			f := newFleet(t, 1, names...)
+			for _, s := range f.Servers {
+				s.Work = time.Second
+			}
+			occupy(t, f, c.busy)
+			client := &Client{Address: f.Boxes[0].Clients}
+			if c.cut {
+				earnRepeats(t, f, client)
+				cutFirst(f)
+			}
+			extra := ""
+			if c.body == "half" {
+				extra = "Transfer-Encoding: chunked\r\n" // its last chunk does not come
+			}
+			is.NoErr(client.Send(c.method, c.target, "leaver", c.body, extra))
+			eventually(t, "it is where it should be", func() bool { return len(runsOf(f, "leaver")) == c.runs })
+			time.Sleep(50 * time.Millisecond)
+			client.Close()
+			left := time.Now()
+			time.Sleep(1500 * time.Millisecond)
+			for _, r := range runsOf(f, "leaver") {
+				t.Logf("told %v after its client left", r.Left.Sub(left))
+				is.Equal(r.Ended && r.At.After(left), false)
+				if !r.Ended {
+					is.True(r.Left.Sub(left) < 500*time.Millisecond || c.busy > 0)
+				}
+			}
+			for _, s := range f.Servers {
+				for _, a := range s.ArrivalLog() {
+					is.True(a.ID != "leaver" || a.At.Before(left))
+				}
+			}
+		})
+	}
+}
+
+// occupy has other clients take slots of the servers.
+func occupy(t *testing.T, f *Fleet, requests int) {
+	t.Helper()
+	for i := range requests {
+		other := &Client{Address: f.Boxes[0].Clients}
+		t.Cleanup(other.Close)
+		is.New(t).NoErr(other.Send("GET", "/read/0", fmt.Sprint("other-", i), "", ""))
+	}
+	eventually(t, "the slots are taken", func() bool { return len(f.Servers["east-a.1"].Runs()) == requests })
+}
+
+// earnRepeats sends requests that pay for a repeat.
+func earnRepeats(t *testing.T, f *Fleet, c *Client) {
+	t.Helper()
+	for _, s := range f.Servers {
+		s.Work = time.Millisecond
+	}
+	for i := range 10 {
+		is.New(t).Equal(c.Do("GET", "/read/0", fmt.Sprint("earner-", i), "", "").Status, 200)
+	}
+	for _, s := range f.Servers {
+		s.Work = 300 * time.Millisecond
+	}
+}
+
+// cutFirst has the server that gets the next request end it without an answer, and no other.
+func cutFirst(f *Fleet) {
+	var cut atomic.Bool
+	for _, s := range f.Servers {
+		s.SetFault(func(*Run) Fault {
+			if cut.Swap(true) {
+				return NoFault
+			}
+			return CutAnswer
+		})
+	}
+}
+
+// runsOf returns the runs of a request at all servers.
+func runsOf(f *Fleet, id string) []Run {
+	var runs []Run
+	for _, s := range f.Servers {
+		for _, r := range s.Runs() {
+			if r.ID == id {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
