Services are moved to new versions of their servers little by little, and back where a version is bad

Until now all servers of the new version got requests from the first moment on, a bad one too, no state was ever noted, and a good version was never complete.

pkg/rollout: one request in twenty goes to the new version for 0.6 of the time, then more in steps; complete at 0.92. Boxes count by route how both versions fare (failures; times, of keys that the server knew and of first uses apart, since a new version begins with first uses), and tell the boxes that ask the store, which judge the sum and note the state by conditional update. A bad version gets nothing from a box that finds so itself, and from all once the state is noted. Boxes ask for such orders only where the settings say that there are any: elsewhere it costs nothing.

Drawn for each request and not for each key: all keys get to know the new servers before they move, and a service with few keys is tried too.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -30,6 +30,8 @@
 	// Born is when it started, in milliseconds since 1970 by its own clock; 0 if it does not
 	// say. It tells its lives apart.
 	Born int64 `json:"born,omitempty"`
+	// Version is that of its software.
+	Version string `json:"version,omitempty"`
 }
 
 // Life names one life of the server, from its start to its end.
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -61,7 +61,7 @@
 	if g == nil {
 		return nil, &ChoiceError{Reason: NoServer, Service: r.Service}
 	}
-	near, far := s.candidates(g, r, now)
+	near, far := s.candidatesOfVersion(g, r, now)
 	if !r.Asked {
 		s.spill.request(&s.Terms, now)
 	}
@@ -118,11 +118,25 @@
 	return e
 }
 
+// candidatesOfVersion are the candidates of the version that the request goes to, or of the others where it
+// has none left.
+func (s *Set) candidatesOfVersion(g *group, r *Request, now time.Time) (near, far []candidate) {
+	version := s.versionOf(r)
+	near, far = s.candidates(g, r, version, now)
+	if len(near)+len(far) > 0 || s.resting.count > 0 {
+		return near, far
+	}
+	if other, ok := version.other(); ok {
+		return s.candidates(g, r, other, now)
+	}
+	return near, far
+}
+
 // candidates returns the servers of the region in which the key has its home,
 // and all others, each with those first that the key prefers and that were not
 // tried, in their order. Those that have asked for rest are left out, and noted in s.resting. All
 // is good until the next call.
-func (s *Set) candidates(g *group, r *Request, now time.Time) (near, far []candidate) {
+func (s *Set) candidates(g *group, r *Request, version versionChoice, now time.Time) (near, far []candidate) {
 	share := s.localShareOf(g, r, now)
 	stays := fraction(mix(r.Key+1)) < g.shareOfKind(share, r.Heavy)
 	typical := g.typicalLatency(now)
@@ -130,7 +144,7 @@
 	near, far = s.near[:0], s.far[:0]
 	s.resting = resting{}
 	for _, v := range g.servers {
-		if !s.usable(v) || !r.RegionAllowed(v.region) || s.isProbed(v, now) {
+		if !version.allows(v) || !s.usable(v) || !r.RegionAllowed(v.region) || s.isProbed(v, now) {
 			continue
 		}
 		isNear := (v.region == s.Region) == stays
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/policy"
+	"github.com/stoneworks/stoneworks/pkg/rollout"
 )
 
 // Terms are the bounds that hold for choices, from the settings.
@@ -80,6 +81,10 @@
 	evacuated map[string]bool
 	terms     map[string]ServiceTerms
 	spill     spillGuard
+	// versions are the services that are being moved to a version.
+	versions map[string]rollout.Rule
+	// versionDraws counts the requests for which a version was drawn.
+	versionDraws uint64
 }
 
 // server is a backend server with what this box knows of it.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -124,6 +124,9 @@
 	// Heard takes in what an answer says of its server besides its load. Sent is when the
 	// request was sent.
 	Heard func(server *backend.Server, verdict *Verdict, sent time.Time)
+	// Dealt notes how a server has dealt with a request that reached it: whether it failed it, and how
+	// long it took.
+	Dealt func(route string, lease *backend.Lease, failed bool, took time.Duration)
 	// Unread notes an answer's header that the platform's adapter does not know.
 	Unread func(name string)
 	// Background runs work that outlasts its request.
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -219,6 +219,9 @@
 	sent := wasSent(err)
 	late := errors.Is(err, context.DeadlineExceeded)
 	gone := c.r.Context().Err() != nil
+	if sent && !gone {
+		c.server.Dealt(c.route.Name, lease, true, c.server.Now().Sub(start))
+	}
 	switch {
 	case gone:
 		c.finish(lease, backend.Abandoned, nil, start, err)
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -130,7 +130,7 @@
 	}
 	m.set(o)
 	m.remember(Event{Object: o})
-	if !ok || !bytes.Equal(known.Spec, o.Spec) {
+	if !ok || !bytes.Equal(known.Spec, o.Spec) || !bytes.Equal(known.Status, o.Status) {
 		m.Changed(o, false)
 	}
 }
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -20,6 +20,8 @@
 	// Revision is the store's, of the object's last change.
 	Revision uint64          `json:"revision"`
 	Spec     json.RawMessage `json:"spec"`
+	// Status is what others have noted of the object, empty for most.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // Event is one change of an object.
@@ -50,6 +52,9 @@
 	// one, if it is there.
 	Create func(ctx context.Context, kind, name string, spec any) error
 	Remove func(ctx context.Context, kind, name string) error
+	// SetStatus notes something of an object, if its last change is still that of the revision; the
+	// error is else a *ConflictError.
+	SetStatus func(ctx context.Context, kind, name string, revision uint64, status any) error
 }
 
 // ================================================================
@@ -62,6 +67,14 @@
 // Error implements error.
 func (e *CompactedError) Error() string { return "objects: the history is gone" }
 
+// ConflictError says that an object has changed meanwhile, or is gone.
+type ConflictError struct {
+	Kind, Name string
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return "objects: " + e.Kind + "/" + e.Name + " has changed" }
+
 // UnavailableError says that the store did not do what it was asked.
 type UnavailableError struct {
 	// Status is the store's HTTP status, 0 if there was no answer.
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -29,7 +29,7 @@
 // shortWatch is how long a watch of a kind waits whose answers are needed.
 func (r *Replica) shortWatch(kind string) time.Duration {
 	wait := time.Duration(watchShare * float64(r.Contact))
-	if kind == r.Kinds.Evacuations {
+	if kind == r.Kinds.Evacuations || kind == r.Kinds.Rollouts {
 		return wait
 	}
 	return min(wait, time.Duration(drainWatchShare*float64(r.Drain)))
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -32,10 +32,18 @@
 	Configuration string
 	Servers       string
 	Evacuations   string
+	// Rollouts is empty where there are none.
+	Rollouts string
 }
 
 // all lists the kinds, the one first whose changes must be known soonest.
-func (k Kinds) all() []string { return []string{k.Servers, k.Configuration, k.Evacuations} }
+func (k Kinds) all() []string {
+	list := []string{k.Servers, k.Configuration, k.Evacuations}
+	if k.Rollouts != "" {
+		list = append(list, k.Rollouts)
+	}
+	return list
+}
 
 // Handover is what a box tells another one of its copy of a kind.
 type Handover struct {
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,121 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+func newTestTable() (*Table, *clock) {
+	c := &clock{at: time.Unix(1000, 0)}
+	t := NewTable("box-1", c.now)
+	t.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second, Revision: 7})
+	return t, c
+}
+
+// note has a version answer so many requests, a part of which it fails.
+func note(t *Table, version string, answers, failures int, took time.Duration) {
+	for i := range answers {
+		t.Note(Outcome{Service: "shop", Route: "read", Version: version, Failed: i < failures, Known: true, Took: took})
+	}
+}
+
+// TestBadVersionGetsFewRequests: whenever the version turns bad in the first seven tenths of the time, what it
+// got until two seconds later is within a tenth of all requests of that time.
+func TestBadVersionGetsFewRequests(t *testing.T) {
+	duration := 20 * time.Second
+	got := 0.0
+	for elapsed := time.Duration(0); elapsed <= duration*7/10+2*time.Second; elapsed += 10 * time.Millisecond {
+		got += shareAt(elapsed, duration) * 0.01
+	}
+	is.New(t).True(got/duration.Seconds() <= 0.1)
+}
+
+func TestOrderIsCompleteBeforeItsTime(t *testing.T) {
+	is := is.New(t)
+	table, c := newTestTable()
+	is.Equal(table.Changes()[0].State, Running)
+	table.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second, Revision: 8, State: Running})
+	is.Equal(len(table.Changes()), 0)
+	c.at = c.at.Add(19 * time.Second)
+	is.Equal(table.Changes()[0].State, Complete)
+	is.Equal(table.Changes()[0].Order.Revision, uint64(8))
+	table.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second, Revision: 9, State: Complete})
+	is.Equal(table.Rules()["shop"], Rule{Version: "v2", Share: 1})
+	is.Equal(len(table.Changes()), 0)
+}
+
+// TestVerdicts: few failures say nothing, nor do such that all servers have alike; those of other boxes count.
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		oldBad, newBad    int
+		newTook           time.Duration
+		elsewhere, result bool
+	}{
+		{name: "well", newTook: 100 * time.Millisecond},
+		{name: "few failures", newBad: leastBad - 1, newTook: 100 * time.Millisecond},
+		{name: "failures", newBad: leastBad, newTook: 100 * time.Millisecond, result: true},
+		{name: "all fail alike", oldBad: 60, newBad: 20, newTook: 100 * time.Millisecond},
+		{name: "slow", newTook: 300 * time.Millisecond, result: true},
+		{name: "failures that another box has seen", newBad: leastBad, newTook: 100 * time.Millisecond, elsewhere: true, result: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table, now := newTestTable()
+			source := table
+			if c.elsewhere {
+				source = NewTable("box-2", now.now)
+				source.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second})
+			}
+			note(source, "v1", 100, c.oldBad, 100*time.Millisecond)
+			note(source, "v2", 30, c.newBad, c.newTook)
+			if c.elsewhere {
+				for _, r := range source.Reports() {
+					datagram, err := Wire.Encode(&r)
+					is.NoErr(err)
+					back, err := Wire.Decode(datagram)
+					is.NoErr(err)
+					table.Learn(back)
+				}
+			}
+			change := table.Changes()[0]
+			is.Equal(change.State == RolledBack, c.result)
+			is.Equal(table.Rules()["shop"].Barred, c.result)
+		})
+	}
+}
+
+// TestWhatIsOverIsForgotten: a version is judged by what it did lately, and a new order for a service begins anew.
+func TestWhatIsOverIsForgotten(t *testing.T) {
+	is := is.New(t)
+	table, c := newTestTable()
+	note(table, "v2", 20, leastBad, time.Millisecond)
+	c.at = c.at.Add(4 * span)
+	is.Equal(table.Changes()[0].State, Running)
+	note(table, "v2", 20, leastBad, time.Millisecond)
+	table.Set(Order{Service: "shop", Version: "v3", Duration: 20 * time.Second})
+	is.Equal(table.Changes()[0].State, Running)
+	table.Remove("shop")
+	is.Equal(len(table.Rules()), 0)
+}
+
+// TestReportsFitAPacket: also with as many routes as are counted.
+func TestReportsFitAPacket(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTestTable()
+	for i := range 2 * mostRoutes {
+		table.Note(Outcome{Service: "shop", Route: fmt.Sprintf("route-%010d", i), Version: "v2", Took: time.Second})
+	}
+	reports := table.Reports()
+	is.Equal(len(reports[0].Pairs), mostRoutes)
+	datagram, err := Wire.Encode(&reports[0])
+	is.NoErr(err)
+	is.True(len(datagram) < 2000)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -105,6 +105,9 @@
 	Timeout time.Duration `yaml:"timeout"`
 	// Protocol is ProtocolBoxes or ProtocolObjects.
 	Protocol string `yaml:"protocol"`
+	// Rollouts: operators order moves of services to new versions of their backend servers there.
+	// Without it boxes do not ask for these.
+	Rollouts bool `yaml:"rollouts"`
 }
 
 // Limits bounds what a box holds in memory.
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -29,6 +29,7 @@
 	"github.com/stoneworks/stoneworks/pkg/quota"
 	"github.com/stoneworks/stoneworks/pkg/replica"
 	"github.com/stoneworks/stoneworks/pkg/retry"
+	"github.com/stoneworks/stoneworks/pkg/rollout"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 	"github.com/stoneworks/stoneworks/pkg/settings"
@@ -50,6 +51,9 @@
 	// Configuration, Server read objects of the store.
 	Configuration func(o objects.Object) (*routing.Configuration, error)
 	Server        func(o objects.Object) (backend.Server, error)
+	// Rollout reads an order to move a service to a version, RolloutStatus writes its state.
+	Rollout       func(o objects.Object) (rollout.Order, error)
+	RolloutStatus func(c *rollout.Change) any
 	// UnreadFields returns the fields of an object that neither of them reads.
 	UnreadFields func(kind string, o objects.Object) []string
 	// Dialect names the headers.
@@ -75,7 +79,9 @@
 	// Quarantine is what is known of requests that crash backend servers.
 	Quarantine *quarantine.Table
 	// Statuses are what backend servers say of themselves.
-	Statuses  *serverstatus.Table
+	Statuses *serverstatus.Table
+	// Rollouts are the orders to move services to new versions.
+	Rollouts  *rollout.Table
 	Ledger    *standing.Ledger
 	Directory *directory.Directory
 	Ingress   *ingress.Server
@@ -155,6 +161,7 @@
 		pools:    map[string]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(c.Now),
 		Ledger:   standing.NewLedger(c.Now),
+		Rollouts: rollout.NewTable(s.Box, c.Now),
 		ports:    &ports{},
 		refused:  map[string]bool{},
 	}
@@ -295,6 +302,7 @@
 		Released:   n.removeHold,
 		Quarantine: n.Quarantine,
 		Heard:      n.heardOf,
+		Dealt:      n.noteOutcome,
 		Unread:     n.unreadHeader,
 		Background: n.background.Go,
 		Now:        n.Clock.Now,
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -13,6 +13,7 @@
 	"github.com/stoneworks/stoneworks/pkg/packet"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/quota"
+	"github.com/stoneworks/stoneworks/pkg/rollout"
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 )
 
@@ -158,6 +159,10 @@
 			n.receiveStatuses(buffer[:size], from)
 			continue
 		}
+		if rollout.Wire.Is(buffer[:size]) {
+			n.receiveReport(buffer[:size], from)
+			continue
+		}
 		if quota.Is(buffer[:size]) {
 			n.receiveQuota(buffer[:size], from)
 			continue
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -44,6 +44,9 @@
 	n.Timers.Every(spreadEvery, n.spreadHolds)
 	n.Timers.Every(statusesEvery, n.tellStatuses)
 	n.Timers.Every(spreadEvery, n.spreadStatuses)
+	if n.Settings.Platform.Rollouts {
+		n.Timers.Every(rolloutsEvery, n.tickRollouts)
+	}
 	n.Timers.Every(dropPoolsEvery, n.dropPools)
 	n.background.Go(func() { n.Timers.Run(n.context) })
 	n.background.Go(n.receiveDatagrams)
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -18,6 +18,9 @@
 
 func (n *Node) newReplica(log *logging.Part) {
 	s, kinds := n.Settings, n.adapter.Kinds
+	if !s.Platform.Rollouts {
+		kinds.Rollouts = ""
+	}
 	n.store = n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
 		metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
 	}, func(err error) { n.unreadObject(log, err) })
@@ -31,11 +34,15 @@
 		Metrics: n.Metrics, BoxLog: n.log, StoreLog: log,
 	})
 	evacuated := map[string]bool{}
-	for kind, changed := range map[string]func(o objects.Object, gone bool){
+	changes := map[string]func(o objects.Object, gone bool){
 		kinds.Configuration: func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) },
 		kinds.Servers:       func(o objects.Object, gone bool) { n.serverChanged(log, o, gone) },
 		kinds.Evacuations:   func(o objects.Object, gone bool) { n.evacuationChanged(log, evacuated, o, gone) },
-	} {
+	}
+	if kinds.Rollouts != "" {
+		changes[kinds.Rollouts] = func(o objects.Object, gone bool) { n.rolloutChanged(log, o, gone) }
+	}
+	for kind, changed := range changes {
 		n.Replica.OnChange(kind, func(o objects.Object, gone bool) {
 			changed(o, gone)
 			if !gone {
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -108,9 +108,13 @@
 	if s.Advertised != "" {
 		address = s.Advertised
 	}
+	version := s.Version
+	if version == "" {
+		version = "v1"
+	}
 	f.Store.Put("servers", s.ID, map[string]any{
 		"service": service, "address": address, "zone": zone, "slots": s.Slots, "state": state,
-		"cold-remaining-ms": cold.Milliseconds(), "version": "v1", "call-seq": 1, "born": s.Born,
+		"cold-remaining-ms": cold.Milliseconds(), "version": version, "call-seq": 1, "born": s.Born,
 	})
 }
 
--- /dev/null
+++ b/test/machines/rollouts_test.go
@@ -0,0 +1,215 @@
+package machines
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/settings"
+)
+
+// rolloutTime is how long the orders of these tests last.
+const rolloutTime = 10 * time.Second
+
+// The shares of requests that a version may get until its deadline if it turns out to be bad, with a slack
+// in requests, and how long it may get any after mostBad bad answers.
+const (
+	mostExposed   = 0.1
+	exposureSlack = 20
+	mostBad       = 50
+	rollbackTime  = 5 * time.Second
+)
+
+// playRollout has a service of ten servers move to a version whose servers fail as told, while clients send
+// requests, and returns the fleet, when it was ordered, and the states noted, each a second.
+func playRollout(t *testing.T, fault func(r *Run, since time.Duration) Fault, slower float64) (f *Fleet, ordered time.Time, states []string) {
+	t.Helper()
+	f, err := NewFleet(networkOf(t), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	f.Change = func(s *settings.Settings) { s.Platform.Rollouts = true }
+	f.Configure(1, read, buy, upload)
+	for i := range 10 {
+		if _, err := f.AddServer(fmt.Sprint("east-a.old-", i), "shop", "east-a", 8, 10*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		if _, err := f.AddBox(Zones[i].Zone); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "all boxes are ready and know each other", func() bool {
+		for _, b := range f.Boxes {
+			if !b.Node.Ready() || b.Members.Count() != len(f.Boxes) {
+				return false
+			}
+		}
+		return true
+	})
+	clients := newShoppers(f, 12)
+	time.Sleep(2 * time.Second)
+	ordered = time.Now()
+	for i := range 10 {
+		s, err := NewServer(f.network+".100", fmt.Sprint("east-a.new-", i), 8, time.Duration(slower*float64(10*time.Millisecond)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Version = "v2"
+		s.SetFault(func(r *Run) Fault { return fault(r, time.Since(ordered)) })
+		f.Servers[s.ID] = s
+		f.List(s, "shop", "east-a", "ready", 0)
+	}
+	f.Store.Put("rollouts", "shop", map[string]any{"service": "shop", "target-version": "v2", "duration-s": rolloutTime.Seconds()})
+	for time.Since(ordered) < rolloutTime+time.Second {
+		time.Sleep(time.Second)
+		states = append(states, stateOf(f))
+	}
+	counts := clients.end()
+	t.Logf("states %v, answers %v", states, counts)
+	return f, ordered, states
+}
+
+func stateOf(f *Fleet) string {
+	status := f.Store.StatusOf("rollouts", "shop")
+	for _, state := range []string{"running", "complete", "rolled_back"} {
+		if strings.Contains(status, `"state":"`+state+`"`) && strings.Contains(status, `"target-version":"v2"`) {
+			return state
+		}
+	}
+	return status
+}
+
+// runsByVersion returns the runs of the old and of the new servers from a time on.
+func runsByVersion(f *Fleet, from time.Time) (old, fresh []Run) {
+	for id, s := range f.Servers {
+		for _, r := range s.Runs() {
+			switch {
+			case r.At.Before(from):
+			case strings.Contains(id, "new"):
+				fresh = append(fresh, r)
+			default:
+				old = append(old, r)
+			}
+		}
+	}
+	return old, fresh
+}
+
+// TestGoodVersionTakesOver: the service moves little by little and is there before its time is over, after which
+// its old servers get nothing.
+func TestGoodVersionTakesOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, ordered, states := playRollout(t, func(*Run, time.Duration) Fault { return NoFault }, 1)
+	is.Equal(states[1], "running")
+	is.Equal(states[len(states)-2], "complete")
+	old, fresh := runsByVersion(f, ordered.Add(rolloutTime))
+	is.Equal(len(old), 0)
+	is.True(len(fresh) > 50)
+	old, fresh = runsByVersion(f, ordered)
+	is.True(len(fresh) > len(old)/10)
+}
+
+// TestBadVersionIsRolledBack: whatever it fails at, and whenever that begins, it gets no more than a tenth of
+// the requests, and nothing some time after it has failed.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fault  func(r *Run, since time.Duration) Fault
+		slower float64
+	}{
+		{"half of its answers from the beginning", func(r *Run, _ time.Duration) Fault { return failIf(len(r.ID)%2 == 0 || strings.HasSuffix(r.ID, "1")) }, 1},
+		{"all answers after half of its time", func(_ *Run, since time.Duration) Fault { return failIf(since > rolloutTime/2) }, 1},
+		{"on one route", func(r *Run, _ time.Duration) Fault { return failIf(strings.HasPrefix(r.Target, "/buy/")) }, 1},
+		{"by being four times slower", func(*Run, time.Duration) Fault { return NoFault }, 4},
+		{"by breaking connections", func(*Run, time.Duration) Fault { return CutAnswer }, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			bad := &badAnswers{}
+			f, ordered, states := playRollout(t, func(r *Run, since time.Duration) Fault {
+				fault := c.fault(r, since)
+				if fault != NoFault || c.slower > 1 {
+					bad.note(time.Now())
+				}
+				return fault
+			}, c.slower)
+			is.Equal(states[len(states)-2], "rolled_back")
+			old, fresh := runsByVersion(f, ordered)
+			t.Logf("%d requests at the new version, %d at the old one", len(fresh), len(old))
+			is.True(len(fresh) > 0)
+			is.True(float64(len(fresh)) <= mostExposed*float64(len(old)+len(fresh))+exposureSlack)
+			if at, ok := bad.nth(mostBad); ok {
+				_, late := runsByVersion(f, at.Add(rollbackTime))
+				is.Equal(len(late), 0)
+			}
+			_, late := runsByVersion(f, ordered.Add(rolloutTime-time.Second))
+			is.Equal(len(late), 0)
+		})
+	}
+}
+
+func failIf(fails bool) Fault {
+	if fails {
+		return Fail
+	}
+	return NoFault
+}
+
+// badAnswers are when a version gave bad answers.
+type badAnswers struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (b *badAnswers) note(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at = append(b.at, at)
+}
+
+// nth returns when the nth one was given, if there were so many.
+func (b *badAnswers) nth(n int) (time.Time, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.at) < n {
+		return time.Time{}, false
+	}
+	return b.at[n-1], true
+}
+
+// newShoppers starts clients that read and buy many things.
+func newShoppers(f *Fleet, clients int) *traffic {
+	tr := &traffic{stop: make(chan struct{}), answers: map[string]int{}}
+	for i := range clients {
+		tr.running.Add(1)
+		go func() {
+			defer tr.running.Done()
+			c := &Client{Address: f.Boxes[i%len(f.Boxes)].Clients}
+			defer c.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-tr.stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				id, key := fmt.Sprintf("shopper-%d-%d", i, n), fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", (i+n)%150)
+				if n%3 == 0 {
+					tr.note(c.Do("POST", "/buy/1", id, "one", key))
+				} else {
+					tr.note(c.Do("GET", "/read/1", id, "", key))
+				}
+			}
+		}()
+	}
+	return tr
+}
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -38,6 +38,8 @@
 	Garbage
 	// Mute never answers.
 	Mute
+	// Fail answers 500 of its own.
+	Fail
 )
 
 // Run is one request that a server began to work on.
@@ -79,8 +81,10 @@
 	// Advertised is the address that is listed, if it is another one: that of
 	// a proxy.
 	Advertised string
-	Slots      int
-	Queue      int
+	// Version is that of its software, "" for v1.
+	Version string
+	Slots   int
+	Queue   int
 	// Born is when it started, in milliseconds since 1970.
 	Born int64
 	// Work is how long a request takes.
@@ -392,6 +396,9 @@
 		return false
 	case Foreign:
 		s.whole(c, "another-request")
+	case Fail:
+		s.head(c, run.ID, http.StatusInternalServerError, 0, true, "")
+		return true
 	}
 	s.whole(c, run.ID)
 	if fault == Extra {
--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -58,6 +58,7 @@
 type storedObject struct {
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
 }
 
 type storedEvent struct {
@@ -80,6 +81,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.serve)
 	mux.HandleFunc("POST /-/objects/{kind}", s.serveCreate)
+	mux.HandleFunc("PUT /-/objects/{kind}/{name}/status", s.serveStatus)
 	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", s.serveDelete)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
@@ -118,6 +120,32 @@
 	s.wake()
 }
 
+// putStatus replaces an object's status, and reports whether its last change was of the revision.
+func (s *Store) putStatus(kind, name string, revision uint64, status json.RawMessage) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	if o == nil || o.Metadata.Revision != revision {
+		return false
+	}
+	s.at++
+	changed := &storedObject{Metadata: metadata{Name: name, Revision: s.at}, Spec: o.Spec, Status: status}
+	s.objects[kind][name] = changed
+	s.events = append(s.events, storedEvent{kind: kind, object: *changed, at: s.at})
+	s.wake()
+	return true
+}
+
+// StatusOf returns an object's status, empty if it has none.
+func (s *Store) StatusOf(kind, name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.objects[kind][name]; o != nil {
+		return string(o.Status)
+	}
+	return ""
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
@@ -200,6 +228,22 @@
 	s.Delete(r.PathValue("kind"), r.PathValue("name"))
 }
 
+// serveStatus replaces an object's status if its revision is that of its last change.
+func (s *Store) serveStatus(w http.ResponseWriter, r *http.Request) {
+	s.countCall(r)
+	if s.refused(w, r) {
+		return
+	}
+	var o storedObject
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !s.putStatus(r.PathValue("kind"), r.PathValue("name"), o.Metadata.Revision, o.Status) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
 // Has reports whether there is an object.
 func (s *Store) Has(kind, name string) bool {
 	s.mu.Lock()
