--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -50,6 +50,21 @@
 	is.Equal(len(faults.Faults), 2)
 }
 
+// TestSwitchesAreRead. The story: a box whose settings said enforce_revocation did not start, on any deployment
+// whose keys must be revoked in time. The cause: the decoder knew no switches and took one for text, which ends
+// in a panic.
+func TestSwitchesAreRead(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("box.yaml", []byte(good+"bounds: {enforce_revocation: true}\n"))
+	is.NoErr(err)
+	is.True(s.Bounds.EnforceRevocation)
+	for _, odd := range []string{"yes", "1", "[true]", "~"} {
+		_, err = Parse("box.yaml", []byte(good+"bounds: {enforce_revocation: "+odd+"}\n"))
+		var faults *Error
+		is.True(errors.As(err, &faults))
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
 	f.Add([]byte("a: [b, {c: d}]"))
