Settings with switches are read

Cause: the decoder of settings had no case for them and took each for text. A switch is true or false, all else is a fault with its line. TestSwitchesAreRead.

--- a/pkg/settings/decoder.go
+++ b/pkg/settings/decoder.go
@@ -77,6 +77,8 @@
 		d.integer(key, n, v)
 	case v.Kind() == reflect.Float64:
 		d.float(key, n, v)
+	case v.Kind() == reflect.Bool:
+		d.toggle(key, n, v)
 	default:
 		d.text(key, n, v)
 	}
@@ -151,6 +153,14 @@
 	v.SetFloat(parsed)
 }
 
+func (d *decoder) toggle(key string, n *yaml.Node, v reflect.Value) {
+	if n.Kind != yaml.ScalarNode || n.Value != "true" && n.Value != "false" {
+		d.fault(key, fmt.Sprintf("%q", n.Value), "true or false")
+		return
+	}
+	v.SetBool(n.Value == "true")
+}
+
 func (d *decoder) text(key string, n *yaml.Node, v reflect.Value) {
 	if n.Kind != yaml.ScalarNode {
 		d.fault(key, "not a single value", "text")
