--- a/pkg/backend/finding.go
+++ b/pkg/backend/finding.go
@@ -18,7 +18,7 @@
 const tellWindow = 2 * time.Second
 
 // zoneFresh is within what time another server of the zone must have answered for
-// a server that cannot be reached to be told: less than the 600 ms that a
+// a server that cannot be reached to be told: less than a
 // connection in vain takes, so that the way there is known to have been open since.
 const zoneFresh = 500 * time.Millisecond
 
--- a/pkg/backend/keys.go
+++ b/pkg/backend/keys.go
@@ -8,7 +8,7 @@
 
 const (
 	// rememberedKeys is how many keys a box remembers of each server that it
-	// sends requests to: 2.9 KB each, 4.6 MB for 1,617 servers.
+	// sends requests to.
 	rememberedKeys = 256
 	// halveEvery is how often the counts of a server's requests are halved:
 	// within a few seconds a key is known to have become hot, or to have
--- a/pkg/customer/keyring.go
+++ b/pkg/customer/keyring.go
@@ -32,8 +32,8 @@
 }
 
 // Owner returns the customer whose key it is, or nil. With its digest that takes
-// 0.13 us among 79 keys and among 100,000, whether the key is known, has a known
-// one's beginning, or has nothing in common with any (BenchmarkOwner).
+// as long whether the key is known, has a known one's beginning, or has nothing in
+// common with any, so that time tells nothing of keys.
 func (k *Keyring) Owner(d Digest) *Customer { return k.owners[d] }
 
 // SharedKeyError says that two customers have one key.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -79,8 +79,8 @@
 	return Answer{}
 }
 
-// entry is what the choice needs of a box. Records are not copied: among 300
-// boxes that cost 250 KB a look-up where this costs 47 KB (BenchmarkResolve).
+// entry is what the choice needs of a box. Records are large, and
+// are not copied for each look-up.
 type entry struct {
 	zone     string
 	clients  string
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -196,8 +196,7 @@
 
 // reset closes the connection and drops what it still holds. A cut link may hold a
 // request for seconds, and a connection that is only closed delivers it when the cut has
-// healed: to a server that has left meanwhile, 3.0 to 5.0 s after its leaving was known
-// (TestExchangeThatIsGivenUpIsReset).
+// healed: to a server that has left meanwhile, long after its leaving was known.
 func (c *connection) reset() {
 	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// A connection that is closed already has nothing to drop.
--- a/pkg/gossip/beat.go
+++ b/pkg/gossip/beat.go
@@ -7,21 +7,18 @@
 
 const (
 	// zoneFanOut and farFanOut bound the boxes of the own zone and of others
-	// that one heartbeat goes to. Bytes between regions have a price: with 12
-	// others a box of 30 sent 2,112 bytes a second, with 4 it sends 1,070
-	// (TestHeartbeatStaysSmall), and as few are wrongly taken for silent.
+	// that one heartbeat goes to. Bytes between regions have a price.
 	zoneFanOut = 6
 	farFanOut  = 4
 	// seenNear and seenTogether bound the sightings of one heartbeat: of the
 	// own zone, and of all. With zoneFanOut a box of a zone of 125 hears of
-	// each other one 1.5 times an Interval.
+	// each other one more than once in an Interval.
 	seenNear     = 32
 	seenTogether = 48
 	// seenFar is the least that is kept for boxes of other zones. While a fleet starts
 	// the news of the own zone would take all; then nothing but a zone's own few
-	// heartbeats tells of it, 1.8% of boxes hear none for SuspectFarAfter, and each
-	// takes the whole zone for silent (3,230 boxes wrongly told silent in the first
-	// 8 s of 295 boxes).
+	// heartbeats tells of it, some boxes hear none for SuspectFarAfter, and each
+	// takes the whole zone for silent.
 	seenFar = 12
 	// newsTogether bounds the news of one heartbeat. What does not fit, as when a
 	// fleet starts, is told with the next ones.
@@ -132,8 +129,7 @@
 
 // farTargets returns the next boxes of other zones, in an order of chance in
 // which each comes once before any comes again. Drawn anew for each heartbeat,
-// small zones were not heard for SuspectFarAfter by chance alone: 21 boxes of 30
-// were wrongly taken for silent in 8.3 hours (TestFalseSuspicionsAreRare).
+// small zones would not be heard for SuspectFarAfter by chance alone.
 func (t *Table) farTargets(far []string) []string {
 	live := map[string]bool{}
 	for _, address := range far {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -36,9 +36,8 @@
 	SuspectAfter    = 5 * Interval
 	SuspectFarAfter = 8 * Interval
 	// probeAfter is how long a box may be silent before those of its zone ask
-	// it for an answer: it is asked three times before it is suspected. With
-	// two, boxes of a zone of 125 took 2.8 others an hour wrongly for silent
-	// where one datagram in 40 is lost (TestFalseSuspicionsAreRare).
+	// it for an answer: it is asked three times before it is suspected, since
+	// datagrams are lost.
 	probeAfter = 2 * Interval
 	// ForgetAfter is how long a silent box counts among those that may still
 	// be sending requests.
--- a/pkg/gossip/record.go
+++ b/pkg/gossip/record.go
@@ -103,7 +103,7 @@
 )
 
 // Sighting is what was heard of a box, for those that know its record: 9 bytes
-// where a record takes 142 (TestHeartbeatsAreSmall).
+// in place of a whole record.
 type Sighting struct {
 	// ID is a hash of the box's name and the start of its life. Two of 3,000
 	// boxes share one with a chance of 1 in 1,000; the one that is heard then
--- a/pkg/ingress/ingress_crash.go
+++ b/pkg/ingress/ingress_crash.go
@@ -10,8 +10,7 @@
 )
 
 // fingerprint names the request, whatever attempt at it this is. It is worked out only
-// where it is asked for: that of a request with a body of 1 MiB takes 0.8 ms
-// (BenchmarkFingerprint).
+// where it is asked for, since it takes in the whole body.
 func (c *call) fingerprint() quarantine.Fingerprint {
 	if c.print != nil {
 		return *c.print
--- a/pkg/objects/calls.go
+++ b/pkg/objects/calls.go
@@ -101,8 +101,8 @@
 	return nil
 }
 
-// page reads one page. Each has the time of an answer: a list of 1,617 servers
-// has 33, which take 2.5 s from a region 35 ms away from the store.
+// page reads one page. Each has the time of an answer: a long list
+// has many, which together take seconds from a region that is far from the store.
 func (f *Follower) page(ctx context.Context, after string, stale bool) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -231,8 +231,8 @@
 
 // add puts names into a list that is in order and bounded, and reports whether it has changed.
 // The first names in order stay, whichever came first: boxes that know of more crashes than a
-// list names come to name the same ones. When the latest stayed, boxes whose datagrams crossed
-// told each other of them without end, and prolonged their holds (TestManyCrashesAreToldOnce).
+// list names come to name the same ones. If the latest stayed, boxes whose datagrams cross
+// would tell each other of them without end, and prolong their holds.
 func add(list, names []string) (joined []string, changed bool) {
 	joined = slices.Concat(list, names)
 	slices.Sort(joined)
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -8,8 +8,7 @@
 const (
 	// stockTime is for how long ahead a box wants tokens of a customer: two reports.
 	// One that asks less than leastStock times in that is granted its tokens one by one,
-	// as its requests come. With 0.6 a box asked for nearly half of the requests of 79
-	// customers, and 1.4 ms passed a request; with 0.05 it does for a tenth.
+	// as its requests come. A larger leastStock has more requests wait for their tokens.
 	stockTime  = 200 * time.Millisecond
 	leastStock = 0.05
 	// lapseAfter is after what time without a request a box gives unused tokens back.
@@ -140,9 +139,7 @@
 }
 
 // due reports whether a report is to tell of the account now: if it needs tokens, or
-// has changed a while ago. With a word of each request 72 boxes that serve 2,000
-// requests a second sent 4,270 bytes a box and second, so they send 3,498
-// (TestCustomersBelowTheirLimitsAreServed).
+// has changed a while ago. A word of each request would be most of what is sent.
 func (a *account) due(now time.Time) bool {
 	switch {
 	case a.waiting > 0 || !a.denied && 2*a.held() < a.want(now):
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -13,8 +13,7 @@
 	ReportEvery = 100 * time.Millisecond
 	idleReports = 2
 	// tidyReports is how many ticks pass between two in which everything is looked at,
-	// also what nothing has happened to. With each tick that took 197 ms for 100,000
-	// customers (BenchmarkArrive).
+	// also what nothing has happened to. That takes too long for each tick where there are many customers.
 	tidyReports = 10
 )
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -92,8 +92,7 @@
 	saved float64
 	held  float64
 	// holders are the zones that have a part, and of each of them its rate and what its
-	// allocators may save. A zone without a part borrows of them; when what others may have to
-	// spare was taken from its own part, it never did (TestZonesWithoutAPartBorrow).
+	// allocators may save. A zone without a part borrows of them.
 	holders     []string
 	holderRate  float64
 	holderSaved float64
--- a/pkg/replica/contact.go
+++ b/pkg/replica/contact.go
@@ -51,8 +51,7 @@
 // told returns what heartbeats tell of the copy: how long ago it was the newest, in
 // milliseconds and one more; 0 if this box does not ask the store. What it has only heard
 // is not told on: each word counts from when it is heard, so two boxes that told each other
-// took a copy to be newer the more they talked, by the time of their datagrams each time
-// (TestBoxesInTouchKnowWhatTheStoreTook, seed 31).
+// would take a copy to be newer the more they talk, by the time of their datagrams each time.
 func (c *confirmation) told(watching bool) uint32 {
 	own := c.own.Load()
 	if own == 0 || !watching {
@@ -122,10 +121,9 @@
 }
 
 // noteFailure notes that a call was not answered, given when it was made: that is when
-// the store was silent. One that a watch met is known only 3.6 s later; counted from then
-// on, the list of servers would not be trusted until 3.6 s after the time of contact, and
-// servers that left meanwhile without a word would be kept
-// (TestVanishedServerIsLeftAtOnceWhenTheStoreIsWell).
+// the store was silent. One that a watch met is known seconds later; counted from then
+// on, the list of servers would not be trusted until seconds after the time of contact, and
+// servers that left meanwhile without a word would be kept.
 func (c *contact) noteFailure(made time.Time) {
 	raise(&c.failed, int64(made.Sub(c.started)))
 }
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -14,10 +14,9 @@
 const (
 	// watchShare is which part of the time of contact a watch waits. A store that falls
 	// silent never answers what it is asked meanwhile, and goes on answering what it was
-	// asked before; so each watch notices by itself, and asks anew, within that time. When
-	// the watches of servers and evacuations waited for 25 s and relied on that of the
-	// configuration, a silence of 1 s left them deaf for 26 s at all boxes
-	// (TestSilentStoreLeavesNoWatchDeaf).
+	// asked before; so each watch notices by itself, and asks anew, within that time. Watches
+	// that waited for long and relied on that of another kind would be deaf for as long after
+	// a short silence.
 	watchShare = 0.6
 	// drainWatchShare is which part of the time in which a server drains the watches of
 	// the servers and of the configuration wait, whose changes must be known within that
--- a/pkg/replica/poll.go
+++ b/pkg/replica/poll.go
@@ -58,7 +58,7 @@
 // pollIfUntold polls the store where no other box has told of the list
 // of servers, or of the configuration, for long: those that ask in this one's place may
 // have been turned away, frozen or cut off, which their zone finds out later than a leaving
-// server must be known (TestBoxAsksItselfWhereAllThatAskAreTurnedAway).
+// server must be known.
 func (r *Replica) pollIfUntold() {
 	ago := max(r.contact.list.ago(), r.contact.configuration.ago())
 	longest := time.Duration(pollShare * float64(r.Drain))
--- a/pkg/replica/revisions.go
+++ b/pkg/replica/revisions.go
@@ -14,8 +14,7 @@
 
 const (
 	// longWatch is how long a watch waits whose answers are not needed, since those of the
-	// servers tell whether anything else has changed. Explained changes save half of all
-	// calls on a calm day of 295 boxes: 1,088 without, 508 with them.
+	// servers tell whether anything else has changed. This saves half of all calls while nothing changes.
 	longWatch = 25 * time.Second
 	// answerSlack is how much longer than it waits a watch may take to be answered before
 	// it is asked for anew: the way between the farthest regions and back, and some.
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -197,7 +197,7 @@
 	preferredTTL = 3 * time.Second
 	// newsTime is how long it may take until a change in the store is known to a box:
 	// it is gathered with others for 0.6 s, told to the zone within 0.1 s, and taken
-	// over; 0.07 to 0.65 s were seen on a busy day.
+	// over.
 	newsTime = time.Second
 	// entryReturn is within what the entry of a server that lives is back in
 	// the store, once that answers again.
--- a/pkg/steering/steering_findings.go
+++ b/pkg/steering/steering_findings.go
@@ -15,7 +15,7 @@
 
 const (
 	// findingsEvery is how soon others are told of a server that is gone: a
-	// fraction of the 600 ms that finding it out takes each of them.
+	// fraction of the time that finding it out takes each of them.
 	findingsEvery = 100 * time.Millisecond
 	// servingFor is for how long after a request a box counts as one that
 	// serves clients: a few times as long as clients keep what they looked up.
--- a/pkg/steering/steering_mirrors.go
+++ b/pkg/steering/steering_mirrors.go
@@ -100,8 +100,8 @@
 }
 
 // of returns the mirror as it is sent. Entries are much alike: packed, a tenth of
-// the bytes is left. Packing 1,617 servers takes 6.1 ms (BenchmarkWholeMirror),
-// and the boxes of a zone of 33 that start together ask 32 times.
+// the bytes is left. A version is packed once, since the boxes of a zone that start
+// together all ask for it.
 func (p *packedMirrors) of(m *objects.Mirror) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -62,8 +62,7 @@
 const (
 	// meetEvery is how often a box that has just started asks the seeds for others, and
 	// meetTime for how long: seeds that start at the same time as it do not hear its
-	// first heartbeat. At the pace of later heartbeats a zone whose boxes all lost
-	// power knew itself after 150 to 300 ms, and until then held no part of limits.
+	// first heartbeat. Until a zone whose boxes all lost power knows itself, it holds no part of limits.
 	meetEvery = 20 * time.Millisecond
 	meetTime  = 400 * time.Millisecond
 )
--- a/pkg/steering/steering_status.go
+++ b/pkg/steering/steering_status.go
@@ -30,8 +30,8 @@
 	configurationEvery = 30 * time.Second
 	// statusesEvery is how often a box looks whether anything that servers say is to be told again.
 	statusesEvery = 100 * time.Millisecond
-	// spreadRecords bounds the servers of which a box tells some others each spreadEvery: 2.7 KB a
-	// second of the 11 KB that control may take. One that starts hears of 48 a second.
+	// spreadRecords bounds the servers of which a box tells some others each spreadEvery: what
+	// that sends must stay a small part of what control may take.
 	spreadRecords = 8
 	// endSpreads is for how long boxes are told that a limit has ended.
 	endSpreads = time.Minute
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -17,7 +17,7 @@
 const (
 	// MeetTime is how long a box that starts leaves the role to others: in that
 	// time it hears of its zone through the seeds, over two ways between regions
-	// and back. Without it 295 boxes that start together made 526 watches.
+	// and back.
 	MeetTime = 300 * time.Millisecond
 	// fewTrying is how many boxes of a zone try while the store answers none:
 	// it may turn away single ones. It may also be down for all, and then every
@@ -28,8 +28,7 @@
 	patienceSpread = 4
 	// standBack is how much later a box takes the role up for each idle one that
 	// comes before it: time enough to hear that the first of them has. Without
-	// it more than four of twelve boxes made calls to a store that was down
-	// (TestFewBoxesTryWhileTheStoreIsDown).
+	// it many boxes would make calls to a store that is down.
 	standBack = 200 * time.Millisecond
 	// longestStandBack bounds that.
 	longestStandBack = time.Second
