What a heartbeat costs its sender follows its zone, and no longer the fleet

What callers saw: nothing by itself; processor time is priced, and nine boxes in ten of a large fleet do nothing but send and hear heartbeats.

Cause: each heartbeat listed all boxes of the fleet by address, in two maps, to send to four of them; went over all for what was heard and for news; and ten times a second a box went over all to learn whether it is alone and whether the store answers anybody. BenchmarkBeat and its profile: a third of the time in maps of addresses, a third in live(), which looked a zone up by name for each box. Ruled out: what comes in (BenchmarkReceive does not grow).

Change: entries know their zone, zones their members; what was heard, and what is news, is kept in lists of its own; the far boxes' turn holds entries and is made anew when it is through.

--- a/pkg/gossip/beat.go
+++ b/pkg/gossip/beat.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 )
 
 const (
@@ -43,11 +44,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.beats++
-	a := t.addresses()
-	to := t.farTargets(a.far)
+	to := t.farTargets()
 	if t.beats%deadEvery == 1 {
-		to = append(to, pick(a.silent, farFanOut, t.Random)...)
+		to = append(to, pick(t.silentAddresses(), farFanOut, t.Random)...)
 	}
+	live, quiet := t.neighbourhood()
 	near, others, news := t.risen()
 	zone := t.fromNow()
 	far, probe := zone, zone
@@ -58,9 +59,9 @@
 	}
 	probe.Probe = true
 	return []Envelope{
-		{Message: zone, To: t.zoneTargets(a.zone)},
+		{Message: zone, To: t.zoneTargets(live)},
 		{Message: far, To: to},
-		{Message: probe, To: a.quiet},
+		{Message: probe, To: quiet},
 	}
 }
 
@@ -69,45 +70,53 @@
 func (t *Table) Announce() Envelope {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Envelope{Message: t.fromNow(), To: peers(t.addresses().zone)}
+	live, _ := t.neighbourhood()
+	return Envelope{Message: t.fromNow(), To: peers(live)}
 }
 
-// addresses are where boxes are: live ones of the own zone, in the order of
-// names, and of others, those of the zone that have been silent for a while,
-// and silent ones and seeds that are not known.
-type addresses struct {
-	zone               []*entry
-	far, quiet, silent []string
+// neighbourhood returns the live boxes of the own zone in the order of names, and where those of them
+// are that have been silent for a while.
+func (t *Table) neighbourhood() (live []*entry, quiet []string) {
+	now := t.Now()
+	for _, e := range t.own.members {
+		if !t.live(e, now) {
+			continue
+		}
+		live = append(live, e)
+		if now.Sub(e.heard) > probeAfter {
+			quiet = append(quiet, e.Peers)
+		}
+	}
+	return live, quiet
 }
 
-func (t *Table) addresses() addresses {
-	var a addresses
-	known := map[string]bool{t.self.Peers: true}
+// silentAddresses returns where boxes are that are silent and not forgotten, and seeds that are not
+// known.
+func (t *Table) silentAddresses() []string {
 	now := t.Now()
+	unknown := map[string]bool{}
+	for _, seed := range t.Seeds() {
+		unknown[seed] = seed != t.self.Peers
+	}
+	var list []string
 	for _, e := range t.sorted {
 		if now.Sub(e.heard) > ForgetAfter {
 			continue
 		}
-		known[e.Peers] = true
-		switch {
-		case !t.live(e, now):
-			a.silent = append(a.silent, e.Peers)
-		case e.Zone != t.self.Zone:
-			a.far = append(a.far, e.Peers)
-		default:
-			a.zone = append(a.zone, e)
-			if now.Sub(e.heard) > probeAfter {
-				a.quiet = append(a.quiet, e.Peers)
-			}
+		if len(unknown) > 0 {
+			delete(unknown, e.Peers)
+		}
+		if !t.live(e, now) {
+			list = append(list, e.Peers)
 		}
 	}
 	for _, seed := range t.Seeds() {
-		if !known[seed] {
-			known[seed] = true
-			a.silent = append(a.silent, seed)
+		if unknown[seed] {
+			unknown[seed] = false
+			list = append(list, seed)
 		}
 	}
-	return a
+	return list
 }
 
 // zoneTargets returns the next boxes of the zone in turn, from this one's own
@@ -130,26 +139,38 @@
 // farTargets returns the next boxes of other zones, in an order of chance in
 // which each comes once before any comes again. Drawn anew for each heartbeat,
 // small zones would not be heard for SuspectFarAfter by chance alone.
-func (t *Table) farTargets(far []string) []string {
-	live := map[string]bool{}
-	for _, address := range far {
-		live[address] = true
-	}
+func (t *Table) farTargets() []string {
+	now := t.Now()
 	var to []string
-	for len(to) < min(len(far), farFanOut) {
+	for isNew := false; len(to) < farFanOut; {
 		if len(t.queue) == 0 {
-			t.queue = slices.Clone(far)
+			if isNew {
+				return to // there are no more
+			}
+			t.queue, isNew = t.farBoxes(now), true
 			shuffle(t.queue, t.Random)
+			continue
 		}
 		next := t.queue[0]
 		t.queue = t.queue[1:]
-		if live[next] && !slices.Contains(to, next) {
-			to = append(to, next)
+		if t.live(next, now) && !slices.Contains(to, next.Peers) {
+			to = append(to, next.Peers)
 		}
 	}
 	return to
 }
 
+// farBoxes returns the live boxes of other zones.
+func (t *Table) farBoxes(now time.Time) []*entry {
+	var far []*entry
+	for _, e := range t.sorted {
+		if e.zone != t.own && t.live(e, now) {
+			far = append(far, e)
+		}
+	}
+	return far
+}
+
 func peers(list []*entry) []string {
 	var out []string
 	for _, e := range list {
@@ -161,16 +182,17 @@
 // risen returns the boxes of the own zone and of others that were heard since
 // the last heartbeat, in an order of chance, and the news.
 func (t *Table) risen() (near, others []*entry, news Sightings) {
-	for _, e := range t.sorted {
+	for _, e := range t.rising {
 		switch {
-		case !e.risen || e.silent:
-		case e.Zone == t.self.Zone:
+		case e.silent:
+		case e.zone == t.own:
 			near = append(near, e)
 		default:
 			others = append(others, e)
 		}
 		e.risen = false
 	}
+	t.rising = t.rising[:0]
 	shuffle(near, t.Random)
 	shuffle(others, t.Random)
 	news = t.news()
@@ -181,15 +203,21 @@
 // then of boxes that came or came back.
 func (t *Table) news() Sightings {
 	var silent, live []*entry
-	for _, e := range t.sorted {
+	still := t.telling[:0]
+	for _, e := range t.telling {
 		switch {
 		case e.tell == 0:
+			e.isTelling = false
+			continue
 		case e.silent:
 			silent = append(silent, e)
 		default:
 			live = append(live, e)
 		}
+		still = append(still, e)
 	}
+	clear(t.telling[len(still):])
+	t.telling = still
 	shuffle(silent, t.Random)
 	shuffle(live, t.Random)
 	list := append(silent, live...)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -80,9 +80,10 @@
 	// sorted are the members by name.
 	sorted []*entry
 	// ids are the members by the IDs of their sightings.
-	ids map[uint32]*entry
-	// zones is when anything was last heard of each zone.
-	zones map[string]time.Time
+	ids   map[uint32]*entry
+	zones map[string]*zone
+	// own is this box's zone.
+	own *zone
 	// asked is when the record of an ID was last asked for.
 	asked map[uint32]time.Time
 	// servingSince is since when clients send this box requests.
@@ -93,13 +94,35 @@
 	// turn is how far the heartbeats to the own zone have come round it.
 	turn int
 	// queue are the boxes of other zones whose turn is still to come.
-	queue []string
+	queue []*entry
+	// rising are those that were heard since the last heartbeat, and telling those of which there
+	// is still something to tell. A heartbeat must not look at all boxes of the fleet for these.
+	rising, telling []*entry
+}
+
+// zone is what is known of an availability zone.
+type zone struct {
+	// heard is when anything was last heard of it.
+	heard time.Time
+	// members are its boxes by name.
+	members []*entry
+}
+
+// zoneOf returns what is known of a zone.
+func (t *Table) zoneOf(name string) *zone {
+	z := t.zones[name]
+	if z == nil {
+		z = &zone{}
+		t.zones[name] = z
+	}
+	return z
 }
 
 // entry is a member with what is needed to judge and to pass on.
 type entry struct {
 	Record
 	ID    uint32
+	zone  *zone
 	heard time.Time
 	// served is when it was last heard that clients send it requests.
 	served time.Time
@@ -107,8 +130,19 @@
 	silent bool
 	// risen: its beat has risen since this box's last heartbeat.
 	risen bool
-	// tell is for how many heartbeats it is still news.
+	// tell is for how many heartbeats it is still news; see setTell.
 	tell int
+	// isTelling: it stands in the table's list of those that are.
+	isTelling bool
+}
+
+// setTell makes a box news for so many heartbeats.
+func (t *Table) setTell(e *entry, beats int) {
+	e.tell = beats
+	if beats > 0 && !e.isTelling {
+		e.isTelling = true
+		t.telling = append(t.telling, e)
+	}
 }
 
 // told is the box as it is told to others.
@@ -123,11 +157,13 @@
 
 // NewTable makes a table that knows only this box.
 func NewTable(self Record, now func() time.Time, random func(n int) int) *Table {
-	return &Table{
+	t := &Table{
 		Seeds: func() []string { return nil }, Now: now, Random: random, Changed: func(Record, string) {},
 		self: self, members: map[string]*entry{}, ids: map[uint32]*entry{},
-		zones: map[string]time.Time{}, asked: map[uint32]time.Time{},
+		zones: map[string]*zone{}, asked: map[uint32]time.Time{},
 	}
+	t.own = t.zoneOf(self.Zone)
+	return t
 }
 
 // Update changes this box's own record.
@@ -178,6 +214,23 @@
 	}
 }
 
+// Alone reports whether no other box was ever heard of.
+func (t *Table) Alone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members) == 0
+}
+
+// AnyHealthy reports whether the store answers any other live box without fail. Boxes of the own zone are
+// looked at first: one of them is, on most days.
+func (t *Table) AnyHealthy() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	isHealthy := func(e *entry) bool { return e.StoreHealthy && t.live(e, now) }
+	return slices.ContainsFunc(t.own.members, isHealthy) || slices.ContainsFunc(t.sorted, isHealthy)
+}
+
 // Count returns how many boxes may be sending requests, this one included.
 func (t *Table) Count() int {
 	count := 1
@@ -191,7 +244,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	for _, e := range t.members {
+	for _, e := range t.sorted {
 		if now.Sub(e.heard) <= ForgetAfter {
 			f(&e.Record)
 		}
@@ -216,8 +269,8 @@
 	defer t.mu.Unlock()
 	var z Zone
 	now := t.Now()
-	for _, e := range t.sorted {
-		if e.Zone != t.self.Zone || e.Leaving || now.Sub(e.heard) > within {
+	for _, e := range t.own.members {
+		if e.Leaving || now.Sub(e.heard) > within {
 			continue
 		}
 		before := e.precedes(&t.self)
@@ -241,10 +294,10 @@
 	if e.silent || now.Sub(e.heard) > ForgetAfter {
 		return false
 	}
-	if e.Zone == t.self.Zone {
+	if e.zone == t.own {
 		return now.Sub(e.heard) <= SuspectAfter
 	}
-	return now.Sub(t.zones[e.Zone]) <= SuspectFarAfter
+	return now.Sub(e.zone.heard) <= SuspectFarAfter
 }
 
 // Expire notes which boxes have fallen silent. Call it with each heartbeat.
@@ -260,7 +313,7 @@
 		}
 		t.silence(e)
 		if hears && e.Zone == t.self.Zone {
-			e.tell = tellSilent
+			t.setTell(e, tellSilent)
 		}
 	}
 	for id, at := range t.asked {
@@ -279,6 +332,24 @@
 // add puts a box that was not known into the table.
 func (t *Table) add(e *entry) {
 	t.members[e.Box], t.ids[e.ID] = e, e
-	at := sort.Search(len(t.sorted), func(i int) bool { return t.sorted[i].Box >= e.Box })
-	t.sorted = slices.Insert(t.sorted, at, e)
+	t.sorted = insertByName(t.sorted, e)
+	t.settle(e)
+}
+
+// settle puts a box among those of its zone.
+func (t *Table) settle(e *entry) {
+	z := t.zoneOf(e.Zone)
+	if e.zone == z {
+		return
+	}
+	if e.zone != nil {
+		e.zone.members = slices.DeleteFunc(e.zone.members, func(other *entry) bool { return other == e })
+	}
+	e.zone = z
+	z.members = insertByName(z.members, e)
+}
+
+func insertByName(list []*entry, e *entry) []*entry {
+	at := sort.Search(len(list), func(i int) bool { return list[i].Box >= e.Box })
+	return slices.Insert(list, at, e)
 }
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -365,9 +365,9 @@
 	for range 40 {
 		f.beat(1)
 		for _, b := range f.boxes {
-			for zone, heard := range b.zones {
+			for zone, known := range b.zones {
 				if zone != b.self.Zone {
-					is.True(f.now.Sub(heard) <= SuspectFarAfter/2)
+					is.True(f.now.Sub(known.heard) <= SuspectFarAfter/2)
 				}
 			}
 		}
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -97,6 +97,7 @@
 	restarted := r.Started != old.Started
 	versions := old.Versions
 	old.Record = *r
+	t.settle(old)
 	if !direct && !restarted {
 		old.Versions = versions
 	}
@@ -169,17 +170,20 @@
 	// What others heard of it before that is no sign of life.
 	e.Beat = max(e.Beat, uint64(s.Beat))
 	t.silence(e)
-	e.tell = passSilent
+	t.setTell(e, passSilent)
 }
 
 // heard notes that a higher beat of a box has come.
 func (t *Table) heard(e *entry) {
 	e.heard = t.Now()
-	e.risen = true
+	if !e.risen {
+		e.risen = true
+		t.rising = append(t.rising, e)
+	}
 	if e.Serving {
 		e.served = e.heard
 	}
-	t.zones[e.Zone] = e.heard
+	e.zone.heard = e.heard
 }
 
 // back takes a box for live again.
@@ -192,10 +196,11 @@
 // tellLive makes it news that a box of this zone is there. Of others their own
 // zones tell, and a silence that was told ends.
 func (t *Table) tellLive(e *entry) {
-	e.tell = 0
-	if e.Zone == t.self.Zone {
-		e.tell = tellLive
+	beats := 0
+	if e.zone == t.own {
+		beats = tellLive
 	}
+	t.setTell(e, beats)
 }
 
 // mayAsk reports whether the record of an unknown box is to be asked for now.
--- a/pkg/gossip/standing.go
+++ b/pkg/gossip/standing.go
@@ -54,10 +54,9 @@
 
 // neighbours are the other boxes of the zone, but for those forgotten.
 func (t *Table) neighbours() []*entry {
-	heard := t.zones[t.self.Zone]
 	var list []*entry
-	for _, e := range t.sorted {
-		if e.Zone == t.self.Zone && heard.Sub(e.heard) <= ForgetAfter {
+	for _, e := range t.own.members {
+		if t.own.heard.Sub(e.heard) <= ForgetAfter {
 			list = append(list, e)
 		}
 	}
@@ -88,7 +87,7 @@
 		if t.self.precedes(&e.Record) {
 			place++
 		}
-		if place < sharing || t.zones[t.self.Zone].Sub(e.served) <= ForgetAfter {
+		if place < sharing || t.own.heard.Sub(e.served) <= ForgetAfter {
 			total += weightOf(&e.Record)
 		}
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -197,11 +197,7 @@
 }
 
 // anyHealthy reports whether the store has answered any other live box without fail.
-func (r *Replica) anyHealthy() bool {
-	healthy := false
-	r.Members.EachLive(func(m *gossip.Record) { healthy = healthy || m.StoreHealthy })
-	return healthy
-}
+func (r *Replica) anyHealthy() bool { return r.Members.AnyHealthy() }
 
 // synced reports whether this box has copies of all that the store holds.
 func (r *Replica) synced() bool {
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -52,7 +52,7 @@
 // this box has become ready, that clients send it requests, or that it asks the store
 // from now on.
 func (n *Node) announce() {
-	if n.Members.Count() == 1 {
+	if n.Members.Alone() {
 		// The seeds may have started after this box.
 		n.sendBeat()
 	}
--- a/pkg/steering/steering_run.go
+++ b/pkg/steering/steering_run.go
@@ -71,7 +71,7 @@
 func (n *Node) meet() {
 	for n.age() < meetTime && n.context.Err() == nil {
 		sleep(n.context, meetEvery)
-		if n.Members.Count() == 1 {
+		if n.Members.Alone() {
 			n.sendBeat()
 		}
 		n.tickQuota()
