Connections to servers that are gone are found among the connections

The same profile: a fifth of an idle box's processor time listed and sorted all servers each 5 s, to close the connections of a box that has none. Now each of a box's own pools is looked up.

--- a/pkg/backend/life.go
+++ b/pkg/backend/life.go
@@ -27,6 +27,14 @@
 	return s.ofLife(life) != nil
 }
 
+// ListsAt reports whether the life of a server is listed at an address now.
+func (s *Set) ListsAt(life, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.ofLife(life)
+	return v != nil && v.missing.IsZero() && v.Address == address
+}
+
 // Leave takes a life of a server to leave, whatever the list says of it: it gets nothing new, and
 // what waits to be sent to it goes elsewhere. The platform's store may be silent, and its list
 // say that the server is ready, for as long as that lasts.
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -135,7 +135,7 @@
 	inFlight atomic.Int64
 
 	mu    sync.Mutex
-	pools map[string]*exchange.Pool
+	pools map[poolKey]*exchange.Pool
 	idle  *exchange.IdleLimit
 
 	ports      *ports
@@ -158,7 +158,7 @@
 		handler:  handler,
 		log:      logging.For(logger, "box"),
 		started:  started,
-		pools:    map[string]*exchange.Pool{},
+		pools:    map[poolKey]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(c.Now),
 		Ledger:   standing.NewLedger(c.Now),
 		Rollouts: rollout.NewTable(s.Box, c.Now),
--- a/pkg/steering/steering_dial.go
+++ b/pkg/steering/steering_dial.go
@@ -82,10 +82,16 @@
 	return n.dialPeer(ctx, address)
 }
 
+// poolKey tells the connections to servers apart.
+type poolKey struct {
+	life    string
+	address string
+}
+
 // pool returns the connections to a backend server. Each life of a server has
 // its own, so that no connection to an earlier one at the address is used.
 func (n *Node) pool(v *backend.Server) *exchange.Pool {
-	key := v.Life() + " " + v.Address
+	key := poolKey{v.Life(), v.Address}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.pools[key]
@@ -100,14 +106,10 @@
 
 // dropPools closes the connections to servers that are gone.
 func (n *Node) dropPools() {
-	keep := map[string]bool{}
-	for _, v := range n.Set.List() {
-		keep[v.Life()+" "+v.Address] = true
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for key, p := range n.pools {
-		if !keep[key] {
+		if !n.Set.ListsAt(key.life, key.address) {
 			p.Close()
 			delete(n.pools, key)
 		}
