--- a/pkg/replica/pulls.go
+++ b/pkg/replica/pulls.go
@@ -122,12 +122,9 @@
 // that is newer.
 func (r *Replica) newest(kind string, m *objects.Mirror) (source string, near bool) {
 	var best uint64
-	// Most boxes have the same one, which need not be looked at for each.
-	var last objects.Version
 	r.Members.EachLive(func(one *gossip.Record) {
 		v, ok := one.Versions[kind]
-		if !ok || v == last || !m.Lacks(v) {
-			last = v
+		if !ok || !m.Lacks(v) {
 			return
 		}
 		isNear := one.Zone == r.Zone
