Cold servers are warmed by the boxes that clients are told of, first by those of their zone

What callers saw: in a large fleet servers that start, or come back, get nothing for as long as they are cold: the keys whose home they are go elsewhere and become known there, and all of them return at once.

Cause: the boxes that may send to a cold server were drawn among all of its region. The directory tells clients of the ten largest of a zone of 110; so by chance half a box of those that may send ever had a request.

Change: the order goes by rank: boxes of the server's zone that clients are told of, those of its region, others that clients are told of, all others. Each box works that out from the capacities and readiness that heartbeats tell. Weighed: who serves, as told in heartbeats: a far zone hears of a box each 5 to 14 s at this size, so boxes would disagree for as long; the largest of each zone is known from the first record on. What holds where boxes disagree: the zone's boxes may take others for those that are named, two groups then send, for which coldShare leaves room (TestColdServerIsSparedWhereBoxesDisagree).

--- a/pkg/backend/cold.go
+++ b/pkg/backend/cold.go
@@ -52,29 +52,57 @@
 	return 0
 }
 
-// Peer is another box, as far as the order is concerned in which boxes send to a cold server.
+// Peer is a box, as far as the order is concerned in which boxes send to a cold server.
 type Peer struct {
+	Zone   string
 	Region string
 	// Hash is that of the box's name, see Hash.
 	Hash uint64
+	// Named: clients of its zone are told of it, others only where there are none of these.
+	Named bool
+}
+
+// The ranks of boxes in the order in which they send to a cold server.
+const (
+	rankZone = iota
+	rankRegion
+	rankNamed
+	rankOther
+)
+
+// coldRank is a box's rank for a server. Boxes that clients are told of come first, since others hardly ever have a
+// request for it; of these the boxes of its own zone, which know best of each other which those are, and then
+// those of its region, which have most of its keys.
+func (p *Peer) coldRank(v *server) int {
+	switch {
+	case !p.Named:
+		return rankOther
+	case p.Zone == v.Zone:
+		return rankZone
+	case p.Region == v.region:
+		return rankRegion
+	}
+	return rankNamed
 }
 
 // coldPlaceOf returns this box's place, from 0, in the order in which boxes send to a cold server where
-// there are more of them than it bears requests: those of its region first, which have most of
-// its keys, and else by a hash, so that each server has others. It runs for each cold server, of which
-// there may be a thousand, and each box, so names are hashed beforehand.
+// there are more of them than it bears requests: by their rank, and else by a hash, so that each
+// server has others. It runs for each cold server, of which there may be a thousand, and each box, so
+// names are hashed beforehand.
 //
-// A box that does not know all the others yet, of so many boxes, has the last place.
+// Where boxes of a zone know of unlike ones that clients are told of, as when all of these have ended, two groups
+// send: that is what coldShare leaves room for. A box that does not know all the others yet, of so
+// many boxes, has the last place.
 func (s *Set) coldPlaceOf(v *server, boxes int) int {
-	peers := s.Peers()
+	self, peers := s.Peers()
 	if len(peers)+1 < boxes {
 		return boxes
 	}
-	near, own := s.Region == v.region, mix(v.hash^s.Self)
+	rank, own := self.coldRank(v), mix(v.hash^self.Hash)
 	place := 0
-	for _, p := range peers {
-		peerNear := p.Region == v.region
-		if peerNear && !near || peerNear == near && mix(v.hash^p.Hash) < own {
+	for i := range peers {
+		p := &peers[i]
+		if other := p.coldRank(v); other < rank || other == rank && mix(v.hash^p.Hash) < own {
 			place++
 		}
 	}
--- a/pkg/backend/cold_test.go
+++ b/pkg/backend/cold_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // playCold has a fleet of boxes, two zones of each of three regions, send all that they may to one cold server
@@ -21,16 +22,15 @@
 	for i := range boxes {
 		zone := zones[i%len(zones)]
 		names = append(names, fmt.Sprintf("%s.%d", zone, i))
-		peers = append(peers, Peer{Region: regionOf(zone), Hash: Hash(names[i])})
+		peers = append(peers, Peer{Zone: zone, Region: regionOf(zone), Hash: Hash(names[i]), Named: i/len(zones)%oneIn == 0})
 	}
 	var sets []*Set
 	for i := range boxes {
 		zone := zones[i%len(zones)]
 		s := NewSet(Terms{ColdOverage: 1.5, ColdSlack: 5, MaxShift: 0.15, ShiftWindow: 2 * time.Second}, zone, regionOf, func() int { return boxes }, c.now)
 		s.SetServices(map[string]ServiceTerms{"shop": {ColdStart: 3 * time.Second, ColdPerSecond: 11}})
-		s.Self = Hash(names[i])
 		others := slices.Delete(slices.Clone(peers), i, i+1)
-		s.Peers = func() []Peer { return others }
+		s.Peers = func() (Peer, []Peer) { return peers[i], others }
 		list := servers("west-a", 1, 4)
 		list[0].Cold = time.Minute
 		s.Replace(list, true)
@@ -129,8 +129,53 @@
 	for i := range peers {
 		peers[i] = Peer{Region: []string{"east", "west", "north"}[i%3], Hash: Hash(fmt.Sprint(i))}
 	}
-	s.Peers = func() []Peer { return peers }
+	s.Peers = func() (Peer, []Peer) { return peers[0], peers[1:] }
 	for b.Loop() {
 		s.coldPlaceOf(s.servers["east-a-0"], 300)
 	}
 }
+
+// TestColdServerIsSparedWhereBoxesDisagree: while the boxes that clients are told of vanish and come back, each box
+// believes of each zone either that these live or that others have taken their place, whatever the others believe.
+// A cold server is sent no more than it bears.
+func TestColdServerIsSparedWhereBoxesDisagree(t *testing.T) {
+	zones := []string{"east-a", "east-b", "west-a", "west-b"}
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		large, small := rapid.IntRange(1, 12).Draw(t, "large"), rapid.IntRange(1, 40).Draw(t, "small")
+		perSecond := rapid.Float64Range(1, 20).Draw(t, "per second")
+		var peers []Peer
+		for _, zone := range zones {
+			for i := range large + small {
+				peers = append(peers, Peer{Zone: zone, Region: regionOf(zone), Hash: Hash(zone, fmt.Sprint(i)), Named: i < large})
+			}
+		}
+		terms := Terms{ColdOverage: 1.5, ColdSlack: 8, MaxShift: 0.15, ShiftWindow: 2 * time.Second}
+		bound := int(perSecond*terms.ColdOverage + terms.ColdSlack)
+		c := &clock{at: time.Unix(1000, 0)}
+		sent := 0
+		for i := range peers {
+			// The server's zone may have changed hands for this box; the large ones may still run.
+			changed := rapid.Bool().Draw(t, "changed")
+			view := slices.Clone(peers)
+			for j := range view {
+				if view[j].Zone == "west-a" && changed {
+					view[j].Named = !view[j].Named
+				}
+			}
+			s := NewSet(terms, peers[i].Zone, regionOf, func() int { return len(peers) }, c.now)
+			s.SetServices(map[string]ServiceTerms{"shop": {ColdStart: 3 * time.Second, ColdPerSecond: perSecond}})
+			self, others := view[i], slices.Delete(slices.Clone(view), i, i+1)
+			s.Peers = func() (Peer, []Peer) { return self, others }
+			list := servers("west-a", 1, 4)
+			list[0].Cold = time.Minute
+			s.Replace(list, true)
+			for range 3 {
+				if _, err := choose(s, 1); err == nil {
+					sent++
+				}
+			}
+		}
+		is.True(sent <= bound)
+	})
+}
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -43,10 +43,9 @@
 	// Boxes returns among how many boxes a cold server's rate is divided; 0
 	// when that is not known.
 	Boxes func() int
-	// Self is the hash of this box's name, and Peers returns the other boxes that may send
-	// requests. It runs under the set's lock and must not call it.
-	Self  uint64
-	Peers func() []Peer
+	// Peers returns this box and the others that may send requests. It runs under the set's lock
+	// and must not call it.
+	Peers func() (self Peer, others []Peer)
 	// Trusted reports whether the list of servers follows the platform's.
 	Trusted func() bool
 	// Now is the clock; it must be monotonic.
@@ -154,7 +153,7 @@
 func NewSet(terms Terms, zone string, regionOf func(string) string, boxes func() int, now func() time.Time) *Set {
 	return &Set{
 		Terms: terms, Policy: policy.Default(), Zone: zone, Region: regionOf(zone), RegionOf: regionOf, Boxes: boxes, Now: now,
-		Peers:      func() []Peer { return nil },
+		Peers:      func() (Peer, []Peer) { return Peer{}, nil },
 		Trusted:    func() bool { return true },
 		Changed:    func(Server, string) {},
 		Found:      func(Finding) {},
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -117,6 +117,9 @@
 // often, than many with few.
 const largeShare = 0.5
 
+// IsLarge reports whether a box is not much smaller than the largest one.
+func IsLarge(capacity, most float64) bool { return capacity >= largeShare*most }
+
 // largest returns the boxes that are not much smaller than the largest one.
 func largest(list []*entry) []*entry {
 	most := 0.0
@@ -125,7 +128,7 @@
 	}
 	var large []*entry
 	for _, r := range list {
-		if r.capacity >= largeShare*most {
+		if IsLarge(r.capacity, most) {
 			large = append(large, r)
 		}
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -234,19 +234,19 @@
 // Count returns how many boxes may be sending requests, this one included.
 func (t *Table) Count() int {
 	count := 1
-	t.EachOther(func(*Record) { count++ })
+	t.EachOther(func(*Record, bool) { count++ })
 	return count
 }
 
-// EachOther calls f for each of the other boxes that may be sending requests. It must not call the
-// table.
-func (t *Table) EachOther(f func(r *Record)) {
+// EachOther calls f for each of the other boxes that may be sending requests, and tells whether it is live.
+// It must not call the table.
+func (t *Table) EachOther(f func(r *Record, live bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
 	for _, e := range t.sorted {
 		if now.Sub(e.heard) <= ForgetAfter {
-			f(&e.Record)
+			f(&e.Record, t.live(e, now))
 		}
 	}
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -226,22 +226,48 @@
 // come.
 const peersEvery = gossip.Interval
 
-// peerList is the list of other boxes as of at.
+// peerList is this box and the others, as of at.
 type peerList struct {
+	self backend.Peer
 	list []backend.Peer
 	at   time.Time
 }
 
-// peers returns the other boxes that may send requests. The set calls it, one call at a time.
-func (n *Node) peers() []backend.Peer {
-	now := n.Clock.Now()
-	if p := &n.peerList; p.at.IsZero() || now.Sub(p.at) >= peersEvery {
-		p.at, p.list = now, p.list[:0]
-		n.Members.EachOther(func(r *gossip.Record) {
-			p.list = append(p.list, backend.Peer{Region: n.Topology.RegionOf(r.Zone), Hash: backend.Hash(r.Box)})
-		})
+// peers returns this box and the others that may send requests. The set calls it, one call at a time.
+func (n *Node) peers() (self backend.Peer, others []backend.Peer) {
+	p := &n.peerList
+	if now := n.Clock.Now(); p.at.IsZero() || now.Sub(p.at) >= peersEvery {
+		p.at = now
+		n.listPeers(p)
+	}
+	return p.self, p.list
+}
+
+// listPeers makes the list anew. Clients of a zone are told of the largest boxes there that take requests; see
+// package directory.
+func (n *Node) listPeers(p *peerList) {
+	p.list = p.list[:0]
+	most := map[string]float64{}
+	var capacities []float64
+	add := func(r *gossip.Record, live bool) backend.Peer {
+		capacity := -1.0
+		if live && r.Ready && !r.Leaving {
+			capacity = r.Capacity
+			most[r.Zone] = max(most[r.Zone], capacity)
+		}
+		capacities = append(capacities, capacity)
+		return backend.Peer{Zone: r.Zone, Region: n.Topology.RegionOf(r.Zone), Hash: backend.Hash(r.Box)}
+	}
+	own := n.Members.Self()
+	p.self = add(&own, true)
+	n.Members.EachOther(func(r *gossip.Record, live bool) { p.list = append(p.list, add(r, live)) })
+	isNamed := func(capacity float64, zone string) bool {
+		return capacity >= 0 && directory.IsLarge(capacity, most[zone])
+	}
+	p.self.Named = isNamed(capacities[0], p.self.Zone)
+	for i := range p.list {
+		p.list[i].Named = isNamed(capacities[i+1], p.list[i].Zone)
 	}
-	return n.peerList.list
 }
 
 func (n *Node) newMembers(log *logging.Part) {
@@ -264,7 +290,7 @@
 		ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		MaxShift: b.MaxShift, ShiftWindow: b.ShiftWindow, Forget: forgetAfter(b.Drain),
 	}, n.Settings.Zone, n.Topology.RegionOf, n.boxes, n.Clock.Now)
-	n.Set.Self, n.Set.Peers = backend.Hash(n.Settings.Box), n.peers
+	n.Set.Peers = n.peers
 	n.Set.Trusted = func() bool { return n.Replica.TrustsList() }
 	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
