--- a/pkg/objects/digest_test.go
+++ b/pkg/objects/digest_test.go
@@ -1,6 +1,7 @@
 package objects
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -38,3 +39,18 @@
 		m.Apply([]Event{{Object: object("aaa", at)}}, Exactly(at))
 	}
 }
+
+// BenchmarkLoadLongList is what a whole list costs a box that starts.
+func BenchmarkLoadLongList(b *testing.B) {
+	for _, n := range []int{1000, 10000} {
+		var items []Object
+		for i := range n {
+			items = append(items, object(fmt.Sprintf("i-%08d", i), 1))
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				NewMirror("things").Load(items, Exactly(1))
+			}
+		})
+	}
+}
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -22,9 +22,10 @@
 	held   Extent
 	synced bool
 	digest uint32
-	// changes are the last changes in their order; those up to forgotten are not
+	// changes are the last changes in their order, from oldest on; those up to forgotten are not
 	// all there.
 	changes   []change
+	oldest    int
 	forgotten uint64
 }
 
@@ -84,7 +85,7 @@
 	listed := map[string]bool{}
 	for _, o := range items {
 		listed[o.Name] = true
-		m.put(o)
+		m.take(o)
 	}
 	for name, o := range m.items {
 		if !listed[name] && o.Revision <= max(held.At, held.UpTo) {
@@ -94,7 +95,8 @@
 	}
 	m.synced = true
 	m.held = m.held.and(held)
-	m.changes = m.changes[:0]
+	clear(m.changes)
+	m.changes, m.oldest = m.changes[:0], 0
 	m.forgotten = m.held.UpTo
 	return true
 }
@@ -122,17 +124,24 @@
 	}
 }
 
-// put takes in an object unless the mirror has it as new or newer.
+// put takes in an object unless the mirror has it as new or newer, and remembers it as a change.
 func (m *Mirror) put(o Object) {
+	if m.take(o) {
+		m.remember(Event{Object: o})
+	}
+}
+
+// take takes in an object, and reports whether the mirror did not have it as new or newer.
+func (m *Mirror) take(o Object) bool {
 	known, ok := m.items[o.Name]
 	if ok && known.Revision >= o.Revision {
-		return
+		return false
 	}
 	m.set(o)
-	m.remember(Event{Object: o})
 	if !ok || !bytes.Equal(known.Spec, o.Spec) || !bytes.Equal(known.Status, o.Status) {
 		m.Changed(o, false)
 	}
+	return true
 }
 
 // remember keeps a change for other boxes. It may be as new as anything that the
@@ -140,9 +149,15 @@
 // a change that a list had brought early was told to nobody who had come further.
 func (m *Mirror) remember(e Event) {
 	m.changes = append(m.changes, change{event: e, upTo: m.held.UpTo})
-	if len(m.changes) > maxChanges {
-		m.forgotten = m.changes[0].upTo
-		m.changes = append(m.changes[:0], m.changes[1:]...)
+	if len(m.changes)-m.oldest > maxChanges {
+		m.forgotten = m.changes[m.oldest].upTo
+		m.oldest++
+	}
+	if m.oldest == maxChanges {
+		// Moved together once in a while: to move all with each change takes longer than all else of it.
+		kept := copy(m.changes, m.changes[m.oldest:])
+		clear(m.changes[kept:])
+		m.changes, m.oldest = m.changes[:kept], 0
 	}
 }
 
@@ -154,7 +169,7 @@
 	if !m.synced || at < m.forgotten {
 		return nil, Extent{}, false
 	}
-	for _, c := range m.changes {
+	for _, c := range m.changes[m.oldest:] {
 		if c.upTo > at {
 			events = append(events, c.event)
 		}
