--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -48,9 +48,10 @@
 	// Store makes the client of the store. Calls are counted by their verbs; objects that
 	// cannot be read are told to unread.
 	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string), unread func(err error)) *objects.Client
-	// Configuration, Server read objects of the store.
+	// Configuration and Server read objects of the store.
 	Configuration func(o objects.Object) (*routing.Configuration, error)
-	Server        func(o objects.Object) (backend.Server, error)
+	// Server also reports whether the object may have fields that it does not read.
+	Server func(o objects.Object) (v backend.Server, hasUnread bool, err error)
 	// Rollout reads an order to move a service to a version, RolloutStatus writes its state.
 	Rollout       func(o objects.Object) (rollout.Order, error)
 	RolloutStatus func(c *rollout.Change) any
--- a/pkg/steering/steering_store.go
+++ b/pkg/steering/steering_store.go
@@ -45,7 +45,7 @@
 	for kind, changed := range changes {
 		n.Replica.OnChange(kind, func(o objects.Object, gone bool) {
 			changed(o, gone)
-			if !gone {
+			if !gone && kind != kinds.Servers {
 				n.noteFields(kind, o)
 			}
 		})
@@ -127,7 +127,10 @@
 		n.Set.Remove(o.Name, n.Replica.TrustsList())
 		return
 	}
-	v, err := n.adapter.Server(o)
+	v, hasUnread, err := n.adapter.Server(o)
+	if hasUnread {
+		n.noteFields(n.adapter.Kinds.Servers, o)
+	}
 	if err == nil {
 		err = n.checkServer(&v)
 	}
