--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -91,6 +91,9 @@
 	versionDraws uint64
 }
 
+// Listed is what Changed is told of a server that was not known. A box that starts is told so of all.
+const Listed = "listed"
+
 // server is a backend server with what this box knows of it.
 type server struct {
 	Server
@@ -235,7 +238,7 @@
 	if old == nil {
 		old = &server{hash: Hash(v.ID), leaving: s.IsLeaving(v.Life())}
 		s.servers[v.ID] = old
-		s.Changed(v, "listed")
+		s.Changed(v, Listed)
 	}
 	if old.Server != v && v.Draining && !old.Draining {
 		s.Changed(v, "draining")
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -118,6 +118,8 @@
 	peerList peerList
 	// unread are words of the platform that nothing here reads.
 	unknown unknownWords
+	// listedLines bounds the log lines of servers that are listed.
+	listedLines lineBudget
 	// malformedHeaders bounds the log lines of headers that cannot be read.
 	malformedHeaders logGate
 	// configurationFields bounds how often configurations are looked at for unread fields.
@@ -295,6 +297,9 @@
 	n.Set.Trusted = func() bool { return n.Replica.TrustsList() }
 	n.Set.Found = n.findings.Add
 	n.Set.Changed = func(v backend.Server, what string) {
+		if what == backend.Listed && !n.listedLines.pass(n.age()) {
+			return
+		}
 		log.Info("server "+what, map[string]any{
 			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "cold_ms": v.Cold.Milliseconds(),
 		})
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -28,6 +28,9 @@
 func (n *Node) beat() {
 	n.Members.Expire()
 	n.Set.Expire()
+	if more := n.listedLines.take(); more > 0 {
+		n.log.Info("servers listed, not told one by one", map[string]any{"servers": more})
+	}
 	n.checkReady()
 	n.refreshSelf()
 	n.sendBeat()
--- /dev/null
+++ b/pkg/steering/steering_lines.go
@@ -0,0 +1,43 @@
+package steering
+
+import (
+	"sync"
+	"time"
+)
+
+// mostLines bounds the log lines of one kind in a second. A box that starts would else write one for each of
+// thousands of servers before it serves anybody.
+const mostLines = 64
+
+// lineBudget bounds the log lines of one kind and counts those that are left out.
+type lineBudget struct {
+	mu      sync.Mutex
+	second  int64
+	written int
+	left    int
+}
+
+// pass reports whether a line may be written now, and counts it if not; the time counts from any fixed
+// moment.
+func (b *lineBudget) pass(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if second := int64(now / time.Second); second != b.second {
+		b.second, b.written = second, 0
+	}
+	if b.written >= mostLines {
+		b.left++
+		return false
+	}
+	b.written++
+	return true
+}
+
+// take returns how many lines were left out since it was last called.
+func (b *lineBudget) take() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := b.left
+	b.left = 0
+	return left
+}
--- /dev/null
+++ b/pkg/steering/steering_lines_test.go
@@ -0,0 +1,24 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestLinesAreBoundedAndCounted: none is lost from the count, whatever comes at once.
+func TestLinesAreBoundedAndCounted(t *testing.T) {
+	is := is.New(t)
+	var b lineBudget
+	written := 0
+	for i := range 10000 {
+		if b.pass(time.Duration(i) * 200 * time.Microsecond) {
+			written++
+		}
+	}
+	is.Equal(written, 2*mostLines)
+	is.Equal(b.take(), 10000-2*mostLines)
+	is.Equal(b.take(), 0)
+	is.True(b.pass(5 * time.Second))
+}
