The first servers of a new version get what they can do

Cause: two of its servers had started, one in twenty of 1,326 requests a second went to them, and they have six slots each; 25 of 29 requests logged there were late. Ruled out: failures of the version (none), its slowness by itself (1.5 times, of first uses).

Change: the share is bounded by the slots of the version's servers against those of the others, those that are cold left out.

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -121,7 +121,7 @@
 // candidatesOfVersion are the candidates of the version that the request goes to, or of the others where it
 // has none left.
 func (s *Set) candidatesOfVersion(g *group, r *Request, now time.Time) (near, far []candidate) {
-	version := s.versionOf(r)
+	version := s.versionOf(g, r, now)
 	near, far = s.candidates(g, r, version, now)
 	if len(near)+len(far) > 0 || s.resting.count > 0 {
 		return near, far
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -145,7 +145,8 @@
 	// comparedAt is when the servers' speeds were last compared.
 	comparedAt time.Time
 	// heavy is the share of heavy requests, as a moving average.
-	heavy float64
+	heavy    float64
+	versions versionSlots
 	// index holds the servers for choices, if isIndexed; isWeighted: their weights are not all 1.
 	index      []indexed
 	isIndexed  bool
