Requests that a version leaves without an answer in time are compared with their like

Cause: that route allows 2 s, which first uses take, of the old version too; the new version had nothing but first uses, the old one mostly keys that it knew, and late ones counted as failures of both. Evidence: 9 of 11 requests logged at the new version on that route were late, all first uses; 264 late ones in the lines of the old one.

Change: late requests are compared within known keys and within first uses.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -55,6 +55,14 @@
 	Problems []error
 }
 
+// Dealing is how a server has dealt with a request.
+type Dealing struct {
+	// Failed: it failed the request, or broke its answer off; Late: it gave none in time.
+	Failed bool
+	Late   bool
+	Took   time.Duration
+}
+
 // Dialect names the headers of a deployment. All fields are needed.
 type Dialect struct {
 	// ReadRequest reads a client's headers; the error names a malformed one.
@@ -124,9 +132,8 @@
 	// Heard takes in what an answer says of its server besides its load. Sent is when the
 	// request was sent.
 	Heard func(server *backend.Server, verdict *Verdict, sent time.Time)
-	// Dealt notes how a server has dealt with a request that reached it: whether it failed it, and how
-	// long it took.
-	Dealt func(route string, lease *backend.Lease, failed bool, took time.Duration)
+	// Dealt notes how a server has dealt with a request that reached it.
+	Dealt func(route string, lease *backend.Lease, d Dealing)
 	// Unread notes an answer's header that the platform's adapter does not know.
 	Unread func(name string)
 	// Background runs work that outlasts its request.
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -21,7 +21,11 @@
 // it comes; if it breaks off, the client's connection does too.
 func (c *call) receive(lease *backend.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
 	c.cleared(verdict)
-	c.server.Dealt(c.route.Name, lease, answer.Header.StatusCode() >= http.StatusInternalServerError, c.server.Now().Sub(start))
+	status := answer.Header.StatusCode()
+	c.server.Dealt(c.route.Name, lease, Dealing{
+		Failed: status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout,
+		Late:   status == http.StatusGatewayTimeout, Took: c.server.Now().Sub(start),
+	})
 	held, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswer+1))
 	if err != nil {
 		_ = answer.Body.Close()
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// noteLate has a version leave so many first uses without an answer in time, of so many.
+func noteLate(t *Table, version string, answers, late int) {
+	for i := range answers {
+		t.Note(Outcome{Service: "shop", Route: "read", Version: version, Late: i < late, Took: 2 * time.Second})
+	}
+}
+
+// TestLateFirstUsesAreComparedWithTheirLike. The story: a good version was rolled back since first uses took longer
+// than one route allows, of it and of all others; the others had mostly keys that they knew. A version that
+// never answers is found all the same.
+func TestLateFirstUsesAreComparedWithTheirLike(t *testing.T) {
+	for _, c := range []struct {
+		oldFirst, oldLate, newLate int
+		bad                        bool
+	}{
+		{oldFirst: 20, oldLate: 12, newLate: 18},
+		{oldFirst: 20, oldLate: 1, newLate: 18, bad: true},
+		{oldFirst: 2, newLate: 8},
+		{oldFirst: 2, newLate: 20, bad: true},
+	} {
+		table, _ := newTestTable()
+		note(table, "v1", 300, 0, 100*time.Millisecond)
+		noteLate(table, "v1", c.oldFirst, c.oldLate)
+		noteLate(table, "v2", 20, c.newLate)
+		is.New(t).Equal(table.Changes()[0].State == RolledBack, c.bad)
+	}
+}
+
 // TestWhatIsOverIsForgotten: a version is judged by what it did lately, and a new order for a service begins anew.
 func TestWhatIsOverIsForgotten(t *testing.T) {
 	is := is.New(t)
--- a/pkg/steering/steering_rollouts.go
+++ b/pkg/steering/steering_rollouts.go
@@ -8,6 +8,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/rollout"
@@ -46,9 +47,9 @@
 }
 
 // noteOutcome counts how a server has dealt with a request.
-func (n *Node) noteOutcome(route string, lease *backend.Lease, failed bool, took time.Duration) {
+func (n *Node) noteOutcome(route string, lease *backend.Lease, d ingress.Dealing) {
 	n.Rollouts.Note(rollout.Outcome{
-		Service: lease.Service, Route: route, Version: lease.Version, Failed: failed, Known: lease.Known, Took: took,
+		Service: lease.Service, Route: route, Version: lease.Version, Failed: d.Failed, Late: d.Late, Known: lease.Known, Took: d.Took,
 	})
 }
 
