--- a/pkg/ctl/ctl_limits.go
+++ b/pkg/ctl/ctl_limits.go
@@ -7,6 +7,7 @@
 	"flag"
 	"io"
 
+	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 )
 
@@ -15,6 +16,11 @@
 	return showBoxes(p, serverstatus.PathSaid, serverstatus.PrintSaid)
 }
 
+// verbFleet shows what boxes know of all boxes.
+func verbFleet(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
+	return showBoxes(p, gossip.PathFleet, gossip.PrintFleet)
+}
+
 // verbLimits shows which limits backend servers name, as boxes know them.
 func verbLimits(p *program, _ *flag.FlagSet) func(ctx context.Context, args []string) error {
 	return showBoxes(p, serverstatus.PathLimits, serverstatus.Print)
--- a/pkg/ctl/ctl_verbs.go
+++ b/pkg/ctl/ctl_verbs.go
@@ -33,6 +33,7 @@
 	{"customers", "customers ADDRESS...", "show limits of customers, and what was admitted and refused, from the admin addresses of boxes", verbCustomers},
 	{"quarantine", "quarantine ADDRESS...", "show requests that are kept from backend servers, since servers crashed under them, from the admin addresses of boxes", verbQuarantine},
 	{"release", "release FINGERPRINT ADDRESS", "send such a request to backend servers again, at all boxes; the admin address of any box", verbRelease},
+	{"fleet", "fleet ADDRESS...", "show boxes by zone: live, with clients, asking the store, behind, silent, as the boxes at these admin addresses know it", verbFleet},
 	{"servers", "servers ADDRESS...", "show which backend servers say that they leave, ask boxes for rest or name limits, from the admin addresses of boxes", verbServers},
 	{"limits", "limits ADDRESS...", "show how many requests a second backend servers say they take, and what boxes send them, from the admin addresses of boxes", verbLimits},
 	{"report", "report [--every 2s] [--html FILE] LOG...", "sum up requests, outcomes and causes, from logs of boxes in JSON", verbReport},
--- /dev/null
+++ b/pkg/gossip/operators.go
@@ -0,0 +1,128 @@
+package gossip
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// PathFleet is where a box tells operators what it knows of all boxes, on its admin address.
+const PathFleet = "/v1/fleet"
+
+// mostNamed bounds the boxes of a zone that are named in an overview.
+const mostNamed = 4
+
+// FleetBox is the fleet as one box knows it.
+type FleetBox struct {
+	Box   string         `json:"box"`
+	Zone  string         `json:"zone"`
+	Zones []ZoneOverview `json:"zones"`
+	// ListAt is the store's revision up to which the box knows the list of servers, ListAgeMS how long ago it
+	// was last known to be the newest, ConfigurationAgeMS the same of the configuration, in milliseconds.
+	ListAt             uint64 `json:"list_at"`
+	ListAgeMS          int64  `json:"list_age_ms"`
+	ConfigurationAgeMS int64  `json:"configuration_age_ms"`
+}
+
+// ZoneOverview counts the boxes of a zone.
+type ZoneOverview struct {
+	Zone  string `json:"zone"`
+	Boxes int    `json:"boxes"`
+	Live  int    `json:"live"`
+	// Ready, Leaving and Serving are live ones; Serving have clients.
+	Ready   int `json:"ready"`
+	Leaving int `json:"leaving"`
+	Serving int `json:"serving"`
+	// Asking ask the store, Unanswered those of them that it does not answer.
+	Asking     []string `json:"asking"`
+	Unanswered int      `json:"unanswered"`
+	// Silent are some of those that are not live.
+	Silent []string `json:"silent"`
+	// Behind are how many live boxes last told of an older list of servers than this box has, of those that have
+	// told this box of theirs, and Slowest the one whose list was oldest.
+	Behind  int    `json:"behind"`
+	Slowest string `json:"slowest,omitempty"`
+}
+
+// Overview counts the boxes that are known by zone, this one included. Kind is the kind of objects whose
+// versions are compared.
+func (t *Table) Overview(kind string) []ZoneOverview {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	var list []ZoneOverview
+	for name, z := range t.zones {
+		o := ZoneOverview{Zone: name, Asking: []string{}, Silent: []string{}}
+		oldest := t.self.Versions[kind].At
+		if z == t.own {
+			o.count(&t.self, true)
+		}
+		for _, e := range z.members {
+			live := t.live(e, now)
+			o.count(&e.Record, live)
+			at := e.Versions[kind].At
+			if !live || at == 0 || at >= t.self.Versions[kind].At {
+				continue
+			}
+			o.Behind++
+			if at < oldest {
+				oldest, o.Slowest = at, e.Box
+			}
+		}
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b ZoneOverview) int { return strings.Compare(a.Zone, b.Zone) })
+	return list
+}
+
+// count takes in a box.
+func (o *ZoneOverview) count(r *Record, live bool) {
+	o.Boxes++
+	if !live {
+		if len(o.Silent) < mostNamed {
+			o.Silent = append(o.Silent, r.Box)
+		}
+		return
+	}
+	o.Live++
+	for _, f := range []struct {
+		set   bool
+		count *int
+	}{{r.Ready, &o.Ready}, {r.Leaving, &o.Leaving}, {r.Serving, &o.Serving}, {r.Trying, &o.Unanswered}} {
+		if f.set {
+			*f.count++
+		}
+	}
+	if (r.StoreHealthy || r.Trying) && len(o.Asking) < mostNamed {
+		o.Asking = append(o.Asking, r.Box)
+	}
+}
+
+// PrintFleet writes what boxes know of the fleet as a table, a line a zone and box that was asked.
+func PrintFleet(w io.Writer, boxes []FleetBox) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, b := range boxes {
+		if _, err := fmt.Fprintf(t, "as %s knows it; list of servers as of %d, confirmed %d ms ago\n", b.Box, b.ListAt, b.ListAgeMS); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(t, "ZONE\tBOXES\tLIVE\tREADY\tLEAVING\tWITH CLIENTS\tBEHIND\tSLOWEST\tASK THE STORE\tSILENT"); err != nil {
+			return err
+		}
+		for _, z := range b.Zones {
+			if _, err := fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", z.Zone, z.Boxes, z.Live, z.Ready, z.Leaving, z.Serving,
+				z.Behind, orDash(z.Slowest), orDash(strings.Join(z.Asking, " ")), orDash(strings.Join(z.Silent, " "))); err != nil {
+				return err
+			}
+		}
+	}
+	return t.Flush()
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -196,6 +196,11 @@
 	return r.contact.configuration.ago(), r.contact.configuration.ever()
 }
 
+// Ages is how long ago the list of servers and the configuration were last known to be the newest.
+func (r *Replica) Ages() (list, configuration time.Duration) {
+	return r.contact.list.ago(), r.contact.configuration.ago()
+}
+
 // anyHealthy reports whether the store has answered any other live box without fail.
 func (r *Replica) anyHealthy() bool { return r.Members.AnyHealthy() }
 
--- a/pkg/steering/steering_heartbeats.go
+++ b/pkg/steering/steering_heartbeats.go
@@ -1,8 +1,10 @@
 package steering
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -185,6 +187,18 @@
 	n.log.Debug("datagram not understood", map[string]any{"from": from.String(), "error": err.Error()})
 }
 
+// serveFleet tells operators what this box knows of all boxes.
+func (n *Node) serveFleet(w http.ResponseWriter, _ *http.Request) {
+	kind := n.adapter.Kinds.Servers
+	listAge, configurationAge := n.Replica.Ages()
+	told := gossip.FleetBox{
+		Box: n.Settings.Box, Zone: n.Settings.Zone, Zones: n.Members.Overview(kind), ListAt: n.Replica.Mirror(kind).Version().At,
+		ListAgeMS: listAge.Milliseconds(), ConfigurationAgeMS: configurationAge.Milliseconds(),
+	}
+	w.Header().Set("Content-Type", "application/json")
+	n.logUnsent("fleet", json.NewEncoder(w).Encode(told))
+}
+
 // receive takes in a heartbeat, and answers it where that is asked for.
 func (n *Node) receive(m *gossip.Message, from *net.UDPAddr) {
 	answers, greetings := n.Members.Receive(m)
--- a/pkg/steering/steering_ports.go
+++ b/pkg/steering/steering_ports.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/pipeline"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/routing"
@@ -188,6 +189,7 @@
 	admin.HandleFunc("GET "+standing.Path, n.serveCustomers)
 	admin.HandleFunc("GET "+serverstatus.PathLimits, n.serveLimits)
 	admin.HandleFunc("GET "+serverstatus.PathSaid, n.serveSaid)
+	admin.HandleFunc("GET "+gossip.PathFleet, n.serveFleet)
 	admin.HandleFunc("GET "+quarantine.Path, n.serveQuarantine)
 	admin.HandleFunc("DELETE "+quarantine.Path+"/{fingerprint}", n.serveRelease)
 	for _, p := range []struct {
