--- a/pkg/gossip/beat.go
+++ b/pkg/gossip/beat.go
@@ -182,7 +182,7 @@
 // risen returns the boxes of the own zone and of others that were heard since
 // the last heartbeat, in an order of chance, and the news.
 func (t *Table) risen() (near, others []*entry, news Sightings) {
-	for _, e := range t.rising {
+	for _, e := range t.heardLately {
 		switch {
 		case e.silent:
 		case e.zone == t.own:
@@ -192,7 +192,7 @@
 		}
 		e.risen = false
 	}
-	t.rising = t.rising[:0]
+	t.heardLately = t.heardLately[:0]
 	shuffle(near, t.Random)
 	shuffle(others, t.Random)
 	news = t.news()
@@ -203,11 +203,11 @@
 // then of boxes that came or came back.
 func (t *Table) news() Sightings {
 	var silent, live []*entry
-	still := t.telling[:0]
-	for _, e := range t.telling {
+	still := t.newsOf[:0]
+	for _, e := range t.newsOf {
 		switch {
 		case e.tell == 0:
-			e.isTelling = false
+			e.inNews = false
 			continue
 		case e.silent:
 			silent = append(silent, e)
@@ -216,8 +216,8 @@
 		}
 		still = append(still, e)
 	}
-	clear(t.telling[len(still):])
-	t.telling = still
+	clear(t.newsOf[len(still):])
+	t.newsOf = still
 	shuffle(silent, t.Random)
 	shuffle(live, t.Random)
 	list := append(silent, live...)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -95,9 +95,9 @@
 	turn int
 	// queue are the boxes of other zones whose turn is still to come.
 	queue []*entry
-	// rising are those that were heard since the last heartbeat, and telling those of which there
+	// heardLately are those that were heard since the last heartbeat, and newsOf those of which there
 	// is still something to tell. A heartbeat must not look at all boxes of the fleet for these.
-	rising, telling []*entry
+	heardLately, newsOf []*entry
 }
 
 // zone is what is known of an availability zone.
@@ -132,16 +132,16 @@
 	risen bool
 	// tell is for how many heartbeats it is still news; see setTell.
 	tell int
-	// isTelling: it stands in the table's list of those that are.
-	isTelling bool
+	// inNews: it stands in the table's list of those that are.
+	inNews bool
 }
 
 // setTell makes a box news for so many heartbeats.
 func (t *Table) setTell(e *entry, beats int) {
 	e.tell = beats
-	if beats > 0 && !e.isTelling {
-		e.isTelling = true
-		t.telling = append(t.telling, e)
+	if beats > 0 && !e.inNews {
+		e.inNews = true
+		t.newsOf = append(t.newsOf, e)
 	}
 }
 
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -178,7 +178,7 @@
 	e.heard = t.Now()
 	if !e.risen {
 		e.risen = true
-		t.rising = append(t.rising, e)
+		t.heardLately = append(t.heardLately, e)
 	}
 	if e.Serving {
 		e.served = e.heard
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -55,8 +55,8 @@
 	Problems []error
 }
 
-// Dealing is how a server has dealt with a request.
-type Dealing struct {
+// Attempt is how a server has dealt with a request that was sent to it.
+type Attempt struct {
 	// Failed: it failed the request, or broke its answer off; Late: it gave none in time.
 	Failed bool
 	Late   bool
@@ -132,8 +132,8 @@
 	// Heard takes in what an answer says of its server besides its load. Sent is when the
 	// request was sent.
 	Heard func(server *backend.Server, verdict *Verdict, sent time.Time)
-	// Dealt notes how a server has dealt with a request that reached it.
-	Dealt func(route string, lease *backend.Lease, d Dealing)
+	// Attempted notes how a server has dealt with a request that reached it.
+	Attempted func(route string, lease *backend.Lease, a Attempt)
 	// Unread notes an answer's header that the platform's adapter does not know.
 	Unread func(name string)
 	// Background runs work that outlasts its request.
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -22,7 +22,7 @@
 func (c *call) receive(lease *backend.Lease, start time.Time, answer *exchange.Answer, verdict Verdict) *outcome.Failure {
 	c.cleared(verdict)
 	status := answer.Header.StatusCode()
-	c.server.Dealt(c.route.Name, lease, Dealing{
+	c.server.Attempted(c.route.Name, lease, Attempt{
 		Failed: status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout,
 		Late:   status == http.StatusGatewayTimeout, Took: c.server.Now().Sub(start),
 	})
