--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -334,7 +334,7 @@
 		Released:   n.removeHold,
 		Quarantine: n.Quarantine,
 		Heard:      n.heardOf,
-		Attempted:      n.noteAttempt,
+		Attempted:  n.noteAttempt,
 		Unread:     n.unreadHeader,
 		Background: n.background.Go,
 		Now:        n.Clock.Now,
