--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -174,6 +174,19 @@
 // that everybody hears; the others' targets are their own. Some have the affinity key of the
 // requests that crash servers.
 func newTraffic(f *Fleet, clients int) *traffic {
+	return newTrafficOf(f, clients, ordinaryPause, func(c *Client, i, n int) *Answer {
+		id := fmt.Sprintf("ordinary-%d-%d", i, n)
+		target := fmt.Sprintf("/read/%d/%d", i, n)
+		if n%3 == 0 {
+			target = "/read/hot"
+		}
+		return c.Do("GET", target, id, "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", n%7))
+	})
+}
+
+// newTrafficOf starts clients that pause, and then make a request, given the client's number and the
+// request's.
+func newTrafficOf(f *Fleet, clients int, pause time.Duration, request func(c *Client, i, n int) *Answer) *traffic {
 	tr := &traffic{stop: make(chan struct{}), answers: map[string]int{}}
 	for i := range clients {
 		tr.running.Add(1)
@@ -187,13 +200,8 @@
 					return
 				default:
 				}
-				time.Sleep(ordinaryPause)
-				id := fmt.Sprintf("ordinary-%d-%d", i, n)
-				target := fmt.Sprintf("/read/%d/%d", i, n)
-				if n%3 == 0 {
-					target = "/read/hot"
-				}
-				tr.note(c.Do("GET", target, id, "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", n%7)))
+				time.Sleep(pause)
+				tr.note(request(c, i, n))
 			}
 		}()
 	}
--- a/test/machines/rollouts_test.go
+++ b/test/machines/rollouts_test.go
@@ -189,27 +189,11 @@
 
 // newShoppers starts clients that read and buy many things.
 func newShoppers(f *Fleet, clients int) *traffic {
-	tr := &traffic{stop: make(chan struct{}), answers: map[string]int{}}
-	for i := range clients {
-		tr.running.Add(1)
-		go func() {
-			defer tr.running.Done()
-			c := &Client{Address: f.Boxes[i%len(f.Boxes)].Clients}
-			defer c.Close()
-			for n := 0; ; n++ {
-				select {
-				case <-tr.stop:
-					return
-				case <-time.After(5 * time.Millisecond):
-				}
-				id, key := fmt.Sprintf("shopper-%d-%d", i, n), fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", (i+n)%150)
-				if n%3 == 0 {
-					tr.note(c.Do("POST", "/buy/1", id, "one", key))
-				} else {
-					tr.note(c.Do("GET", "/read/1", id, "", key))
-				}
-			}
-		}()
-	}
-	return tr
+	return newTrafficOf(f, clients, 5*time.Millisecond, func(c *Client, i, n int) *Answer {
+		id, key := fmt.Sprintf("shopper-%d-%d", i, n), fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", (i+n)%150)
+		if n%3 == 0 {
+			return c.Do("POST", "/buy/1", id, "one", key)
+		}
+		return c.Do("GET", "/read/1", id, "", key)
+	})
 }
