While a copy is being taken over, boxes with newer ones are not looked for

The same profile at 340 changes a second: each heartbeat that tells of a newer list had all boxes looked at for the newest, to find that one is being taken over already.

--- a/pkg/replica/pulls.go
+++ b/pkg/replica/pulls.go
@@ -77,6 +77,12 @@
 	return true
 }
 
+func (p *pulls) isRunning(kind string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running[kind]
+}
+
 func (p *pulls) end(kind string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -93,6 +99,10 @@
 // catchUp pulls a mirror from a box that has a newer one: at once, or when it
 // has been newer for a while.
 func (r *Replica) catchUp(kind string, atOnce bool) {
+	if r.pulls.isRunning(kind) {
+		// Heartbeats are many while a list changes, and each would have all boxes looked at.
+		return
+	}
 	m := r.mirrors[kind]
 	source, near := r.newest(kind, m)
 	if source == "" {
