--- a/pkg/replica/pulls.go
+++ b/pkg/replica/pulls.go
@@ -19,8 +19,8 @@
 	// pullAfter is for how many heartbeats another box's mirror must be
 	// newer before it is asked for; the store's own change notification is usually quicker.
 	pullAfter = 2
-	// pullTime bounds one pull.
-	pullTime = time.Second
+	// PullTime bounds one pull.
+	PullTime = time.Second
 )
 
 // learnsFrom reports whether this box takes a newer mirror of another one as
@@ -146,7 +146,7 @@
 }
 
 func (r *Replica) pull(source string, m *objects.Mirror) {
-	ctx, cancel := context.WithTimeout(r.Context, pullTime)
+	ctx, cancel := context.WithTimeout(r.Context, PullTime)
 	defer cancel()
 	body, err := r.Fetch(ctx, source, m)
 	if err != nil {
