A box that starts tells clients to come back when it may be ready

Cause: without any server a box answered as one whose servers are busy, 0.1 to 0.5 s, and without a configuration 0.2 s, for as long as its start took; clients come back once.

Change: until it has been ready a box tells as long again as it has been starting, 0.2 s at least and 4 s at most. Weighed: a fixed time (small sites are ready in a third of a second, the fleet in three); progress through the pages of the list (a page does not tell how many there are).

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -100,6 +100,9 @@
 	Leaving func() bool
 	Closed  func() bool
 
+	// Starting returns for how long the box has been starting, 0 if it has been ready.
+	Starting func() time.Duration
+
 	// Policy returns the figures in force.
 	Policy   func() *policy.Policy
 	Splitter *routing.Splitter
@@ -260,7 +263,7 @@
 	}
 	table := s.Table()
 	if table == nil {
-		return outcome.NewNotRun(outcome.ReasonNotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
+		return outcome.NewNotRun(outcome.ReasonNotReady, "no configuration yet").WithRetryAfter(c.comeBackStarted())
 	}
 	c.version = table.Configuration.Version
 	c.route = table.Find(c.r.Host, c.r.URL.EscapedPath())
@@ -286,8 +289,18 @@
 	return nil
 }
 
-// notReadyRetry is when a client may come back to a box that starts.
-const notReadyRetry = 200 * time.Millisecond
+const (
+	// notReadyRetry is the least time after which a client may come back to a box that is not ready, and
+	// mostStartRetry the most for one that starts.
+	notReadyRetry  = 200 * time.Millisecond
+	mostStartRetry = 4 * time.Second
+)
+
+// comeBackStarted is when a client may come back to a box that starts: its start is expected to take as long
+// again as it has taken, since that follows the fleet and its list of servers. Sooner the client is refused again.
+func (c *call) comeBackStarted() time.Duration {
+	return max(notReadyRetry, min(c.server.Starting(), mostStartRetry))
+}
 
 // timeout is the lesser of what the client and the route allow.
 func (c *call) timeout() time.Duration {
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -113,6 +113,9 @@
 	case backend.Failing:
 		return outcome.NewNotRun(outcome.ReasonNoServer, "the servers that may take it have failed a moment ago").WithRetryAfter(c.comeBackAfter(choice.RoomIn))
 	}
+	if c.server.Starting() > 0 {
+		return outcome.NewNotRun(outcome.ReasonNotReady, "the box does not know the servers yet").WithRetryAfter(c.comeBackStarted())
+	}
 	return outcome.NewNotRun(outcome.ReasonNoServer, "no server may take it").WithRetryAfter(c.comeBack())
 }
 
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -73,7 +73,7 @@
 	{ReasonNoRoute, 404, "no route of the host begins the path"},
 	{ReasonUnauthorized, 401, "the request brings no key, or not exactly one that a customer has"},
 	{ReasonOverLimit, 429, "the customer's requests are over its limit"},
-	{ReasonNotReady, 503, "the box has no configuration yet"},
+	{ReasonNotReady, 503, "the box has no configuration, or no list of servers, yet"},
 	{ReasonBoxLeaving, 503, "the box is stopping and takes no new requests; look up again"},
 	{ReasonNoCapacity, 503, "every slot that the request may use is taken, or every server that may take it takes no more requests for now"},
 	{ReasonNoServer, 503, "no backend server that the request may use is reachable"},
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -318,6 +318,7 @@
 		Dialect:   n.adapter.Dialect,
 		Table:     n.table.Load,
 		Current:   n.Replica.Current,
+		Starting:  n.starting,
 		Leaving:   n.leaving.Load,
 		Closed:    n.closed.Load,
 		Splitter:  routing.NewSplitter(),
@@ -382,6 +383,14 @@
 	return true
 }
 
+// starting returns for how long the box has been starting, 0 if it has been ready.
+func (n *Node) starting() time.Duration {
+	if n.readySince.Load() != 0 {
+		return 0
+	}
+	return n.age()
+}
+
 // Ready reports whether the box can serve requests.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.leaving.Load() }
 
