Soak: requests sent behind an answer that breaks off are kept in the history

Cause: the soak's clients did not note requests that they had sent behind an answer that broke off, or of which the sending broke off; a box may have served them ahead, which may be repeated. They are noted now, without an answer, and bound by all checks as others are.

--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -111,26 +111,30 @@
 	read(c, q, c.Do(q.Method, q.Target, q.ID, q.Body, extraOf(random)))
 }
 
-// askAhead sends requests before the first of them is answered. Those behind an answer that closes
-// the connection are not read, and are sent again later, as other requests.
+// askAhead sends requests before the first of them is answered. Those behind an answer that closes the
+// connection, or breaks off, get none; they may have run, since they may be repeated.
 func (r *run) askAhead(c *machines.Client, b *processes.Box, route *machines.Route, random *rand.Rand) {
 	var sent []Request
+	isOpen := true
 	for range 2 + random.Intn(mostAhead-1) {
 		q := newRequest(b, route, random)
+		sent = append(sent, q)
 		if c.Send(q.Method, q.Target, q.ID, q.Body, extraOf(random)) != nil {
 			c.Close()
-			return
+			isOpen = false
+			break
 		}
-		sent = append(sent, q)
 	}
 	for i := range sent {
 		q := &sent[i]
-		answer := c.Read()
-		read(c, q, answer)
-		r.note(func(h *History) { h.Requests = append(h.Requests, *q) })
-		if answer.Problem != nil || answer.Last {
-			return
+		if isOpen {
+			answer := c.Read()
+			read(c, q, answer)
+			isOpen = answer.Problem == nil && !answer.Last
+		} else {
+			q.Ended = time.Now()
 		}
+		r.note(func(h *History) { h.Requests = append(h.Requests, *q) })
 	}
 }
 
