--- a/test/processes/processes.go
+++ b/test/processes/processes.go
@@ -57,7 +57,7 @@
 log_format: json
 listen: {callers: "%[3]s:8101", peers: "%[3]s:8102", admin: "%[3]s:8103", ready: "%[3]s:8104", directory: "%[3]s:8105"}
 seeds: ["%[4]s.1:8102", "%[4]s.2:8102"]
-platform: {protocol: objects, address: "%[5]s"}
+platform: {protocol: objects, address: "%[5]s", rollouts: true}
 lookup_ttl: 2s
 bounds: {contact: %[6]s, drain: %[7]s, grace: %[8]s, cold_overage: 1.5, cold_slack: 5, max_shift: 0.15}
 zones:
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -67,6 +67,7 @@
 	{"deadly-kept", deadlyKept},
 	{"others-sent", othersSent},
 	{"server-limit", serverLimits},
+	{"exposure", exposure},
 	{"leaving-kept", leavingKept},
 	{"rest-kept", restKept},
 	{"recovery", recovery},
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -122,6 +122,14 @@
 				h.Arrivals["s1"] = append(h.Arrivals["s1"], machines.Arrival{ID: id, From: "b1", At: at})
 			}
 		},
+		"exposure": func(h *History) {
+			h.Moves = []Move{{Service: "shop", Version: "v2", Servers: []string{"s9"}, Bad: true, From: start, To: after(10 * time.Second)}}
+			for i := range exposedSlack + 30 {
+				id := fmt.Sprint("e", i)
+				h.Requests = append(h.Requests, Request{ID: id, Whole: true, Signed: true, Timeout: time.Second, Sent: after(time.Second), Ended: after(time.Second)})
+				h.Arrivals["s9"] = append(h.Arrivals["s9"], machines.Arrival{ID: id, From: "b1", At: after(time.Second)})
+			}
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -80,6 +80,8 @@
 	Deadly []string
 	// Limited are the limits that servers named.
 	Limited []Limited
+	// Moves are the orders to move a service to a new version.
+	Moves []Move
 	// Leavings and Rests are, by server, the answers that said that it leaves, and those that asked
 	// for rest.
 	Leavings map[string][]machines.Saying
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -54,13 +54,15 @@
 	// a service, that turns all requests away and asks the boxes for rest.
 	ServerLeaves Kind = "server-leaves"
 	ServerRests  Kind = "server-rests"
+	// ServiceMoves is an order to move a service to a new version of its servers, which may be bad.
+	ServiceMoves Kind = "service-moves"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed draws the same plan from the
 // same catalogue for ever, so kinds are added in a new one.
 type Catalogue []Kind
 
-// FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, FormerKinds, WordKinds and AllKinds are the
+// FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, FormerKinds, WordKinds, LaterKinds and AllKinds are the
 // catalogues. LimitKinds are those under which a server's limit still binds: what a link holds back
 // arrives together. WordKinds are those with what servers say of themselves, beside crashes, cuts from
 // the store and its silence.
@@ -77,11 +79,12 @@
 	}
 	FormerKinds = append(append(Catalogue{}, DeadlyKinds...), ServerLimited)
 	WordKinds   = append(append(Catalogue{}, LimitKinds...), StoreBusy, StoreBlink, StoreMute, ServerLeaves, ServerRests)
-	AllKinds    = append(append(Catalogue{}, FormerKinds...), ServerLeaves, ServerRests)
+	LaterKinds  = append(append(Catalogue{}, FormerKinds...), ServerLeaves, ServerRests)
+	AllKinds    = append(append(Catalogue{}, LaterKinds...), ServiceMoves)
 )
 
 // Catalogues are named by numbers, from 1, in seeds.txt and on the command line.
-var Catalogues = []Catalogue{FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, FormerKinds, WordKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, DeadlyKinds, LimitKinds, FormerKinds, WordKinds, LaterKinds, AllKinds}
 
 // Event is one thing that happens.
 type Event struct {
--- a/test/soak/strikes.go
+++ b/test/soak/strikes.go
@@ -132,6 +132,8 @@
 		r.askForRest(server, e)
 	case EntryForeign:
 		r.writeForeign(server, e)
+	case ServiceMoves:
+		r.moveService(server, e)
 	}
 }
 
