--- a/test/machines/client_leaves_test.go
+++ b/test/machines/client_leaves_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -122,3 +125,108 @@
 	}
 	return runs
 }
+
+// TestClientThatLeavesAmidItsAnswer: a server whose answer is half passed on is told, and does not send the rest.
+func TestClientThatLeavesAmidItsAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	s := f.Servers["east-a.1"]
+	s.Large = 8 << 20
+	c := &Client{Address: f.Boxes[0].Clients}
+	is.NoErr(c.Send("GET", "/read/1", "leaver", "", ""))
+	_, err := io.ReadFull(c.reader, make([]byte, 300<<10)) // more than a box holds before it passes an answer on
+	is.NoErr(err)
+	c.Close()
+	left := time.Now()
+	eventually(t, "the server is told", func() bool { return !s.Runs()[0].Left.IsZero() })
+	t.Logf("told %v after its client left", s.Runs()[0].Left.Sub(left))
+	is.True(s.Runs()[0].Left.Sub(left) < 500*time.Millisecond)
+}
+
+// TestClientThatLeavesWhileItsBoxConnects: nothing reaches a server that takes no connection for now, also when it
+// does again.
+func TestClientThatLeavesWhileItsBoxConnects(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	full, err := fullListener(f.network + ".160")
+	is.NoErr(err)
+	defer full.close()
+	s, err := NewServer(f.network+".100", "east-a.1", 4, time.Millisecond)
+	is.NoErr(err)
+	s.Advertised = full.address
+	f.Servers[s.ID] = s
+	f.List(s, "shop", "east-a", "ready", 0)
+	eventually(t, "it is listed", func() bool { return len(f.Boxes[0].Set.List()) == 1 })
+	c := &Client{Address: f.Boxes[0].Clients}
+	is.NoErr(c.Send("GET", "/read/1", "leaver", "", ""))
+	time.Sleep(100 * time.Millisecond)
+	c.Close()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(full.bytesOfNext(2*time.Second), 0)
+}
+
+// listener takes no connections until they are taken from it one by one.
+type listener struct {
+	address string
+	fd      int
+	held    []net.Conn
+}
+
+// fullListener listens on a free port with room for no further connection.
+func fullListener(ip string) (*listener, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return nil, err
+	}
+	address := &syscall.SockaddrInet4{}
+	copy(address.Addr[:], net.ParseIP(ip).To4())
+	if err := syscall.Bind(fd, address); err != nil {
+		return nil, err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		return nil, err
+	}
+	l := &listener{fd: fd, address: fmt.Sprintf("%s:%d", ip, bound.(*syscall.SockaddrInet4).Port)}
+	for {
+		c, err := net.DialTimeout("tcp4", l.address, 300*time.Millisecond)
+		if err != nil {
+			return l, nil // it is full
+		}
+		l.held = append(l.held, c)
+	}
+}
+
+func (l *listener) close() {
+	for _, c := range l.held {
+		_ = c.Close()
+	}
+	_ = syscall.Close(l.fd)
+}
+
+// bytesOfNext takes all connections that come within the time, and returns how many bytes came over others
+// than those that filled it.
+func (l *listener) bytesOfNext(within time.Duration) int {
+	_ = syscall.SetNonblock(l.fd, true)
+	total := 0
+	buffer := make([]byte, 4<<10)
+	var taken []int
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if fd, _, err := syscall.Accept(l.fd); err == nil {
+			_ = syscall.SetNonblock(fd, true)
+			taken = append(taken, fd)
+		}
+		for _, fd := range taken {
+			if n, err := syscall.Read(fd, buffer); err == nil {
+				total += n
+			}
+		}
+	}
+	for _, fd := range taken {
+		_ = syscall.Close(fd)
+	}
+	return total
+}
--- a/test/machines/rollouts_test.go
+++ b/test/machines/rollouts_test.go
@@ -130,6 +130,7 @@
 		{"all answers after half of its time", func(_ *Run, since time.Duration) Fault { return failIf(since > rolloutTime/2) }, 1},
 		{"on one route", func(r *Run, _ time.Duration) Fault { return failIf(strings.HasPrefix(r.Target, "/buy/")) }, 1},
 		{"by being four times slower", func(*Run, time.Duration) Fault { return NoFault }, 4},
+		{"under load", underLoad(80), 1},
 		{"by breaking connections", func(*Run, time.Duration) Fault { return CutAnswer }, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -158,6 +159,21 @@
 	}
 }
 
+// underLoad fails what comes while the version as a whole has more requests a second than so many.
+func underLoad(most int) func(r *Run, since time.Duration) Fault {
+	var mu sync.Mutex
+	var recent []time.Duration
+	return func(_ *Run, since time.Duration) Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		recent = append(recent, since)
+		for since-recent[0] > time.Second {
+			recent = recent[1:]
+		}
+		return failIf(len(recent) > most)
+	}
+}
+
 func failIf(fails bool) Fault {
 	if fails {
 		return Fail
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -89,6 +89,8 @@
 	Born int64
 	// Work is how long a request takes.
 	Work time.Duration
+	// Large is how many bytes more than usual whole answers have, which go out little by little.
+	Large int
 	// Nature is what else decides how long; set it before the first request.
 	Nature Nature
 
@@ -400,6 +402,9 @@
 		s.head(c, run.ID, http.StatusInternalServerError, 0, true, "")
 		return true
 	}
+	if s.Large > 0 {
+		return s.large(c, run)
+	}
 	s.whole(c, run.ID)
 	if fault == Extra {
 		s.whole(c, run.ID)
@@ -413,6 +418,31 @@
 	_, _ = io.WriteString(c, body)
 }
 
+// largePart is how many bytes of a large answer go out at once, and largePause the pause after them.
+const (
+	largePart  = 64 << 10
+	largePause = 20 * time.Millisecond
+)
+
+// large gives a large answer, and reports whether all of it went out. The run notes when its client has left.
+func (s *Server) large(c net.Conn, run *Run) bool {
+	body := AnswerBody(run.ID)
+	s.head(c, run.ID, http.StatusOK, len(body)+s.Large, true, "")
+	rest := body + strings.Repeat(".", s.Large)
+	for rest != "" {
+		part := rest[:min(len(rest), largePart)]
+		rest = rest[len(part):]
+		if _, err := io.WriteString(c, part); err != nil {
+			s.mu.Lock()
+			run.Left = time.Now()
+			s.mu.Unlock()
+			return false
+		}
+		time.Sleep(largePause)
+	}
+	return true
+}
+
 // refuse answers that the request was not run.
 func (s *Server) refuse(c net.Conn, run *Run, status int, notRun bool) {
 	extra := ""
