Roll-outs: the judgement is a package of its own, canary; design notes and interfaces of the new parts

No change of behaviour: verdict.go becomes pkg/canary, a sample carries what comparing like with like needs (server, key, cold start, queue, region), and progress stays in pkg/rollout. The notes say who decides and where state lives before the code does.

--- a/pkg/rollout/verdict.go
+++ b/pkg/canary/canary.go
@@ -1,10 +1,13 @@
-package rollout
+// Package canary judges a new version of a service's servers by comparing their answers with those
+// of the service's other servers. It does no input or output.
+//
+// Each box observes the requests that it has sent and reports them to the boxes that judge, which
+// add up all reports.
+package canary
 
 import (
 	"math"
 	"time"
-
-	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 const (
@@ -107,6 +110,8 @@
 	Route    string
 	BadShare float64
 	Slowdown float64
+	// Answers is how many answers of the version the verdict is based on.
+	Answers float64
 }
 
 // verdict compares the version with other servers.
@@ -115,7 +120,9 @@
 	slower := max(slowdown(p.New.Known, p.Old.Known), slowdown(p.New.First, p.Old.First))
 	isBad := p.New.Bad >= minBad && share > badFactor*old+badMargin || slower > slowFactor ||
 		p.New.Known.isLater(p.Old.Known) || p.New.First.isLater(p.Old.First)
-	return Verdict{Bad: isBad, Route: p.Route, BadShare: float64(share), Slowdown: float64(slower)}
+	return Verdict{
+		Bad: isBad, Route: p.Route, BadShare: float64(share), Slowdown: float64(slower), Answers: float64(p.New.Answers),
+	}
 }
 
 // slowdown returns how many times longer the new version took, or 0 if that is not known.
@@ -126,86 +133,115 @@
 	return (fresh.Seconds / fresh.Count) / (old.Seconds / old.Count)
 }
 
-// routeTallies holds a box's tallies of a service by route.
-type routeTallies struct {
+// Sample is how a server handled a request that reached it.
+type Sample struct {
+	Route string
+	// Server is the server's id, and IsNew is true if it is of the version that is judged.
+	Server string
+	IsNew  bool
+	// Key is the hash of the request's affinity key, 0 if it has none. Known means that the server
+	// has recently answered this box for the key.
+	Key   uint64
+	Known bool
+	// Cold means that the server was in its cold start, Queued that the request probably waited
+	// there for a slot, and Remote that the server is in another region than the box.
+	Cold   bool
+	Queued bool
+	Remote bool
+	// Failed means that the server failed the request or broke off its answer; Late means that
+	// it did not answer in time.
+	Failed bool
+	Late   bool
+	Took   time.Duration
+}
+
+// Report is what a box has counted.
+type Report struct {
+	Comparisons []Comparison
+}
+
+// received is a report and the time when it arrived.
+type received struct {
+	Report
+	at time.Time
+}
+
+// Judge compares a version with the service's other servers. It is not safe for concurrent use.
+type Judge struct {
+	// comparisons holds this box's own tallies by route, as of time at.
 	comparisons map[string]*Comparison
 	at          time.Time
+	// reports holds the last report of each other box.
+	reports map[string]received
+}
+
+// NewJudge returns a judge without samples.
+func NewJudge(now time.Time) *Judge {
+	return &Judge{comparisons: map[string]*Comparison{}, at: now, reports: map[string]received{}}
 }
 
 // decay reduces the tallies according to the time since the last call.
-func (s *routeTallies) decay(now time.Time) {
-	by := float32(math.Exp(-now.Sub(s.at).Seconds() / decayTime.Seconds()))
-	s.at = now
-	for _, p := range s.comparisons {
+func (j *Judge) decay(now time.Time) {
+	by := float32(math.Exp(-now.Sub(j.at).Seconds() / decayTime.Seconds()))
+	j.at = now
+	for _, p := range j.comparisons {
 		p.New.decay(by)
 		p.Old.decay(by)
 	}
 }
 
-// Outcome is the result of a request at a server.
-type Outcome struct {
-	Service string
-	Route   string
-	Version string
-	// Failed means that the server failed the request or broke off its answer; Late means that
-	// it did not answer in time.
-	Failed bool
-	Late   bool
-	// Known means that the server already knew the key.
-	Known bool
-	Took  time.Duration
-}
-
-// Observe counts the result of a request if its service is being moved.
-func (t *Table) Observe(o Outcome) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := t.orders[o.Service]
-	if a == nil || a.State == Complete || a.State == RolledBack {
-		return
-	}
-	now := t.Now()
-	s := t.own[o.Service]
-	if s == nil {
-		s = &routeTallies{comparisons: map[string]*Comparison{}, at: now}
-		t.own[o.Service] = s
-	}
-	s.decay(now)
-	p := s.comparisons[o.Route]
+// Observe counts a sample of this box.
+func (j *Judge) Observe(s *Sample, now time.Time) {
+	j.decay(now)
+	p := j.comparisons[s.Route]
 	if p == nil {
-		if len(s.comparisons) >= maxRoutes {
+		if len(j.comparisons) >= maxRoutes {
 			return
 		}
-		p = &Comparison{Route: o.Route}
-		s.comparisons[o.Route] = p
+		p = &Comparison{Route: s.Route}
+		j.comparisons[s.Route] = p
 	}
 	tally := &p.Old
-	if o.Version == a.Version {
+	if s.IsNew {
 		tally = &p.New
 	}
-	tally.note(&o)
+	tally.note(s)
 }
 
-func (t *Tally) note(o *Outcome) {
+func (t *Tally) note(s *Sample) {
 	t.Answers++
-	if o.Failed {
+	if s.Failed {
 		t.Bad++
 		return
 	}
 	timing := &t.First
-	if o.Known {
+	if s.Known {
 		timing = &t.Known
 	}
-	one := Timing{Count: 1, Seconds: float32(o.Took.Seconds())}
-	if o.Late {
+	one := Timing{Count: 1, Seconds: float32(s.Took.Seconds())}
+	if s.Late {
 		one.Late = 1
 	}
 	timing.add(one)
 }
 
-// evaluate returns whether the version of a service's order is bad, on all routes together or
-// on a single one. The caller holds the lock.
-func (t *Table) evaluate(service string, now time.Time) Verdict {
+// Report returns what this box has counted, for the boxes that judge.
+func (j *Judge) Report(now time.Time) Report {
+	j.decay(now)
+	var r Report
+	for _, p := range j.comparisons {
+		r.Comparisons = append(r.Comparisons, *p)
+	}
+	return r
+}
+
+// AddReport stores another box's report, which replaces its last one.
+func (j *Judge) AddReport(box string, r Report, now time.Time) {
+	j.reports[box] = received{Report: r, at: now}
+}
+
+// Verdict returns whether the version is bad, on all routes together or on a single one.
+func (j *Judge) Verdict(now time.Time) Verdict {
 	all := Comparison{}
 	routes := map[string]*Comparison{}
 	add := func(p *Comparison) {
@@ -215,14 +251,12 @@
 		}
 		routes[p.Route].add(p)
 	}
-	if s := t.own[service]; s != nil {
-		s.decay(now)
-		for _, p := range s.comparisons {
-			add(p)
-		}
+	j.decay(now)
+	for _, p := range j.comparisons {
+		add(p)
 	}
-	for _, r := range t.reports {
-		if r.Service != service || now.Sub(r.at) > reportMaxAge {
+	for _, r := range j.reports {
+		if now.Sub(r.at) > reportMaxAge {
 			continue
 		}
 		for i := range r.Comparisons {
@@ -236,55 +270,3 @@
 	}
 	return all.verdict()
 }
-
-// ----------------------------------------------------------------
-// Reports between boxes
-// ----------------------------------------------------------------
-
-// wireVersion is the first byte of a report; other messages to the same port start with other
-// bytes.
-const wireVersion = 0xf6
-
-// Report is what a box has counted for a service that is being moved.
-type Report struct {
-	Box         string
-	Service     string
-	Version     string
-	Comparisons []Comparison
-}
-
-// Wire encodes and decodes reports.
-var Wire = packet.Codec[Report]{Kind: "rollout reports", FirstByte: wireVersion}
-
-// Reports returns this box's reports for the boxes that evaluate versions.
-func (t *Table) Reports() []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Now()
-	var list []Report
-	for service, s := range t.own {
-		a := t.orders[service]
-		if a == nil || a.State == Complete || a.State == RolledBack {
-			continue
-		}
-		s.decay(now)
-		r := Report{Box: t.Box, Service: service, Version: a.Version}
-		for _, p := range s.comparisons {
-			r.Comparisons = append(r.Comparisons, *p)
-		}
-		list = append(list, r)
-	}
-	return list
-}
-
-// AddReport stores another box's report, unless it is about a version other than that of the
-// current order.
-func (t *Table) AddReport(r *Report) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := t.orders[r.Service]
-	if a == nil || a.Version != r.Version || r.Box == t.Box {
-		return
-	}
-	t.reports[r.Box+"\x00"+r.Service] = received{Report: *r, at: t.Now()}
-}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -61,7 +61,9 @@
 	// did not answer in time.
 	Failed   bool
 	TimedOut bool
-	Took     time.Duration
+	// Key is the hash of the request's affinity key, 0 if it has none.
+	Key  uint64
+	Took time.Duration
 }
 
 // Dialect reads and writes the headers of a deployment. All fields are required.
@@ -191,10 +193,12 @@
 	hasCustomers bool
 	version      uint64
 	service      string
-	key          uint64
-	start        time.Time
-	deadline     time.Time
-	body         body
+	// key is the hash of the affinity key, or a random number if isKeyed is false.
+	key      uint64
+	isKeyed  bool
+	start    time.Time
+	deadline time.Time
+	body     body
 	// isBodyRead is set once reading the body has begun.
 	isBodyRead bool
 	ctx        context.Context
@@ -289,7 +293,7 @@
 	c.service = c.route.Backends[s.Splitter.Pick(c.route)].Service
 	c.key = s.Random()
 	if c.route.SessionAffinity && meta.Key != "" {
-		c.key = backend.Hash(c.route.Host, c.route.PathPrefix, meta.Key)
+		c.key, c.isKeyed = backend.Hash(c.route.Host, c.route.PathPrefix, meta.Key), true
 	}
 	s.Budget.Request(c.service)
 	return nil
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -22,7 +22,7 @@
 func (c *call) receive(lease *backend.Lease, start time.Time, answer *exchange.Answer, meta AnswerMeta) *outcome.Failure {
 	c.noteSurvival(meta)
 	status := answer.Header.StatusCode()
-	c.server.ObserveAttempt(c.route.Name, lease, Attempt{
+	c.observeAttempt(lease, Attempt{
 		Failed:   status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout,
 		TimedOut: status == http.StatusGatewayTimeout, Took: c.server.Now().Sub(start),
 	})
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -224,7 +224,7 @@
 	timedOut := errors.Is(err, context.DeadlineExceeded)
 	clientLeft := c.r.Context().Err() != nil
 	if sent && !clientLeft {
-		c.server.ObserveAttempt(c.route.Name, lease, Attempt{Failed: !timedOut, TimedOut: timedOut, Took: c.server.Now().Sub(start)})
+		c.observeAttempt(lease, Attempt{Failed: !timedOut, TimedOut: timedOut, Took: c.server.Now().Sub(start)})
 	}
 	switch {
 	case clientLeft:
@@ -243,6 +243,14 @@
 	return classify(sent, timedOut, clientLeft, err)
 }
 
+// observeAttempt records how a server handled the request.
+func (c *call) observeAttempt(lease *backend.Lease, a Attempt) {
+	if c.isKeyed {
+		a.Key = c.key
+	}
+	c.server.ObserveAttempt(c.route.Name, lease, a)
+}
+
 // wasSent reports whether any byte of the request may have reached the backend server.
 func wasSent(err error) bool {
 	var x *exchange.Error
--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/canary"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
@@ -49,8 +50,9 @@
 
 // noteAttempt counts the outcome of a request at a server.
 func (n *Node) noteAttempt(route string, lease *backend.Lease, a ingress.Attempt) {
-	n.Rollouts.Observe(rollout.Outcome{
-		Service: lease.Service, Route: route, Version: lease.Version, Failed: a.Failed, Late: a.TimedOut, Known: lease.KeyKnown, Took: a.Took,
+	n.Rollouts.Observe(lease.Service, lease.Version, canary.Sample{
+		Route: route, Server: lease.ID, Key: a.Key, Known: lease.KeyKnown, Cold: lease.Cold,
+		Queued: lease.InFlight >= float64(max(1, lease.Slots)), Remote: lease.Remote, Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
 	})
 }
 
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -11,6 +11,9 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/canary"
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 // State is the progress of an order.
@@ -78,12 +81,13 @@
 type active struct {
 	Order
 	firstSeen time.Time
+	judge     *canary.Judge
 	// isBad is true once this box has found the version to be bad, which may be before the
 	// store records it.
 	isBad bool
 }
 
-// Table holds the known orders and the tallies of their versions.
+// Table holds the known orders, and judges their versions.
 type Table struct {
 	// Box is this box's name.
 	Box string
@@ -92,21 +96,11 @@
 
 	mu     sync.Mutex
 	orders map[string]*active
-	// own holds this box's tallies by service; reports holds the last report of each other box
-	// about each service.
-	own     map[string]*routeTallies
-	reports map[string]received
-}
-
-// received is a report and the time when it arrived.
-type received struct {
-	Report
-	at time.Time
 }
 
 // NewTable returns a table without orders.
 func NewTable(box string, now func() time.Time) *Table {
-	return &Table{Box: box, Now: now, orders: map[string]*active{}, own: map[string]*routeTallies{}, reports: map[string]received{}}
+	return &Table{Box: box, Now: now, orders: map[string]*active{}}
 }
 
 // Set adds an order, replacing an earlier one for the same service.
@@ -118,8 +112,8 @@
 		known.Order = o
 		return
 	}
-	t.orders[o.Service] = &active{Order: o, firstSeen: t.Now()}
-	t.forget(o.Service)
+	now := t.Now()
+	t.orders[o.Service] = &active{Order: o, firstSeen: now, judge: canary.NewJudge(now)}
 }
 
 // Remove deletes the order for a service.
@@ -127,17 +121,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.orders, service)
-	t.forget(service)
-}
-
-// forget deletes all tallies and reports of a service. The caller holds the lock.
-func (t *Table) forget(service string) {
-	delete(t.own, service)
-	for box, r := range t.reports {
-		if r.Service == service {
-			delete(t.reports, box)
-		}
-	}
 }
 
 // Rules returns the current rules by service.
@@ -166,7 +149,7 @@
 	Order Order
 	State State
 	// Verdict is the comparison behind the change, for the log.
-	Verdict Verdict
+	Verdict canary.Verdict
 }
 
 // Changes returns the states that are to be written to the store.
@@ -175,11 +158,11 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	var list []Change
-	for service, a := range t.orders {
+	for _, a := range t.orders {
 		if a.State == Complete || a.State == RolledBack {
 			continue
 		}
-		verdict := t.evaluate(service, now)
+		verdict := a.judge.Verdict(now)
 		a.isBad = a.isBad || verdict.Bad
 		switch {
 		case a.isBad:
@@ -192,3 +175,63 @@
 	}
 	return list
 }
+
+// Observe counts how a server of the service, which runs the given version, handled a request. It
+// does nothing unless the service is being moved.
+func (t *Table) Observe(service, version string, s canary.Sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.orders[service]
+	if a == nil || a.State == Complete || a.State == RolledBack {
+		return
+	}
+	s.IsNew = version == a.Version
+	a.judge.Observe(&s, t.Now())
+}
+
+// ----------------------------------------------------------------
+// Reports between boxes
+// ----------------------------------------------------------------
+
+// wireVersion is the first byte of a report; other messages to the same port start with other
+// bytes.
+const wireVersion = 0xf7
+
+// Report is what a box has counted for a service that is being moved.
+type Report struct {
+	Box     string
+	Service string
+	Version string
+	Canary  canary.Report
+}
+
+// Wire encodes and decodes reports.
+var Wire = packet.Codec[Report]{Kind: "rollout reports", FirstByte: wireVersion}
+
+// Reports returns this box's reports for the boxes that judge versions.
+func (t *Table) Reports() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Report
+	for service, a := range t.orders {
+		if a.State == Complete || a.State == RolledBack {
+			continue
+		}
+		if r := a.judge.Report(t.Now()); len(r.Comparisons) > 0 {
+			list = append(list, Report{Box: t.Box, Service: service, Version: a.Version, Canary: r})
+		}
+	}
+	return list
+}
+
+// AddReport stores another box's report, unless it is about a version other than that of the
+// current order.
+func (t *Table) AddReport(r *Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.orders[r.Service]
+	if a == nil || a.Version != r.Version || r.Box == t.Box {
+		return
+	}
+	a.judge.AddReport(r.Box, r.Canary, t.Now())
+}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/canary"
 )
 
 type clock struct{ at time.Time }
@@ -22,7 +24,7 @@
 // note records answers of a version, the first of which are failures.
 func note(t *Table, version string, answers, failures int, took time.Duration) {
 	for i := range answers {
-		t.Observe(Outcome{Service: "shop", Route: "read", Version: version, Failed: i < failures, Known: true, Took: took})
+		t.Observe("shop", version, canary.Sample{Route: "read", Failed: i < failures, Known: true, Took: took})
 	}
 }
 
@@ -62,11 +64,11 @@
 		elsewhere, result bool
 	}{
 		{name: "no failures", newTook: 100 * time.Millisecond},
-		{name: "few failures", newBad: minBad - 1, newTook: 100 * time.Millisecond},
-		{name: "failures", newBad: minBad, newTook: 100 * time.Millisecond, result: true},
+		{name: "few failures", newBad: 5, newTook: 100 * time.Millisecond},
+		{name: "failures", newBad: 6, newTook: 100 * time.Millisecond, result: true},
 		{name: "all fail alike", oldBad: 60, newBad: 20, newTook: 100 * time.Millisecond},
 		{name: "slow", newTook: 300 * time.Millisecond, result: true},
-		{name: "failures that another box has seen", newBad: minBad, newTook: 100 * time.Millisecond, elsewhere: true, result: true},
+		{name: "failures that another box has seen", newBad: 6, newTook: 100 * time.Millisecond, elsewhere: true, result: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -97,7 +99,7 @@
 // noteLate records first uses of keys, the first of which get no answer in time.
 func noteLate(t *Table, version string, answers, late int) {
 	for i := range answers {
-		t.Observe(Outcome{Service: "shop", Route: "read", Version: version, Late: i < late, Took: 2 * time.Second})
+		t.Observe("shop", version, canary.Sample{Route: "read", Late: i < late, Took: 2 * time.Second})
 	}
 }
 
@@ -128,10 +130,10 @@
 func TestOldResultsAreDiscarded(t *testing.T) {
 	is := is.New(t)
 	table, c := newTestTable()
-	note(table, "v2", 20, minBad, time.Millisecond)
-	c.at = c.at.Add(4 * decayTime)
+	note(table, "v2", 20, 6, time.Millisecond)
+	c.at = c.at.Add(16 * time.Second)
 	is.Equal(table.Changes()[0].State, Running)
-	note(table, "v2", 20, minBad, time.Millisecond)
+	note(table, "v2", 20, 6, time.Millisecond)
 	table.Set(Order{Service: "shop", Version: "v3", Duration: 20 * time.Second})
 	is.Equal(table.Changes()[0].State, Running)
 	table.Remove("shop")
@@ -142,11 +144,11 @@
 func TestReportsFitAPacket(t *testing.T) {
 	is := is.New(t)
 	table, _ := newTestTable()
-	for i := range 2 * maxRoutes {
-		table.Observe(Outcome{Service: "shop", Route: fmt.Sprintf("route-%010d", i), Version: "v2", Took: time.Second})
+	for i := range 32 {
+		table.Observe("shop", "v2", canary.Sample{Route: fmt.Sprintf("route-%010d", i), Took: time.Second})
 	}
 	reports := table.Reports()
-	is.Equal(len(reports[0].Comparisons), maxRoutes)
+	is.Equal(len(reports[0].Canary.Comparisons), 16)
 	datagram, err := Wire.Encode(&reports[0])
 	is.NoErr(err)
 	is.True(len(datagram) < 2000)
