Replica: a copy and the table of boxes no longer lock each other for good

Cause: a change of a copy runs with the copy locked, and whether a deleted server is to be believed gone asks the table of boxes (TrustsList) if the store refuses this box. Meanwhile another goroutine that held the table asked for the copy: the comparison with other boxes' copies (EachLive, Lacks) or the record for heartbeats (Update, FillRecord). Both then waited for ever: the box applied no change, sent no heartbeat and answered none again. Only boxes that the store refuses take the second lock, which is why it was seen once.

The table's functions now wait for no copy: the copies' state is read before the table is locked.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -169,7 +169,8 @@
 	return t
 }
 
-// Update changes this box's own record.
+// Update changes this box's own record. The function must neither call the table nor wait for a
+// lock under which the table is called.
 func (t *Table) Update(change func(self *Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -205,7 +206,7 @@
 }
 
 // EachLive calls f with the record of each live box, by name. It must neither keep the record
-// nor call the table.
+// nor call the table, and must not wait for a lock under which the table is called.
 func (t *Table) EachLive(f func(r *Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/node/node_heartbeats.go
+++ b/pkg/node/node_heartbeats.go
@@ -72,8 +72,9 @@
 }
 
 func (n *Node) refreshSelf() {
+	copies := n.Replica.CopyState()
 	n.Members.Update(func(self *gossip.Record) {
-		n.Replica.FillRecord(self)
+		copies.FillRecord(self)
 		self.Ready = n.ready.Load()
 		self.Leaving = n.leaving.Load()
 		self.Serving = n.serving()
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -217,10 +217,15 @@
 
 // Lacks reports whether a mirror of the given version holds something that this one does not.
 // A mirror without a list lacks any list, even an empty one.
-func (m *Mirror) Lacks(v Version) bool {
+func (m *Mirror) Lacks(v Version) bool { return m.Comparison()(v) }
+
+// Comparison returns a function that compares other versions with the mirror as it is now,
+// like Lacks, and does not lock the mirror.
+func (m *Mirror) Comparison() (lacks func(v Version) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.synced || v.NewerThan(Version{Revision: m.extent.CompleteTo, Digest: m.digest})
+	synced, own := m.synced, Version{Revision: m.extent.CompleteTo, Digest: m.digest}
+	return func(v Version) bool { return !synced || v.NewerThan(own) }
 }
 
 // Synced reports whether the mirror has loaded a whole list.
--- a/pkg/replica/fleet_test.go
+++ b/pkg/replica/fleet_test.go
@@ -157,7 +157,7 @@
 	for turn := 0; ctx.Err() == nil; turn++ {
 		if turn%5 == 0 || b.table.Count() == 1 {
 			b.table.Expire()
-			b.table.Update(b.replica.FillRecord)
+			b.table.Update(b.replica.CopyState().FillRecord)
 			for _, e := range b.table.Beat() {
 				f.carry(b, e)
 			}
@@ -165,7 +165,7 @@
 		}
 		b.replica.Tick()
 		news := b.replica.TakeUnannounced()
-		b.table.Update(b.replica.FillRecord)
+		b.table.Update(b.replica.CopyState().FillRecord)
 		self := b.table.Self()
 		if now := [2]bool{self.StoreHealthy, self.StoreUnanswered}; news || now != b.announced {
 			b.announced = now
--- a/pkg/replica/pulls.go
+++ b/pkg/replica/pulls.go
@@ -136,9 +136,11 @@
 // is preferred to those in other zones.
 func (r *Replica) newest(kind string, m *objects.Mirror) (source string, near bool) {
 	var best uint64
+	// The copy must not be locked while the table of boxes is; see CopyState.
+	lacks := m.Comparison()
 	r.Members.EachLive(func(one *gossip.Record) {
 		v, ok := one.Versions[kind]
-		if !ok || !m.Lacks(v) {
+		if !ok || !lacks(v) {
 			return
 		}
 		isNear := one.Zone == r.Zone
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -162,19 +162,35 @@
 // announced to its zone, and marks them as announced.
 func (r *Replica) TakeUnannounced() bool { return r.isPoller.Load() && r.unannounced.Swap(false) }
 
-// FillRecord writes the state of this box's copies into its record for other boxes.
-func (r *Replica) FillRecord(self *gossip.Record) {
-	self.Versions = map[string]objects.Version{}
+// CopyState is what a box tells others about its copies.
+type CopyState struct {
+	Versions                       map[string]objects.Version
+	ConfirmedAgo, ListConfirmedAgo uint32
+	StoreHealthy, StoreUnanswered  bool
+}
+
+// CopyState returns the state of this box's copies. It must not be called with the table of
+// boxes locked: a change of a copy asks the table while the copy is locked.
+func (r *Replica) CopyState() CopyState {
+	c := CopyState{Versions: map[string]objects.Version{}}
 	for kind, m := range r.mirrors {
 		if m.Synced() {
-			self.Versions[kind] = m.Version()
+			c.Versions[kind] = m.Version()
 		}
 	}
 	isPoller := r.isPoller.Load()
-	self.ConfirmedAgo = r.contact.configuration.reported(isPoller)
-	self.ListConfirmedAgo = r.contact.list.reported(isPoller)
-	self.StoreHealthy = isPoller && r.synced() && r.contact.healthy()
-	self.StoreUnanswered = isPoller && !self.StoreHealthy
+	c.ConfirmedAgo = r.contact.configuration.reported(isPoller)
+	c.ListConfirmedAgo = r.contact.list.reported(isPoller)
+	c.StoreHealthy = isPoller && r.synced() && r.contact.healthy()
+	c.StoreUnanswered = isPoller && !c.StoreHealthy
+	return c
+}
+
+// FillRecord writes the state into this box's record for other boxes.
+func (c CopyState) FillRecord(self *gossip.Record) {
+	self.Versions = c.Versions
+	self.ConfirmedAgo, self.ListConfirmedAgo = c.ConfirmedAgo, c.ListConfirmedAgo
+	self.StoreHealthy, self.StoreUnanswered = c.StoreHealthy, c.StoreUnanswered
 }
 
 // ----------------------------------------------------------------
--- a/pkg/replica/silence_test.go
+++ b/pkg/replica/silence_test.go
@@ -99,9 +99,7 @@
 
 // ownVersions returns the versions of the box's copies.
 func (b *modelBox) ownVersions() map[string]objects.Version {
-	var self gossip.Record
-	b.FillRecord(&self)
-	return self.Versions
+	return b.CopyState().Versions
 }
 
 // run runs the box until it is stopped.
