Entry: streamed bodies of equal length under one idempotency key are told apart

Cause: the fingerprint of a request covers a streamed body only by its length, so a different upload under the key of an earlier one was answered with that one's answer. The body is now hashed while it is read; a retry whose answer is kept is read to its end and must have the same digest.

TestStreamedBodiesUnderOneKeyAreCompared fails before the change (no failure for the other body).

--- a/pkg/entry/entry_once.go
+++ b/pkg/entry/entry_once.go
@@ -71,12 +71,11 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if r.body.stream != nil {
+		r.body.digest = newBodyDigest(r.body.length)
+	}
 	if !first {
-		kept, failure := execution.Wait(r.ctx)
-		if failure != nil {
-			return nil, failure
-		}
-		return &Answer{Status: kept.Status, Header: kept.Header, Body: kept.Body, Server: kept.Server, Zone: kept.Zone}, nil
+		return r.answerOf(execution)
 	}
 	answer, failure := e.route(r)
 	if failure != nil {
@@ -84,17 +83,43 @@
 		return nil, failure
 	}
 	if answer.Stream == nil {
-		execution.Complete(&idempotency.Answer{
+		kept := &idempotency.Answer{
 			Status: answer.Status, Header: answer.Header, Body: bytes.Clone(answer.Body), Server: answer.Server, Zone: answer.Zone,
-		})
+		}
+		if r.body.digest != nil {
+			kept.StreamDigest, kept.HasStreamDigest = r.body.digest.sum()
+		}
+		execution.Complete(kept)
 		return answer, nil
 	}
 	execution.Complete(nil)
 	return answer, nil
 }
 
-// fingerprint returns a hash of the request, which detects different requests that
-// wrongly use the same key.
+// answerOf returns the answer of an earlier execution of the request's key. It belongs to this
+// request only if the bodies are equal too; fingerprint does not cover a streamed one.
+func (r *Request) answerOf(execution *idempotency.Execution) (*Answer, *outcome.Failure) {
+	kept, failure := execution.Wait(r.ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	if r.body.stream != nil {
+		if !kept.HasStreamDigest {
+			return nil, outcome.NewUnknown(outcome.ReasonAnswerNotKept, "the server answered before it had read the body, which cannot be compared")
+		}
+		digest, err := r.body.readDigest(r.ctx)
+		if err != nil {
+			return nil, outcome.NewUnknown(outcome.ReasonBadRequest, "the body could not be read: "+err.Error())
+		}
+		if digest != kept.StreamDigest {
+			return nil, idempotency.DifferentRequest()
+		}
+	}
+	return &Answer{Status: kept.Status, Header: kept.Header, Body: kept.Body, Server: kept.Server, Zone: kept.Zone}, nil
+}
+
+// fingerprint returns a hash of the request, which detects different requests that wrongly use
+// the same key. Of a streamed body it covers only the length.
 func (r *Request) fingerprint() uint64 {
 	length := len(r.body.bytes)
 	if r.body.stream != nil {
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -29,6 +29,10 @@
 	// Server and Zone name the backend server that answered and its zone.
 	Server string
 	Zone   string
+	// StreamDigest is a digest of the body of a request that was streamed, if that was read to
+	// its end.
+	StreamDigest    uint64
+	HasStreamDigest bool
 }
 
 // state is the state of a record.
@@ -46,8 +50,8 @@
 type Key struct {
 	Service string
 	Key     string
-	// Fingerprint is a digest of method, path and body length. A retry with another
-	// fingerprint is an error of the caller and is rejected.
+	// Fingerprint is a digest of method, path, body length and the body unless it is streamed.
+	// A retry with another fingerprint is an error of the caller and is rejected.
 	Fingerprint uint64
 }
 
@@ -104,7 +108,7 @@
 	name := k.Service + "\x00" + k.Key
 	if r, ok := t.records[name]; ok {
 		if r.key.Fingerprint != k.Fingerprint {
-			return nil, false, outcome.NewUnknown(outcome.ReasonBadRequest, "this Idempotency-Key was used for a different request")
+			return nil, false, DifferentRequest()
 		}
 		return &Execution{table: t, record: r}, false, nil
 	}
@@ -120,6 +124,11 @@
 	return &Execution{table: t, record: r}, true, nil
 }
 
+// DifferentRequest returns the failure of a request whose key belongs to a different one.
+func DifferentRequest() *outcome.Failure {
+	return outcome.NewUnknown(outcome.ReasonBadRequest, "this Idempotency-Key was used for a different request")
+}
+
 // expire removes records that are older than any valid ticket that could refer to them.
 // Records in flight stay.
 func (t *Table) expire() {
