rpc: a service without a shift cap gets the default

Cause: FromSpec set only the default window, so a service whose operator set no cap had one of 0, and its traffic could never change region, where model promises 0.1. TestFromSpecSetsDefaults fails before.

--- a/pkg/rpc/convert.go
+++ b/pkg/rpc/convert.go
@@ -6,8 +6,8 @@
 	"github.com/stoneworks/stoneworks/pkg/model"
 )
 
-// FromSpec converts a service from its gRPC message, and sets the default shift window if
-// the message has none.
+// FromSpec converts a service from its gRPC message, and sets the default shift cap and shift
+// window if the message has none.
 func FromSpec(s *pb.ServiceSpec) *model.Service {
 	if s == nil {
 		return &model.Service{}
@@ -19,6 +19,9 @@
 	if m.ShiftWindowMS == 0 {
 		m.ShiftWindowMS = model.DefaultShiftWindow.Milliseconds()
 	}
+	if m.ShiftCap == 0 {
+		m.ShiftCap = model.DefaultShiftCap
+	}
 	for _, b := range s.BackendServers {
 		m.BackendServers = append(m.BackendServers, model.BackendServer{
 			Name: b.GetName(), Address: b.GetAddress(), Zone: b.GetZone(),
