Routing: shares are met at once after a change of weights

Cause: the credits of a split route are kept when weights change, in units of the weights. After a change of scale (900:500:100 to 0.1:0.1:0.8) the old credits decided all next requests. Credits now count requests. That they are kept is right: restarting with each change would favour the heaviest backend while configurations follow each other quickly; the comment says so.

--- a/pkg/routing/splitter.go
+++ b/pkg/routing/splitter.go
@@ -3,9 +3,9 @@
 import "sync"
 
 // Splitter divides requests among the weighted backends of routes by smooth weighted round
-// robin: it keeps a credit for every backend of a route and picks the backend with the most. So
-// shares are met within a few requests (within one for two backends) rather than only on
-// average.
+// robin: it keeps a credit for every backend of a route, in requests, and picks the backend with
+// the most. So shares are met within a few requests (within one for two backends) rather than
+// only on average.
 type Splitter struct {
 	mu     sync.Mutex
 	credit map[string][]float64
@@ -28,20 +28,23 @@
 		s.credit[key] = owed
 	}
 	total := 0.0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
 	best := 0
 	for i, b := range r.Backends {
-		owed[i] += b.Weight
-		total += b.Weight
+		owed[i] += b.Weight / total
 		if owed[i] > owed[best] {
 			best = i
 		}
 	}
-	owed[best] -= total
+	owed[best]--
 	return best
 }
 
 // splitKey identifies a route and the services of its backends, so that a change of these starts
-// the division anew.
+// the division anew. A change of weights goes on from the credits, so that shares are also met
+// while weights change often.
 func splitKey(r *Route) string {
 	key := r.Host + r.PathPrefix
 	for _, b := range r.Backends {
