Routing: a path prefix that does not end with a slash is refused

Cause: the check covered only the first slash. Such a prefix would match paths of other routes (/x matches /xy). The case is added to TestInvalidConfigurationsAreRejected, which fails before.

--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -162,6 +162,8 @@
 		return &ConfigurationError{Where: r.Name, Problem: "the host is missing"}
 	case r.PathPrefix == "" || r.PathPrefix[0] != '/':
 		return &ConfigurationError{Where: r.Name, Problem: "the path prefix does not begin with a slash"}
+	case r.PathPrefix[len(r.PathPrefix)-1] != '/':
+		return &ConfigurationError{Where: r.Name, Problem: "the path prefix does not end with a slash"}
 	case len(r.Backends) == 0:
 		return &ConfigurationError{Where: r.Name, Problem: "there are no backends"}
 	case r.Kind != Safe && r.Kind != Unsafe && r.Kind != Upload:
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -59,6 +59,7 @@
 		{Services: services, Routes: []Route{good}},
 		bad(func(r *Route) { r.Host = "" }),
 		bad(func(r *Route) { r.PathPrefix = "x/" }),
+		bad(func(r *Route) { r.PathPrefix = "/x" }),
 		bad(func(r *Route) { r.Kind = "odd" }),
 		bad(func(r *Route) { r.Backends = nil }),
 		bad(func(r *Route) { r.Backends = []Backend{{Service: "desk", Weight: 1}} }),
@@ -112,6 +113,30 @@
 	})
 }
 
+// TestSplitterMeetsChangedWeights checks that shares are met at once after weights have changed,
+// whatever the scale of the weights before and after.
+func TestSplitterMeetsChangedWeights(t *testing.T) {
+	s := NewSplitter()
+	pick := func(requests int, weights ...float64) []float64 {
+		r := route("a.example", "/")
+		for i, w := range weights {
+			r.Backends = append(r.Backends, Backend{Service: string(rune('a' + i)), Weight: w})
+		}
+		counts := make([]float64, len(weights))
+		for range requests {
+			counts[s.Pick(&r)]++
+		}
+		return counts
+	}
+	pick(3, 900, 500, 100)
+	counts := pick(20, 0.1, 0.1, 0.8)
+	for i, want := range []float64{2, 2, 16} {
+		if math.Abs(counts[i]-want) > float64(len(counts)) {
+			t.Errorf("backend %d received %v of 20 requests; its share is %v", i, counts[i], want)
+		}
+	}
+}
+
 func TestRegionsOfARoute(t *testing.T) {
 	is := is.New(t)
 	r := Route{}
