Pipeline: a stopping box closes a connection with the last request that it serves ahead

Cause: whether the box stops was asked twice, before a request was served ahead and when its answer was begun. A box that began to stop in between announced the close in front of requests that it had already passed on to servers, and these were cut off and lost. Now an answer closes only if none behind it is being served, and none begins after that.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/pipeline"
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/retry"
@@ -224,7 +225,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{server: s, w: w, r: r, start: s.Now()}
-	if s.Leaving() {
+	if s.Leaving() && pipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	if failure := c.prepare(); failure != nil {
--- a/pkg/pipeline/answer.go
+++ b/pkg/pipeline/answer.go
@@ -31,10 +31,6 @@
 	held   bytes.Buffer
 }
 
-func newAnswer(r *http.Request) *answer {
-	return &answer{request: r, header: http.Header{}, done: make(chan struct{}), turn: make(chan struct{})}
-}
-
 // isTo reports whether this is the answer to a request that net/http has read.
 func (a *answer) isTo(r *http.Request) bool {
 	return a.request.RequestURI == r.RequestURI && a.request.Host == r.Host && a.request.Method == r.Method &&
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -166,6 +166,22 @@
 	c.aheadAllowed = false
 }
 
+// mayClose reports whether no request after the one with the answer a is being served, and lets
+// none begin before the connection's next turn. a is nil for the request that net/http has read.
+func (c *Conn) mayClose(a *answer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := a
+	if n := len(c.ahead); n > 0 {
+		last = c.ahead[n-1]
+	}
+	if last != a {
+		return false
+	}
+	c.aheadAllowed = false
+	return true
+}
+
 // startAhead starts serving the requests that have arrived whole, up to the first that may not
 // be served ahead.
 func (c *Conn) startAhead() {
@@ -174,7 +190,7 @@
 		if head == nil {
 			return
 		}
-		a := c.handler.begin(c.context, head)
+		a := c.handler.begin(c, head)
 		if a == nil {
 			return
 		}
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,3 +159,57 @@
 	is.NoErr(err)
 	is.Equal(strings.Count(string(all), "HTTP/1.1 200"), 1)
 }
+
+// TestNoAnswerClosesInFrontOfRequestsThatAreServed checks that a box that begins to stop while
+// requests are served ahead closes their connection with the last of them, and that what follows
+// that one is not served.
+func TestNoAnswerClosesInFrontOfRequestsThatAreServed(t *testing.T) {
+	for _, first := range []string{"/ahead", "/one"} {
+		t.Run(first, func(t *testing.T) {
+			is := is.New(t)
+			var begun atomic.Int32
+			stopping := make(chan struct{})
+			address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Id") != "0" || first == "/ahead" {
+					if begun.Add(1) == 3 {
+						close(stopping)
+					}
+					<-stopping
+					if MayClose(r.Context()) {
+						w.Header().Set("Connection", "close")
+					}
+				}
+				_, _ = io.WriteString(w, r.Header.Get("Id"))
+			})
+			c := dial(t, address)
+			var stream strings.Builder
+			for i, path := range []string{first, "/ahead", "/ahead", "/ahead", "/one", "/ahead"} {
+				if first == "/ahead" && i == 3 {
+					path = "/one"
+				}
+				fmt.Fprintf(&stream, "GET %s HTTP/1.1\r\nHost: h\r\nId: %d\r\n\r\n", path, i)
+			}
+			_, err := io.WriteString(c, stream.String())
+			is.NoErr(err)
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			reader := bufio.NewReader(c)
+			answers := 0
+			for {
+				a, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					break
+				}
+				body, err := io.ReadAll(a.Body)
+				is.NoErr(err)
+				is.Equal(string(body), fmt.Sprint(answers))
+				answers++
+			}
+			want := 4
+			if first == "/ahead" {
+				want = 3
+			}
+			is.Equal(answers, want)
+			is.Equal(int(begun.Load()), 3)
+		})
+	}
+}
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -41,7 +41,22 @@
 	return &Conn{Conn: c, handler: h, context: ctx, cancel: cancel}
 }
 
-type connKey struct{}
+type (
+	connKey   struct{}
+	answerKey struct{}
+)
+
+// MayClose reports whether the answer to the request of a context may close its connection: not
+// if later requests of the connection are being served already, since their answers would be
+// lost. If it returns true, none of them begins while the request is served.
+func MayClose(ctx context.Context) bool {
+	c, isWrapped := ctx.Value(connKey{}).(*Conn)
+	if !isWrapped {
+		return true
+	}
+	a, _ := ctx.Value(answerKey{}).(*answer)
+	return c.mayClose(a)
+}
 
 // ConnContext adds the connection to the context of its requests. It is meant for the field of
 // http.Server of that name.
@@ -74,7 +89,7 @@
 }
 
 // begin starts serving a request ahead. It returns nil if the request may not be served ahead.
-func (h *Handler) begin(ctx context.Context, head []byte) *answer {
+func (h *Handler) begin(c *Conn, head []byte) *answer {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil || !isPlain(r) || !h.MayServeAhead(r) {
 		// net/http reports what is wrong with the request.
@@ -82,7 +97,9 @@
 	}
 	h.running.Add(1)
 	h.Count("pipeline.ahead")
-	a := newAnswer(r.WithContext(ctx))
+	a := &answer{header: http.Header{}, done: make(chan struct{}), turn: make(chan struct{})}
+	ctx := context.WithValue(ConnContext(c.context, c), answerKey{}, a)
+	a.request = r.WithContext(ctx)
 	go a.run(h.Next)
 	return a
 }
