Box: a plan is seen anew after a suspension

Cause: planSeenFor promises a window without a suspension meanwhile, but nothing reset it, so a box that stood still for a window could change a plan at once, from an outdated view. TestPlanIsSeenAnewAfterASuspension fails before.

--- a/pkg/box/box_run.go
+++ b/pkg/box/box_run.go
@@ -152,6 +152,7 @@
 	b.log.Warn("resumed after a suspension", map[string]any{"for": gap})
 	b.confirmed.Store(false)
 	b.Table.ResetSilence()
+	b.forgetPlansSeen()
 	b.background.Go(b.confirmShares)
 }
 
--- a/pkg/box/box_shift.go
+++ b/pkg/box/box_shift.go
@@ -120,6 +120,13 @@
 	return time.Since(seen.since) >= window
 }
 
+// forgetPlansSeen makes this box see each plan for a whole window again.
+func (b *Box) forgetPlansSeen() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.planSeen)
+}
+
 func (b *Box) writePlan(s *model.Service, name string, expected uint64, next *shift.Plan, left float64) {
 	o, err := b.Writer.Apply(b.context, config.Change{Name: name, Expected: expected, ChangeID: newIncarnation(), Plan: next})
 	if err != nil {
--- a/pkg/box/box_test.go
+++ b/pkg/box/box_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/stoneworks/stoneworks/pkg/config"
 	"github.com/stoneworks/stoneworks/pkg/entry"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/membership"
@@ -16,11 +18,13 @@
 	"github.com/stoneworks/stoneworks/pkg/topology"
 )
 
-func newTestBox(is *is.I) *Box {
+func newTestBox(is *is.I) *Box { return newLoggingBox(is, logging.NewAsyncHandler(io.Discard)) }
+
+func newLoggingBox(is *is.I, handler *logging.AsyncHandler) *Box {
 	s := settings.Defaults()
 	s.Box, s.Zone, s.Listen.Peers = "dakar-a-1", "dakar-a", "127.0.0.1:0"
 	s.Zones = []topology.Zone{{Zone: "dakar-a", Region: "dakar"}, {Zone: "dakar-b", Region: "dakar"}, {Zone: "thies-a", Region: "thies"}}
-	b := New(&s, logging.NewAsyncHandler(io.Discard))
+	b := New(&s, handler)
 	is.True(b != nil)
 	return b
 }
@@ -58,3 +62,20 @@
 	b.Table.Merge([]membership.Record{other})
 	is.Equal([]string(b.views(b.Table.Members())["dakar-b"]), []string{"dakar-a-1"})
 }
+
+// TestPlanIsSeenAnewAfterASuspension checks that a box does not change a plan that it has not seen
+// for a whole window since it was suspended: others may have moved traffic meanwhile.
+func TestPlanIsSeenAnewAfterASuspension(t *testing.T) {
+	is := is.New(t)
+	b := newTestBox(is)
+	plan := &config.Object{Name: "plan/preview", Revision: 3, ChangeID: "c"}
+	const window = 20 * time.Millisecond
+	is.True(!b.planSeenFor(plan.Name, plan, window))
+	time.Sleep(window)
+	is.True(b.planSeenFor(plan.Name, plan, window))
+	b.afterSuspension(time.Second)
+	b.stop()
+	is.True(!b.planSeenFor(plan.Name, plan, window))
+	time.Sleep(window)
+	is.True(b.planSeenFor(plan.Name, plan, window))
+}
