Box: a revision that could not be written back is not logged as written

Cause: writeBack logged "wrote a newer revision back" whatever Put returned; a conflict is the usual case (the list was only stale). An object that cannot be encoded now has its line too. TestWriteBackIsReportedAsItEnded fails before.

--- a/pkg/box/box_platform.go
+++ b/pkg/box/box_platform.go
@@ -149,10 +149,15 @@
 		}
 		value, err := json.Marshal(o)
 		if err != nil {
+			b.log.Warn("newer revision could not be encoded", map[string]any{"service": o.Name, "revision": o.Revision, "error": err})
 			continue
 		}
 		_, err = b.Platform.Put(b.context, platform.Object{Kind: config.Kind, Name: o.Name, Version: versions[o.Name], Value: value})
-		b.log.Warn("wrote a newer revision back", map[string]any{"service": o.Name, "revision": o.Revision, "error": err})
+		if err != nil {
+			b.log.Info("newer revision was not written back", map[string]any{"service": o.Name, "revision": o.Revision, "error": err})
+			continue
+		}
+		b.log.Warn("wrote a newer revision back", map[string]any{"service": o.Name, "revision": o.Revision})
 	}
 }
 
--- a/pkg/box/box_test.go
+++ b/pkg/box/box_test.go
@@ -1,8 +1,11 @@
 package box
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,7 +16,9 @@
 	"github.com/stoneworks/stoneworks/pkg/entry"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/platform"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/topology"
 )
@@ -79,3 +84,24 @@
 	time.Sleep(window)
 	is.True(b.planSeenFor(plan.Name, plan, window))
 }
+
+// TestWriteBackIsReportedAsItEnded checks that the log says that a revision was written back only if
+// it was.
+func TestWriteBackIsReportedAsItEnded(t *testing.T) {
+	for want, refused := range map[string]error{
+		"wrote a newer revision back": nil, "newer revision was not written back": &platform.ConflictError{Current: 7},
+	} {
+		is := is.New(t)
+		var out bytes.Buffer
+		handler := logging.NewAsyncHandler(&out)
+		b := newLoggingBox(is, handler)
+		b.Platform = &platform.Client{Put: func(context.Context, platform.Object) (uint64, error) { return 0, refused }}
+		b.Store.Merge(&config.Object{Name: "preview", Revision: 3, ChangeID: "c", Service: &model.Service{Name: "preview"}})
+		b.writeBack(platform.Page{})
+		ended, end := context.WithCancel(context.Background())
+		end()
+		handler.Run(ended)
+		is.Equal(strings.Count(out.String(), "newer revision"), 1)
+		is.True(strings.Contains(out.String(), want))
+	}
+}
