Quota: a list that does not fit into a message is a typed error

Cause: Encode wrote the length of a list as one byte, unchecked: with 256 entries the receiver would have read none and refused the rest of the datagram. Own messages stay within 48 entries, so none was sent. The error is logged. TestListsThatDoNotFitAreTypedErrors cannot be compiled before (Encode had no error).

It does borrow ten times a second ahead of need; while requests wait for tokens, each report of them may borrow, at most each 10 ms, which keeps their wait at one round trip.

--- a/pkg/node/node_quota.go
+++ b/pkg/node/node_quota.go
@@ -137,7 +137,11 @@
 // sendQuota sends the limiter's pending messages.
 func (n *Node) sendQuota() {
 	for _, e := range n.Quota.TakeMessages() {
-		datagram := quota.Encode(&e.Message)
+		datagram, err := quota.Encode(&e.Message)
+		if err != nil {
+			n.log.Warn("message about limits could not be encoded", map[string]any{"to": e.To.Address, "error": err.Error()})
+			continue
+		}
 		n.sendEach([]string{e.To.Address}, datagram)
 		metrics.GetOrRegisterCounter("quota.sent", n.Metrics).Inc(1)
 	}
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -263,7 +263,10 @@
 	case from.zone != to.zone:
 		link, delay = "near", time.Millisecond
 	}
-	datagram := Encode(&e.Message)
+	datagram, err := Encode(&e.Message)
+	if err != nil {
+		panic(err)
+	}
 	f.bytes[link] += len(datagram) + 28
 	f.messages[link]++
 	if f.cut(from, to) || f.random.Float64() < f.loss {
--- a/pkg/quota/loans.go
+++ b/pkg/quota/loans.go
@@ -12,7 +12,8 @@
 	// borrowTime is how far ahead an allocator borrows: a round trip between regions and the
 	// time between two requests for a loan.
 	borrowTime = 200 * time.Millisecond
-	// borrowEvery is the interval at which it requests a customer's tokens from other zones.
+	// borrowEvery is the least time between two times that it requests a customer's tokens from
+	// other zones. It does so at each tick, and while requests wait, as soon as this allows.
 	borrowEvery = 10 * time.Millisecond
 	// loanTimeout is how long a loan request may take; a later answer is not used.
 	loanTimeout = 300 * time.Millisecond
--- a/pkg/quota/message.go
+++ b/pkg/quota/message.go
@@ -102,7 +102,8 @@
 	Left uint16
 }
 
-// WireError reports that a datagram is not a message of this version.
+// WireError reports that a datagram is not a message of this version, or that a message does not
+// fit into one.
 type WireError struct {
 	Problem string
 }
@@ -123,8 +124,8 @@
 // IsMessage reports whether a datagram claims to be a message.
 func IsMessage(datagram []byte) bool { return len(datagram) > 0 && datagram[0] == wireVersion }
 
-// Encode returns the message as a datagram.
-func Encode(m *Message) []byte {
+// Encode returns the message as a datagram. The error is a *WireError: a list is too long.
+func Encode(m *Message) ([]byte, error) {
 	w := &writer{}
 	w.u8(wireVersion)
 	switch {
@@ -147,7 +148,10 @@
 		w.u32(m.Loan.Number)
 		w.tokens(m.Loan.Tokens)
 	}
-	return w.b
+	if w.problem != "" {
+		return nil, &WireError{Problem: w.problem}
+	}
+	return w.b, nil
 }
 
 // Decode decodes a datagram. The error is a *WireError.
@@ -180,8 +184,19 @@
 // Encoding
 // ----------------------------------------------------------------
 
-// writer appends numbers in big-endian order.
-type writer struct{ b []byte }
+// writer appends numbers in big-endian order. problem says why the message cannot be encoded.
+type writer struct {
+	b       []byte
+	problem string
+}
+
+// length appends the length of a list.
+func (w *writer) length(list string, n int) {
+	if n > math.MaxUint8 {
+		w.problem = fmt.Sprintf("%d %s do not fit into one message", n, list)
+	}
+	w.u8(byte(n))
+}
 
 func (w *writer) u8(v byte)    { w.b = append(w.b, v) }
 func (w *writer) u16(v uint16) { w.b = binary.BigEndian.AppendUint16(w.b, v) }
@@ -192,11 +207,11 @@
 	w.u64(uint64(m.Incarnation))
 	w.stamp(m.Echo)
 	w.u64(math.Float64bits(m.Weight))
-	w.u8(byte(len(m.Allocators)))
+	w.length("allocators", len(m.Allocators))
 	for _, a := range m.Allocators {
 		w.u64(a)
 	}
-	w.u8(byte(len(m.Usage)))
+	w.length("usages", len(m.Usage))
 	for _, u := range m.Usage {
 		w.u64(uint64(u.ID))
 		w.u32(u.Arrived)
@@ -216,7 +231,7 @@
 func (w *writer) grant(m *Grant) {
 	w.u64(uint64(m.Incarnation))
 	w.stamp(m.Stamp)
-	w.u8(byte(len(m.Ceilings)))
+	w.length("ceilings", len(m.Ceilings))
 	for _, c := range m.Ceilings {
 		w.u64(uint64(c.ID))
 		w.u32(c.Ceiling)
@@ -229,7 +244,7 @@
 }
 
 func (w *writer) tokens(list []Tokens) {
-	w.u8(byte(len(list)))
+	w.length("token counts", len(list))
 	for _, t := range list {
 		w.u64(uint64(t.ID))
 		w.u16(t.Count)
--- a/pkg/quota/message_test.go
+++ b/pkg/quota/message_test.go
@@ -18,10 +18,40 @@
 	{From: 7, Loan: &Loan{Number: 4, Tokens: []Tokens{{ID: 3, Count: 6, Left: 65535}}}},
 }
 
+// encoded returns the message as a datagram.
+func encoded(t testing.TB, m *Message) []byte {
+	t.Helper()
+	datagram, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return datagram
+}
+
+// TestListsThatDoNotFitAreTypedErrors checks that a list whose length does not fit into its field
+// is not sent with a wrong length.
+func TestListsThatDoNotFitAreTypedErrors(t *testing.T) {
+	const most = 255
+	for _, list := range []func(n int) *Message{
+		func(n int) *Message { return &Message{Report: &Report{Allocators: make([]uint64, n)}} },
+		func(n int) *Message { return &Message{Report: &Report{Usage: make([]Usage, n)}} },
+		func(n int) *Message { return &Message{Grant: &Grant{Ceilings: make([]Ceiling, n)}} },
+		func(n int) *Message { return &Message{LoanRequest: &LoanRequest{Wanted: make([]Tokens, n)}} },
+		func(n int) *Message { return &Message{Loan: &Loan{Tokens: make([]Tokens, n)}} },
+	} {
+		is := is.New(t)
+		_, err := Decode(encoded(t, list(most)))
+		is.NoErr(err)
+		_, err = Encode(list(most + 1))
+		var tooLong *WireError
+		is.True(errors.As(err, &tooLong))
+	}
+}
+
 func TestMessagesRoundTrip(t *testing.T) {
 	is := is.New(t)
 	for i := range messages {
-		got, err := Decode(Encode(&messages[i]))
+		got, err := Decode(encoded(t, &messages[i]))
 		is.NoErr(err)
 		is.Equal(got, &messages[i])
 	}
@@ -30,7 +60,7 @@
 func TestBrokenMessagesAreTypedErrors(t *testing.T) {
 	is := is.New(t)
 	for i := range messages {
-		whole := Encode(&messages[i])
+		whole := encoded(t, &messages[i])
 		for cut := range len(whole) {
 			_, err := Decode(whole[:cut])
 			var broken *WireError
@@ -47,7 +77,7 @@
 // encoded as it was, and that a box handles it without a problem.
 func FuzzDecode(f *testing.F) {
 	for i := range messages {
-		f.Add(Encode(&messages[i]))
+		f.Add(encoded(f, &messages[i]))
 	}
 	f.Add([]byte{})
 	f.Add([]byte{wireVersion, 1})
@@ -56,7 +86,7 @@
 		if err != nil {
 			return
 		}
-		if got := Encode(m); string(got) != string(datagram) && m.Grant == nil {
+		if got := encoded(t, m); string(got) != string(datagram) && m.Grant == nil {
 			t.Fatalf("%x was decoded and encoded as %x", datagram, got)
 		}
 		w := newZoneModel(false)
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -18,8 +18,9 @@
 // is lost in transit is gone.
 //
 // Example: all clients of a customer connect to one zone of six, which has a sixth of the
-// customer's rate. Its allocator borrows from the five others ten times a second. When the
-// zone is cut off, it continues with its sixth, and the others with theirs.
+// customer's rate. Its allocator borrows from the five others ten times a second, and more
+// often while requests wait for tokens. When the zone is cut off, it continues with its sixth,
+// and the others with theirs.
 //
 // The limit of a backend server is divided between the zones of its own region only, because
 // their boxes send most of its requests; boxes in other regions borrow.
