Quarantine: say when a list of names does not only grow

Struck off: that the first name of a full list is dropped is deliberate. A crash after the end of a hold has to count, also if the list has no space for its server; without the drop a request whose 16 crashes were excused, or whose hold had ended, would never be held again. TestRecordsWithManyCrashesConverge checks it. Only the words were wrong. Tried and reverted: counting the crash without dropping a name leaves the second case open.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -29,9 +29,10 @@
 	rebroadcastDelay = 300 * time.Millisecond
 )
 
-// Record is what a box knows of a request, as it is sent to other boxes. Both lists only grow,
-// and the records of two boxes are merged by joining the lists, in any order and any number of
-// times.
+// Record is what a box knows of a request, as it is sent to other boxes. The records of two boxes
+// are merged by joining the lists, in any order and any number of times. Lists only grow, but for
+// one case: a full list gives up its first name for that of a server that crashes after the hold
+// has ended, since this crash has to count. Other boxes may return the name.
 type Record struct {
 	Request Fingerprint
 	// Crashed are the servers that crashed while they had the request.
