stoneworksctl release: a call without an answer exits 5, not 1

Cause: every failed call of an admin address was reported as "failed and nothing changed", though a release whose answer was lost may have happened. Only a connection that was never made and a box's refusal leave all as it was. TestReleaseTellsWhetherItMayHaveHappened fails before (no answer, no time).

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -31,7 +31,7 @@
 	ExitConflict = 3
 	// ExitNotFound: there is no such object.
 	ExitNotFound = 4
-	// ExitUnknown: the change may or may not have been stored.
+	// ExitUnknown: the change may or may not have been made.
 	ExitUnknown = 5
 	// ExitNotEverywhere: accepted, but not in force everywhere in time.
 	ExitNotEverywhere = 6
@@ -97,7 +97,7 @@
 		ShortUsage: "stoneworksctl VERB [flags] [arguments]",
 		ShortHelp:  "create, read, change and watch services",
 		LongHelp: "Exit codes: 0 done, 1 failed and nothing changed, 2 usage, 3 conflict,\n" +
-			"4 not found, 5 unknown whether stored, 6 not in force everywhere in time.",
+			"4 not found, 5 unknown whether done, 6 not in force everywhere in time.",
 		FlagSet: flags,
 		Options: []ff.Option{ff.WithEnvVarPrefix("STONEWORKSCTL")},
 		Exec:    func(context.Context, []string) error { return flag.ErrHelp },
@@ -174,8 +174,9 @@
 	switch {
 	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.As(err, &boxError) && boxError.MayHaveChanged:
+		return ExitUnknown
 	case errors.As(err, &boxError):
-		// Calls of admin addresses change no stored service.
 		return ExitFailed
 	case errors.As(err, &missing):
 		return ExitNotEverywhere
--- a/pkg/ctl/ctl_boxes.go
+++ b/pkg/ctl/ctl_boxes.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 )
 
@@ -15,6 +17,8 @@
 type BoxError struct {
 	Address string
 	Cause   error
+	// MayHaveChanged is set if the call was to change something and may have done so.
+	MayHaveChanged bool
 }
 
 // Error implements error.
@@ -46,6 +50,14 @@
 	return answers, problems, nil
 }
 
+// mayHaveReached reports whether a call that failed with this error may have been carried out: no
+// box has answered it, and a connection was made.
+func mayHaveReached(err error) bool {
+	var answer *AnswerError
+	var network *net.OpError
+	return !errors.As(err, &answer) && !(errors.As(err, &network) && network.Op == "dial")
+}
+
 // callBox makes one call and decodes its answer into the target, unless the target is nil. The
 // error is an *AnswerError or that of the connection.
 func callBox(ctx context.Context, method, address, path string, target any) error {
--- a/pkg/ctl/ctl_quarantine.go
+++ b/pkg/ctl/ctl_quarantine.go
@@ -24,7 +24,7 @@
 			return &UsageError{Problem: err.Error()}
 		}
 		if err := callBox(ctx, http.MethodDelete, args[1], quarantine.Path+"/"+f.String(), nil); err != nil {
-			return &BoxError{Address: args[1], Cause: err}
+			return &BoxError{Address: args[1], Cause: err, MayHaveChanged: mayHaveReached(err)}
 		}
 		return nil
 	}
