Customers' statistics: the worst tenth says over which time it counts

Struck off: that a threshold for recent requests is used on counts since the start. It is a number of requests below which a share means little, for either count.

--- a/pkg/customerstats/customerstats.go
+++ b/pkg/customerstats/customerstats.go
@@ -107,8 +107,8 @@
 	return printWorst(w, rows)
 }
 
-// printWorst writes the share of requests answered in time of the worst-served tenth of the
-// customers.
+// printWorst writes the share of requests answered in time, since the boxes started, of the
+// worst-served tenth of the customers.
 func printWorst(w io.Writer, rows []Row) error {
 	var shares []float64
 	for i := range rows {
@@ -120,7 +120,7 @@
 	if count == 0 {
 		return nil
 	}
-	_, err := fmt.Fprintf(w, "\nworst tenth (%d of %d customers): %.0f%% in time\n", count, len(shares), 100*share)
+	_, err := fmt.Fprintf(w, "\nworst tenth (%d of %d customers) since the boxes started: %.0f%% in time\n", count, len(shares), 100*share)
 	return err
 }
 
--- a/pkg/customerstats/customerstats_test.go
+++ b/pkg/customerstats/customerstats_test.go
@@ -29,7 +29,7 @@
 	lines := strings.Split(b.String(), "\n")
 	is.True(strings.HasPrefix(lines[1], "label "))
 	is.Equal(rows[0].Completed, uint32(24))
-	is.True(strings.Contains(b.String(), "worst tenth (1 of 1 customers): 75% in time"))
+	is.True(strings.Contains(b.String(), "worst tenth (1 of 1 customers) since the boxes started: 75% in time"))
 	for _, part := range []string{"40/s", "east 4, west 1", key, "4.5", "75%"} {
 		is.True(strings.Contains(lines[1], part))
 	}
--- a/pkg/customerstats/ledger.go
+++ b/pkg/customerstats/ledger.go
@@ -11,8 +11,8 @@
 	// decayTime is the time constant of the averages. It covers several bursts, so that the
 	// share of a customer with a few requests a second is meaningful.
 	decayTime = 10 * time.Second
-	// minRequests is how many requests a customer needs to be considered for the worst tenth:
-	// with fewer, one late answer makes up most of its share.
+	// minRequests is how many requests, recent ones or all, a customer needs to be considered
+	// for the worst tenth: with fewer, one late answer makes up most of its share.
 	minRequests = 5
 	// worstFraction is the fraction of the customers that counts as the worst tenth.
 	worstFraction = 0.1
