--- a/pkg/node/node_store.go
+++ b/pkg/node/node_store.go
@@ -64,6 +64,9 @@
 		return
 	}
 	old := n.table.Load()
+	if old != nil && c.Version < old.Configuration.Version {
+		log.Warn("configuration is older than the one in force", map[string]any{"version": c.Version, "in_force": old.Configuration.Version, "revision": o.Revision})
+	}
 	if old != nil && c.Version <= old.Configuration.Version {
 		return
 	}
