Tests: the operators' report must name the customer, stand-ins must not refuse a call

Cause: TestOperatorsAreToldHowCustomersAreServed passed if the report did not name the customer at all, and harness.post took a refused call as done (a control of a server that does not exist answers 400); the platform's stand-in answered 200 to calls that it could not carry out.

--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -424,7 +424,16 @@
 	}
 }
 
-// post sends a value as JSON; it does not check the status of the answer.
+// StatusError reports that a stand-in has refused a call.
+type StatusError struct {
+	URL    string
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s: status %d", e.URL, e.Status) }
+
+// post sends a value as JSON. The error is a *StatusError if the call was refused.
 func post(url string, value any) error {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -434,7 +443,13 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	if err := resp.Body.Close(); err != nil {
+		return err
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return &StatusError{URL: url, Status: resp.StatusCode}
+	}
+	return nil
 }
 
 // get decodes the JSON answer of a URL into a value.
--- a/test/machines/customers_test.go
+++ b/test/machines/customers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -349,10 +350,8 @@
 	defer func() { _ = answer.Body.Close() }()
 	var told customerstats.Box
 	is.NoErr(json.NewDecoder(answer.Body).Decode(&told))
-	for _, c := range told.Customers {
-		if c.Name == "studio" {
-			is.Equal(c.InTime, uint32(1))
-			is.True(c.Completed >= 3)
-		}
-	}
+	at := slices.IndexFunc(told.Customers, func(c customerstats.Customer) bool { return c.Name == "studio" })
+	is.True(at >= 0)
+	is.Equal(told.Customers[at].InTime, uint32(1))
+	is.True(told.Customers[at].Completed >= 3)
 }
--- a/test/standin/platform.go
+++ b/test/standin/platform.go
@@ -177,15 +177,18 @@
 	reply(w, http.StatusOK, o)
 }
 
-// admin lets a test set the fault, replace the list of boxes and undo the last writes. Every
-// call answers with the counts of calls by verb.
+// admin lets a test set the fault, replace the list of boxes and undo the last writes. Every call
+// that is carried out answers with the counts of calls by verb.
 func (p *Platform) admin(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch r.URL.Path {
 	case "/admin/fault":
 		p.fault = PlatformFault{}
-		_ = json.NewDecoder(r.Body).Decode(&p.fault)
+		if json.NewDecoder(r.Body).Decode(&p.fault) != nil {
+			reply(w, http.StatusBadRequest, nil)
+			return
+		}
 		if p.fault.Down {
 			// Wake the watches that wait for a change.
 			close(p.changed)
@@ -193,15 +196,21 @@
 		}
 	case "/admin/boxes":
 		p.boxes = nil
-		_ = json.NewDecoder(r.Body).Decode(&p.boxes)
+		if json.NewDecoder(r.Body).Decode(&p.boxes) != nil {
+			reply(w, http.StatusBadRequest, nil)
+			return
+		}
 	case "/admin/restore":
-		if n, _ := strconv.Atoi(r.URL.Query().Get("back")); n > 0 && n <= len(p.history) {
-			p.objects = clone(p.history[len(p.history)-n])
-			p.version -= uint64(n)
-			p.history = p.history[:len(p.history)-n]
-			close(p.changed)
-			p.changed = make(chan struct{})
+		n, _ := strconv.Atoi(r.URL.Query().Get("back"))
+		if n < 1 || n > len(p.history) {
+			reply(w, http.StatusBadRequest, nil)
+			return
 		}
+		p.objects = clone(p.history[len(p.history)-n])
+		p.version -= uint64(n)
+		p.history = p.history[:len(p.history)-n]
+		close(p.changed)
+		p.changed = make(chan struct{})
 	}
 	reply(w, http.StatusOK, p.calls)
 }
