Tests: TestPromise7 heals the server whose health checks it makes fail

Cause: degradeServers healed the links but left server 0 with failing health checks, so the rest of the proof ran with one server fewer than it says.

--- a/test/prove/promise_7_test.go
+++ b/test/prove/promise_7_test.go
@@ -221,8 +221,8 @@
 	return p.frozen == i+1
 }
 
-// degradeServers has one backend server fail its health checks, one answer slowly, and one lose
-// its connections.
+// degradeServers has, for a while, one backend server fail its health checks, one answer slowly, and
+// one lose its connections.
 func (p *proof) degradeServers(l *links) {
 	p.countFault()
 	p.must(p.d.Control(p.serverName(0), standin.BackendControl{MisleadingHealth: true, ServiceMS: serviceMS}))
@@ -230,6 +230,7 @@
 	l.servers[2].SetAll(faultproxy.Fault{Reset: true})
 	time.Sleep(3 * time.Second)
 	l.heal()
+	p.must(p.d.Control(p.serverName(0), standin.BackendControl{ServiceMS: serviceMS}))
 }
 
 // regionFails kills the boxes of the south, which must not overload the north's servers.
