Directory: large boxes of other zones as standby boxes; lookups that do not read all boxes

Cause: in a fleet of unlike boxes an answer named the two large boxes of the client's zone alone. When both had ended, and with them the directory near the client, nothing named a third box to it.

Change: an answer that leaves boxes of the region out for their size names two large boxes of other zones of the region as well, the same at all boxes, and may be kept for 5 s (lookup_ttl permitting) instead of 3 s, since a client that asks when all boxes near it have ended gets no answer. Answers of fleets of equal boxes are as before. Boxes are listed by zone, and again only after a change; a box that claims more than any other no longer makes these small.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -2,7 +2,7 @@
 package directory
 
 import (
-	"sort"
+	"sync"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/gossip"
@@ -15,6 +15,10 @@
 // another one to use.
 const minBoxes = 2
 
+// maxStandby is how many standby boxes an answer may name. Clients choose randomly among all
+// named boxes, so standby boxes receive requests as well.
+const maxStandby = 2
+
 // Query is a client's request for boxes.
 type Query struct {
 	Host   string
@@ -30,8 +34,10 @@
 
 // Directory chooses boxes for clients.
 type Directory struct {
-	// TTL is how long clients may keep an answer.
-	TTL time.Duration
+	// TTL is how long clients may keep an answer, and StandbyTTL how long one that names standby
+	// boxes: clients that cannot ask again, since the boxes near them have ended, need it.
+	TTL        time.Duration
+	StandbyTTL time.Duration
 	// RegionOf returns the region of a zone.
 	RegionOf func(zone string) string
 	// Self returns this box's record, and EachLive calls f with those of the other live boxes;
@@ -41,94 +47,65 @@
 	// RegionAllowed reports whether the requests of a host may be sent to a region other than
 	// the client's own.
 	RegionAllowed func(host, region string) bool
+	// Generation returns a number that changes whenever boxes join, fall silent or change what
+	// the directory reads of them, and Now the time. If Generation is nil, each query reads the
+	// records of all boxes.
+	Generation func() uint64
+	Now        func() time.Time
+
+	mu   sync.Mutex
+	last *fleet
 }
 
 // Resolve names the boxes of the client's zone; if these are too few, those of its region; and
 // if there are none, those of other regions that may serve the host's requests. Boxes much
-// smaller than others are left out as long as enough others remain.
+// smaller than others are left out as long as enough others remain; then standby boxes are
+// named as well.
 func (d *Directory) Resolve(q Query) Answer {
-	var zone, region, far, any []*entry
-	serving := d.serving()
-	for i := range serving {
-		r := &serving[i]
-		here := d.RegionOf(r.zone)
-		switch {
-		case r.zone == q.Zone:
-			zone = append(zone, r)
-			region = append(region, r)
-		case here == q.Region:
-			region = append(region, r)
-		case d.RegionAllowed(q.Host, here):
-			far = append(far, r)
-		default:
-			any = append(any, r)
-		}
+	c := d.fleet().choose(q, d.RegionAllowed)
+	if c.hasStandby {
+		return Answer{Addresses: c.addresses, TTL: d.StandbyTTL}
 	}
-	for _, list := range [][]*entry{largest(zone), largest(region), zone, region} {
-		if len(list) >= minBoxes {
-			return d.answer(list)
-		}
-	}
-	for _, list := range [][]*entry{region, largest(far), largest(any)} {
-		if len(list) > 0 {
-			return d.answer(list)
-		}
-	}
-	return Answer{}
+	return Answer{Addresses: c.addresses, TTL: d.TTL}
 }
 
-// entry holds the fields of a record that the choice depends on. Records are large, and are
-// not copied for each lookup.
-type entry struct {
-	zone     string
-	clients  string
-	capacity float64
-}
+// maxFleetAge is how old lists of boxes may be that nothing is known to have changed. Boxes may
+// fall silent without an event.
+const maxFleetAge = 100 * time.Millisecond
 
-// serving lists the boxes that accept requests, this one included.
-func (d *Directory) serving() []entry {
-	var list []entry
-	add := func(r *gossip.Record) {
-		if r.Ready && !r.Leaving {
-			list = append(list, entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity})
-		}
+// fleet returns the boxes that accept requests, this one included.
+func (d *Directory) fleet() *fleet {
+	if d.Generation == nil {
+		return d.readFleet()
 	}
-	self := d.Self()
-	add(&self)
-	d.EachLive(add)
-	return list
-}
-
-func (d *Directory) answer(list []*entry) Answer {
-	var addresses []string
-	for _, r := range list {
-		addresses = append(addresses, r.clients)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, generation := d.Now(), d.Generation()
+	if d.last == nil || d.last.generation != generation || now.Sub(d.last.readAt) > maxFleetAge {
+		d.last = d.readFleet()
+		d.last.generation, d.last.readAt = generation, now
 	}
-	sort.Strings(addresses)
-	return Answer{Addresses: addresses[:min(len(addresses), MaxAddresses)], TTL: d.TTL}
+	return d.last
 }
 
-// largeFraction is the fraction of the largest box's capacity that another box must have to be
-// named beside it. Clients choose randomly among the named boxes, so a much smaller box would
-// receive as many requests as the others. Also, few boxes with many requests each know more
-// about the load of backend servers, and reuse connections more often, than many boxes with
-// few.
-const largeFraction = 0.5
-
-// IsLarge reports whether a box is not much smaller than the largest one.
-func IsLarge(capacity, most float64) bool { return capacity >= largeFraction*most }
-
-// largest returns the boxes that are not much smaller than the largest one.
-func largest(list []*entry) []*entry {
-	most := 0.0
-	for _, r := range list {
-		most = max(most, r.capacity)
+// readFleet lists the boxes that accept requests by zone and region. Records are large, and are
+// not copied.
+func (d *Directory) readFleet() *fleet {
+	f := &fleet{
+		zones: map[string][]*entry{}, regions: map[string][]*entry{}, regionOf: map[string]string{}, near: map[string]choice{},
 	}
-	var large []*entry
-	for _, r := range list {
-		if IsLarge(r.capacity, most) {
-			large = append(large, r)
+	add := func(r *gossip.Record) {
+		if !r.Ready || r.Leaving {
+			return
 		}
+		e := &entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity}
+		region := d.RegionOf(r.Zone)
+		f.regionOf[r.Zone] = region
+		f.zones[r.Zone] = append(f.zones[r.Zone], e)
+		f.regions[region] = append(f.regions[region], e)
 	}
-	return large
+	self := d.Self()
+	add(&self)
+	d.EachLive(add)
+	return f
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -19,8 +19,9 @@
 		table.Receive(&gossip.Message{From: m})
 	}
 	return &Directory{
-		TTL: 3 * time.Second, RegionOf: func(zone string) string { return zone[:len(zone)-2] },
+		TTL: 3 * time.Second, StandbyTTL: 5 * time.Second, RegionOf: func(zone string) string { return zone[:len(zone)-2] },
 		Self: table.Self, EachLive: table.EachLive, RegionAllowed: func(_, region string) bool { return region != "north" },
+		Generation: table.Generation, Now: func() time.Time { return now },
 	}
 }
 
--- /dev/null
+++ b/pkg/directory/fleet.go
@@ -0,0 +1,121 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/hashing"
+)
+
+// fleet holds the boxes that accept requests, as of a generation of their records.
+type fleet struct {
+	generation uint64
+	readAt     time.Time
+
+	zones   map[string][]*entry
+	regions map[string][]*entry
+	// regionOf holds the region of each zone that has boxes.
+	regionOf map[string]string
+
+	mu sync.Mutex
+	// near holds the choices for clients of zones that have boxes, by zone. They depend on
+	// nothing but the zone, so most lookups do not look at boxes.
+	near map[string]choice
+}
+
+// entry holds the fields of a record that the choice depends on.
+type entry struct {
+	zone     string
+	clients  string
+	capacity float64
+}
+
+// choice is what an answer names.
+type choice struct {
+	addresses  []string
+	hasStandby bool
+}
+
+// choose returns the boxes for a client.
+func (f *fleet) choose(q Query, allowed func(host, region string) bool) choice {
+	if region, ok := f.regionOf[q.Zone]; !ok || region != q.Region {
+		return f.chooseAnew(q, allowed)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, ok := f.near[q.Zone]
+	if !ok {
+		c = f.chooseAnew(q, allowed)
+		f.near[q.Zone] = c
+	}
+	return c
+}
+
+func (f *fleet) chooseAnew(q Query, allowed func(host, region string) bool) choice {
+	zone, region := f.zones[q.Zone], f.regions[q.Region]
+	if home, ok := f.regionOf[q.Zone]; ok && home != q.Region {
+		region = slices.Concat(region, zone)
+	}
+	if len(region) == 0 {
+		return choice{addresses: addressesOf(f.farBoxes(q.Host, allowed))}
+	}
+	named := nearBoxes(zone, region)
+	standby := standbyBoxes(named, region, q.Zone)
+	return choice{addresses: addressesOf(slices.Concat(named, standby)), hasStandby: len(standby) > 0}
+}
+
+// farBoxes returns boxes of the regions in which the host's requests may run, or, if these have
+// none, of all regions.
+func (f *fleet) farBoxes(host string, allowed func(host, region string) bool) []*entry {
+	var far, all []*entry
+	for region, list := range f.regions {
+		all = append(all, list...)
+		if allowed(host, region) {
+			far = append(far, list...)
+		}
+	}
+	if len(far) > 0 {
+		return largest(far, far)
+	}
+	return largest(all, all)
+}
+
+// nearBoxes returns boxes of the client's zone, or, if these are too few, of its region.
+func nearBoxes(zone, region []*entry) []*entry {
+	for _, list := range [][]*entry{largest(zone, region), largest(region, region), zone} {
+		if len(list) >= minBoxes {
+			return list
+		}
+	}
+	return region
+}
+
+// standbyBoxes returns further boxes for clients of a zone that are told only of its large
+// boxes. Those are few and may end together, and with them the directory near the clients. The
+// standby boxes are large boxes of other zones of the region, which do not share the fate of
+// the zone; small boxes would receive as many requests as large ones. Each zone has the same
+// ones at all boxes, and a box that joins or ends changes one of them.
+func standbyBoxes(named, region []*entry, zone string) []*entry {
+	large := largest(region, region)
+	if len(large) == len(region) {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(large), func(e *entry) bool {
+		return e.zone == zone || slices.Contains(named, e)
+	})
+	slices.SortFunc(others, func(a, b *entry) int {
+		return cmp.Compare(hashing.Of(zone, a.clients), hashing.Of(zone, b.clients))
+	})
+	return others[:min(len(others), maxStandby)]
+}
+
+func addressesOf(list []*entry) []string {
+	var addresses []string
+	for _, e := range list {
+		addresses = append(addresses, e.clients)
+	}
+	slices.Sort(addresses)
+	return addresses[:min(len(addresses), MaxAddresses)]
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -86,6 +86,8 @@
 	requested map[uint32]time.Time
 	// servingSince is since when clients have sent this box requests.
 	servingSince time.Time
+	// generation changes with everything that the choice of boxes for clients depends on.
+	generation uint64
 	// lastReceived is when the last message of any box came.
 	lastReceived time.Time
 	heartbeats   int
@@ -173,8 +175,9 @@
 func (t *Table) Update(change func(self *Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	served := t.self.Serving
+	served, placed := t.self.Serving, t.self.placement()
 	change(&t.self)
+	t.noteIfPlaced(placed, &t.self)
 	t.updated = t.Now()
 	if t.self.Serving && !served {
 		t.servingSince = t.Now()
@@ -217,6 +220,22 @@
 	}
 }
 
+// Generation returns a number that changes whenever a box joins, comes back, falls silent or
+// changes what the choice of boxes for clients depends on. A box that is no longer live may be
+// noticed only by the next Expire.
+func (t *Table) Generation() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.generation
+}
+
+// noteIfPlaced changes the generation if the record differs from its former placement.
+func (t *Table) noteIfPlaced(former placement, r *Record) {
+	if r.placement() != former {
+		t.generation++
+	}
+}
+
 // Alone reports whether no other box was ever heard of.
 func (t *Table) Alone() bool {
 	t.mu.Lock()
@@ -331,6 +350,7 @@
 // markSilent marks a box as silent.
 func (t *Table) markSilent(e *entry) {
 	e.silent = true
+	t.generation++
 	t.OnChange(e.Record, "silent")
 }
 
@@ -339,6 +359,7 @@
 	t.members[e.Box], t.ids[e.ID] = e, e
 	t.sorted = insertByName(t.sorted, e)
 	t.setZone(e)
+	t.generation++
 }
 
 // setZone moves a box into its zone's list of members.
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -96,8 +96,9 @@
 		return false
 	}
 	restarted := r.Started != old.Started
-	versions := old.Versions
+	versions, placed := old.Versions, old.placement()
 	old.Record = *r
+	t.noteIfPlaced(placed, r)
 	t.setZone(old)
 	if !direct && !restarted {
 		old.Versions = versions
@@ -148,7 +149,9 @@
 	if uint64(s.Sequence) < least {
 		return true
 	}
+	placed := e.placement()
 	e.apply(s)
+	t.noteIfPlaced(placed, &e.Record)
 	t.markHeard(e)
 	if e.silent {
 		t.markLive(e)
@@ -191,6 +194,7 @@
 // markLive marks a box as live again.
 func (t *Table) markLive(e *entry) {
 	e.silent = false
+	t.generation++
 	t.announceLive(e)
 	t.OnChange(e.Record, "back")
 }
--- a/pkg/gossip/record.go
+++ b/pkg/gossip/record.go
@@ -38,6 +38,17 @@
 	Versions map[string]objects.Version `json:"versions,omitempty"`
 }
 
+// placement is what the choice of boxes for clients depends on.
+type placement struct {
+	zone, clients  string
+	capacity       float64
+	ready, leaving bool
+}
+
+func (r *Record) placement() placement {
+	return placement{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, ready: r.Ready, leaving: r.Leaving}
+}
+
 // newer reports whether r replaces old.
 func (r *Record) newer(old *Record) bool {
 	if r.Started != old.Started {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -187,8 +187,9 @@
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
 	}, n.boxCount, n.Clock.Now)
 	n.Directory = &directory.Directory{
-		TTL: min(preferredTTL, s.LookupTTL), RegionOf: n.Topology.RegionOf,
+		TTL: min(preferredTTL, s.LookupTTL), StandbyTTL: min(standbyTTL, s.LookupTTL), RegionOf: n.Topology.RegionOf,
 		Self: n.Members.Self, EachLive: n.Members.EachLive, RegionAllowed: n.hostAllowed,
+		Generation: n.Members.Generation, Now: n.Clock.Now,
 	}
 	n.newReplica(logging.For(logger, "store"))
 	n.newQuota()
@@ -202,6 +203,10 @@
 	// preferredTTL is how long clients keep an answer of the directory if the settings allow it:
 	// long enough that they ask rarely, short enough that they leave a stopping box in time.
 	preferredTTL = 3 * time.Second
+	// standbyTTL is the same for answers that name standby boxes. Clients that ask when all boxes
+	// near them have ended wait for an answer that does not come, and longer answers spare more
+	// of them that.
+	standbyTTL = 5 * time.Second
 	// propagationTime is how long it may take until a change in the store reaches a box: changes
 	// are batched for 0.6 s, announced to the zone within 0.1 s, and then fetched.
 	propagationTime = time.Second
@@ -254,26 +259,27 @@
 // the largest boxes of a zone that accept requests; see package directory.
 func (n *Node) listPeers(p *peerList) {
 	p.list = p.list[:0]
-	largest := map[string]float64{}
+	zones, regions := map[string]directory.Sizes{}, map[string]directory.Sizes{}
 	var capacities []float64
 	add := func(r *gossip.Record, live bool) backend.Peer {
-		capacity := -1.0
+		capacity, region := -1.0, n.Topology.RegionOf(r.Zone)
 		if live && r.Ready && !r.Leaving {
 			capacity = r.Capacity
-			largest[r.Zone] = max(largest[r.Zone], capacity)
+			zones[r.Zone] = zones[r.Zone].With(capacity)
+			regions[region] = regions[region].With(capacity)
 		}
 		capacities = append(capacities, capacity)
-		return backend.Peer{Zone: r.Zone, Region: n.Topology.RegionOf(r.Zone), Hash: backend.Hash(r.Box)}
+		return backend.Peer{Zone: r.Zone, Region: region, Hash: backend.Hash(r.Box)}
 	}
 	own := n.Members.Self()
 	p.self = add(&own, true)
 	n.Members.EachPossibleSender(func(r *gossip.Record, live bool) { p.list = append(p.list, add(r, live)) })
-	isAdvertised := func(capacity float64, zone string) bool {
-		return capacity >= 0 && directory.IsLarge(capacity, largest[zone])
+	mark := func(peer *backend.Peer, capacity float64) {
+		peer.Advertised = capacity >= 0 && directory.IsLarge(capacity, zones[peer.Zone], regions[peer.Region])
 	}
-	p.self.Advertised = isAdvertised(capacities[0], p.self.Zone)
+	mark(&p.self, capacities[0])
 	for i := range p.list {
-		p.list[i].Advertised = isAdvertised(capacities[i+1], p.list[i].Zone)
+		mark(&p.list[i], capacities[i+1])
 	}
 }
 
