--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -60,7 +60,7 @@
 // Resolve names the boxes of the client's zone; if these are too few, those of its region; and
 // if there are none, those of other regions that may serve the host's requests. Boxes much
 // smaller than others are left out as long as enough others remain; then standby boxes are
-// named as well.
+// named as well, and boxes that use most of their machines are left out by part of the fleet.
 func (d *Directory) Resolve(q Query) Answer {
 	c := d.fleet().choose(q, d.RegionAllowed)
 	if c.hasStandby {
@@ -98,13 +98,14 @@
 		if !r.Ready || r.Leaving {
 			return
 		}
-		e := &entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity}
+		e := &entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, use: r.Use}
 		region := d.RegionOf(r.Zone)
 		f.regionOf[r.Zone] = region
 		f.zones[r.Zone] = append(f.zones[r.Zone], e)
 		f.regions[region] = append(f.regions[region], e)
 	}
 	self := d.Self()
+	f.answering = self.Box
 	add(&self)
 	d.EachLive(add)
 	return f
--- a/pkg/directory/fleet.go
+++ b/pkg/directory/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/hashing"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
 // fleet holds the boxes that accept requests, as of a generation of their records.
@@ -16,6 +17,8 @@
 
 	zones   map[string][]*entry
 	regions map[string][]*entry
+	// answering is the name of this box.
+	answering string
 	// regionOf holds the region of each zone that has boxes.
 	regionOf map[string]string
 
@@ -30,6 +33,7 @@
 	zone     string
 	clients  string
 	capacity float64
+	use      utilization.Level
 }
 
 // choice is what an answer names.
@@ -61,6 +65,12 @@
 	if len(region) == 0 {
 		return choice{addresses: addressesOf(f.farBoxes(q.Host, allowed))}
 	}
+	if isUnlike(region) {
+		if uncrowded := f.uncrowded(region); len(uncrowded) >= minBoxes {
+			region = uncrowded
+			zone = slices.DeleteFunc(slices.Clone(zone), func(e *entry) bool { return !slices.Contains(region, e) })
+		}
+	}
 	named := nearBoxes(zone, region)
 	standby := standbyBoxes(named, region, q.Zone)
 	return choice{addresses: addressesOf(slices.Concat(named, standby)), hasStandby: len(standby) > 0}
@@ -82,6 +92,20 @@
 	return largest(all, all)
 }
 
+// omitted is the share of the directory's boxes that leave out a box of each level of use. Some
+// always name it: clients leave a box that a new answer does not name, and if all left it at once,
+// the next one would be full.
+var omitted = [...]float64{utilization.Crowded: 0.5, utilization.Full: 0.75}
+
+// uncrowded returns the boxes of the list that this box names, by their use of their machines. It
+// names the same ones for as long as their levels last.
+func (f *fleet) uncrowded(list []*entry) []*entry {
+	return slices.DeleteFunc(slices.Clone(list), func(e *entry) bool {
+		place := float64(hashing.Of(f.answering, e.clients)>>11) / (1 << 53)
+		return place < omitted[e.use]
+	})
+}
+
 // nearBoxes returns boxes of the client's zone, or, if these are too few, of its region.
 func nearBoxes(zone, region []*entry) []*entry {
 	for _, list := range [][]*entry{largest(zone, region), largest(region, region), zone} {
@@ -98,11 +122,10 @@
 // the zone; small boxes would receive as many requests as large ones. Each zone has the same
 // ones at all boxes, and a box that joins or ends changes one of them.
 func standbyBoxes(named, region []*entry, zone string) []*entry {
-	large := largest(region, region)
-	if len(large) == len(region) {
+	if !isUnlike(region) {
 		return nil
 	}
-	others := slices.DeleteFunc(slices.Clone(large), func(e *entry) bool {
+	others := slices.DeleteFunc(largest(region, region), func(e *entry) bool {
 		return e.zone == zone || slices.Contains(named, e)
 	})
 	slices.SortFunc(others, func(a, b *entry) int {
--- a/pkg/directory/sizes.go
+++ b/pkg/directory/sizes.go
@@ -43,6 +43,9 @@
 	return capacity >= largeFraction*most
 }
 
+// isUnlike reports whether boxes of the region are left out for their size.
+func isUnlike(region []*entry) bool { return len(largest(region, region)) < len(region) }
+
 // largest returns the large boxes of a list.
 func largest(list, region []*entry) []*entry {
 	listSizes, regionSizes := sizesOf(list), sizesOf(region)
--- a/pkg/directory/standby_test.go
+++ b/pkg/directory/standby_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
 // unlikeFleet returns the records of a fleet of three regions with two zones each, with the given
@@ -156,3 +157,49 @@
 		})
 	}
 }
+
+// TestCrowdedBoxesAreNamedLess checks that a part of the directory's boxes leave out a box that
+// uses most of its machine, always the same part, and that small boxes serve once all large ones
+// of the region are full.
+func TestCrowdedBoxesAreNamedLess(t *testing.T) {
+	is := is.New(t)
+	answers := func(use utilization.Level, isCrowded func(r *gossip.Record) bool) (named map[string]int) {
+		named = map[string]int{}
+		for i := range 200 {
+			records := unlikeFleet(2, 4)
+			for j := range records {
+				if isCrowded(&records[j]) {
+					records[j].Use = use
+				}
+			}
+			d := newDirectory(records...)
+			self := gossip.Record{Box: fmt.Sprint("directory-", i), Zone: "east-a"}
+			d.Self = func() gossip.Record { return self }
+			first := west(d).Addresses
+			is.True(len(first) >= 2)
+			is.Equal(west(d).Addresses, first)
+			for _, name := range first {
+				named[name]++
+			}
+		}
+		return named
+	}
+	one := func(r *gossip.Record) bool { return r.Box == "west-a-0" }
+	is.Equal(answers(utilization.Busy, one)["west-a-0"], 200)
+	crowded := answers(utilization.Crowded, one)
+	is.True(crowded["west-a-0"] > 60 && crowded["west-a-0"] < 140)
+	is.Equal(crowded["west-a-1"], 200)
+	full := answers(utilization.Full, one)["west-a-0"]
+	is.True(full > 20 && full < crowded["west-a-0"])
+	all := answers(utilization.Full, func(r *gossip.Record) bool { return r.Capacity == 1600 })
+	is.True(all["west-a-3"] > 0)
+	is.True(all["west-a-0"] > 0) // full, but it still serves
+}
+
+func TestUseOfEqualBoxesChangesNoAnswer(t *testing.T) {
+	is := is.New(t)
+	records := unlikeFleet(4, 0)
+	want := west(newDirectory(records...))
+	records[slices.IndexFunc(records, func(r gossip.Record) bool { return r.Box == "west-a-0" })].Use = utilization.Full
+	is.Equal(west(newDirectory(records...)), want)
+}
--- a/pkg/gossip/operators.go
+++ b/pkg/gossip/operators.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
 // PathFleet is the path on a box's admin address at which operators get what it knows of all
@@ -37,6 +39,10 @@
 	Ready   int `json:"ready"`
 	Leaving int `json:"leaving"`
 	Serving int `json:"serving"`
+	// Busy counts live boxes that use much of their machines, and Crowded are some of those that
+	// use so much that clients are told of other boxes.
+	Busy    int      `json:"busy"`
+	Crowded []string `json:"crowded"`
 	// Asking are some of the boxes that poll the store, Unanswered is how many boxes poll it
 	// without an answer.
 	Asking     []string `json:"asking"`
@@ -58,7 +64,7 @@
 	now := t.Now()
 	var list []ZoneOverview
 	for name, z := range t.zones {
-		o := ZoneOverview{Zone: name, Asking: []string{}, Silent: []string{}}
+		o := ZoneOverview{Zone: name, Asking: []string{}, Silent: []string{}, Crowded: []string{}}
 		oldest := t.self.Versions[kind].Revision
 		if z == t.ownZone {
 			o.count(&t.self, true)
@@ -94,11 +100,14 @@
 	for _, f := range []struct {
 		set   bool
 		count *int
-	}{{r.Ready, &o.Ready}, {r.Leaving, &o.Leaving}, {r.Serving, &o.Serving}, {r.StoreUnanswered, &o.Unanswered}} {
+	}{{r.Ready, &o.Ready}, {r.Leaving, &o.Leaving}, {r.Serving, &o.Serving}, {r.StoreUnanswered, &o.Unanswered}, {r.Use >= utilization.Busy, &o.Busy}} {
 		if f.set {
 			*f.count++
 		}
 	}
+	if r.Use >= utilization.Crowded && len(o.Crowded) < maxNamed {
+		o.Crowded = append(o.Crowded, r.Box)
+	}
 	if (r.StoreHealthy || r.StoreUnanswered) && len(o.Asking) < maxNamed {
 		o.Asking = append(o.Asking, r.Box)
 	}
@@ -112,12 +121,12 @@
 		if _, err := fmt.Fprintf(t, "as %s knows it; list of servers as of %d, confirmed %d ms ago\n", b.Box, b.ListAt, b.ListAgeMS); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintln(t, "ZONE\tBOXES\tLIVE\tREADY\tLEAVING\tWITH CLIENTS\tBEHIND\tSLOWEST\tASK THE STORE\tSILENT"); err != nil {
+		if _, err := fmt.Fprintln(t, "ZONE\tBOXES\tLIVE\tREADY\tLEAVING\tWITH CLIENTS\tBUSY\tBEHIND\tSLOWEST\tASK THE STORE\tSILENT\tCROWDED"); err != nil {
 			return err
 		}
 		for _, z := range b.Zones {
-			if _, err := fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", z.Zone, z.Boxes, z.Live, z.Ready, z.Leaving, z.Serving,
-				z.Behind, orDash(z.Slowest), orDash(strings.Join(z.Asking, " ")), orDash(strings.Join(z.Silent, " "))); err != nil {
+			if _, err := fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", z.Zone, z.Boxes, z.Live, z.Ready, z.Leaving, z.Serving, z.Busy,
+				z.Behind, orDash(z.Slowest), orDash(strings.Join(z.Asking, " ")), orDash(strings.Join(z.Silent, " ")), orDash(strings.Join(z.Crowded, " "))); err != nil {
 				return err
 			}
 		}
--- a/pkg/gossip/record.go
+++ b/pkg/gossip/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/hashing"
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
 // Record is what a box sends about itself.
@@ -36,6 +37,9 @@
 	ListConfirmedAgo uint32 `json:"list_confirmed_ago,omitempty"`
 	// Versions are the versions of the box's mirrors, by kind.
 	Versions map[string]objects.Version `json:"versions,omitempty"`
+	// Use is how much of its machine the box uses. Boxes that do not send it yet, or do not know
+	// the size of their machines, count as free.
+	Use utilization.Level `json:"use,omitempty"`
 }
 
 // placement is what the choice of boxes for clients depends on.
@@ -43,10 +47,11 @@
 	zone, clients  string
 	capacity       float64
 	ready, leaving bool
+	use            utilization.Level
 }
 
 func (r *Record) placement() placement {
-	return placement{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, ready: r.Ready, leaving: r.Leaving}
+	return placement{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, ready: r.Ready, leaving: r.Leaving, use: r.Use}
 }
 
 // newer reports whether r replaces old.
@@ -84,6 +89,7 @@
 			s.Flags |= f.flag
 		}
 	}
+	s.Flags |= Flags(r.Use) << useShift
 	return s
 }
 
@@ -95,6 +101,7 @@
 	r.StoreHealthy = s.Flags&FlagStoreHealthy != 0
 	r.StoreUnanswered = s.Flags&FlagTrying != 0
 	r.Serving = s.Flags&FlagServing != 0
+	r.Use = utilization.Level(s.Flags >> useShift)
 }
 
 // Flags are the states of a box in a liveness record.
@@ -111,6 +118,9 @@
 	FlagServing
 )
 
+// useShift is the position of the level of use in Flags, of which it takes the last two bits.
+const useShift = 6
+
 // LivenessRecord is what was heard of a box, for receivers that know its full record: 9 bytes
 // instead of a whole record.
 type LivenessRecord struct {
--- a/pkg/gossip/wire_test.go
+++ b/pkg/gossip/wire_test.go
@@ -10,6 +10,7 @@
 	"github.com/stoneworks/stoneworks/pkg/objects"
 
 	"github.com/stoneworks/stoneworks/pkg/packet"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
 // fullRecord returns a record with all fields set that a box sends about itself.
@@ -17,7 +18,7 @@
 	return Record{
 		Box: box, Zone: "brum-digbeth", Clients: "10.1.0.34:8548", Peers: "10.1.0.34:8544",
 		Started: 1775555009001108062, Capacity: 640, Sequence: 117, Ready: true, StoreHealthy: true, Serving: true,
-		ConfirmedAgo: 2400, ListConfirmedAgo: 1250,
+		ConfirmedAgo: 2400, ListConfirmedAgo: 1250, Use: utilization.Busy,
 		Versions: map[string]objects.Version{
 			"config": {Revision: 227, Digest: 4012345678}, "servers": {Revision: 231, Digest: 312345678}, "evacuations": {Revision: 227},
 		},
@@ -64,8 +65,20 @@
 	is.True(len(datagram)-len(alone) <= maxLivenessRecords*livenessRecordSize+2)
 }
 
+func TestUseTravelsInLivenessRecords(t *testing.T) {
+	is := is.New(t)
+	r := fullRecord("edge-1")
+	for _, use := range []utilization.Level{utilization.Free, utilization.Busy, utilization.Crowded, utilization.Full} {
+		r.Use = use
+		var heard Record
+		heard.apply(r.livenessRecord())
+		is.Equal(heard.Use, use)
+		is.True(heard.Ready && heard.StoreHealthy && heard.Serving && !heard.Leaving && !heard.StoreUnanswered)
+	}
+}
+
 func TestOtherDatagramsAreRefused(t *testing.T) {
-	for _, datagram := range [][]byte{nil, {}, {wireVersion}, {wireVersion, 0xff}, []byte(`{"from":{}}`), {wireVersion + 1, 0x92}} {
+	for _, datagram := range [][]byte{nil, {}, {wireVersion}, {wireVersion, 0xff}, []byte(`{"from":{}}`), {wireVersion + 1, 0x92}, {wireVersion - 1, 0x92}} {
 		_, err := Wire.Decode(datagram)
 		var wire *packet.Error
 		if !errors.As(err, &wire) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
 // Adapter is what a platform's adapter provides.
@@ -89,6 +90,8 @@
 	Ledger    *customerstats.Ledger
 	Directory *directory.Directory
 	Ingress   *ingress.Server
+	// Utilization is how much of its machine the box uses.
+	Utilization *utilization.Meter
 
 	adapter *Adapter
 	store   *objects.Client
@@ -146,6 +149,9 @@
 	pools map[poolKey]*exchange.Pool
 	idle  *exchange.IdleLimit
 
+	utilizationLog *logging.Logger
+	traffic        traffic
+
 	ports      *ports
 	background *conc.WaitGroup
 	context    context.Context
@@ -180,6 +186,7 @@
 	n.context, n.stop = context.WithCancel(context.Background())
 	n.seeds.Store(&s.Seeds)
 	n.logIdleLimits(logging.For(logger, "connections"))
+	n.newUtilization(s.Machine, logging.For(logger, "machine"))
 	n.newMembers(logging.For(logger, "members"))
 	n.newSet(logging.For(logger, "backend"))
 	n.setPolicy(s.Policy)
--- a/pkg/node/node_dial.go
+++ b/pkg/node/node_dial.go
@@ -74,7 +74,11 @@
 }
 
 func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	return n.dialer().DialContext(ctx, "tcp4", address)
+	c, err := n.dialer().DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return n.traffic.counted(c), nil
 }
 
 func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) {
--- a/pkg/node/node_heartbeats.go
+++ b/pkg/node/node_heartbeats.go
@@ -35,6 +35,7 @@
 	}
 	n.checkReady()
 	n.refreshSelf()
+	n.refreshUse()
 	n.sendHeartbeats()
 	n.Replica.PullOverdue()
 }
@@ -80,6 +81,12 @@
 	})
 }
 
+// refreshUse reads how much of its machine the box uses.
+func (n *Node) refreshUse() {
+	use := n.readUtilization(n.Members.Self().Use)
+	n.Members.Update(func(self *gossip.Record) { self.Use = use })
+}
+
 // send sends a heartbeat to the addresses of its envelope.
 func (n *Node) send(e gossip.Envelope) {
 	if len(e.To) == 0 {
@@ -132,6 +139,7 @@
 		to, err := netip.ParseAddrPort(address)
 		if err == nil {
 			_, err = n.ports.datagrams.WriteToUDPAddrPort(datagram, to)
+			n.traffic.sent.Add(uint64(len(datagram)))
 		}
 		if err != nil {
 			metrics.GetOrRegisterCounter("heartbeats.unsent", n.Metrics).Inc(1)
@@ -150,6 +158,7 @@
 			}
 			continue
 		}
+		n.traffic.received.Add(uint64(size))
 		n.Clock.Sync()
 		if failurereport.Wire.IsMessage(buffer[:size]) {
 			n.receiveFailureReports(buffer[:size], from)
--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -47,6 +47,7 @@
 	{"words.rest", "answers", "in which a backend server turns a request away and wants no others from this box for a time"},
 	{"words.unread", "headers", "of answers that say something of the server which cannot be read"},
 	{"rollouts.sent", "reports", "of how a new version of a service's servers fares, told to the boxes that ask the store"},
+	{"machine.RESOURCE", "share", "of what the box may use of its machine that it uses, where the settings give the size: processor, link_in, link_out, memory, descriptors"},
 	{"suspended", "milliseconds", "for which the machine was suspended, in sum"},
 	{"heartbeats.unsent", "datagrams", "to other boxes not sent, since the address cannot be reached or the link is full"},
 	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -183,6 +183,7 @@
 	if n.ports.clients, err = net.Listen("tcp4", a.Callers); err != nil {
 		return &settings.ListenError{Port: "callers", Address: a.Callers, Cause: err}
 	}
+	n.ports.clients = countedListener{n.ports.clients, &n.traffic}
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
 	admin := http.NewServeMux()
@@ -216,7 +217,7 @@
 	}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: routing.DefaultLimits.HeaderTimeout, IdleTimeout: time.Minute}
 	n.ports.servers = append(n.ports.servers, s)
-	n.background.Go(func() { _ = s.Serve(l) })
+	n.background.Go(func() { _ = s.Serve(countedListener{l, &n.traffic}) })
 	return nil
 }
 
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -56,7 +56,7 @@
 	c, err := n.dialPeer(t.Context(), l.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := c.(syscall.Conn).SyscallConn()
 	is.NoErr(err)
 	is.NoErr(raw.Control(func(fd uintptr) {
 		for _, o := range []struct{ level, name, want int }{
--- /dev/null
+++ b/pkg/node/node_utilization.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"io"
+	"net"
+	"runtime/metrics"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
+)
+
+// ================================================================
+// How much of its machine the box uses.
+// ================================================================
+
+// traffic counts what passes the box's sockets.
+type traffic struct {
+	received, sent atomic.Uint64
+	// open is the number of open connections.
+	open atomic.Int64
+}
+
+// fixedDescriptors is how many descriptors a box has open besides its connections: ports, the
+// runtime's own and standard files.
+const fixedDescriptors = 16
+
+// counted returns the connection with its bytes counted. Connections that are not TCP are
+// returned as they are.
+func (t *traffic) counted(c net.Conn) net.Conn {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c
+	}
+	t.open.Add(1)
+	return &countedConn{TCPConn: tcp, traffic: t}
+}
+
+// countedConn is a connection whose bytes are counted.
+type countedConn struct {
+	*net.TCPConn
+	traffic *traffic
+	closed  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *countedConn) ReadFrom(r io.Reader) (int64, error) {
+	n, err := c.TCPConn.ReadFrom(r)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.traffic.open.Add(-1)
+	}
+	return c.TCPConn.Close()
+}
+
+// countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.counted(c), nil
+}
+
+// newUtilization creates the meter for the sizes of the settings.
+func (n *Node) newUtilization(m settings.Machine, log *logging.Logger) {
+	n.Utilization = &utilization.Meter{
+		Sizes: utilization.Sizes{Cores: m.Cores, LinkMbps: m.LinkMbps, MemoryMB: m.MemoryMB, Descriptors: m.Descriptors},
+		Now:   n.Clock.Now,
+	}
+	if unknown := n.Utilization.Unknown(); len(unknown) > 0 {
+		names := make([]string, 0, len(unknown))
+		for _, r := range unknown {
+			names = append(names, r.String())
+		}
+		log.Info("sizes of the machine are unknown and are not watched", map[string]any{"resources": names})
+	}
+	n.utilizationLog = log
+}
+
+// readUtilization reads the box's counters and returns the level that other boxes are told.
+func (n *Node) readUtilization(former utilization.Level) utilization.Level {
+	n.Utilization.Observe(n.readMachine())
+	for _, r := range utilization.Resources() {
+		if share, known := n.Utilization.Share(r); known {
+			gometrics.GetOrRegisterGaugeFloat64("machine."+r.String(), n.Metrics).Update(share)
+		}
+	}
+	largest, share, known := n.Utilization.Largest()
+	if !known {
+		return utilization.Free
+	}
+	level := utilization.LevelOf(share, former)
+	if level != former {
+		n.utilizationLog.Info("use of the machine changed", map[string]any{"level": level.String(), "resource": largest.String(), "share": share})
+	}
+	return level
+}
+
+// readMachine reads what the process has used.
+func (n *Node) readMachine() utilization.Reading {
+	r := utilization.Reading{
+		Received: n.traffic.received.Load(), Sent: n.traffic.sent.Load(),
+		Memory: memoryInUse(), Descriptors: int(n.traffic.open.Load()) + fixedDescriptors,
+	}
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		n.utilizationLog.Warn("processor time could not be read", map[string]any{"error": err.Error()})
+		return r
+	}
+	r.Processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return r
+}
+
+// memoryInUse returns the memory that the runtime has mapped and not given back, in bytes.
+func memoryInUse() uint64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -39,6 +39,10 @@
 	Cores float64 `yaml:"cores"`
 	// LinkMbps is the bandwidth of the machine's network link, in megabits a second.
 	LinkMbps float64 `yaml:"link_mbps"`
+	// MemoryMB is the memory that the box may use, in megabytes of 2^20 bytes.
+	MemoryMB float64 `yaml:"memory_mb"`
+	// Descriptors is how many descriptors the box may have open.
+	Descriptors int `yaml:"descriptors"`
 }
 
 // Protocols of the platform.
--- a/pkg/settings/settings_check.go
+++ b/pkg/settings/settings_check.go
@@ -98,12 +98,18 @@
 	if m.LinkMbps < 0 || m.LinkMbps > maxLinkMbps {
 		d.fault("machine.link_mbps", fmt.Sprint(m.LinkMbps), fmt.Sprintf("0 to %d", maxLinkMbps))
 	}
+	if m.MemoryMB < 0 || m.MemoryMB > maxMemoryMB {
+		d.fault("machine.memory_mb", fmt.Sprint(m.MemoryMB), fmt.Sprintf("0 to %d", maxMemoryMB))
+	}
+	d.checkInt("machine.descriptors", m.Descriptors, 0, maxDescriptors)
 }
 
-// maxCores and maxLinkMbps bound the values that the settings may give for a machine.
+// These bound the values that the settings may give for a machine.
 const (
-	maxCores    = 4096
-	maxLinkMbps = 10_000_000
+	maxCores       = 4096
+	maxLinkMbps    = 10_000_000
+	maxMemoryMB    = 64 << 20
+	maxDescriptors = 1 << 30
 )
 
 // checkBounds checks the bounds of the fleet.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -41,13 +41,13 @@
 
 func TestMachineIsChecked(t *testing.T) {
 	is := is.New(t)
-	s, err := Parse("box.yaml", []byte(validSettings+"machine: {cores: 0.16, link_mbps: 10}\n"))
+	s, err := Parse("box.yaml", []byte(validSettings+"machine: {cores: 0.16, link_mbps: 10, memory_mb: 184, descriptors: 4100}\n"))
 	is.NoErr(err)
-	is.Equal(s.Machine, Machine{Cores: 0.16, LinkMbps: 10})
-	_, err = Parse("box.yaml", []byte(validSettings+"machine: {cores: -1, link_mbps: much}\n"))
+	is.Equal(s.Machine, Machine{Cores: 0.16, LinkMbps: 10, MemoryMB: 184, Descriptors: 4100})
+	_, err = Parse("box.yaml", []byte(validSettings+"machine: {cores: -1, link_mbps: much, memory_mb: -1, descriptors: -1}\n"))
 	var faults *Error
 	is.True(errors.As(err, &faults))
-	is.Equal(len(faults.Faults), 2)
+	is.Equal(len(faults.Faults), 4)
 }
 
 // TestBooleansAreDecoded guards against a box that does not start if its settings contain
