A box stays within its memory and descriptors: bodies bounded in sum, connections closed before descriptors run out

A request reserves what the box will hold of its body before any of it is read, an eighth of the memory in sum, less for less urgent requests; what does not fit is refused at once as box_full, not run, with the time in which the missing bytes are released at the recent rate as Retry-After. From 80% of its descriptors on a box asks clients to close their connections, from 90% on it closes new ones at once. Where the settings give no sizes nothing is refused.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -118,6 +118,12 @@
 	// ReturnAdmission returns what an admitted request took of its customer's limit, because
 	// the request was not run.
 	ReturnAdmission func(c *customer.Customer)
+	// Admission decides, before a request's body is read, whether the box has room for that much
+	// of it, or else when the client may retry. What it admits is taken back with Release.
+	Admission func(priority int, bytes int64) (admitted bool, retryAfter time.Duration)
+	Release   func(bytes int64)
+	// AsksToClose reports whether clients are to close their connections after their answers.
+	AsksToClose func() bool
 	// AwaitServerLimit asks whether the limit that a backend server states allows another
 	// request and counts the request if so; ReleaseServerLimit takes that back.
 	// AwaitServerLimit may block briefly.
@@ -199,6 +205,8 @@
 	start    time.Time
 	deadline time.Time
 	body     body
+	// reserved is how many bytes of the body were admitted.
+	reserved int64
 	// isBodyRead is set once reading the body has begun.
 	isBodyRead bool
 	ctx        context.Context
@@ -224,7 +232,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{server: s, w: w, r: r, start: s.Now()}
-	if s.Leaving() {
+	if s.Leaving() || s.AsksToClose() {
 		w.Header().Set("Connection", "close")
 	}
 	if failure := c.prepare(); failure != nil {
@@ -238,7 +246,11 @@
 		c.fail(failure)
 		return
 	}
-	failure := c.readBody()
+	failure := c.reserveBody()
+	if failure == nil {
+		defer c.releaseBody()
+		failure = c.readBody()
+	}
 	if failure == nil {
 		failure = c.checkQuarantine()
 	}
@@ -252,11 +264,11 @@
 }
 
 // MayServeAhead reports whether a request may be served concurrently with others of its
-// connection. It must be idempotent, and the box must not be stopping, because then the
-// connection closes.
+// connection. It must be idempotent, and the box must neither be stopping nor ask clients to
+// close, because then the connection closes.
 func (s *Server) MayServeAhead(r *http.Request) bool {
 	table := s.Table()
-	if table == nil || s.Leaving() {
+	if table == nil || s.Leaving() || s.AsksToClose() {
 		return false
 	}
 	route := table.Find(r.Host, r.URL.EscapedPath())
--- a/pkg/ingress/ingress_body.go
+++ b/pkg/ingress/ingress_body.go
@@ -23,6 +23,30 @@
 // replayable reports whether the body can be sent again.
 func (b *body) replayable() bool { return b.stream == nil }
 
+// reserveBody asks whether the box has room for what it will hold of the body.
+func (c *call) reserveBody() *outcome.Failure {
+	bytes := c.r.ContentLength
+	if bytes < 0 || bytes > bufferedBody {
+		bytes = bufferedBody + 1
+	}
+	if bytes == 0 || c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	admitted, retryAfter := c.server.Admission(c.priority(), bytes)
+	if !admitted {
+		return outcome.NewNotRun(outcome.ReasonBoxFull, "no memory for the body").WithRetryAfter(retryAfter)
+	}
+	c.reserved = bytes
+	return nil
+}
+
+// releaseBody returns the room that the body took.
+func (c *call) releaseBody() {
+	if c.reserved > 0 {
+		c.server.Release(c.reserved)
+	}
+}
+
 // readBody reads the body up to the size that is buffered whole.
 func (c *call) readBody() *outcome.Failure {
 	c.isBodyRead = true
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -151,6 +151,8 @@
 
 	utilizationLog *logging.Logger
 	traffic        traffic
+	// bodies bounds the request bodies that the box holds.
+	bodies utilization.Bodies
 
 	ports      *ports
 	background *conc.WaitGroup
@@ -344,6 +346,9 @@
 		Admit:            n.admit,
 		KeysTrusted:      n.keysTrusted,
 		ReturnAdmission:  func(c *customer.Customer) { n.Quota.GiveBack(quota.IDOf(c.Name)) },
+		Admission:        n.bodies.Reserve,
+		Release:          n.bodies.Release,
+		AsksToClose:      n.asksToClose,
 		AwaitServerLimit: n.awaitRoom, ReleaseServerLimit: n.releaseRoom,
 		ObserveTarget:        func(c *customer.Customer, inTime bool) { n.Ledger.Record(c.Name, inTime) },
 		Pool:                 n.pool,
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -183,7 +183,7 @@
 	if n.ports.clients, err = net.Listen("tcp4", a.Callers); err != nil {
 		return &settings.ListenError{Port: "callers", Address: a.Callers, Cause: err}
 	}
-	n.ports.clients = countedListener{n.ports.clients, &n.traffic}
+	n.ports.clients = n.newClientListener(n.ports.clients)
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
 	admin := http.NewServeMux()
--- a/pkg/node/node_utilization.go
+++ b/pkg/node/node_utilization.go
@@ -26,6 +26,9 @@
 	open atomic.Int64
 }
 
+// descriptors returns how many descriptors the box has open.
+func (t *traffic) descriptors() int { return int(t.open.Load()) + fixedDescriptors }
+
 // fixedDescriptors is how many descriptors a box has open besides its connections: ports, the
 // runtime's own and standard files.
 const fixedDescriptors = 16
@@ -92,12 +95,47 @@
 	return l.traffic.counted(c), nil
 }
 
+// clientListener accepts the connections of clients. Close to the limit of descriptors it closes
+// them at once, so that a client uses another box without waiting.
+type clientListener struct {
+	countedListener
+	refuses func() bool
+	refused func()
+}
+
+// Accept implements net.Listener.
+func (l clientListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.countedListener.Accept()
+		if err != nil || !l.refuses() {
+			return c, err
+		}
+		_ = c.Close()
+		l.refused()
+	}
+}
+
+// newClientListener wraps the listener for clients.
+func (n *Node) newClientListener(l net.Listener) net.Listener {
+	return clientListener{
+		countedListener: countedListener{l, &n.traffic},
+		refuses:         func() bool { return n.Utilization.Sizes.RefusesConnections(n.traffic.descriptors()) },
+		refused:         func() { gometrics.GetOrRegisterCounter("connections.refused", n.Metrics).Inc(1) },
+	}
+}
+
+// asksToClose reports whether clients are to close their connections, since descriptors run short.
+func (n *Node) asksToClose() bool {
+	return n.Utilization.Sizes.AsksToClose(n.traffic.descriptors())
+}
+
 // newUtilization creates the meter for the sizes of the settings.
 func (n *Node) newUtilization(m settings.Machine, log *logging.Logger) {
 	n.Utilization = &utilization.Meter{
 		Sizes: utilization.Sizes{Cores: m.Cores, LinkMbps: m.LinkMbps, MemoryMB: m.MemoryMB, Descriptors: m.Descriptors},
 		Now:   n.Clock.Now,
 	}
+	n.bodies.Memory, n.bodies.Now = m.MemoryMB*(1<<20), n.Clock.Now
 	if unknown := n.Utilization.Unknown(); len(unknown) > 0 {
 		names := make([]string, 0, len(unknown))
 		for _, r := range unknown {
@@ -131,7 +169,7 @@
 func (n *Node) readMachine() utilization.Reading {
 	r := utilization.Reading{
 		Received: n.traffic.received.Load(), Sent: n.traffic.sent.Load(),
-		Memory: memoryInUse(), Descriptors: int(n.traffic.open.Load()) + fixedDescriptors,
+		Memory: memoryInUse(), Descriptors: n.traffic.descriptors(),
 	}
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -39,6 +39,7 @@
 	ReasonNotReady         Reason = "not_ready"
 	ReasonBoxLeaving       Reason = "box_leaving"
 	ReasonNoCapacity       Reason = "no_capacity"
+	ReasonBoxFull          Reason = "box_full"
 	ReasonNoServer         Reason = "no_backend_server"
 	ReasonDeadline         Reason = "deadline_too_short"
 	ReasonConnect          Reason = "connect_failed"
@@ -76,6 +77,7 @@
 	{ReasonNotReady, 503, "the box has no configuration, or no list of servers, yet"},
 	{ReasonBoxLeaving, 503, "the box is stopping and takes no new requests; look up again"},
 	{ReasonNoCapacity, 503, "every slot that the request may use is taken, or every server that may take it takes no more requests for now"},
+	{ReasonBoxFull, 503, "the box has no memory for the request's body; other boxes may have"},
 	{ReasonNoServer, 503, "no backend server that the request may use is reachable"},
 	{ReasonDeadline, 503, "the deadline leaves no time to run the request"},
 	{ReasonConnect, 503, "the backend server accepted no connection"},
--- /dev/null
+++ b/test/machines/box_limits_test.go
@@ -0,0 +1,125 @@
+package machines
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/settings"
+	"github.com/stoneworks/stoneworks/pkg/utilization"
+)
+
+// newLimitedBox starts a box on a machine of the given size, with one backend server.
+func newLimitedBox(t *testing.T, machine settings.Machine) *Box {
+	is := is.New(t)
+	f, err := NewFleet(networkOf(t), io.Discard)
+	is.NoErr(err)
+	t.Cleanup(f.Close)
+	f.ChangeSettings = func(s *settings.Settings) { s.Machine = machine }
+	f.Configure(1, read, upload)
+	_, err = f.AddServer("east-a.1", "shop", "east-a", 8, time.Millisecond)
+	is.NoErr(err)
+	b, err := f.AddBox("east-a")
+	is.NoErr(err)
+	eventually(t, "ready", func() bool { return status(t, "http://"+b.Ready+"/-/ready") == 200 })
+	return b
+}
+
+// TestBoxRefusesBodiesThatItCannotHold checks that a box whose memory for bodies is taken by a
+// slow upload refuses another one before its body arrives, that it serves requests without a
+// body meanwhile, and admits uploads again once the slow one has ended.
+func TestBoxRefusesBodiesThatItCannotHold(t *testing.T) {
+	is := is.New(t)
+	b := newLimitedBox(t, settings.Machine{MemoryMB: 12})
+	const size = 900_000 // of the 1.5 MB that the box may hold
+	half := strings.Repeat("x", size/2)
+	// The header's name keeps Send from adding a length of its own.
+	length := fmt.Sprintf("X-No-Transfer-Encoding: 1\r\nContent-Length: %d\r\n", size)
+	slow := &Client{Address: b.Clients}
+	defer slow.Close()
+	is.NoErr(slow.Send("POST", "/up/1", "slow", half, length))
+	time.Sleep(100 * time.Millisecond)
+
+	second := &Client{Address: b.Clients}
+	start := time.Now()
+	is.NoErr(second.Send("POST", "/up/2", "second", "", length))
+	a := second.Read()
+	second.Close()
+	is.NoErr(a.Problem)
+	is.Equal(a.Status, 503)
+	is.True(time.Since(start) < 500*time.Millisecond) // before any of its body has come
+	seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds > 0 && seconds <= 2)
+
+	reader := &Client{Address: b.Clients}
+	defer reader.Close()
+	is.Equal(reader.Do("GET", "/read/1", "read", "", "").Status, 200)
+
+	_, err = io.WriteString(slow.conn, half)
+	is.NoErr(err)
+	is.Equal(slow.Read().Status, 200)
+	is.Equal(reader.Do("POST", "/up/2", "third", half+half, "").Status, 200)
+}
+
+// TestBoxKeepsDescriptorsForItsWork opens more connections than a box may have. The box asks the
+// first clients to close theirs, closes new connections at once when it has nearly as many as it
+// may, and goes on to serve those that it has.
+func TestBoxKeepsDescriptorsForItsWork(t *testing.T) {
+	is := is.New(t)
+	const descriptors = 80
+	b := newLimitedBox(t, settings.Machine{Descriptors: descriptors})
+	var clients []*Client
+	served, asked := 0, 0
+	for i := range 2 * descriptors {
+		c := &Client{Address: b.Clients}
+		defer c.Close()
+		a := c.Do("GET", "/read/1", fmt.Sprint("id-", i), "", "")
+		if a.Problem != nil {
+			continue
+		}
+		is.Equal(a.Status, 200)
+		served++
+		if a.CloseAnnounced {
+			asked++
+		} else {
+			clients = append(clients, c)
+		}
+	}
+	is.True(len(clients) < descriptors)
+	is.True(asked > 0)
+	is.Equal(served, 2*descriptors) // clients that close their connections make room for others
+	for i, c := range clients {
+		is.Equal(c.Do("GET", "/read/1", fmt.Sprint("again-", i), "", "").Status, 200)
+	}
+	var idle []*Client
+	refused := 0
+	for range 2 * descriptors { // clients that send nothing and close nothing
+		c := &Client{Address: b.Clients}
+		defer c.Close()
+		if c.Send("GET", "/read/1", "", "", "Incomplete: ") != nil {
+			refused++
+			continue
+		}
+		idle = append(idle, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, c := range idle { // in all less than the box waits for a header
+		_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		if _, err := c.conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			refused++
+		}
+	}
+	is.True(refused >= descriptors)
+	time.Sleep(gossip.Interval)
+	share, known := b.Utilization.Share(utilization.Descriptors)
+	is.True(known && share <= 1)
+}
