--- a/pkg/utilization/bodies.go
+++ b/pkg/utilization/bodies.go
@@ -74,13 +74,6 @@
 	b.freedAt = now
 }
 
-// Held returns the bytes that are reserved.
-func (b *Bodies) Held() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.held
-}
-
 const (
 	// closeFrom is the share of descriptors from which clients are asked to close their
 	// connections after an answer, and refuseFrom the one from which new ones are closed at
