--- a/pkg/box/box_test.go
+++ b/pkg/box/box_test.go
@@ -1,26 +1,35 @@
 package box
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/stoneworks/stoneworks/pkg/config"
 	"github.com/stoneworks/stoneworks/pkg/entry"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/membership"
+	"github.com/stoneworks/stoneworks/pkg/model"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/platform"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/topology"
 )
 
-func newTestBox(is *is.I) *Box {
+func newTestBox(is *is.I) *Box { return newLoggingBox(is, logging.NewAsyncHandler(io.Discard)) }
+
+func newLoggingBox(is *is.I, handler *logging.AsyncHandler) *Box {
 	s := settings.Defaults()
 	s.Box, s.Zone, s.Listen.Peers = "dakar-a-1", "dakar-a", "127.0.0.1:0"
 	s.Zones = []topology.Zone{{Zone: "dakar-a", Region: "dakar"}, {Zone: "dakar-b", Region: "dakar"}, {Zone: "thies-a", Region: "thies"}}
-	b := New(&s, logging.NewAsyncHandler(io.Discard))
+	b := New(&s, handler)
 	is.True(b != nil)
 	return b
 }
@@ -58,3 +67,41 @@
 	b.Table.Merge([]membership.Record{other})
 	is.Equal([]string(b.views(b.Table.Members())["dakar-b"]), []string{"dakar-a-1"})
 }
+
+// TestPlanIsSeenAnewAfterASuspension checks that a box does not change a plan that it has not seen
+// for a whole window since it was suspended: others may have moved traffic meanwhile.
+func TestPlanIsSeenAnewAfterASuspension(t *testing.T) {
+	is := is.New(t)
+	b := newTestBox(is)
+	plan := &config.Object{Name: "plan/preview", Revision: 3, ChangeID: "c"}
+	const window = 20 * time.Millisecond
+	is.True(!b.planSeenFor(plan.Name, plan, window))
+	time.Sleep(window)
+	is.True(b.planSeenFor(plan.Name, plan, window))
+	b.afterSuspension(time.Second)
+	b.stop()
+	is.True(!b.planSeenFor(plan.Name, plan, window))
+	time.Sleep(window)
+	is.True(b.planSeenFor(plan.Name, plan, window))
+}
+
+// TestWriteBackIsReportedAsItEnded checks that the log says that a revision was written back only if
+// it was.
+func TestWriteBackIsReportedAsItEnded(t *testing.T) {
+	for want, refused := range map[string]error{
+		"wrote a newer revision back": nil, "newer revision was not written back": &platform.ConflictError{Current: 7},
+	} {
+		is := is.New(t)
+		var out bytes.Buffer
+		handler := logging.NewAsyncHandler(&out)
+		b := newLoggingBox(is, handler)
+		b.Platform = &platform.Client{Put: func(context.Context, platform.Object) (uint64, error) { return 0, refused }}
+		b.Store.Merge(&config.Object{Name: "preview", Revision: 3, ChangeID: "c", Service: &model.Service{Name: "preview"}})
+		b.writeBack(platform.Page{})
+		ended, end := context.WithCancel(context.Background())
+		end()
+		handler.Run(ended)
+		is.Equal(strings.Count(out.String(), "newer revision"), 1)
+		is.True(strings.Contains(out.String(), want))
+	}
+}
