Ingress: a body of unknown length reserves what is held of it

A body sent in chunks reserved 1 MB and a byte, so that a box of 184 MB admitted 19 such uploads of priority 1 at once, whatever their size. It now reserves 64 KB before each of its parts is read, and is refused if there is no room, which nothing has been sent to a server yet.

The refusal of a body in chunks waited until the rest of the body had come; it is sent at once, as is that of a body of known length.

TestUploadsInChunksTakeWhatTheyHold failed at the second upload of 100 KB (503), and then for the refusal, which took 3 s.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -119,8 +119,9 @@
 	// ReturnAdmission returns what an admitted request took of its customer's limit, because
 	// the request was not run.
 	ReturnAdmission func(c *customer.Customer)
-	// Admission decides, before a request's body is read, whether the box has room for that much
-	// of it, or else when the client may retry. What it admits is taken back with Release.
+	// Admission decides whether the box has room for that many bytes of a request's body, which
+	// have not been read, or else when the client may retry. What it admits is taken back with
+	// Release.
 	Admission func(priority int, bytes int64) (admitted bool, retryAfter time.Duration)
 	Release   func(bytes int64)
 	// AsksToClose reports whether clients are to close their connections after their answers.
@@ -206,7 +207,7 @@
 	start    time.Time
 	deadline time.Time
 	body     body
-	// reserved is how many bytes of the body were admitted.
+	// reserved is how many bytes of the body Admission has admitted.
 	reserved int64
 	// isBodyRead is set once reading the body has begun.
 	isBodyRead bool
@@ -247,9 +248,9 @@
 		c.fail(failure)
 		return
 	}
+	defer c.releaseBody()
 	failure := c.reserveBody()
 	if failure == nil {
-		defer c.releaseBody()
 		failure = c.readBody()
 	}
 	if failure == nil {
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -140,7 +140,7 @@
 	h.Set("Content-Type", "text/plain")
 	text := string(f.Reason) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	drain := c.answerBeforeBody()
+	drain := c.answerBeforeBody(f.Reason == outcome.ReasonBoxFull)
 	c.w.WriteHeader(f.Status())
 	_, _ = io.WriteString(c.w, text)
 	drain()
@@ -148,9 +148,11 @@
 
 // answerBeforeBody allows an answer to be sent before the rest of the request's body has
 // arrived, which may take long. The returned function is called once the answer is written: it
-// reads the rest, so that the connection can be reused.
-func (c *call) answerBeforeBody() (drain func()) {
-	if c.isBodyRead || c.r.ContentLength <= 0 || c.r.ContentLength > maxDrained {
+// reads the rest, so that the connection can be reused. isBodyLeft is set if the box has stopped
+// reading a body, whose length may be unknown.
+func (c *call) answerBeforeBody(isBodyLeft bool) (drain func()) {
+	isUnread := !c.isBodyRead && c.r.ContentLength > 0
+	if !isUnread && !isBodyLeft || c.r.ContentLength > maxDrained {
 		return func() {}
 	}
 	control := http.NewResponseController(c.w)
@@ -161,7 +163,7 @@
 	return func() {
 		_ = control.Flush()
 		_ = control.SetReadDeadline(time.Now().Add(drainTime))
-		_, _ = io.Copy(io.Discard, c.r.Body)
+		_, _ = io.CopyN(io.Discard, c.r.Body, maxDrained)
 		_ = control.SetReadDeadline(time.Time{})
 	}
 }
--- a/pkg/ingress/ingress_body.go
+++ b/pkg/ingress/ingress_body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -23,23 +24,45 @@
 // replayable reports whether the body can be sent again.
 func (b *body) replayable() bool { return b.stream == nil }
 
-// reserveBody asks whether the box has room for what it will hold of the body.
+// bodyStep is how many further bytes of a body of unknown length are reserved at a time.
+const bodyStep = 64 << 10
+
+// hasBody reports whether the client sends a body.
+func (c *call) hasBody() bool {
+	return c.r.ContentLength != 0 && c.r.Body != nil && c.r.Body != http.NoBody
+}
+
+// reserveBody reserves room for what the box will hold of the body. Of a body of unknown length
+// that is its beginning; reservingReader reserves the rest.
 func (c *call) reserveBody() *outcome.Failure {
-	bytes := c.r.ContentLength
-	if bytes < 0 || bytes > bufferedBody {
-		bytes = bufferedBody + 1
-	}
-	if bytes == 0 || c.r.Body == nil || c.r.Body == http.NoBody {
+	if !c.hasBody() {
 		return nil
 	}
-	admitted, retryAfter := c.server.Admission(c.priority(), bytes)
-	if !admitted {
-		return outcome.NewNotRun(outcome.ReasonBoxFull, "no memory for the body").WithRetryAfter(retryAfter)
+	size := c.r.ContentLength
+	if size < 0 {
+		size = bodyStep
+	}
+	if admitted, retryAfter := c.reserve(size); !admitted {
+		return newBoxFull(retryAfter)
 	}
-	c.reserved = bytes
 	return nil
 }
 
+// reserve asks whether the box has room for that many further bytes of the body, of which it
+// holds at most bufferedBody and one.
+func (c *call) reserve(bytes int64) (admitted bool, retryAfter time.Duration) {
+	bytes = min(bytes, bufferedBody+1-c.reserved)
+	admitted, retryAfter = c.server.Admission(c.priority(), bytes)
+	if admitted {
+		c.reserved += bytes
+	}
+	return admitted, retryAfter
+}
+
+func newBoxFull(retryAfter time.Duration) *outcome.Failure {
+	return outcome.NewNotRun(outcome.ReasonBoxFull, "no memory for the body").WithRetryAfter(retryAfter)
+}
+
 // releaseBody returns the room that the body took.
 func (c *call) releaseBody() {
 	if c.reserved > 0 {
@@ -47,6 +70,34 @@
 	}
 }
 
+// reservingReader reads the beginning of a body of unknown length. It reads no byte before room
+// for it has been reserved.
+type reservingReader struct {
+	call *call
+	from io.Reader
+	read int64
+}
+
+// boxFullError is the error of a body for whose next bytes the box has no room.
+type boxFullError struct{ retryAfter time.Duration }
+
+// Error implements error.
+func (e *boxFullError) Error() string {
+	return fmt.Sprintf("the box has no memory for more of the body for %v", e.retryAfter)
+}
+
+// Read implements io.Reader.
+func (r *reservingReader) Read(p []byte) (int, error) {
+	if r.read == r.call.reserved {
+		if admitted, retryAfter := r.call.reserve(bodyStep); !admitted {
+			return 0, &boxFullError{retryAfter}
+		}
+	}
+	n, err := r.from.Read(p[:min(int64(len(p)), r.call.reserved-r.read)])
+	r.read += int64(n)
+	return n, err
+}
+
 // readBody reads the body up to the size that is buffered whole.
 func (c *call) readBody() *outcome.Failure {
 	c.isBodyRead = true
@@ -54,18 +105,22 @@
 	if c.r.ContentLength > limit {
 		return outcome.NewNotRun(outcome.ReasonTooLarge, "the body is larger than allowed")
 	}
-	if c.r.ContentLength == 0 || c.r.Body == nil || c.r.Body == http.NoBody {
+	if !c.hasBody() {
 		return nil
 	}
 	// A client that stops sending must not block the request beyond its deadline.
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(time.Now().Add(c.deadline.Sub(c.server.Now())))
-	reader := http.MaxBytesReader(nil, c.r.Body, limit)
+	reader := io.Reader(http.MaxBytesReader(nil, c.r.Body, limit))
 	var buffer bytes.Buffer
 	if c.r.ContentLength > 0 && c.r.ContentLength <= bufferedBody {
 		buffer.Grow(int(c.r.ContentLength))
 	}
-	n, err := io.Copy(&buffer, io.LimitReader(reader, bufferedBody+1))
+	head := reader
+	if c.r.ContentLength < 0 {
+		head = &reservingReader{call: c, from: reader}
+	}
+	n, err := io.Copy(&buffer, io.LimitReader(head, bufferedBody+1))
 	if err != nil {
 		return c.bodyFailure(err)
 	}
@@ -83,7 +138,10 @@
 // bodyFailure classifies the error of reading a body of which nothing has been forwarded.
 func (c *call) bodyFailure(err error) *outcome.Failure {
 	var tooLarge *http.MaxBytesError
+	var full *boxFullError
 	switch {
+	case errors.As(err, &full):
+		return newBoxFull(full.retryAfter)
 	case errors.As(err, &tooLarge):
 		return outcome.NewNotRun(outcome.ReasonTooLarge, "the body is larger than allowed")
 	case c.r.Context().Err() != nil:
--- a/test/machines/box_limits_test.go
+++ b/test/machines/box_limits_test.go
@@ -69,6 +69,40 @@
 	is.Equal(reader.Do("POST", "/up/2", "third", half+half, "").Status, 200)
 }
 
+// TestUploadsInChunksTakeWhatTheyHold checks that uploads of unknown length are admitted for as long
+// as the box can hold what has come of them, that one which it cannot hold is refused at once, and
+// that the others are served.
+func TestUploadsInChunksTakeWhatTheyHold(t *testing.T) {
+	is := is.New(t)
+	b := newLimitedBox(t, settings.Machine{MemoryMB: 12}) // 1.5 MB for bodies
+	const size = 100_000
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size))
+	var uploads []*Client
+	for i := range 11 { // 1.1 MB
+		c := &Client{Address: b.Clients}
+		defer c.Close()
+		is.NoErr(c.Send("POST", "/up/1", fmt.Sprint("id-", i), chunk, "Transfer-Encoding: chunked\r\n"))
+		uploads = append(uploads, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+
+	large := &Client{Address: b.Clients}
+	defer large.Close()
+	start := time.Now()
+	is.NoErr(large.Send("POST", "/up/1", "large", chunk+chunk, "Transfer-Encoding: chunked\r\n"))
+	a := large.Read()
+	is.NoErr(a.Problem)
+	is.Equal(a.Status, 503)
+	is.True(a.Header.Get("Retry-After") != "")
+	is.True(time.Since(start) < 500*time.Millisecond) // its last chunk has not come
+
+	for _, c := range uploads {
+		_, err := io.WriteString(c.conn, "0\r\n\r\n")
+		is.NoErr(err)
+		is.Equal(c.Read().Status, 200)
+	}
+}
+
 // TestBoxKeepsDescriptorsForItsWork opens more connections than a box may have descriptors. The box
 // asks clients to close theirs, closes new connections at once when it has nearly as many as it
 // may, and goes on to serve those that it has.
