Box: bytes of copies fetched from other boxes, and of all ways to read a connection, are counted

The tests failed: a fetched copy counted neither bytes nor a descriptor, since it had a dialer of its own, and io.Copy from a counted connection counted no bytes, since net.TCPConn writes itself.

--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -47,7 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	client := http.Client{Transport: &http.Transport{DialContext: n.dialer().DialContext, DisableKeepAlives: true}}
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return n.dialPeer(ctx, address) }
+	client := http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 	answer, err := client.Do(r)
 	if err != nil {
 		return nil, err
--- a/pkg/node/node_utilization.go
+++ b/pkg/node/node_utilization.go
@@ -65,6 +65,13 @@
 	return n, err
 }
 
+// WriteTo implements io.WriterTo.
+func (c *countedConn) WriteTo(w io.Writer) (int64, error) {
+	n, err := c.TCPConn.WriteTo(w)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
 // ReadFrom implements io.ReaderFrom.
 func (c *countedConn) ReadFrom(r io.Reader) (int64, error) {
 	n, err := c.TCPConn.ReadFrom(r)
