Gossip: a level of use that is not known counts as full

The byte of a whole record was taken as it came; the directory used it as an index, so that one wrong byte ended every box with the next look-up. The test failed with that panic.

--- a/pkg/directory/standby_test.go
+++ b/pkg/directory/standby_test.go
@@ -129,6 +129,18 @@
 	is.Equal(named(4, 0, utilization.Full, one)["west-a-0"], 200)
 }
 
+func TestUnknownLevelOfUseCountsAsFull(t *testing.T) {
+	is := is.New(t)
+	answerWith := func(use utilization.Level) Answer {
+		records := unlikeFleet(2, 4)
+		for i := range records {
+			records[i].Use = use
+		}
+		return west(newDirectory(records...))
+	}
+	is.Equal(answerWith(200), answerWith(utilization.Full))
+}
+
 // BenchmarkLookup measures a lookup on boxes of fleets of unlike boxes.
 func BenchmarkLookup(b *testing.B) {
 	for _, boxes := range []int{300, 1000, 3000} {
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/utilization"
+)
 
 const (
 	// maxRecords bounds the records in one datagram, so that it fits into one packet;
@@ -83,6 +87,8 @@
 	if r.Box == "" || r.Box == t.self.Box {
 		return false
 	}
+	// A level that this version does not know is taken for the highest.
+	r.Use = min(r.Use, utilization.Full)
 	old := t.members[r.Box]
 	if old == nil {
 		e := &entry{Record: *r, ID: r.id()}
