--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -261,6 +261,7 @@
 	}
 	if failure != nil {
 		c.returnAdmission(failure)
+		c.releaseBody() // reading the rest of a refused body takes a while
 		c.fail(failure)
 	}
 }
--- a/pkg/ingress/ingress_body.go
+++ b/pkg/ingress/ingress_body.go
@@ -68,6 +68,7 @@
 	if c.reserved > 0 {
 		c.server.Release(c.reserved)
 	}
+	c.reserved = 0
 }
 
 // reservingReader reads the beginning of a body of unknown length. It reads no byte before room
