Directory: lists of boxes are made four times a second at most while nothing changes, not ten times

Boxes that fall silent change the generation with the next heartbeat; without it they are noticed 0.25 s late at most.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -69,9 +69,10 @@
 	return Answer{Addresses: c.addresses, TTL: d.TTL}
 }
 
-// maxFleetAge is how old lists of boxes may be that nothing is known to have changed. Boxes may
-// fall silent without an event.
-const maxFleetAge = 100 * time.Millisecond
+// maxFleetAge is how old lists of boxes may be that nothing is known to have changed. Boxes that
+// have fallen silent change the generation only with the next heartbeat, up to gossip.Interval
+// later.
+const maxFleetAge = gossip.Interval / 2
 
 // fleet returns the boxes that accept requests, this one included.
 func (d *Directory) fleet() *fleet {
@@ -91,22 +92,20 @@
 // readFleet lists the boxes that accept requests by zone and region. Records are large, and are
 // not copied.
 func (d *Directory) readFleet() *fleet {
-	f := &fleet{
-		zones: map[string][]*entry{}, regions: map[string][]*entry{}, regionOf: map[string]string{}, near: map[string]choice{},
-	}
+	f := &fleet{zones: map[string][]*entry{}, regions: map[string][]*entry{}, regionOf: map[string]string{}, near: map[string]choice{}}
 	add := func(r *gossip.Record) {
-		if !r.Ready || r.Leaving {
-			return
+		if r.Ready && !r.Leaving {
+			f.zones[r.Zone] = append(f.zones[r.Zone], &entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, use: r.Use})
 		}
-		e := &entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, use: r.Use}
-		region := d.RegionOf(r.Zone)
-		f.regionOf[r.Zone] = region
-		f.zones[r.Zone] = append(f.zones[r.Zone], e)
-		f.regions[region] = append(f.regions[region], e)
 	}
 	self := d.Self()
 	f.answering = self.Box
 	add(&self)
 	d.EachLive(add)
+	for zone, list := range f.zones {
+		region := d.RegionOf(zone)
+		f.regionOf[zone] = region
+		f.regions[region] = append(f.regions[region], list...)
+	}
 	return f
 }
--- a/pkg/directory/standby_test.go
+++ b/pkg/directory/standby_test.go
@@ -129,7 +129,8 @@
 	is.Equal(named(4, 0, utilization.Full, one)["west-a-0"], 200)
 }
 
-// BenchmarkLookup measures a lookup on boxes of fleets of unlike boxes.
+// BenchmarkLookup measures a lookup on boxes of fleets of unlike boxes, and the first one after a
+// change.
 func BenchmarkLookup(b *testing.B) {
 	for _, boxes := range []int{300, 1000, 3000} {
 		d := newDirectory(unlikeFleet(10, boxes/6-10)...)
@@ -138,5 +139,11 @@
 				west(d)
 			}
 		})
+		b.Run(fmt.Sprint(boxes, " changed"), func(b *testing.B) {
+			for range b.N {
+				d.last = nil
+				west(d)
+			}
+		})
 	}
 }
