--- a/pkg/directory/standby_test.go
+++ b/pkg/directory/standby_test.go
@@ -141,7 +141,8 @@
 	is.Equal(answerWith(200), answerWith(utilization.Full))
 }
 
-// BenchmarkLookup measures a lookup on boxes of fleets of unlike boxes.
+// BenchmarkLookup measures a lookup on boxes of fleets of unlike boxes, and the first one after a
+// change.
 func BenchmarkLookup(b *testing.B) {
 	for _, boxes := range []int{300, 1000, 3000} {
 		d := newDirectory(unlikeFleet(10, boxes/6-10)...)
@@ -150,5 +151,11 @@
 				west(d)
 			}
 		})
+		b.Run(fmt.Sprint(boxes, " changed"), func(b *testing.B) {
+			for range b.N {
+				d.last = nil
+				west(d)
+			}
+		})
 	}
 }
