--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -121,26 +121,31 @@
 }
 
 // candidatesOfVersion returns the candidates of the version that the request goes to, or of the
-// other versions if that has none left.
+// other versions if that has none left where the key has its home.
 func (s *Set) candidatesOfVersion(g *group, r *Request, now time.Time) (near, far []candidate) {
-	version := s.versionOf(g, r, now)
-	near, far = s.candidates(g, r, version, now)
-	if len(near)+len(far) > 0 || s.skippedBackoffs.count > 0 {
+	stays := s.stays(g, r, now)
+	version := s.versionOf(g, r, stays, now)
+	near, far = s.candidates(g, r, version, stays, now)
+	if len(near) > 0 || len(far) > 0 && !version.mayChange() || s.skippedBackoffs.count > 0 {
 		return near, far
 	}
 	if other, ok := version.other(); ok {
-		return s.candidates(g, r, other, now)
+		return s.candidates(g, r, other, stays, now)
 	}
 	return near, far
 }
 
-// candidates returns the servers of the region in which the key has its home (near), and all
-// others (far). In each list the servers that the key prefers come first, in the key's order.
+// stays reports whether the key has its home in this region.
+func (s *Set) stays(g *group, r *Request, now time.Time) bool {
+	share := s.localShareOf(g, r, now)
+	return fraction(mix(r.Key+1)) < g.shareBySize(share, r.LargeBody)
+}
+
+// candidates returns the servers of the region in which the key has its home (near), which is this
+// one if stays is true, and all others (far). In each list the servers that the key prefers come first, in the key's order.
 // Servers that have asked for a backoff are left out and counted in s.skippedBackoffs. The lists
 // are valid until the next call.
-func (s *Set) candidates(g *group, r *Request, version versionChoice, now time.Time) (near, far []candidate) {
-	share := s.localShareOf(g, r, now)
-	stays := fraction(mix(r.Key+1)) < g.shareBySize(share, r.LargeBody)
+func (s *Set) candidates(g *group, r *Request, version versionChoice, stays bool, now time.Time) (near, far []candidate) {
 	g.compareSpeeds(&s.Policy, now)
 	s.skippedBackoffs = skippedBackoffs{}
 	near, far, ok := s.shortCandidates(g, r, version, stays, now)
--- a/pkg/backend/version.go
+++ b/pkg/backend/version.go
@@ -9,38 +9,55 @@
 // countVersionsEvery is how often the slots of a service's versions are recounted.
 const countVersionsEvery = 100 * time.Millisecond
 
-// versionSlots holds the slots of a service's servers that may get requests and are not cold, for
-// a version and for all others.
+// versionSlots holds the slots of a service's servers that take their part of the requests, for a
+// version and for all others: of this region at index 1, and of all other regions at index 0.
 type versionSlots struct {
-	ofVersion, others float64
+	ofVersion, others [2]float64
 	at                time.Time
 }
 
-// versionShare returns the share of requests for a version, bounded by the ratio of its slots to
-// those of the others: its servers start one by one, and the first ones would otherwise get the
-// load meant for all.
-func (s *Set) versionShare(g *group, rule *rollout.Rule, now time.Time) float64 {
+// versionShare returns the share of requests for a version, of those whose key has its home in
+// this region if isNear is true and otherwise of all others. It is bounded by the ratio of the
+// version's slots there to those of the others: its servers start one by one, and the first ones
+// would otherwise get the load meant for all, or draw requests from a region that has none of
+// them.
+func (s *Set) versionShare(g *group, rule *rollout.Rule, isNear bool, now time.Time) float64 {
 	if rule.Share >= 1 {
 		// The servers of other versions stop.
 		return 1
 	}
-	v := &g.versions
-	if now.Sub(v.at) >= countVersionsEvery {
-		*v = versionSlots{at: now}
-		for _, server := range g.servers {
-			switch {
-			case !s.usable(server) || now.Before(server.coldUntil):
-			case server.Version == rule.Version:
-				v.ofVersion += float64(server.Slots)
-			default:
-				v.others += float64(server.Slots)
-			}
-		}
+	if now.Sub(g.versions.at) >= countVersionsEvery {
+		s.countVersions(g, rule.Version, now)
 	}
-	if v.ofVersion >= v.others {
+	side := sideOf(isNear)
+	ofVersion, others := g.versions.ofVersion[side], g.versions.others[side]
+	if ofVersion >= others {
 		return rule.Share
 	}
-	return min(rule.Share, v.ofVersion/v.others)
+	return min(rule.Share, ofVersion/others)
+}
+
+func (s *Set) countVersions(g *group, version string, now time.Time) {
+	v := versionSlots{at: now}
+	for _, server := range g.servers {
+		side := sideOf(server.region == s.Region)
+		switch {
+		case !s.usable(server) || !s.carries(server, now):
+		case server.Version == version:
+			v.ofVersion[side] += float64(server.Slots)
+		default:
+			v.others[side] += float64(server.Slots)
+		}
+	}
+	g.versions = v
+}
+
+// sideOf returns the index into versionSlots.
+func sideOf(isNear bool) int {
+	if isNear {
+		return 1
+	}
+	return 0
 }
 
 // SetVersions sets which services are being moved to a version of their servers.
@@ -60,13 +77,13 @@
 // versionOf decides which servers the request goes to. The version is drawn for each request and
 // not for each key, so that by the time that all requests move, the servers of the new version
 // know most keys and all kinds of requests have tried it.
-func (s *Set) versionOf(g *group, r *Request, now time.Time) versionChoice {
+func (s *Set) versionOf(g *group, r *Request, isNear bool, now time.Time) versionChoice {
 	rule, isMoved := s.versions[r.Service]
 	if !isMoved {
 		return versionChoice{}
 	}
 	s.versionDraws++
-	return versionChoice{rule: &rule, isVersion: !rule.Excluded && fraction(mix(s.versionDraws)) < s.versionShare(g, &rule, now)}
+	return versionChoice{rule: &rule, isVersion: !rule.Excluded && fraction(mix(s.versionDraws)) < s.versionShare(g, &rule, isNear, now)}
 }
 
 // allows reports whether the request may go to the server.
@@ -74,6 +91,12 @@
 	return c.rule == nil || (v.Version == c.rule.Version) == c.isVersion
 }
 
+// mayChange reports whether the request may go to the other versions while servers of the chosen
+// one are left elsewhere. Once the service has moved, the others stop.
+func (c versionChoice) mayChange() bool {
+	return c.rule != nil && !c.rule.Excluded && c.rule.Share < 1
+}
+
 // other returns the choice for a request that has no server left in the first one, and reports
 // whether there is one. A version that was found bad gets no requests.
 func (c versionChoice) other() (versionChoice, bool) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -85,10 +85,13 @@
 	// Statuses holds what backend servers report about themselves.
 	Statuses *serverstatus.Table
 	// Rollouts holds the orders to move services to new versions.
-	Rollouts  *rollout.Table
-	Ledger    *customerstats.Ledger
-	Directory *directory.Directory
-	Ingress   *ingress.Server
+	Rollouts *rollout.Table
+	// rolloutTicks counts the calls of tickRollouts. rolloutRules is held while rules are applied.
+	rolloutTicks int
+	rolloutRules sync.Mutex
+	Ledger       *customerstats.Ledger
+	Directory    *directory.Directory
+	Ingress      *ingress.Server
 
 	adapter *Adapter
 	store   *objects.Client
@@ -169,7 +172,6 @@
 		pools:    map[poolKey]*exchange.Pool{},
 		idle:     exchange.NewIdleLimit(c.Now),
 		Ledger:   customerstats.NewLedger(c.Now),
-		Rollouts: rollout.NewTable(s.Box, c.Now),
 		ports:    &ports{},
 		refused:  map[string]bool{},
 	}
@@ -193,6 +195,7 @@
 	n.newReplica(logging.For(logger, "store"))
 	n.newQuota()
 	n.newQuarantine(logging.For(logger, "quarantine"))
+	n.newRollouts()
 	n.newLimits(logging.For(logger, "limits"))
 	n.newIngress(logging.For(logger, "request"))
 	return n
--- a/pkg/node/node_heartbeats.go
+++ b/pkg/node/node_heartbeats.go
@@ -167,6 +167,10 @@
 			n.receiveRolloutReport(buffer[:size], from)
 			continue
 		}
+		if rollout.ProgressWire.IsMessage(buffer[:size]) {
+			n.receiveRolloutProgress(buffer[:size], from)
+			continue
+		}
 		if quota.IsMessage(buffer[:size]) {
 			n.receiveQuota(buffer[:size], from)
 			continue
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -12,6 +12,7 @@
 	"github.com/stoneworks/stoneworks/pkg/gossip"
 	"github.com/stoneworks/stoneworks/pkg/pipeline"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
+	"github.com/stoneworks/stoneworks/pkg/rollout"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 	"github.com/stoneworks/stoneworks/pkg/serverstatus"
 	"github.com/stoneworks/stoneworks/pkg/settings"
@@ -193,6 +194,8 @@
 	admin.HandleFunc("GET "+gossip.PathFleet, n.serveFleet)
 	admin.HandleFunc("GET "+quarantine.Path, n.serveQuarantine)
 	admin.HandleFunc("DELETE "+quarantine.Path+"/{fingerprint}", n.serveRelease)
+	admin.HandleFunc("GET "+rollout.Path, n.serveRollouts)
+	admin.HandleFunc("POST "+rollout.Path+"/{service}/{request}", n.serveRolloutRequest)
 	for _, p := range []struct {
 		name, address string
 		handler       http.Handler
--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -1,11 +1,17 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
+	"net/http"
+	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/canary"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
@@ -16,23 +22,38 @@
 )
 
 // ================================================================
-// Moves of services to new versions of their backend servers. Boxes in healthy contact with the store judge
-// a version by what all boxes count, and write the state of the order to the store.
+// Moves of services to new versions of their backend servers. Some boxes judge a version by what
+// all boxes count, take the steps, tell them to the others and write them to the store.
 // ================================================================
 
 const (
-	// rolloutsEvery is how often the versions' shares are recalculated and boxes send their
-	// counts.
-	rolloutsEvery = 500 * time.Millisecond
-	// statusWriteTimeout bounds a call that writes a state to the store.
+	// rolloutsEvery is how often orders are advanced. Counts and progress are sent with every
+	// rolloutSendsEvery-th of these times.
+	rolloutsEvery     = 250 * time.Millisecond
+	rolloutSendsEvery = 2
+	// maxJudges bounds the boxes that judge, since all others send them their counts twice a
+	// second.
+	maxJudges = 6
+	// newsFanOut is how many boxes of its zone, and of others, a box tells what it has newly
+	// learned of an order; each of them does the same. progressFanOut is how many boxes a judge
+	// tells the progress twice a second, for boxes that missed that or have started since.
+	newsFanOutZone  = 4
+	newsFanOutOther = 2
+	progressFanOut  = 8
+	// statusWriteTimeout bounds a call that writes a status to the store.
 	statusWriteTimeout = 1200 * time.Millisecond
 )
 
+// newRollouts creates the table of orders.
+func (n *Node) newRollouts() {
+	n.Rollouts = rollout.NewTable(n.Settings.Box, n.Clock.Now, func() int64 { return time.Now().UnixMilli() })
+}
+
 // rolloutChanged applies a new, changed or removed order.
 func (n *Node) rolloutChanged(log *logging.Logger, o objects.Object, gone bool) {
 	if gone {
 		n.Rollouts.Remove(o.Name)
-		n.Set.SetVersions(n.Rollouts.Rules())
+		n.applyRollouts()
 		log.Info("rollout removed", map[string]any{"service": o.Name, "revision": o.Revision})
 		return
 	}
@@ -42,12 +63,21 @@
 		return
 	}
 	n.Rollouts.Set(order)
-	n.Set.SetVersions(n.Rollouts.Rules())
+	n.applyRollouts()
 	log.Info("rollout ordered", map[string]any{
-		"service": order.Service, "version": order.Version, "duration": order.Duration.String(), "state": string(order.State), "revision": o.Revision,
+		"service": order.Service, "version": order.Version, "duration": order.Duration.String(), "state": string(order.State),
+		"step": order.Step, "by_hand": string(order.ByHand), "given": order.Given, "revision": o.Revision,
 	})
 }
 
+// applyRollouts passes the orders' rules to the choice of servers. Of two concurrent calls, the
+// later one must not pass on the earlier one's rules.
+func (n *Node) applyRollouts() {
+	n.rolloutRules.Lock()
+	defer n.rolloutRules.Unlock()
+	n.Set.SetVersions(n.Rollouts.Rules())
+}
+
 // noteAttempt counts the outcome of a request at a server.
 func (n *Node) noteAttempt(route string, lease *backend.Lease, a ingress.Attempt) {
 	n.Rollouts.Observe(lease.Service, lease.Version, canary.Sample{
@@ -56,47 +86,195 @@
 	})
 }
 
-// tickRollouts applies the versions' shares, sends the counts and writes states to the store.
+// ----------------------------------------------------------------
+// Who judges
+// ----------------------------------------------------------------
+
+// judge is a box that judges versions.
+type judge struct {
+	box, address string
+	isSelf       bool
+}
+
+// judges are the boxes that judge versions, in the order in which they write to the store.
+type judges struct {
+	list []judge
+	// mayStep is false if the boxes seen are too few to take steps without the store: a zone that
+	// is cut off does not know what the others have found.
+	mayStep bool
+	// mayWrite is true if these boxes are in healthy contact with the store.
+	mayWrite bool
+}
+
+// place returns this box's place among the judges, and false if it is none of them.
+func (j *judges) place() (int, bool) {
+	at := slices.IndexFunc(j.list, func(b judge) bool { return b.isSelf })
+	return at, at >= 0
+}
+
+// others returns the datagram addresses of the other judges.
+func (j *judges) others() []string {
+	var list []string
+	for _, b := range j.list {
+		if !b.isSelf {
+			list = append(list, b.address)
+		}
+	}
+	return list
+}
+
+// rolloutJudges returns the boxes in healthy contact with the store or, if there is none, any. All
+// boxes that see the same boxes choose the same judges.
+func (n *Node) rolloutJudges() judges {
+	var healthy, all []judge
+	zones := map[string]bool{}
+	add := func(r *gossip.Record, isSelf bool) {
+		b := judge{box: r.Box, address: r.Peers, isSelf: isSelf}
+		zones[r.Zone] = true
+		if !r.Leaving {
+			all = append(all, b)
+		}
+		if r.StoreHealthy && !r.Leaving {
+			healthy = append(healthy, b)
+		}
+	}
+	self := n.Members.Self()
+	add(&self, true)
+	n.Members.EachLive(func(r *gossip.Record) { add(r, false) })
+	if len(healthy) > 0 {
+		return judges{list: firstJudges(healthy), mayStep: true, mayWrite: true}
+	}
+	return judges{list: firstJudges(all), mayStep: 2*len(zones) > len(n.Settings.Zones)}
+}
+
+// firstJudges returns at most maxJudges boxes, by a hash of their names.
+func firstJudges(list []judge) []judge {
+	slices.SortFunc(list, func(a, b judge) int {
+		return cmp.Or(cmp.Compare(backend.Hash(a.box), backend.Hash(b.box)), cmp.Compare(a.box, b.box))
+	})
+	return list[:min(maxJudges, len(list))]
+}
+
+// ----------------------------------------------------------------
+// Steps and messages
+// ----------------------------------------------------------------
+
+// tickRollouts advances the orders, sends counts and progress, and writes to the store.
 func (n *Node) tickRollouts() {
-	rules := n.Rollouts.Rules()
-	if len(rules) == 0 {
+	if len(n.Rollouts.Rules()) == 0 {
 		return
 	}
-	changes := n.Rollouts.Changes()
-	n.Set.SetVersions(n.Rollouts.Rules())
-	sendMessages(n, rollout.Wire, "rollouts.sent", n.storePollers(), n.Rollouts.Reports(), func(*rollout.Report) int { return 1 })
-	if self := n.Members.Self(); self.StoreHealthy {
+	j := n.rolloutJudges()
+	turn, isJudge := j.place()
+	events := n.Rollouts.Tick(rollout.View{IsJudge: isJudge, MayStep: j.mayStep, Room: n.Set.VersionRoom})
+	n.applyRollouts()
+	for i := range events {
+		n.logRolloutEvent(&events[i])
+		if events[i].What != rollout.EventWait {
+			n.tellProgress(n.newsTargets())
+		}
+	}
+	n.rolloutTicks++
+	if n.rolloutTicks%rolloutSendsEvery == 0 {
+		sendMessages(n, rollout.Wire, "rollouts.sent", j.others(), n.Rollouts.Reports(), func(*rollout.Report) int { return 1 })
+		if isJudge {
+			all, _ := n.liveBoxes()
+			n.tellProgress(randomSubset(all, progressFanOut))
+		}
+	}
+	if isJudge && j.mayWrite {
+		changes := n.Rollouts.Changes(turn)
 		for i := range changes {
-			n.writeRolloutStatus(&changes[i])
+			n.background.Go(func() { _ = n.writeRolloutStatus(&changes[i]) })
 		}
 	}
 }
 
-// storePollers returns the datagram addresses of the other boxes that are in healthy contact
-// with the store.
-func (n *Node) storePollers() []string {
-	var list []string
+func (n *Node) logRolloutEvent(e *rollout.Event) {
+	metrics.GetOrRegisterCounter("rollouts."+e.What, n.Metrics).Inc(1)
+	fields := map[string]any{
+		"service": e.Order.Service, "version": e.Order.Version, "share": e.Share, "ran_ms": e.Ran.Milliseconds(), "answers": e.Verdict.Answers,
+		"route": e.Verdict.Route, "bad_share": e.Verdict.BadShare, "slower": e.Verdict.Slowdown,
+	}
+	switch e.What {
+	case rollout.EventBad:
+		n.log.Warn("version found bad", fields)
+	case rollout.EventWait:
+		fields["reason"] = e.Wait.String()
+		n.log.Info("rollout waits", fields)
+	default:
+		n.log.Info("rollout step", fields)
+	}
+}
+
+// newsTargets returns the boxes that this box tells what it has newly learned.
+func (n *Node) newsTargets() []string {
+	var zone, other []string
 	n.Members.EachLive(func(r *gossip.Record) {
-		if r.StoreHealthy {
-			list = append(list, r.Peers)
+		if r.Zone == n.Settings.Zone {
+			zone = append(zone, r.Peers)
+		} else {
+			other = append(other, r.Peers)
 		}
 	})
-	return list
+	return append(randomSubset(zone, newsFanOutZone), randomSubset(other, newsFanOutOther)...)
 }
 
-// writeRolloutStatus writes a state to the store. If another box has already done so, all boxes
-// learn of it from the store.
-func (n *Node) writeRolloutStatus(c *rollout.Change) {
+// tellProgress tells boxes the progress of the orders, unless none is in progress.
+func (n *Node) tellProgress(to []string) {
+	m, isRunning := n.Rollouts.Progress()
+	if !isRunning {
+		return
+	}
+	sendMessages(n, rollout.ProgressWire, "rollouts.told", to, []rollout.Message{m}, func(*rollout.Message) int { return 1 })
+}
+
+// receiveRolloutProgress processes what another box tells of the orders, and passes on what is
+// new.
+func (n *Node) receiveRolloutProgress(datagram []byte, from *net.UDPAddr) {
+	m, err := rollout.ProgressWire.Decode(datagram)
+	if err != nil {
+		n.noteUnreadDatagram(from, err)
+		return
+	}
+	if !n.Rollouts.Receive(m) {
+		return
+	}
+	n.applyRollouts()
+	n.log.Info("rollout progress learned", map[string]any{"from": from.String(), "orders": m.Orders})
+	n.tellProgress(n.newsTargets())
+}
+
+// receiveRolloutReport processes another box's counts.
+func (n *Node) receiveRolloutReport(datagram []byte, from *net.UDPAddr) {
+	r, err := rollout.Wire.Decode(datagram)
+	if err != nil {
+		n.noteUnreadDatagram(from, err)
+		return
+	}
+	n.Rollouts.AddReport(r)
+}
+
+// ----------------------------------------------------------------
+// The status in the store, and operators
+// ----------------------------------------------------------------
+
+// writeRolloutStatus writes a status to the store. If another box has changed the object first,
+// all boxes learn of that from the store. The error is that of the call.
+func (n *Node) writeRolloutStatus(c *rollout.Change) error {
 	ctx, cancel := context.WithTimeout(n.context, statusWriteTimeout)
 	defer cancel()
 	err := n.store.SetStatus(ctx, n.adapter.Kinds.Rollouts, c.Order.Service, c.Order.Revision, n.adapter.RolloutStatus(c))
+	var conflict *objects.ConflictError
+	isConflict := errors.As(err, &conflict)
+	n.Rollouts.Written(c, err == nil || isConflict)
 	fields := map[string]any{
-		"service": c.Order.Service, "version": c.Order.Version, "state": string(c.State), "revision": c.Order.Revision,
+		"service": c.Order.Service, "version": c.Order.Version, "state": string(c.State), "step": c.Order.Step, "revision": c.Order.Revision,
+		"ran_ms": c.Order.Ran.Milliseconds(), "by_hand": string(c.Order.ByHand),
 		"route": c.Verdict.Route, "bad_share": c.Verdict.BadShare, "slower": c.Verdict.Slowdown,
 	}
-	var conflict *objects.ConflictError
 	switch {
-	case errors.As(err, &conflict):
+	case isConflict:
 		fields["error"] = err.Error()
 		n.log.Info("rollout status was already written by another box", fields)
 	case err != nil:
@@ -105,14 +283,40 @@
 	default:
 		n.log.Info("rollout noted", fields)
 	}
+	return err
 }
 
-// receiveRolloutReport processes another box's counts.
-func (n *Node) receiveRolloutReport(datagram []byte, from *net.UDPAddr) {
-	r, err := rollout.Wire.Decode(datagram)
-	if err != nil {
-		n.noteUnreadDatagram(from, err)
+// serveRollouts returns to operators the orders as this box sees them.
+func (n *Node) serveRollouts(w http.ResponseWriter, _ *http.Request) {
+	j := n.rolloutJudges()
+	_, isJudge := j.place()
+	w.Header().Set("Content-Type", "application/json")
+	n.logUnsent("rollouts", json.NewEncoder(w).Encode(n.Rollouts.View(isJudge)))
+}
+
+// serveRolloutRequest writes to the store what an operator asks of an order.
+func (n *Node) serveRolloutRequest(w http.ResponseWriter, r *http.Request) {
+	c, err := n.Rollouts.Ask(r.PathValue("service"), rollout.Request(r.PathValue("request")))
+	var unknown *rollout.UnknownRequestError
+	switch {
+	case errors.As(err, &unknown):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	n.Rollouts.AddReport(r)
+	n.log.Info("rollout asked by an operator", map[string]any{
+		"service": c.Order.Service, "request": r.PathValue("request"), "from": r.RemoteAddr, "revision": c.Order.Revision,
+	})
+	err = n.writeRolloutStatus(&c)
+	var conflict *objects.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
 }
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -143,7 +143,7 @@
 		return false
 	}
 	m.set(o)
-	if !ok || !bytes.Equal(known.Spec, o.Spec) || !bytes.Equal(known.Status, o.Status) {
+	if !ok || o.Made != "" || !bytes.Equal(known.Spec, o.Spec) || !bytes.Equal(known.Status, o.Status) {
 		m.OnChange(o, false)
 	}
 	return true
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -17,8 +17,12 @@
 type Object struct {
 	Name string `json:"name"`
 	// Revision is the store's revision of the object's last change.
-	Revision uint64          `json:"revision"`
-	Spec     json.RawMessage `json:"spec"`
+	Revision uint64 `json:"revision"`
+	// Made is when the object was made, as the store writes it. It tells an object from an earlier
+	// one of the same name. Only kinds whose objects boxes update keep it; of these, all revisions
+	// are reported as changes.
+	Made string          `json:"made,omitempty"`
+	Spec json.RawMessage `json:"spec"`
 	// Status is what others have written about the object; most objects have none.
 	Status json.RawMessage `json:"status,omitempty"`
 }
--- /dev/null
+++ b/pkg/rollout/evidence.go
@@ -0,0 +1,146 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/canary"
+	"github.com/stoneworks/stoneworks/pkg/packet"
+)
+
+const (
+	// countFades is the time constant with which counts of requests decay exponentially.
+	countFades = 4 * time.Second
+	// reportMaxAge is how long another box's report counts.
+	reportMaxAge = 2 * time.Second
+	// enoughAnswers is the number of recent answers of a version that always suffices for the
+	// next step, and expectedShare the fraction that suffices of what the version's share of all
+	// requests would have brought.
+	enoughAnswers = 30
+	expectedShare = 1.0 / 3
+)
+
+// Count counts recent requests to a service that is being moved.
+type Count struct {
+	// Requests is the number of requests to servers of all versions, and Answers the number of
+	// answers of servers of the new version.
+	Requests float32
+	Answers  float32
+}
+
+func (c *Count) add(o Count) {
+	c.Requests += o.Requests
+	c.Answers += o.Answers
+}
+
+// evidence counts the requests that this box has sent, and those that other boxes report.
+type evidence struct {
+	own     Count
+	at      time.Time
+	reports map[string]countReport
+	// answered is true once any answer of the version was seen.
+	answered bool
+}
+
+type countReport struct {
+	Count
+	at time.Time
+}
+
+func newEvidence(now time.Time) evidence {
+	return evidence{at: now, reports: map[string]countReport{}}
+}
+
+func (e *evidence) decay(now time.Time) {
+	by := float32(math.Exp(-now.Sub(e.at).Seconds() / countFades.Seconds()))
+	e.at = now
+	e.own.Requests *= by
+	e.own.Answers *= by
+}
+
+func (e *evidence) observe(s *canary.Sample, now time.Time) {
+	e.decay(now)
+	e.own.Requests++
+	if s.IsNew && !s.Late {
+		e.own.Answers++
+		e.answered = true
+	}
+}
+
+// total returns the sum over all boxes.
+func (e *evidence) total(now time.Time) Count {
+	e.decay(now)
+	sum := e.own
+	for _, r := range e.reports {
+		if now.Sub(r.at) <= reportMaxAge {
+			sum.add(r.Count)
+		}
+	}
+	return sum
+}
+
+// needed returns how many answers the version must have given recently at the share.
+func (c *Count) needed(share float64) float64 {
+	return min(enoughAnswers, math.Floor(expectedShare*share*float64(c.Requests)))
+}
+
+// Observe counts how a server of the service, which runs the given version, handled a request. It
+// does nothing unless the service is being moved.
+func (t *Table) Observe(service, version string, s canary.Sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.orders[service]
+	if a == nil || a.progress.Final != "" {
+		return
+	}
+	s.IsNew = version == a.Version
+	a.judge.Observe(&s, t.Now())
+	a.evidence.observe(&s, t.Now())
+}
+
+// ----------------------------------------------------------------
+// Reports between boxes
+// ----------------------------------------------------------------
+
+// Report is what a box has counted for a service that is being moved.
+type Report struct {
+	Box     string
+	Service string
+	// Given identifies the order; see Order.
+	Given  uint64
+	Count  Count
+	Canary canary.Report
+}
+
+// Wire encodes and decodes reports.
+var Wire = packet.Codec[Report]{Kind: "rollout reports", FirstByte: 0xf8}
+
+// Reports returns this box's reports for the boxes that judge versions.
+func (t *Table) Reports() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Report
+	for service, a := range t.orders {
+		if a.progress.Final != "" {
+			continue
+		}
+		a.evidence.decay(t.Now())
+		if r := a.judge.Report(t.Now()); len(r.Comparisons) > 0 {
+			list = append(list, Report{Box: t.Box, Service: service, Given: a.Given, Count: a.evidence.own, Canary: r})
+		}
+	}
+	return list
+}
+
+// AddReport stores another box's report, unless it is about another order than the current one.
+func (t *Table) AddReport(r *Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.orders[r.Service]
+	if a == nil || a.Given != r.Given || r.Box == t.Box {
+		return
+	}
+	a.judge.AddReport(r.Box, r.Canary, t.Now())
+	a.evidence.reports[r.Box] = countReport{Count: r.Count, at: t.Now()}
+	a.evidence.answered = a.evidence.answered || r.Count.Answers > 0
+}
--- /dev/null
+++ b/pkg/rollout/progress.go
@@ -0,0 +1,96 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/packet"
+)
+
+// Progress is how far an order has come. Of two states the one that is further wins in each
+// field, so that boxes that hear of them in any order, or several times, agree in the end.
+type Progress struct {
+	// Step is the index of the version's current share.
+	Step int
+	// Ran is how long the order has been running.
+	Ran time.Duration
+	// Bad is true once a box has found the version to be bad.
+	Bad bool
+	// Final is the final state in the store, or empty.
+	Final State
+}
+
+// Join takes over what is further in the other state, and reports whether there was any apart
+// from the time.
+func (p *Progress) Join(o Progress) (news bool) {
+	p.Ran = max(p.Ran, o.Ran)
+	if o.Step > p.Step {
+		p.Step, news = o.Step, true
+	}
+	if o.Bad && !p.Bad {
+		p.Bad, news = true, true
+	}
+	if o.Final != "" && p.Final == "" {
+		p.Final, news = o.Final, true
+	}
+	return news
+}
+
+// Told is the progress of one order as boxes tell each other.
+type Told struct {
+	Service string
+	// Given identifies the order; see Order.
+	Given uint64
+	Step  int
+	RanMS int64
+	// KnowsTime is true if the teller has known the order since it was given, or was told by such a
+	// box.
+	KnowsTime bool
+	Bad       bool
+	Final     State
+}
+
+// Message tells the progress of all orders that a box knows.
+type Message struct {
+	Orders []Told
+}
+
+// ProgressWire encodes and decodes messages.
+var ProgressWire = packet.Codec[Message]{Kind: "rollout progress", FirstByte: 0xa1}
+
+// Progress returns the message for other boxes, and false if there is no order in progress.
+func (t *Table) Progress() (Message, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var m Message
+	running := false
+	for service, a := range t.orders {
+		running = running || a.State != Complete && a.State != RolledBack
+		m.Orders = append(m.Orders, Told{
+			Service: service, Given: a.Given, Step: a.progress.Step, RanMS: a.ran(t.Now()).Milliseconds(), KnowsTime: a.knowsTime,
+			Bad: a.progress.Bad, Final: a.progress.Final,
+		})
+	}
+	return m, running
+}
+
+// Receive takes over what another box tells, and reports whether there was anything new apart
+// from the time.
+func (t *Table) Receive(m *Message) (news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, told := range m.Orders {
+		a := t.orders[told.Service]
+		if a == nil || a.Given != told.Given || !told.isValid() {
+			continue
+		}
+		a.knowsTime = a.knowsTime || told.KnowsTime
+		p := Progress{Step: told.Step, Ran: time.Duration(told.RanMS) * time.Millisecond, Bad: told.Bad, Final: told.Final}
+		news = a.join(p, t.Now()) || news
+	}
+	return news
+}
+
+func (d *Told) isValid() bool {
+	isFinal := d.Final == "" || d.Final == Complete || d.Final == RolledBack
+	return isFinal && d.Step >= 0 && d.Step <= lastStep && d.RanMS >= 0
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -2,10 +2,10 @@
 // step, and moves them back if that version is bad. It does no input or output.
 //
 // Example: an operator orders that a service moves to version v2 within 20 s. For the first
-// 12 s one request in twenty goes to servers of v2; boxes count how these servers and the
-// others perform. If v2 fails more often, or is several times slower, the order is rolled
-// back; otherwise v2 gets more and more requests, and the order is complete before the 20 s
-// are over.
+// 12 s one request in twenty goes to servers of v2, and boxes report how these servers and the
+// others perform. The boxes that judge raise the share while v2 has servers enough and its
+// answers are good, tell all others the step, and write it to the platform's store. If v2 turns
+// out to be bad, no box sends it anything more and the order is rolled back.
 package rollout
 
 import (
@@ -13,10 +13,9 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/canary"
-	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
-// State is the progress of an order.
+// State is the state of an order.
 type State string
 
 // The states of an order.
@@ -26,45 +25,51 @@
 	RolledBack State = "rolled_back"
 )
 
-// Order is an operator's order to move a service to a version.
+// ByHand is what an operator has asked of an order since it was given.
+type ByHand string
+
+// What operators can ask for.
+const (
+	// Hold keeps the version's share as it is.
+	Hold ByHand = "hold"
+	// Finish completes the order as soon as the version's servers can carry all requests.
+	Finish ByHand = "finish"
+)
+
+// Order is an operator's order to move a service to a version, with its status in the store.
 type Order struct {
 	Service string
 	Version string
 	// Duration is the time, from when the order is given, within which it is to be complete.
 	Duration time.Duration
+	// Made is when the order's object was made, as the store tells it.
+	Made string
 	// Revision is the revision of the object's last change, used for a conditional update.
 	Revision uint64
-	// State is the state in the store; it is empty if none has been written for this version.
-	State State
+	// Given is the revision of the object when the order was given. It tells an order from an
+	// earlier one of the same service and version.
+	Given uint64
+
+	// State is the state in the store; it is empty if none has been written for this order.
+	// Step, Ran, Begun and ByHand come from the store as well. Begun is in milliseconds since
+	// 1970.
+	State  State
+	Step   int
+	Ran    time.Duration
+	Begun  int64
+	ByHand ByHand
 }
 
-// step is the share of requests that the new version gets once the given fraction of the
-// duration has passed.
-type step struct {
-	from  float64
-	share float64
+// isSame reports whether the other object asks for the same.
+func (o *Order) isSame(other *Order) bool {
+	return o.Version == other.Version && o.Duration == other.Duration && o.Made == other.Made
 }
 
-// steps begin with a long trial of few requests: a version may turn bad later, or under load,
-// and by then must not have had a tenth of the requests. The rest moves in steps because
-// servers of the new version know no keys and would otherwise get first uses of all keys at
-// once.
-var steps = []step{{0, 0.05}, {0.6, 0.1}, {0.7, 0.2}, {0.78, 0.4}, {0.86, 0.7}}
-
-// completeAt is the fraction of the duration after which an order that has gone well is
-// complete. The rest is for writing to the store and for other boxes to learn of it.
-const completeAt = 0.92
-
-// shareAt returns the share of requests that the new version gets after the elapsed time.
-func shareAt(elapsed, duration time.Duration) float64 {
-	part := elapsed.Seconds() / max(duration.Seconds(), 0.001)
-	share := 0.0
-	for _, s := range steps {
-		if part >= s.from {
-			share = s.share
-		}
+// withoutStatus returns the order as it is when it has just been given.
+func (o Order) withoutStatus() Order {
+	return Order{
+		Service: o.Service, Version: o.Version, Duration: o.Duration, Made: o.Made, Revision: o.Revision, Given: o.Revision,
 	}
-	return share
 }
 
 // Rule says how a service's requests are divided between the versions of its servers.
@@ -80,40 +85,132 @@
 // active is an order and what this box knows about it.
 type active struct {
 	Order
+	// progress is as of time at.
+	progress Progress
+	at       time.Time
+	// firstSeen is when this box learned of the order. knowsTime is true if it did so when that was
+	// given, or once it knows for how long the order has been running.
 	firstSeen time.Time
-	judge     *canary.Judge
-	// isBad is true once this box has found the version to be bad, which may be before the
-	// store records it.
-	isBad bool
+	knowsTime bool
+	// replaced is the revision up to which the service had another order.
+	replaced uint64
+	// steppedAt is when this box learned of the current step.
+	steppedAt time.Time
+
+	judge    *canary.Judge
+	verdict  canary.Verdict
+	evidence evidence
+	// wait is why a judge has not taken the next step, and logged holds the reasons that have been
+	// logged since the last one. isDue is true once the order may be complete.
+	wait   Wait
+	logged map[WaitReason]bool
+	isDue  bool
+	writes writes
+}
+
+// newActive returns an order that this box has just learned of.
+func newActive(o Order, now time.Time) *active {
+	a := &active{at: now, firstSeen: now, knowsTime: o.State == "", steppedAt: now, judge: canary.NewJudge(now), evidence: newEvidence(now)}
+	a.accept(o, now)
+	return a
+}
+
+// accept takes over the order as it is in the store.
+func (a *active) accept(o Order, now time.Time) {
+	a.Order = o
+	stored := Progress{Step: min(o.Step, lastStep), Ran: o.Ran}
+	if o.State == Complete || o.State == RolledBack {
+		stored.Final = o.State
+	}
+	a.join(stored, now)
+}
+
+// join takes over what is further than what this box knows, and reports whether there was any
+// apart from the time.
+func (a *active) join(p Progress, now time.Time) (news bool) {
+	a.progress.Ran, a.at = a.ran(now), now
+	step := a.progress.Step
+	news = a.progress.Join(p)
+	if a.progress.Step != step {
+		a.steppedAt = now
+	}
+	return news
 }
 
-// Table holds the known orders, and judges their versions.
+// ran returns for how long the order has been running.
+func (a *active) ran(now time.Time) time.Duration { return a.progress.Ran + now.Sub(a.at) }
+
+func (a *active) rule() Rule {
+	switch {
+	case a.progress.Final == Complete:
+		return Rule{Version: a.Version, Share: 1}
+	case a.progress.Final == RolledBack || a.progress.Bad:
+		return Rule{Version: a.Version, Excluded: true}
+	}
+	return Rule{Version: a.Version, Share: steps[a.progress.Step].share}
+}
+
+// Table holds the known orders, and judges their versions. Its methods are safe for concurrent
+// use.
 type Table struct {
 	// Box is this box's name.
 	Box string
 	// Now is the clock; it must be monotonic.
 	Now func() time.Time
+	// WallMS is the time of day in milliseconds since 1970. It serves to find out how long an
+	// order has been running if no box is left that knows.
+	WallMS func() int64
 
 	mu     sync.Mutex
 	orders map[string]*active
 }
 
 // NewTable returns a table without orders.
-func NewTable(box string, now func() time.Time) *Table {
-	return &Table{Box: box, Now: now, orders: map[string]*active{}}
+func NewTable(box string, now func() time.Time, wallMS func() int64) *Table {
+	return &Table{Box: box, Now: now, WallMS: wallMS, orders: map[string]*active{}}
 }
 
-// Set adds an order, replacing an earlier one for the same service.
+// Set adds an order or its new status. An order begins anew if it asks for something else than
+// the service's last one, or was given again.
 func (t *Table) Set(o Order) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.Now()
 	known := t.orders[o.Service]
-	if known != nil && known.Version == o.Version && known.Duration == o.Duration {
-		known.Order = o
+	if known == nil {
+		t.orders[o.Service] = newActive(o, now)
 		return
 	}
-	now := t.Now()
-	t.orders[o.Service] = &active{Order: o, firstSeen: now, judge: canary.NewJudge(now)}
+	if o.Revision < known.Revision {
+		return
+	}
+	replaced := known.replaced
+	if !known.isSame(&o) {
+		replaced = known.Revision
+	}
+	if o.State != "" && o.Given != 0 && o.Given <= replaced {
+		// The status was written for an order from before the last one.
+		o = o.withoutStatus()
+	}
+	if !known.isSame(&o) || !known.continues(&o) {
+		known = newActive(o, now)
+		t.orders[o.Service] = known
+	} else {
+		if o.State == "" || o.Given == 0 {
+			o.Given = known.Given
+		}
+		known.accept(o, now)
+	}
+	known.replaced = replaced
+}
+
+// continues reports whether the object, which asks for the same, is still this order and not one
+// that was given again.
+func (a *active) continues(o *Order) bool {
+	if a.State == "" {
+		return true
+	}
+	return o.State != "" && (o.Given == a.Given || o.Given == 0)
 }
 
 // Remove deletes the order for a service.
@@ -129,109 +226,7 @@
 	defer t.mu.Unlock()
 	rules := map[string]Rule{}
 	for service, a := range t.orders {
-		rules[service] = a.rule(t.Now())
+		rules[service] = a.rule()
 	}
 	return rules
 }
-
-func (a *active) rule(now time.Time) Rule {
-	switch {
-	case a.State == Complete:
-		return Rule{Version: a.Version, Share: 1}
-	case a.State == RolledBack || a.isBad:
-		return Rule{Version: a.Version, Excluded: true}
-	}
-	return Rule{Version: a.Version, Share: shareAt(now.Sub(a.firstSeen), a.Duration)}
-}
-
-// Change is a state that an order has reached and that the store does not record yet.
-type Change struct {
-	Order Order
-	State State
-	// Verdict is the comparison behind the change, for the log.
-	Verdict canary.Verdict
-}
-
-// Changes returns the states that are to be written to the store.
-func (t *Table) Changes() []Change {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Now()
-	var list []Change
-	for _, a := range t.orders {
-		if a.State == Complete || a.State == RolledBack {
-			continue
-		}
-		verdict := a.judge.Verdict(now)
-		a.isBad = a.isBad || verdict.Bad
-		switch {
-		case a.isBad:
-			list = append(list, Change{Order: a.Order, State: RolledBack, Verdict: verdict})
-		case now.Sub(a.firstSeen).Seconds() >= completeAt*a.Duration.Seconds():
-			list = append(list, Change{Order: a.Order, State: Complete, Verdict: verdict})
-		case a.State == "":
-			list = append(list, Change{Order: a.Order, State: Running, Verdict: verdict})
-		}
-	}
-	return list
-}
-
-// Observe counts how a server of the service, which runs the given version, handled a request. It
-// does nothing unless the service is being moved.
-func (t *Table) Observe(service, version string, s canary.Sample) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := t.orders[service]
-	if a == nil || a.State == Complete || a.State == RolledBack {
-		return
-	}
-	s.IsNew = version == a.Version
-	a.judge.Observe(&s, t.Now())
-}
-
-// ----------------------------------------------------------------
-// Reports between boxes
-// ----------------------------------------------------------------
-
-// wireVersion is the first byte of a report; other messages to the same port start with other
-// bytes.
-const wireVersion = 0xf7
-
-// Report is what a box has counted for a service that is being moved.
-type Report struct {
-	Box     string
-	Service string
-	Version string
-	Canary  canary.Report
-}
-
-// Wire encodes and decodes reports.
-var Wire = packet.Codec[Report]{Kind: "rollout reports", FirstByte: wireVersion}
-
-// Reports returns this box's reports for the boxes that judge versions.
-func (t *Table) Reports() []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Report
-	for service, a := range t.orders {
-		if a.State == Complete || a.State == RolledBack {
-			continue
-		}
-		if r := a.judge.Report(t.Now()); len(r.Comparisons) > 0 {
-			list = append(list, Report{Box: t.Box, Service: service, Version: a.Version, Canary: r})
-		}
-	}
-	return list
-}
-
-// AddReport stores another box's report, unless it is about a version other than that of the
-// current order.
-func (t *Table) AddReport(r *Report) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := t.orders[r.Service]
-	if a == nil || a.Version != r.Version || r.Box == t.Box {
-		return
-	}
-	a.judge.AddReport(r.Box, r.Canary, t.Now())
-}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -10,146 +10,544 @@
 	"github.com/stoneworks/stoneworks/pkg/canary"
 )
 
-type clock struct{ at time.Time }
+const orderTime = 20 * time.Second
 
-func (c *clock) now() time.Time { return c.at }
+// fakeStore holds one object: an order and its status, which belongs to the order of its version
+// and duration.
+type fakeStore struct {
+	exists bool
+	spec   Order
+	status Order
+	silent bool
+	writes int
+}
 
-func newTestTable() (*Table, *clock) {
-	c := &clock{at: time.Unix(1000, 0)}
-	t := NewTable("box-1", c.now)
-	t.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second, Revision: 7})
-	return t, c
+// give writes an order as an operator does. An existing object keeps its status.
+func (s *fakeStore) give(version string, duration time.Duration) {
+	s.spec = Order{Service: "shop", Version: version, Duration: duration, Revision: s.spec.Revision + 1}
+	if !s.exists {
+		s.exists, s.status = true, Order{}
+	}
 }
 
-// note records answers of a version, the first of which are failures.
-func note(t *Table, version string, answers, failures int, took time.Duration) {
-	for i := range answers {
-		t.Observe("shop", version, canary.Sample{Route: "read", Failed: i < failures, Known: true, Took: took})
+// read returns the order as the platform's adapter reads it.
+func (s *fakeStore) read() Order {
+	o := s.spec
+	o.Given = o.Revision
+	if s.status.State != "" && s.status.isSame(&o) {
+		o = s.status
+		o.Revision = s.spec.Revision
+	}
+	return o
+}
+
+func (s *fakeStore) state() State { return s.read().State }
+
+// write replaces the status if the object still has the revision. It reports whether there was an
+// answer.
+func (s *fakeStore) write(c *Change) bool {
+	if s.silent {
+		return false
+	}
+	s.writes++
+	if s.exists && s.spec.Revision == c.Order.Revision {
+		s.spec.Revision++
+		s.status = c.Order
+		s.status.State = c.State
+	}
+	return true
+}
+
+// fleet is a model of boxes that see each other and the store.
+type fleet struct {
+	at    time.Time
+	boxes []*Table
+	store fakeStore
+	room  []RegionRoom
+	// requests is how many requests each box sends in a tick; answers says what becomes of those
+	// that go to the new version.
+	requests int
+	answers  func(elapsed time.Duration) canary.Sample
+	// sent counts the requests at the version and at the others.
+	sent, others float64
+	started      time.Time
+	noGossip     bool
+	due          float64
+}
+
+const tick = 250 * time.Millisecond
+
+func ample() []RegionRoom {
+	return []RegionRoom{{Region: "east", Version: 10, Others: 10, HasOthers: true}, {Region: "west", Version: 10, Others: 10, HasOthers: true}}
+}
+
+func good(time.Duration) canary.Sample {
+	return canary.Sample{Took: 20 * time.Millisecond, Known: true}
+}
+
+func newFleet(boxes int) *fleet {
+	f := &fleet{at: time.Unix(1000, 0), room: ample(), requests: 40, answers: good, started: time.Unix(1000, 0)}
+	for i := range boxes {
+		f.boxes = append(f.boxes, f.newBox(i))
+	}
+	return f
+}
+
+func (f *fleet) newBox(i int) *Table {
+	return NewTable(fmt.Sprint("box-", i), func() time.Time { return f.at }, func() int64 { return f.at.UnixMilli() })
+}
+
+// loseAll replaces all boxes by ones that know nothing.
+func (f *fleet) loseAll() {
+	for i := range f.boxes {
+		f.boxes[i] = f.newBox(i)
+	}
+}
+
+// spread tells all boxes what the store holds, unless it is silent.
+func (f *fleet) spread() {
+	for _, b := range f.boxes {
+		switch {
+		case f.store.silent:
+		case f.store.exists:
+			b.Set(f.store.read())
+		default:
+			b.Remove("shop")
+		}
 	}
 }
 
+// tick advances the time and lets all boxes send requests, judge, tell each other and write.
+func (f *fleet) tick() {
+	f.at = f.at.Add(tick)
+	f.spread()
+	for i, b := range f.boxes {
+		f.send(b)
+		b.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return f.room }})
+		if !f.noGossip {
+			f.tell(i)
+		}
+	}
+	for i, b := range f.boxes {
+		for _, c := range b.Changes(i) {
+			b.Written(&c, f.store.write(&c))
+		}
+	}
+	f.spread()
+}
+
+// send sends a box's requests according to its rule.
+func (f *fleet) send(b *Table) {
+	rule, isMoved := b.Rules()["shop"]
+	if !isMoved {
+		return
+	}
+	share := rule.Share
+	if rule.Excluded || len(f.room) == 0 || f.room[0].Version == 0 {
+		share = 0
+	}
+	for range f.requests {
+		f.due += share
+		version, sample := "v1", good(0)
+		if f.due >= 1 {
+			f.due--
+			f.sent++
+			version, sample = rule.Version, f.answers(f.at.Sub(f.started))
+		} else {
+			f.others++
+		}
+		sample.Route = "read"
+		b.Observe("shop", version, sample)
+	}
+}
+
+// tell delivers what a box tells all others.
+func (f *fleet) tell(from int) {
+	m, _ := f.boxes[from].Progress()
+	reports := f.boxes[from].Reports()
+	for i, b := range f.boxes {
+		if i == from {
+			continue
+		}
+		b.Receive(&m)
+		for k := range reports {
+			b.AddReport(&reports[k])
+		}
+	}
+}
+
+// run ticks until a time since the start, and returns the largest share seen.
+func (f *fleet) run(until time.Duration) (largest float64) {
+	for f.at.Sub(f.started) < until {
+		f.tick()
+		for _, b := range f.boxes {
+			largest = max(largest, b.Rules()["shop"].Share)
+		}
+	}
+	return largest
+}
+
+// ordered returns a fleet that has been given an order.
+func ordered(boxes int) *fleet {
+	f := newFleet(boxes)
+	f.store.give("v2", orderTime)
+	f.spread()
+	return f
+}
+
+// ----------------------------------------------------------------
+// Steps
+// ----------------------------------------------------------------
+
 // TestBadVersionGetsFewRequests: if the version turns bad at any time in the first seven
 // tenths of the duration, the requests it gets until two seconds later are at most a tenth of
 // all requests in the duration.
 func TestBadVersionGetsFewRequests(t *testing.T) {
-	duration := 20 * time.Second
 	got := 0.0
-	for elapsed := time.Duration(0); elapsed <= duration*7/10+2*time.Second; elapsed += 10 * time.Millisecond {
-		got += shareAt(elapsed, duration) * 0.01
+	current := 0
+	for elapsed := time.Duration(0); elapsed <= orderTime*7/10+2*time.Second; elapsed += 10 * time.Millisecond {
+		if current < lastStep && elapsed >= nextStepAt(current, orderTime) {
+			current++
+		}
+		got += steps[current].share * 0.01
 	}
-	is.New(t).True(got/duration.Seconds() <= 0.1)
+	is.New(t).True(got/orderTime.Seconds() <= 0.1)
 }
 
-func TestOrderIsCompleteBeforeItsTime(t *testing.T) {
-	is := is.New(t)
-	table, c := newTestTable()
-	is.Equal(table.Changes()[0].State, Running)
-	table.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second, Revision: 8, State: Running})
-	is.Equal(len(table.Changes()), 0)
-	c.at = c.at.Add(19 * time.Second)
-	is.Equal(table.Changes()[0].State, Complete)
-	is.Equal(table.Changes()[0].Order.Revision, uint64(8))
-	table.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second, Revision: 9, State: Complete})
-	is.Equal(table.Rules()["shop"], Rule{Version: "v2", Share: 1})
-	is.Equal(len(table.Changes()), 0)
-}
-
-// TestVerdicts: a few failures do not make a version bad, nor do failures that all servers
-// have alike. Failures reported by other boxes count.
-func TestVerdicts(t *testing.T) {
+// TestGoodVersionIsCompleteInTime: with room and answers, an order is complete by its deadline,
+// with few writes to the store, whether few or many boxes write.
+func TestGoodVersionIsCompleteInTime(t *testing.T) {
+	for _, duration := range []time.Duration{8 * time.Second, 14 * time.Second, orderTime, time.Hour} {
+		is := is.New(t)
+		f := newFleet(3)
+		f.store.give("v2", duration)
+		f.run(duration)
+		is.Equal(f.store.state(), Complete)
+		is.Equal(f.boxes[2].Rules()["shop"], Rule{Version: "v2", Share: 1})
+		is.True(f.store.writes <= len(steps)+2)
+	}
+}
+
+// TestShortOrderIsComplete: an order of half a second takes its steps one by one, and is complete
+// soon after.
+func TestShortOrderIsComplete(t *testing.T) {
+	f := newFleet(3)
+	f.store.give("v2", 500*time.Millisecond)
+	f.run(6 * time.Second)
+	is.New(t).Equal(f.store.state(), Complete)
+}
+
+// TestNeverCompleteWithoutEvidenceAndRoom guards against an order that is completed by the clock
+// alone, upon which the other servers stop: no server of the version has started, it has none in
+// a region, too few slots for the load, or no answer of it was seen.
+func TestNeverCompleteWithoutEvidenceAndRoom(t *testing.T) {
+	late := func(time.Duration) canary.Sample { return canary.Sample{Late: true, Took: time.Second} }
 	for _, c := range []struct {
-		name              string
-		oldBad, newBad    int
-		newTook           time.Duration
-		elsewhere, result bool
+		name    string
+		room    []RegionRoom
+		answers func(time.Duration) canary.Sample
+		want    WaitReason
 	}{
-		{name: "no failures", newTook: 100 * time.Millisecond},
-		{name: "few failures", newBad: 5, newTook: 100 * time.Millisecond},
-		{name: "failures", newBad: 6, newTook: 100 * time.Millisecond, result: true},
-		{name: "all fail alike", oldBad: 60, newBad: 20, newTook: 100 * time.Millisecond},
-		{name: "slow", newTook: 300 * time.Millisecond, result: true},
-		{name: "failures that another box has seen", newBad: 6, newTook: 100 * time.Millisecond, elsewhere: true, result: true},
+		{"no servers", []RegionRoom{{Region: "east", Others: 10, HasOthers: true}}, good, WaitServers},
+		{"no servers at all", nil, good, WaitServers},
+		{"none in a region", []RegionRoom{{Region: "east", Version: 10, Others: 10, HasOthers: true}, {Region: "west", Others: 4, HasOthers: true}}, good, WaitServers},
+		{"too few slots", []RegionRoom{{Region: "east", Version: 6, Others: 10, HasOthers: true, Load: 8, KnowsLoad: true}}, good, WaitSlots},
+		{"no answers", ample(), late, WaitAnswers},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table, now := newTestTable()
-			source := table
-			if c.elsewhere {
-				source = NewTable("box-2", now.now)
-				source.Set(Order{Service: "shop", Version: "v2", Duration: 20 * time.Second})
+			f := ordered(3)
+			f.answers = c.answers
+			f.room = append([]RegionRoom{}, c.room...)
+			if c.want == WaitAnswers {
+				f.requests = 1 // too few for a verdict
 			}
-			note(source, "v1", 100, c.oldBad, 100*time.Millisecond)
-			note(source, "v2", 30, c.newBad, c.newTook)
-			if c.elsewhere {
-				for _, r := range source.Reports() {
-					datagram, err := Wire.Encode(&r)
-					is.NoErr(err)
-					back, err := Wire.Decode(datagram)
-					is.NoErr(err)
-					table.AddReport(back)
-				}
+			f.run(2 * orderTime)
+			is.Equal(f.store.state(), Running)
+			is.Equal(f.boxes[0].orders["shop"].wait.Reason, c.want)
+			f.room, f.answers = ample(), good
+			f.run(3 * orderTime)
+			is.Equal(f.store.state(), Complete)
+		})
+	}
+}
+
+// TestFewerServersThatCarryTheLoadSuffice checks that a version needs no more slots than the load.
+func TestFewerServersThatCarryTheLoadSuffice(t *testing.T) {
+	f := ordered(3)
+	f.room = []RegionRoom{{Region: "east", Version: 6, Others: 10, HasOthers: true, Load: 4, KnowsLoad: true}}
+	f.run(orderTime)
+	is.New(t).Equal(f.store.state(), Complete)
+}
+
+// TestServiceWithFewRequestsGetsOn checks that the answers needed follow the requests there are.
+func TestServiceWithFewRequestsGetsOn(t *testing.T) {
+	f := ordered(3)
+	f.requests = 0
+	for f.at.Sub(f.started) < 3*orderTime {
+		f.tick()
+		if f.at.Unix()%2 == 0 && f.at.Nanosecond() == 0 {
+			f.requests = 1
+			f.send(f.boxes[0])
+			f.requests = 0
+		}
+	}
+	is.New(t).Equal(f.store.state(), Complete)
+}
+
+// TestVersionInForceIsCompleteAtOnce checks an order for the version that all servers have.
+func TestVersionInForceIsCompleteAtOnce(t *testing.T) {
+	f := ordered(3)
+	f.room = []RegionRoom{{Region: "east", Version: 10}}
+	f.run(3 * time.Second)
+	is.New(t).Equal(f.store.state(), Complete)
+}
+
+// ----------------------------------------------------------------
+// Failures
+// ----------------------------------------------------------------
+
+// TestLossOfAllBoxes guards against counting the time anew: the share goes on from the step in
+// the store, and the order is complete in time.
+func TestLossOfAllBoxes(t *testing.T) {
+	for _, at := range []time.Duration{3 * time.Second, 11 * time.Second, 15 * time.Second} {
+		is := is.New(t)
+		f := ordered(3)
+		f.run(at)
+		before := f.boxes[0].Rules()["shop"].Share
+		f.loseAll()
+		f.at = f.at.Add(1500 * time.Millisecond)
+		f.tick()
+		is.True(f.boxes[0].Rules()["shop"].Share >= before)
+		f.run(orderTime)
+		is.Equal(f.store.state(), Complete)
+	}
+}
+
+// TestLossOfAllBoxesPastTheEnd checks that an order whose deadline has passed while no box was
+// left goes on step by step.
+func TestLossOfAllBoxesPastTheEnd(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	f.run(5 * time.Second)
+	f.loseAll()
+	f.at = f.at.Add(orderTime)
+	f.run(28 * time.Second)
+	is.Equal(f.store.state(), Running)
+	f.run(orderTime + 16*time.Second)
+	is.Equal(f.store.state(), Complete)
+}
+
+// TestSilentStore checks that steps go on while the store is silent, and that the order is
+// complete as soon as it answers.
+func TestSilentStore(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	f.run(10 * time.Second)
+	f.store.silent = true
+	f.run(19 * time.Second)
+	is.Equal(f.boxes[1].Rules()["shop"].Share, steps[lastStep].share)
+	f.run(orderTime + 2*time.Second)
+	is.Equal(f.store.state(), Running)
+	f.store.silent = false
+	f.run(orderTime + 8*time.Second)
+	is.Equal(f.store.state(), Complete)
+}
+
+// TestBadVersionWhileTheStoreIsSilent guards against keeping a verdict until the store has it: one
+// box finds the version bad, and all others stop sending to it.
+func TestBadVersionWhileTheStoreIsSilent(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	f.run(5 * time.Second)
+	f.store.silent = true
+	note(f.boxes[1], "v2", 30, 30)
+	f.tick()
+	f.tick()
+	for _, b := range f.boxes {
+		is.True(b.Rules()["shop"].Excluded)
+	}
+	is.Equal(f.store.state(), Running)
+	f.store.silent = false
+	f.run(12 * time.Second)
+	is.Equal(f.store.state(), RolledBack)
+}
+
+// TestFirstJudgeDies checks that others write to the store if the first one does not.
+func TestFirstJudgeDies(t *testing.T) {
+	f := ordered(3)
+	f.run(5 * time.Second)
+	f.boxes = f.boxes[1:]
+	for f.at.Sub(f.started) < orderTime {
+		f.at = f.at.Add(tick)
+		f.spread()
+		for i, b := range f.boxes {
+			f.send(b)
+			b.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return f.room }})
+			f.tell(i)
+			for _, c := range b.Changes(i + 1) {
+				b.Written(&c, f.store.write(&c))
 			}
-			change := table.Changes()[0]
-			is.Equal(change.State == RolledBack, c.result)
-			is.Equal(table.Rules()["shop"].Excluded, c.result)
+		}
+	}
+	is.New(t).Equal(f.store.state(), Complete)
+}
+
+// ----------------------------------------------------------------
+// Orders as operators give them
+// ----------------------------------------------------------------
+
+// TestOrderGivenAgain guards against an order that stays rolled back although an operator has
+// given it again: after removing it, or after ordering another version in between.
+func TestOrderGivenAgain(t *testing.T) {
+	for name, again := range map[string]func(f *fleet){
+		"removed and made": func(f *fleet) {
+			f.store.exists = false
+			f.spread()
+			f.store.give("v2", orderTime)
+		},
+		"removed and made unseen": func(f *fleet) {
+			f.store.exists = false
+			f.store.give("v2", orderTime)
+		},
+		"changed and changed back": func(f *fleet) {
+			f.store.give("v3", orderTime)
+			f.spread()
+			f.store.give("v2", orderTime)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := ordered(3)
+			note(f.boxes[1], "v2", 30, 30)
+			f.run(3 * time.Second)
+			is.Equal(f.store.state(), RolledBack)
+			f.at = f.at.Add(10 * time.Second) // earlier reports are out of date
+			again(f)
+			f.run(f.at.Sub(f.started) + 2*time.Second)
+			is.Equal(f.store.state(), Running)
+			is.True(!f.boxes[0].Rules()["shop"].Excluded)
+			f.run(f.at.Sub(f.started) + orderTime)
+			is.Equal(f.store.state(), Complete)
 		})
 	}
 }
 
-// noteLate records first uses of keys, the first of which get no answer in time.
-func noteLate(t *Table, version string, answers, late int) {
+// TestOrderChangesMidway checks that an order for another version begins from the first step, and
+// that one that is removed leaves no rule.
+func TestOrderChangesMidway(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	f.run(15 * time.Second)
+	is.True(f.boxes[0].Rules()["shop"].Share > steps[0].share)
+	f.store.give("v3", orderTime)
+	f.spread()
+	is.Equal(f.boxes[0].Rules()["shop"], Rule{Version: "v3", Share: steps[0].share})
+	f.store.exists = false
+	f.spread()
+	is.Equal(len(f.boxes[0].Rules()), 0)
+}
+
+// TestOlderObjectIsIgnored: a list that is seconds old takes no order back.
+func TestOlderObjectIsIgnored(t *testing.T) {
+	is := is.New(t)
+	f := ordered(1)
+	old := f.store.read()
+	f.run(orderTime)
+	f.boxes[0].Set(old)
+	is.Equal(f.boxes[0].Rules()["shop"].Share, 1.0)
+}
+
+// TestRequestsOfOperators checks what operators may ask of an order.
+func TestRequestsOfOperators(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	ask := func(r Request) {
+		c, err := f.boxes[0].Ask("shop", r)
+		is.NoErr(err)
+		f.store.write(&c)
+		f.spread()
+	}
+	f.run(2 * time.Second)
+	ask(RequestHold)
+	f.run(2 * orderTime)
+	is.Equal(f.boxes[1].Rules()["shop"].Share, steps[0].share)
+	ask(RequestResume)
+	f.run(3 * orderTime)
+	is.Equal(f.store.state(), Complete)
+	_, err := f.boxes[0].Ask("shop", RequestHold)
+	is.True(err != nil) // the order has ended
+
+	f = ordered(3)
+	f.run(2 * time.Second)
+	ask(RequestFinish)
+	f.run(4 * time.Second)
+	is.Equal(f.store.state(), Complete)
+
+	f = ordered(3)
+	f.run(2 * time.Second)
+	ask(RequestRollBack)
+	is.True(f.boxes[2].Rules()["shop"].Excluded)
+	_, err = ordered(1).boxes[0].Ask("shop", "stop")
+	is.True(err != nil)
+}
+
+// ----------------------------------------------------------------
+// Messages
+// ----------------------------------------------------------------
+
+// note records known answers of a version, the first of which are failures.
+func note(t *Table, version string, answers, failures int) {
 	for i := range answers {
-		t.Observe("shop", version, canary.Sample{Route: "read", Late: i < late, Took: 2 * time.Second})
+		t.Observe("shop", version, canary.Sample{Route: "read", Failed: i < failures, Known: true, Took: 20 * time.Millisecond})
 	}
 }
 
-// TestLateFirstUsesAreComparedWithFirstUses guards against rolling back a good version because
-// first uses take longer than a route's timeout, both at the new servers and at the others,
-// while the others mostly get keys that they know. A version that never answers is still found
-// to be bad.
-func TestLateFirstUsesAreComparedWithFirstUses(t *testing.T) {
-	for _, c := range []struct {
-		oldFirst, oldLate, newLate int
-		bad                        bool
-	}{
-		{oldFirst: 20, oldLate: 12, newLate: 18},
-		{oldFirst: 20, oldLate: 1, newLate: 18, bad: true},
-		{oldFirst: 2, newLate: 8},
-		{oldFirst: 2, newLate: 20, bad: true},
+// TestProgressJoins: of two states the one that is further wins, in any order.
+func TestProgressJoins(t *testing.T) {
+	is := is.New(t)
+	a := Progress{Step: 2, Ran: time.Second}
+	b := Progress{Step: 1, Ran: 3 * time.Second, Bad: true}
+	ab, ba := a, b
+	is.True(ab.Join(b))
+	is.True(ba.Join(a))
+	is.Equal(ab, ba)
+	is.True(!ab.Join(b)) // nothing new
+}
+
+// TestMessagesOfOtherOrdersAreIgnored checks messages for another order and with values out of
+// range.
+func TestMessagesOfOtherOrdersAreIgnored(t *testing.T) {
+	is := is.New(t)
+	f := ordered(1)
+	given := f.store.read().Given
+	for _, told := range []Told{
+		{Service: "shop", Given: given + 1, Bad: true}, {Service: "desk", Given: given, Bad: true}, {Service: "shop", Given: given, Step: 99, Bad: true},
+		{Service: "shop", Given: given, Step: -1, Bad: true}, {Service: "shop", Given: given, RanMS: -1, Bad: true}, {Service: "shop", Given: given, Final: "odd"},
 	} {
-		table, _ := newTestTable()
-		note(table, "v1", 300, 0, 100*time.Millisecond)
-		noteLate(table, "v1", c.oldFirst, c.oldLate)
-		noteLate(table, "v2", 20, c.newLate)
-		is.New(t).Equal(table.Changes()[0].State == RolledBack, c.bad)
+		datagram, err := ProgressWire.Encode(&Message{Orders: []Told{told}})
+		is.NoErr(err)
+		m, err := ProgressWire.Decode(datagram)
+		is.NoErr(err)
+		is.True(!f.boxes[0].Receive(m))
 	}
+	is.Equal(f.boxes[0].Rules()["shop"].Share, steps[0].share)
 }
 
-// TestOldResultsAreDiscarded: a version is evaluated by its recent results, and a new order
-// for a service starts from empty tallies.
-func TestOldResultsAreDiscarded(t *testing.T) {
-	is := is.New(t)
-	table, c := newTestTable()
-	note(table, "v2", 20, 6, time.Millisecond)
-	c.at = c.at.Add(16 * time.Second)
-	is.Equal(table.Changes()[0].State, Running)
-	note(table, "v2", 20, 6, time.Millisecond)
-	table.Set(Order{Service: "shop", Version: "v3", Duration: 20 * time.Second})
-	is.Equal(table.Changes()[0].State, Running)
-	table.Remove("shop")
-	is.Equal(len(table.Rules()), 0)
-}
-
-// TestReportsFitAPacket: a report with the maximum number of routes fits into a datagram.
-func TestReportsFitAPacket(t *testing.T) {
+// TestMessagesAreSmall: the progress of an order is well below a hundred bytes, and a report with
+// the maximum number of routes fits into a datagram.
+func TestMessagesAreSmall(t *testing.T) {
 	is := is.New(t)
-	table, _ := newTestTable()
+	f := ordered(1)
+	m, _ := f.boxes[0].Progress()
+	datagram, err := ProgressWire.Encode(&m)
+	is.NoErr(err)
+	is.True(len(datagram) < 60)
 	for i := range 32 {
-		table.Observe("shop", "v2", canary.Sample{Route: fmt.Sprintf("route-%010d", i), Took: time.Second})
+		f.boxes[0].Observe("shop", "v2", canary.Sample{Route: fmt.Sprintf("route-%010d", i), Took: time.Second})
 	}
-	reports := table.Reports()
-	is.Equal(len(reports[0].Canary.Comparisons), 16)
-	datagram, err := Wire.Encode(&reports[0])
+	reports := f.boxes[0].Reports()
+	datagram, err = Wire.Encode(&reports[0])
 	is.NoErr(err)
 	is.True(len(datagram) < 2000)
 }
--- /dev/null
+++ b/pkg/rollout/steps.go
@@ -0,0 +1,62 @@
+package rollout
+
+import "time"
+
+// step is the share of requests that the new version gets, and the fraction of the duration
+// before which it does not get that share.
+type step struct {
+	from  float64
+	share float64
+}
+
+// steps begin with a long trial of few requests: a version may turn bad later, or under load,
+// and by then must not have had a tenth of the requests. The rest moves in steps because
+// servers of the new version know no keys and would otherwise get first uses of all keys at
+// once.
+var steps = []step{{0, 0.05}, {0.6, 0.1}, {0.7, 0.2}, {0.78, 0.4}, {0.86, 0.7}}
+
+const lastStep = 4
+
+const (
+	// completeAt is the fraction of the duration after which an order that has gone well is
+	// complete, and completeAtLeast the fraction before which it is not. The rest, which is
+	// writeTime if that is more, is for writing to the store and for other boxes to learn of it.
+	completeAt      = 0.92
+	completeAtLeast = 0.88
+	writeTime       = 1500 * time.Millisecond
+	// dwellShare is the fraction of the duration that a step lasts at least, within the bounds
+	// that follow. It sets the pace of an order that is late.
+	dwellShare = 0.04
+	minDwell   = 500 * time.Millisecond
+	maxDwell   = 2 * time.Second
+)
+
+// shareAfter returns the share of the version's requests after the next step: 1 once the order
+// is complete.
+func shareAfter(current int) float64 {
+	if current >= lastStep {
+		return 1
+	}
+	return steps[current+1].share
+}
+
+// nextStepAt returns the running time before which the step after the current one is not taken.
+func nextStepAt(current int, duration time.Duration) time.Duration {
+	fraction := completeAt
+	if current < lastStep {
+		fraction = steps[current+1].from
+	} else if duration > 0 {
+		fraction = max(completeAtLeast, min(completeAt, 1-writeTime.Seconds()/duration.Seconds()))
+	}
+	return time.Duration(fraction * float64(duration))
+}
+
+// dwell returns how long a step lasts at least.
+func dwell(duration time.Duration) time.Duration {
+	return max(minDwell, min(maxDwell, time.Duration(dwellShare*float64(duration))))
+}
+
+// isPaced reports whether it is time for the next step.
+func (a *active) isPaced(now time.Time) bool {
+	return a.ran(now) >= nextStepAt(a.progress.Step, a.Duration) && now.Sub(a.steppedAt) >= dwell(a.Duration)
+}
--- a/pkg/timer/time_of_day_test.go
+++ b/pkg/timer/time_of_day_test.go
@@ -13,7 +13,7 @@
 )
 
 // monotonicPackages decide by time spans, which a step of the wall clock must not change.
-var monotonicPackages = []string{"backend", "customer", "directory", "failurereport", "gossip", "objects", "quota", "retry", "routing", "storepoller"}
+var monotonicPackages = []string{"backend", "canary", "customer", "directory", "failurereport", "gossip", "objects", "quota", "retry", "rollout", "routing", "storepoller"}
 
 // timeOfDay are the methods of time.Time that read the wall clock where the monotonic clock is
 // required. With them, a forward step of the wall clock empties the windows of retries and of
--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -53,6 +53,8 @@
 type metadata struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
+	// Made is when the object was made, in milliseconds since 1970.
+	Made int64 `json:"made"`
 }
 
 type storedObject struct {
@@ -102,7 +104,7 @@
 	s.notifyWatches()
 }
 
-// Put creates or replaces an object. The spec is any value that can be encoded as JSON.
+// Put creates an object or replaces its spec. The spec is any value that can be encoded as JSON.
 func (s *Store) Put(kind, name string, spec any) {
 	text, err := json.Marshal(spec)
 	if err != nil {
@@ -114,7 +116,10 @@
 		s.objects[kind] = map[string]*storedObject{}
 	}
 	s.revision++
-	o := &storedObject{Metadata: metadata{Name: name, Revision: s.revision}, Spec: text}
+	o := &storedObject{Metadata: metadata{Name: name, Revision: s.revision, Made: time.Now().UnixMilli()}, Spec: text}
+	if known := s.objects[kind][name]; known != nil {
+		o.Metadata.Made, o.Status = known.Metadata.Made, known.Status
+	}
 	s.objects[kind][name] = o
 	s.events = append(s.events, storedEvent{kind: kind, object: *o, revision: s.revision})
 	s.notifyWatches()
@@ -130,7 +135,7 @@
 		return false
 	}
 	s.revision++
-	changed := &storedObject{Metadata: metadata{Name: name, Revision: s.revision}, Spec: o.Spec, Status: status}
+	changed := &storedObject{Metadata: metadata{Name: name, Revision: s.revision, Made: o.Metadata.Made}, Spec: o.Spec, Status: status}
 	s.objects[kind][name] = changed
 	s.events = append(s.events, storedEvent{kind: kind, object: *changed, revision: s.revision})
 	s.notifyWatches()
