--- a/test/machines/rollouts_test.go
+++ b/test/machines/rollouts_test.go
@@ -29,6 +29,24 @@
 // need slower times the service time, while clients send requests. It returns the fleet, the start
 // of the rollout, and the rollout's state at each second.
 func runRollout(t *testing.T, fault func(r *Run, since time.Duration) Fault, slower float64) (f *Fleet, ordered time.Time, states []string) {
+	t.Helper()
+	f = newRolloutFleet(t)
+	clients := newShoppers(f, 12)
+	time.Sleep(2 * time.Second)
+	ordered = time.Now()
+	addVersion(t, f, func(r *Run) Fault { return fault(r, time.Since(ordered)) }, slower)
+	order(f, "v2")
+	for time.Since(ordered) < rolloutTime+time.Second {
+		time.Sleep(time.Second)
+		states = append(states, stateOf(f))
+	}
+	counts := clients.stopAndCount()
+	t.Logf("states %v, answers %v", states, counts)
+	return f, ordered, states
+}
+
+// newRolloutFleet returns a fleet of three boxes and a service of ten servers.
+func newRolloutFleet(t *testing.T) *Fleet {
 	t.Helper()
 	f, err := NewFleet(networkOf(t), io.Discard)
 	if err != nil {
@@ -42,6 +60,13 @@
 			t.Fatal(err)
 		}
 	}
+	startBoxes(t, f)
+	return f
+}
+
+// startBoxes starts a box in each zone and waits until all are ready and know each other.
+func startBoxes(t *testing.T, f *Fleet) {
+	t.Helper()
 	for i := range 3 {
 		if _, err := f.AddBox(Zones[i].Zone); err != nil {
 			t.Fatal(err)
@@ -55,27 +80,26 @@
 		}
 		return true
 	})
-	clients := newShoppers(f, 12)
-	time.Sleep(2 * time.Second)
-	ordered = time.Now()
+}
+
+// addVersion starts ten servers of version v2.
+func addVersion(t *testing.T, f *Fleet, fault func(r *Run) Fault, slower float64) {
+	t.Helper()
 	for i := range 10 {
 		s, err := NewServer(f.network+".100", fmt.Sprint("east-a.new-", i), 8, time.Duration(slower*float64(10*time.Millisecond)))
 		if err != nil {
 			t.Fatal(err)
 		}
 		s.Version = "v2"
-		s.SetFault(func(r *Run) Fault { return fault(r, time.Since(ordered)) })
+		s.SetFault(fault)
 		f.Servers[s.ID] = s
 		f.PutServer(s, "shop", "east-a", "ready", 0)
 	}
-	f.Store.Put("rollouts", "shop", map[string]any{"service": "shop", "target-version": "v2", "duration-s": rolloutTime.Seconds()})
-	for time.Since(ordered) < rolloutTime+time.Second {
-		time.Sleep(time.Second)
-		states = append(states, stateOf(f))
-	}
-	counts := clients.stopAndCount()
-	t.Logf("states %v, answers %v", states, counts)
-	return f, ordered, states
+}
+
+// order orders the service to move to a version.
+func order(f *Fleet, version string) {
+	f.Store.Put("rollouts", "shop", map[string]any{"service": "shop", "target-version": version, "duration-s": rolloutTime.Seconds()})
 }
 
 // stateOf returns the state of the rollout, or its whole status if there is no known state for v2.
