Roll-outs: operators list, hold, resume, roll back and finish orders; the soak's checks are as strict as they read

Soak: exposure counted the requests of all services instead of those of the service that moves, so a bad version could have had all requests of a small one; the printed command lacked KINDS and the length. New check: no rollout to a bad version is complete.

--- a/Makefile
+++ b/Makefile
@@ -45,8 +45,8 @@
 	@if [ "$(SHAPE)" = machines ]; then $(BIN)/stoneworks-machines --bin $(BIN) --seed $(or $(SEED),1); \
 	else $(BIN)/stoneworks-demo --shape $(SHAPE) --bin $(BIN); fi
 
-soak: build ## inject faults into real processes: RUNS=10 new seeds, or SEED=n again; BOXES=6
-	$(BIN)/stoneworks-soak --bin $(BIN) --seed $(or $(SEED),0) --runs $(RUNS) --boxes $(BOXES) $(if $(KINDS),--kinds $(KINDS))
+soak: build ## inject faults into real processes: RUNS=10 new seeds, or SEED=n again; KINDS=1, BOXES=6, FOR=14s
+	$(BIN)/stoneworks-soak --bin $(BIN) --seed $(or $(SEED),0) --runs $(RUNS) --boxes $(BOXES) $(if $(KINDS),--kinds $(KINDS)) $(if $(FOR),--for $(FOR))
 
 prove: build ## prove what must always hold: PROMISE=4 for one
 	STONEWORKS_PROVE=1 go test ./test/prove -run 'TestPromise$(PROMISE)' -count=1 -v -timeout 20m | grep -E '^(PROMISE|ok|FAIL)|promise [0-9]'
--- a/pkg/ctl/ctl_verbs.go
+++ b/pkg/ctl/ctl_verbs.go
@@ -33,6 +33,8 @@
 	{"customers", "customers ADDRESS...", "show the limits of customers and their admitted and refused requests, from the admin addresses of boxes", verbCustomers},
 	{"quarantine", "quarantine ADDRESS...", "show requests in quarantine, during which backend servers crashed, from the admin addresses of boxes", verbQuarantine},
 	{"release", "release FINGERPRINT ADDRESS", "release a request from quarantine at all boxes, through the admin address of any box", verbRelease},
+	{"rollouts", "rollouts ADDRESS...", "show orders to move services to new versions: share, evidence and what the next step waits for, from the admin addresses of boxes", verbRollouts},
+	{"rollout", "rollout hold|resume|rollback|finish SERVICE ADDRESS", "keep an order's share, go on, send the new version nothing more, or complete the order once its servers can carry all requests, through the admin address of any box", verbRollout},
 	{"fleet", "fleet ADDRESS...", "show boxes by zone: live, with clients, asking the store, behind, silent, as the boxes at these admin addresses know it", verbFleet},
 	{"servers", "servers ADDRESS...", "show which backend servers report that they leave, ask boxes to back off or name limits, from the admin addresses of boxes", verbServers},
 	{"limits", "limits ADDRESS...", "show the limits in requests a second that backend servers name, and what boxes send them, from the admin addresses of boxes", verbLimits},
--- a/pkg/rollout/operators.go
+++ b/pkg/rollout/operators.go
@@ -28,6 +28,11 @@
 	RequestFinish   Request = "finish"
 )
 
+// IsKnown reports whether the request exists.
+func (r Request) IsKnown() bool {
+	return r == RequestHold || r == RequestResume || r == RequestRollBack || r == RequestFinish
+}
+
 // UnknownRequestError reports a request that does not exist.
 type UnknownRequestError struct{ Request Request }
 
@@ -47,6 +52,9 @@
 // Ask returns the status that an operator's request calls for, to be written to the store; see
 // Written. The error is an *UnknownRequestError or a *NoOrderError.
 func (t *Table) Ask(service string, r Request) (Change, error) {
+	if !r.IsKnown() {
+		return Change{}, &UnknownRequestError{Request: r}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.orders[service]
@@ -63,8 +71,6 @@
 		c.Order.ByHand = Finish
 	case RequestRollBack:
 		c.State = RolledBack
-	default:
-		return Change{}, &UnknownRequestError{Request: r}
 	}
 	return c, nil
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -492,6 +493,20 @@
 	is.True(err != nil)
 }
 
+// TestPrintedOrders checks that operators see what an order waits for.
+func TestPrintedOrders(t *testing.T) {
+	is := is.New(t)
+	f := ordered(1)
+	f.room = f.room[:1]
+	f.room[0].Version = 0
+	f.run(orderTime)
+	var b strings.Builder
+	is.NoErr(Print(&b, []BoxOrders{f.boxes[0].View(true), f.boxes[0].View(false)}))
+	lines := strings.Split(b.String(), "\n")
+	is.True(strings.Contains(lines[1], "no warm server of the version in east"))
+	is.True(strings.Contains(lines[2], "does not judge"))
+}
+
 // ----------------------------------------------------------------
 // Messages
 // ----------------------------------------------------------------
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -67,6 +67,7 @@
 	{"others-sent", othersSent},
 	{"server-limit", serverLimits},
 	{"exposure", exposure},
+	{"complete-bad", completeBad},
 	{"leaving-kept", leavingKept},
 	{"rest-kept", backoffKept},
 	{"recovery", recovery},
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -124,12 +124,22 @@
 		},
 		"exposure": func(h *History) {
 			h.Moves = []Move{{Service: "shop", Version: "v2", Servers: []string{"s9"}, Bad: true, From: start, To: after(10 * time.Second)}}
+			h.ServiceOf = map[string]string{"s9": "shop"}
+			// Requests to other services do not count.
+			for i := range 1000 {
+				id := fmt.Sprint("d", i)
+				h.Requests = append(h.Requests, Request{ID: id, BodyMatches: true, Signed: true, Timeout: time.Second, Sent: after(time.Second), Ended: after(time.Second)})
+				h.Arrivals["desk"] = append(h.Arrivals["desk"], machines.Arrival{ID: id, From: "b1", At: after(time.Second)})
+			}
 			for i := range exposureSlack + 30 {
 				id := fmt.Sprint("e", i)
 				h.Requests = append(h.Requests, Request{ID: id, BodyMatches: true, Signed: true, Timeout: time.Second, Sent: after(time.Second), Ended: after(time.Second)})
 				h.Arrivals["s9"] = append(h.Arrivals["s9"], machines.Arrival{ID: id, From: "b1", At: after(time.Second)})
 			}
 		},
+		"complete-bad": func(h *History) {
+			h.Moves = []Move{{Service: "shop", Version: "v2", Bad: true, Status: `{"state":"complete","target-version":"v2"}`}}
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
@@ -201,3 +211,8 @@
 		is.Equal(len(seen), len(kinds))
 	}
 }
+
+// TestRepeatCommand checks that the printed command plays the same plan.
+func TestRepeatCommand(t *testing.T) {
+	is.New(t).Equal(repeatCommand(&Plan{Seed: 7, Boxes: 24, Length: 30 * time.Second}, 8), "make soak SEED=7 KINDS=8 BOXES=24 FOR=30s")
+}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -63,12 +63,13 @@
 	server.Advertised = s.link.Address()
 	server.SetCrashOn(r.isCrashing, func() { r.replaceCrashed(s, server) })
 	s.link.SetTarget(server.Address)
-	r.update(func(*History) {
+	r.update(func(h *History) {
 		s.server, s.departed, s.historyKey = server, false, id
 		for n := 2; r.fleet.Servers[s.historyKey] != nil; n++ {
 			s.historyKey = fmt.Sprintf("%s#%d", id, n)
 		}
 		r.fleet.Servers[s.historyKey] = server
+		h.ServiceOf[s.historyKey] = s.service
 	})
 	r.fleet.PutServer(server, s.service, s.zone, "ready", 0)
 	return nil
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -88,9 +88,11 @@
 	LeavingHeaders    map[string][]machines.SentHeader
 	RetryAfterHeaders map[string][]machines.SentHeader
 	// KeysLogged are the log lines that contain a key.
-	KeysLogged     []string
-	Runs           map[string][]machines.Run
-	Arrivals       map[string][]machines.Arrival
+	KeysLogged []string
+	Runs       map[string][]machines.Run
+	Arrivals   map[string][]machines.Arrival
+	// ServiceOf is the service of each server.
+	ServiceOf      map[string]string
 	Departures     []Departure
 	Configurations []AcceptedConfiguration
 	FaultPeriods   []FaultPeriod
--- a/test/soak/moves.go
+++ b/test/soak/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/stoneworks/stoneworks/test/machines"
@@ -32,8 +33,9 @@
 	Servers []string
 	Bad     bool
 	From    time.Time
-	// To is when the rollout ends.
-	To time.Time
+	// To is when the rollout ends, and Status the order's status in the store by then.
+	To     time.Time
+	Status string
 }
 
 // moveService starts servers of a new version and a rollout of the service to it. Half of the
@@ -57,7 +59,9 @@
 	servers := r.startVersion(&m, s.zone)
 	r.fleet.Store.Put("rollouts", m.Service, map[string]any{"service": m.Service, "target-version": m.Version, "duration-s": d.Seconds()})
 	r.later(d, func() {
+		status := r.fleet.Store.StatusOf("rollouts", m.Service)
 		r.fleet.Store.Delete("rollouts", m.Service)
+		r.updateMove(&m, func(m *Move) { m.Status = status })
 		for _, server := range servers {
 			r.fleet.PutServer(server, m.Service, s.zone, "draining", 0)
 			r.update(func(h *History) { h.Departures = append(h.Departures, Departure{Server: server.ID, At: time.Now()}) })
@@ -93,19 +97,38 @@
 		list = append(list, server)
 		r.update(func(h *History) {
 			r.fleet.Servers[id] = server
-			for j := range h.Moves {
-				if h.Moves[j].Version == m.Version {
-					h.Moves[j].Servers = append(h.Moves[j].Servers, id)
-				}
-			}
+			h.ServiceOf[id] = m.Service
 		})
+		r.updateMove(m, func(m *Move) { m.Servers = append(m.Servers, id) })
 		r.fleet.PutServer(server, m.Service, zone, "ready", 0)
 	}
 	return list
 }
 
-// exposure finds bad versions that got more than a small part of all requests during their
-// rollout, whatever other faults there were.
+// updateMove changes the record of a rollout.
+func (r *run) updateMove(m *Move, change func(m *Move)) {
+	r.update(func(h *History) {
+		for i := range h.Moves {
+			if h.Moves[i].Service == m.Service && h.Moves[i].Version == m.Version {
+				change(&h.Moves[i])
+			}
+		}
+	})
+}
+
+// completeBad finds bad versions whose rollout is complete.
+func completeBad(h *History) (found []string) {
+	for i := range h.Moves {
+		m := &h.Moves[i]
+		if m.Bad && strings.Contains(m.Status, `"state":"complete"`) && strings.Contains(m.Status, `"`+m.Version+`"`) {
+			found = append(found, fmt.Sprintf("the rollout of %s to the bad version %s is complete: %s", m.Service, m.Version, m.Status))
+		}
+	}
+	return found
+}
+
+// exposure finds bad versions that got more than a small part of all requests for their service
+// during their rollout, whatever other faults there were.
 func exposure(h *History) (found []string) {
 	for i := range h.Moves {
 		m := &h.Moves[i]
@@ -118,6 +141,9 @@
 			isNew[id] = true
 		}
 		for server, list := range h.Arrivals {
+			if h.ServiceOf[server] != m.Service {
+				continue
+			}
 			for _, a := range list {
 				if a.At.Before(m.From) || a.At.After(m.To) {
 					continue
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -72,6 +72,7 @@
 // played.
 func Run(o Options) ([]Violation, error) {
 	r := &run{Options: o, random: rand.New(rand.NewSource(o.Plan.Seed))}
+	r.history.ServiceOf = map[string]string{}
 	defer r.close()
 	if err := r.prepare(); err != nil {
 		return nil, err
@@ -270,7 +271,7 @@
 		if *plan {
 			printPlan(stdout, p)
 		}
-		ok, err := playOne(p, *bin, network.Prefix, stdout)
+		ok, err := playOne(p, *catalogue, *bin, network.Prefix, stdout)
 		if err != nil {
 			fmt.Fprintf(stderr, "seed %d: %v\n", s, err)
 			return 1
@@ -288,7 +289,7 @@
 
 // playOne plays a seed. If that fails or finds violations, it keeps the logs and prints their
 // folder.
-func playOne(p *Plan, bin, network string, stdout io.Writer) (ok bool, err error) {
+func playOne(p *Plan, catalogue int, bin, network string, stdout io.Writer) (ok bool, err error) {
 	dir, err := os.MkdirTemp("", "stoneworks-soak-")
 	if err != nil {
 		return false, err
@@ -300,10 +301,15 @@
 	for _, v := range found {
 		fmt.Fprintf(stdout, "BROKEN %s: %s\n", v.Check, v.Detail)
 	}
-	fmt.Fprintf(stdout, "logs are in %s; repeat with: make soak SEED=%d BOXES=%d\n", dir, p.Seed, p.Boxes)
+	fmt.Fprintf(stdout, "logs are in %s; repeat with: %s\n", dir, repeatCommand(p, catalogue))
 	return false, err
 }
 
+// repeatCommand returns the command that plays the same plan again.
+func repeatCommand(p *Plan, catalogue int) string {
+	return fmt.Sprintf("make soak SEED=%d KINDS=%d BOXES=%d FOR=%s", p.Seed, catalogue, p.Boxes, p.Length)
+}
+
 func printPlan(out io.Writer, p *Plan) {
 	for _, e := range p.Events {
 		fmt.Fprintf(out, "  %6.2f s  %-13s %d for %.1f s\n", e.At.Seconds(), e.Kind, e.Target%p.Boxes, e.Duration.Seconds())
