--- a/pkg/rollout/advance.go
+++ b/pkg/rollout/advance.go
@@ -232,7 +232,8 @@
 // answersFor returns whether too few answers of the version have been seen for the next step.
 func (a *active) answersFor(now time.Time) Wait {
 	count := a.evidence.total(now)
-	need := count.needed(steps[a.progress.Step].share)
+	// The counts reach back to the step before.
+	need := count.needed(steps[max(0, a.progress.Step-1)].share)
 	if a.progress.Step == lastStep && !a.evidence.answered {
 		need = max(need, 1)
 	}
