Roll-outs: judges are chosen in one pass, and nothing runs once all orders have ended

At 3,000 boxes a list of all was sorted by hashes four times a second where no box had contact with the store; an order that had ended kept its ticks.

--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -90,10 +90,11 @@
 // Who judges
 // ----------------------------------------------------------------
 
-// judge is a box that judges versions.
+// judge is a box that judges versions. Judges are ordered by rank, a hash of their names.
 type judge struct {
-	box, address string
-	isSelf       bool
+	rank    uint64
+	address string
+	isSelf  bool
 }
 
 // judges are the boxes that judge versions, in the order in which they write to the store.
@@ -129,29 +130,32 @@
 	var healthy, all []judge
 	zones := map[string]bool{}
 	add := func(r *gossip.Record, isSelf bool) {
-		b := judge{box: r.Box, address: r.Peers, isSelf: isSelf}
 		zones[r.Zone] = true
-		if !r.Leaving {
-			all = append(all, b)
+		if r.Leaving {
+			return
 		}
-		if r.StoreHealthy && !r.Leaving {
-			healthy = append(healthy, b)
+		b := judge{rank: backend.Hash(r.Box), address: r.Peers, isSelf: isSelf}
+		all = addJudge(all, b)
+		if r.StoreHealthy {
+			healthy = addJudge(healthy, b)
 		}
 	}
 	self := n.Members.Self()
 	add(&self, true)
 	n.Members.EachLive(func(r *gossip.Record) { add(r, false) })
 	if len(healthy) > 0 {
-		return judges{list: firstJudges(healthy), mayStep: true, mayWrite: true}
+		return judges{list: healthy, mayStep: true, mayWrite: true}
 	}
-	return judges{list: firstJudges(all), mayStep: 2*len(zones) > len(n.Settings.Zones)}
+	return judges{list: all, mayStep: 2*len(zones) > len(n.Settings.Zones)}
 }
 
-// firstJudges returns at most maxJudges boxes, by a hash of their names.
-func firstJudges(list []judge) []judge {
-	slices.SortFunc(list, func(a, b judge) int {
-		return cmp.Or(cmp.Compare(backend.Hash(a.box), backend.Hash(b.box)), cmp.Compare(a.box, b.box))
-	})
+// addJudge adds a box to a list in the order of ranks, which keeps the first maxJudges.
+func addJudge(list []judge, b judge) []judge {
+	at, _ := slices.BinarySearchFunc(list, b, func(a, b judge) int { return cmp.Compare(a.rank, b.rank) })
+	if at == maxJudges {
+		return list
+	}
+	list = slices.Insert(list, at, b)
 	return list[:min(maxJudges, len(list))]
 }
 
@@ -161,7 +165,7 @@
 
 // tickRollouts advances the orders, sends counts and progress, and writes to the store.
 func (n *Node) tickRollouts() {
-	if len(n.Rollouts.Rules()) == 0 {
+	if !n.Rollouts.InProgress() {
 		return
 	}
 	j := n.rolloutJudges()
@@ -220,13 +224,10 @@
 	return append(randomSubset(zone, newsFanOutZone), randomSubset(other, newsFanOutOther)...)
 }
 
-// tellProgress tells boxes the progress of the orders, unless none is in progress.
+// tellProgress tells boxes the progress of the orders.
 func (n *Node) tellProgress(to []string) {
-	m, isRunning := n.Rollouts.Progress()
-	if !isRunning {
-		return
-	}
-	sendMessages(n, rollout.ProgressWire, "rollouts.told", to, []rollout.Message{m}, func(*rollout.Message) int { return 1 })
+	m := []rollout.Message{n.Rollouts.Progress()}
+	sendMessages(n, rollout.ProgressWire, "rollouts.told", to, m, func(*rollout.Message) int { return 1 })
 }
 
 // receiveRolloutProgress processes what another box tells of the orders, and passes on what is
--- a/pkg/rollout/progress.go
+++ b/pkg/rollout/progress.go
@@ -57,20 +57,18 @@
 // ProgressWire encodes and decodes messages.
 var ProgressWire = packet.Codec[Message]{Kind: "rollout progress", FirstByte: 0xa1}
 
-// Progress returns the message for other boxes, and false if there is no order in progress.
-func (t *Table) Progress() (Message, bool) {
+// Progress returns the message for other boxes.
+func (t *Table) Progress() Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var m Message
-	running := false
 	for service, a := range t.orders {
-		running = running || a.State != Complete && a.State != RolledBack
 		m.Orders = append(m.Orders, Told{
 			Service: service, Given: a.Given, Step: a.progress.Step, RanMS: a.ran(t.Now()).Milliseconds(), KnowsTime: a.knowsTime,
 			Bad: a.progress.Bad, Final: a.progress.Final,
 		})
 	}
-	return m, running
+	return m
 }
 
 // Receive takes over what another box tells, and reports whether there was anything new apart
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -220,6 +220,18 @@
 	delete(t.orders, service)
 }
 
+// InProgress reports whether any order has not ended.
+func (t *Table) InProgress() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.orders {
+		if a.progress.Final == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Rules returns the current rules by service.
 func (t *Table) Rules() map[string]Rule {
 	t.mu.Lock()
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -164,7 +164,7 @@
 
 // tell delivers what a box tells all others.
 func (f *fleet) tell(from int) {
-	m, _ := f.boxes[from].Progress()
+	m := f.boxes[from].Progress()
 	reports := f.boxes[from].Reports()
 	for i, b := range f.boxes {
 		if i == from {
@@ -554,7 +554,7 @@
 func TestMessagesAreSmall(t *testing.T) {
 	is := is.New(t)
 	f := ordered(1)
-	m, _ := f.boxes[0].Progress()
+	m := f.boxes[0].Progress()
 	datagram, err := ProgressWire.Encode(&m)
 	is.NoErr(err)
 	is.True(len(datagram) < 60)
--- a/pkg/rollout/states_test.go
+++ b/pkg/rollout/states_test.go
@@ -58,7 +58,7 @@
 			a.progress.Bad = false
 		}
 		b.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return m.room }})
-		told, _ := b.Progress()
+		told := b.Progress()
 		for to := range m.boxes {
 			if to != i && !m.alone[i] {
 				m.messages = append(m.messages, sentMessage{from: i, to: to, message: told})
