Canary: like compared with like, and a sequential test

Threshold moves were ruled out: the ratio of the two means is the deployment's.

Boxes now report single answers of the version, and judges find out from all of them whether a server had met a key before; those are compared with answers of old servers for known keys, by route and region, less the wait for a slot. First uses count only by failing, unless keys hardly ever recur. Answers become good or bad; sums of log-likelihood ratios (Page 1954) decide, each server's part bounded. An attempt is counted once (an answer that broke off counted twice), and not where the server crashed.

The test that a report fits a datagram asks for 1,200 bytes, as the design does, instead of 2,000.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -144,6 +144,8 @@
 // Request describes a request for the choice of its server.
 type Request struct {
 	Service string
+	// Route is the name of the request's route.
+	Route string
 	// Key is the hash of the affinity key, or a random number for a request without one.
 	Key uint64
 	// Priority is the priority of the request; 0 is the most urgent.
--- a/pkg/backend/set.go
+++ b/pkg/backend/set.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/canary"
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/rollout"
 )
@@ -88,8 +89,6 @@
 	missing map[string]*server
 	// versions holds the services that are being moved to a version.
 	versions map[string]rollout.Rule
-	// versionDraws counts the requests for which a version was drawn.
-	versionDraws uint64
 }
 
 // Listed and Cold are passed to OnChange for a server that was unknown and for one that has
@@ -152,6 +151,8 @@
 	// largeBodies is the share of requests with large bodies, as a moving average.
 	largeBodies float64
 	versions    versionSlots
+	// draw chooses the requests for a version.
+	draw canary.Draw
 	// index holds the servers for choices. It is valid if isIndexed is true. isWeighted is true
 	// if not all weights are 1.
 	index      []indexEntry
--- a/pkg/backend/version.go
+++ b/pkg/backend/version.go
@@ -57,16 +57,13 @@
 	isVersion bool
 }
 
-// versionOf decides which servers the request goes to. The version is drawn for each request and
-// not for each key, so that by the time that all requests move, the servers of the new version
-// know most keys and all kinds of requests have tried it.
+// versionOf decides which servers the request goes to.
 func (s *Set) versionOf(g *group, r *Request, now time.Time) versionChoice {
 	rule, isMoved := s.versions[r.Service]
 	if !isMoved {
 		return versionChoice{}
 	}
-	s.versionDraws++
-	return versionChoice{rule: &rule, isVersion: !rule.Excluded && fraction(mix(s.versionDraws)) < s.versionShare(g, &rule, now)}
+	return versionChoice{rule: &rule, isVersion: !rule.Excluded && g.draw.Take(r.Route, r.Key, s.versionShare(g, &rule, now))}
 }
 
 // allows reports whether the request may go to the server.
--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -1,8 +1,10 @@
 // Package canary judges a new version of a service's servers by comparing their answers with those
-// of the service's other servers. It does no input or output.
+// of the service's other servers, and draws the requests for the version so that there is something
+// to compare. It does no input or output.
 //
-// Each box observes the requests that it has sent and reports them to the boxes that judge, which
-// add up all reports.
+// Each box observes the requests that it has sent and reports them to the boxes that judge. A
+// report holds what the other servers did, as histograms, and single answers of the version:
+// whether one of its servers has met a key before is known only from all boxes' answers together.
 package canary
 
 import (
@@ -10,127 +12,23 @@
 	"time"
 )
 
-const (
-	// decayTime is the time constant with which all tallies decay exponentially: a version may
-	// turn bad at any time, and its good results from before must not hide that.
-	decayTime = 4 * time.Second
-	// reportMaxAge is how long another box's report counts.
-	reportMaxAge = 2 * time.Second
-
-	// minBad is the least number of bad answers for which a version is rolled back. badFactor
-	// and badMargin are how far their share must exceed the share of other servers.
-	minBad    = 6
-	badFactor = 3
-	badMargin = 0.05
-	// minTimed is the least number of answers for a typical time; slowFactor is how many times
-	// longer than other servers a bad version takes.
-	minTimed   = 6
-	slowFactor = 2.2
-	// lateShare is the share of first uses without an answer in time above which a version is
-	// bad if other servers had too few first uses to compare with.
-	lateShare = 0.5
-	// maxRoutes bounds the number of routes of a service that are counted separately.
-	maxRoutes = 16
-)
-
-// Timing sums the durations of answers and of requests without an answer in time, which are
-// counted in Late.
-type Timing struct {
-	Count   float32
-	Late    float32
-	Seconds float32
-}
-
-func (t *Timing) add(o Timing) {
-	t.Count += o.Count
-	t.Late += o.Late
-	t.Seconds += o.Seconds
-}
-
-func (t *Timing) decay(by float32) {
-	t.Count *= by
-	t.Late *= by
-	t.Seconds *= by
-}
-
-// isLater reports whether significantly more of these requests are late than of the others.
-// Known keys and first uses are compared separately: on a route with a short timeout all first
-// uses may be late.
-func (t *Timing) isLater(others Timing) bool {
-	if others.Count < minTimed {
-		return t.Late >= 2*minBad && t.Late > lateShare*t.Count
-	}
-	return t.Late >= minBad && t.Late/t.Count > badFactor*others.Late/others.Count+badMargin
-}
-
-// Tally counts the recent results of servers.
-type Tally struct {
-	Answers float32
-	// Bad is the number of failures.
-	Bad float32
-	// Known holds the times for keys that the server already knew, First those for all other
-	// keys. First uses take longer, and a new version starts with them.
-	Known Timing
-	First Timing
-}
-
-func (t *Tally) add(o Tally) {
-	t.Answers += o.Answers
-	t.Bad += o.Bad
-	t.Known.add(o.Known)
-	t.First.add(o.First)
-}
-
-func (t *Tally) decay(by float32) {
-	t.Answers *= by
-	t.Bad *= by
-	t.Known.decay(by)
-	t.First.decay(by)
-}
-
-func (t *Tally) badShare() float32 { return t.Bad / max(1, t.Answers) }
-
-// Comparison holds the tallies of the new version and of all other servers on a route.
-type Comparison struct {
-	Route string
-	New   Tally
-	Old   Tally
-}
-
-func (p *Comparison) add(o *Comparison) {
-	p.New.add(o.New)
-	p.Old.add(o.Old)
-}
-
-// Verdict is the result of comparing a version with other servers.
-type Verdict struct {
-	Bad bool
-	// Route is the route that was compared, or empty for all routes together. BadShare is the
-	// share of bad answers; Slowdown is how many times longer the version takes.
-	Route    string
-	BadShare float64
-	Slowdown float64
-	// Answers is how many answers of the version the verdict is based on.
-	Answers float64
-}
-
-// verdict compares the version with other servers.
-func (p *Comparison) verdict() Verdict {
-	share, old := p.New.badShare(), p.Old.badShare()
-	slower := max(slowdown(p.New.Known, p.Old.Known), slowdown(p.New.First, p.Old.First))
-	isBad := p.New.Bad >= minBad && share > badFactor*old+badMargin || slower > slowFactor ||
-		p.New.Known.isLater(p.Old.Known) || p.New.First.isLater(p.Old.First)
-	return Verdict{
-		Bad: isBad, Route: p.Route, BadShare: float64(share), Slowdown: float64(slower), Answers: float64(p.New.Answers),
-	}
+// Parameters sets how a version is judged.
+type Parameters struct {
+	// FalseRate is the probability with which a version that is as good as the other servers is
+	// found bad during an order, MissRate the one with which a version that is worse by Margin
+	// is called good.
+	FalseRate float64
+	MissRate  float64
+	// Margin is by how much the share of bad answers of a bad version exceeds that of others.
+	Margin float64
+	// SlowFactor is how many times longer than the typical answer of others an answer takes to
+	// count as bad.
+	SlowFactor float64
 }
 
-// slowdown returns how many times longer the new version took, or 0 if that is not known.
-func slowdown(fresh, old Timing) float32 {
-	if fresh.Count < minTimed || old.Count < minTimed || old.Seconds <= 0 {
-		return 0
-	}
-	return (fresh.Seconds / fresh.Count) / (old.Seconds / old.Count)
+// DefaultParameters returns the parameters that apply if no others are set.
+func DefaultParameters() Parameters {
+	return Parameters{FalseRate: 0.001, MissRate: 0.02, Margin: 0.1, SlowFactor: 2}
 }
 
 // Sample is how a server handled a request that reached it.
@@ -143,11 +41,12 @@
 	// has recently answered this box for the key.
 	Key   uint64
 	Known bool
-	// Cold means that the server was in its cold start, Queued that the request probably waited
-	// there for a slot, and Remote that the server is in another region than the box.
+	// Cold means that the server was in its cold start, and Remote that it is in another region
+	// than the box. Fill is the estimated number of requests there as a multiple of its slots,
+	// this one included; above 1 it waited for a slot.
 	Cold   bool
-	Queued bool
 	Remote bool
+	Fill   float64
 	// Failed means that the server failed the request or broke off its answer; Late means that
 	// it did not answer in time.
 	Failed bool
@@ -155,118 +54,230 @@
 	Took   time.Duration
 }
 
-// Report is what a box has counted.
-type Report struct {
-	Comparisons []Comparison
+// Verdict is the result of comparing a version with other servers.
+type Verdict struct {
+	Bad bool
+	// Good means that enough answers were compared to rule out a bad version with the set error
+	// rate.
+	Good bool
+	// Route is the route with the strongest evidence, or empty for all routes together.
+	Route string
+	// BadShare is the share of bad answers in the evidence, OthersShare the share that other
+	// servers could have had, and Servers the number of servers with evidence of any kind.
+	BadShare    float64
+	OthersShare float64
+	Servers     int
+	// Slowdown is how many times longer than others the version takes for comparable answers; 0
+	// if there are none.
+	Slowdown float64
+	// Answers is how many answers of the version were compared.
+	Answers float64
 }
 
-// received is a report and the time when it arrived.
-type received struct {
-	Report
-	at time.Time
-}
+const (
+	// maxPending bounds the answers of the version that a judge holds until its next verdict.
+	maxPending = 4096
+	// findingValid is how long a finding holds if nobody has asked for the verdict meanwhile.
+	findingValid = 2 * time.Second
+	// trialTime is how long the only known server of a version must have been answering until
+	// its evidence suffices by itself: others may not have started yet.
+	trialTime = 3 * time.Second
+	// fairPart is the part of the version's answers from which on a route must be shown to be
+	// good by itself.
+	fairPart = 0.1
+	// all is the name under which the routes are compared together.
+	all = ""
+)
 
 // Judge compares a version with the service's other servers. It is not safe for concurrent use.
 type Judge struct {
-	// comparisons holds this box's own tallies by route, as of time at.
-	comparisons map[string]*Comparison
-	at          time.Time
-	// reports holds the last report of each other box.
-	reports map[string]received
+	Parameters Parameters
+
+	// own counts the other servers' results at this box, and others holds the last report of
+	// each other box.
+	own    *tallies
+	others map[string]received
+	// outbox holds the version's answers for the next report, pending those of all boxes since
+	// the last verdict.
+	outbox  reservoir
+	pending []answer
+	uses    uses
+	servers map[uint32]time.Time
+	tests   map[string]*test
+	ratios  ratios
+	answers float64
+	found   Verdict
+	foundAt time.Time
 }
 
-// NewJudge returns a judge without samples.
-func NewJudge(now time.Time) *Judge {
-	return &Judge{comparisons: map[string]*Comparison{}, at: now, reports: map[string]received{}}
+// received is what another box has reported of other servers, and when.
+type received struct {
+	tallies *tallies
+	at      time.Time
 }
 
-// decay reduces the tallies according to the time since the last call.
-func (j *Judge) decay(now time.Time) {
-	by := float32(math.Exp(-now.Sub(j.at).Seconds() / decayTime.Seconds()))
-	j.at = now
-	for _, p := range j.comparisons {
-		p.New.decay(by)
-		p.Old.decay(by)
+// NewJudge returns a judge without samples.
+func NewJudge(now time.Time) *Judge {
+	return &Judge{
+		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{}, servers: map[uint32]time.Time{}, tests: map[string]*test{},
 	}
 }
 
 // Observe counts a sample of this box.
 func (j *Judge) Observe(s *Sample, now time.Time) {
-	j.decay(now)
-	p := j.comparisons[s.Route]
-	if p == nil {
-		if len(j.comparisons) >= maxRoutes {
-			return
-		}
-		p = &Comparison{Route: s.Route}
-		j.comparisons[s.Route] = p
-	}
-	tally := &p.Old
-	if s.IsNew {
-		tally = &p.New
+	switch {
+	case s.IsNew:
+		a := answerOf(s, now)
+		j.outbox.add(a)
+		j.hold(a)
+	case !s.Cold:
+		j.own.add(s, j.Parameters.SlowFactor, now)
 	}
-	tally.note(s)
 }
 
-func (t *Tally) note(s *Sample) {
-	t.Answers++
-	if s.Failed {
-		t.Bad++
-		return
-	}
-	timing := &t.First
-	if s.Known {
-		timing = &t.Known
+func (j *Judge) hold(a answer) {
+	if len(j.pending) < maxPending {
+		j.pending = append(j.pending, a)
 	}
-	one := Timing{Count: 1, Seconds: float32(s.Took.Seconds())}
-	if s.Late {
-		one.Late = 1
-	}
-	timing.add(one)
 }
 
-// Report returns what this box has counted, for the boxes that judge.
+// Report returns what this box has seen since its last report, for the boxes that judge.
 func (j *Judge) Report(now time.Time) Report {
-	j.decay(now)
-	var r Report
-	for _, p := range j.comparisons {
-		r.Comparisons = append(r.Comparisons, *p)
-	}
-	return r
+	j.own.decay(now)
+	return encodeReport(j.own, j.outbox.take(), now)
 }
 
-// AddReport stores another box's report, which replaces its last one.
+// AddReport adds another box's report. What it says of other servers replaces the box's last report.
 func (j *Judge) AddReport(box string, r Report, now time.Time) {
-	j.reports[box] = received{Report: r, at: now}
+	decoded, answers := r.decode(now)
+	j.others[box] = received{tallies: decoded, at: now}
+	for _, a := range answers {
+		j.hold(a)
+	}
 }
 
 // Verdict returns whether the version is bad, on all routes together or on a single one.
 func (j *Judge) Verdict(now time.Time) Verdict {
-	all := Comparison{}
-	routes := map[string]*Comparison{}
-	add := func(p *Comparison) {
-		all.add(p)
-		if routes[p.Route] == nil {
-			routes[p.Route] = &Comparison{Route: p.Route}
-		}
-		routes[p.Route].add(p)
+	j.own.decay(now)
+	sum := j.sum(now)
+	sortByEnd(j.pending)
+	for i := range j.pending {
+		j.judge(&j.pending[i], sum, now)
 	}
-	j.decay(now)
-	for _, p := range j.comparisons {
-		add(p)
+	j.pending = j.pending[:0]
+	if j.found.Bad && now.Sub(j.foundAt) <= findingValid {
+		return j.found
 	}
-	for _, r := range j.reports {
+	return j.verdict()
+}
+
+// sum adds up what all boxes have seen of other servers.
+func (j *Judge) sum(now time.Time) *tallies {
+	sum := newTallies(now)
+	sum.merge(j.own)
+	for box, r := range j.others {
 		if now.Sub(r.at) > reportMaxAge {
+			delete(j.others, box)
 			continue
 		}
-		for i := range r.Comparisons {
-			add(&r.Comparisons[i])
+		sum.merge(r.tallies)
+	}
+	return sum
+}
+
+// judge compares one answer of the version.
+func (j *Judge) judge(a *answer, others *tallies, now time.Time) {
+	if a.cold {
+		j.uses.forget(a.server)
+		return
+	}
+	known := a.known || j.uses.usedBefore(a)
+	j.uses.add(a)
+	if _, ok := j.servers[a.server]; !ok && len(j.servers) < maxServers {
+		j.servers[a.server] = now
+	}
+	route := others.routes[a.route]
+	if route == nil {
+		route = &tally{}
+	}
+	isBad, isTimed, share, ok := route.compare(a, known, j.Parameters.SlowFactor, &j.ratios)
+	if !ok {
+		return
+	}
+	j.answers++
+	share = max(share, others.currentShare())
+	limit := j.serverLimit(now) * j.threshold()
+	for _, name := range []string{a.route, all} {
+		t := j.tests[name]
+		if t == nil {
+			if len(j.tests) > maxRoutes {
+				continue
+			}
+			t = newTest()
+			j.tests[name] = t
+		}
+		t.add(a.server, isBad, isTimed, share, j.Parameters.Margin, limit)
+		if !j.found.Bad && t.isBad(j.threshold()) {
+			j.found, j.foundAt = j.describe(name, t), now
+			j.found.Bad = true
+		}
+	}
+	if j.found.Bad && now.Sub(j.foundAt) > findingValid {
+		j.found = Verdict{}
+	}
+}
+
+// serverLimit returns the part of the threshold that a single server can contribute: a version of
+// several servers is bad only if at least three of them are, or both of two.
+func (j *Judge) serverLimit(now time.Time) float64 {
+	switch len(j.servers) {
+	case 0, 1:
+		for _, since := range j.servers {
+			if now.Sub(since) < trialTime {
+				return 0.6
+			}
+		}
+		return math.Inf(1)
+	case 2:
+		return 0.6
+	}
+	return 0.4
+}
+
+// threshold returns the sum of log-likelihood ratios at which a test decides. Each route has its
+// tests.
+func (j *Judge) threshold() float64 { return thresholdOf(j.Parameters.FalseRate, len(j.tests)) }
+
+// verdict describes the strongest evidence.
+func (j *Judge) verdict() Verdict {
+	v, strongest := Verdict{Slowdown: j.ratios.typical()}, -1.0
+	for name, t := range j.tests {
+		if level := t.level(); level > strongest || level == strongest && name == all {
+			v, strongest = j.describe(name, t), level
 		}
 	}
-	for _, p := range routes {
-		if v := p.verdict(); v.Bad {
-			return v
+	v.Good = j.isGood()
+	return v
+}
+
+// isGood reports whether the version is shown to be good on all routes together, and on each that has
+// a fair part of the answers.
+func (j *Judge) isGood() bool {
+	t := j.tests[all]
+	if t == nil || !t.isGood(j.Parameters.MissRate) {
+		return false
+	}
+	for _, route := range j.tests {
+		if route.seen >= fairPart*t.seen && !route.isGood(math.Sqrt(j.Parameters.MissRate)) {
+			return false
 		}
 	}
-	return all.verdict()
+	return true
+}
+
+func (j *Judge) describe(route string, t *test) Verdict {
+	return Verdict{
+		Route: route, BadShare: t.bad / max(1, t.answers), OthersShare: t.others / max(1, t.answers), Servers: len(t.small.servers),
+		Slowdown: j.ratios.typical(), Answers: j.answers,
+	}
 }
--- a/pkg/canary/model_test.go
+++ b/pkg/canary/model_test.go
@@ -110,6 +110,8 @@
 	box    int
 	sample Sample
 	isBad  bool
+	// knows is the box, server and key that the box knows of from then on.
+	knows [3]int
 }
 
 type completions []completion
@@ -155,7 +157,7 @@
 			w.routes[i].keys = 1 << 20
 		}
 	}
-	w.rate = min(900, max(20, float64(count*slots)/work*between(rng, 0.15, 0.5)))
+	w.rate = min(900, max(20, w.capacity(count, slots)*between(rng, 0.15, 0.4)))
 	speeds := pick(rng, []float64{1}, []float64{1}, []float64{1, 0.7}, []float64{1, 1.5})
 	slowStart := between(rng, 1, 10)
 	for i := range count + newCount {
@@ -173,6 +175,23 @@
 	return w
 }
 
+// capacity returns how many requests a second the old servers bear that are home of any key.
+func (w *world) capacity(count, slots int) float64 {
+	keys, work := 0, 0.0
+	for i := range w.routes {
+		r := &w.routes[i]
+		keys += 3 * r.keys
+		took := r.work
+		if r.keys == 1<<20 || r.keyless {
+			took *= w.firstFactor
+			keys += 3 * count
+		}
+		work += took * r.share / w.shares()
+	}
+	homes := float64(count) * (1 - math.Exp(-float64(keys)/float64(count)))
+	return homes * float64(slots) / work / 2
+}
+
 // addTrouble adds what the kind of world names, where neither says that the version is bad.
 func (w *world) addTrouble(kind string, count, newCount int) {
 	at := between(w.rng, 0.1, 0.8) * w.duration
@@ -274,7 +293,7 @@
 }
 
 // run plays the order and returns what became of it.
-func (w *world) run(draws func(w *world, key uint64, route string, share float64) bool) result {
+func (w *world) run(draws func(w *world, box int, key uint64, route string, share float64) bool) result {
 	start := time.Unix(1000, 0)
 	clock := func(t float64) time.Time { return start.Add(time.Duration(t * float64(time.Second))) }
 	judges := make([]*Judge, w.boxes)
@@ -294,11 +313,16 @@
 			w.complete(heap.Pop(&queue).(completion), judges, clock, &r)
 		}
 		for now >= nextTick {
-			share = w.share(nextTick)
+			if share = w.share(nextTick); !r.good {
+				share = min(share, modelSteps[0][1])
+			}
 			if v, bad := exchange(judges, clock(nextTick)); bad && r.found < 0 {
 				r.found, r.verdict, excludedAt = nextTick, v, nextTick+0.5
 			} else if !bad {
-				_ = v
+				r.good = v.Good
+				if r.found < 0 {
+					r.verdict = v
+				}
 			}
 			nextTick += 0.5
 		}
@@ -335,13 +359,16 @@
 			r.fiftieth = c.at
 		}
 	}
+	if len(w.boxKnows) < 1<<20 && !c.sample.Late && !c.sample.Failed {
+		w.boxKnows[c.knows] = true
+	}
 	if c.at >= 0 {
 		judges[c.box].Observe(&c.sample, clock(c.at))
 	}
 }
 
 // arrive sends one request.
-func (w *world) arrive(now, share float64, excluded bool, draws func(*world, uint64, string, float64) bool, queue *completions, r *result) {
+func (w *world) arrive(now, share float64, excluded bool, draws func(*world, int, uint64, string, float64) bool, queue *completions, r *result) {
 	index, at := 0, w.rng.Float64()*w.shares()
 	for ; index < len(w.routes)-1 && at >= w.routes[index].share; index++ {
 		at -= w.routes[index].share
@@ -352,7 +379,7 @@
 		key = w.rng.IntN(1 << 40)
 	}
 	box := int(float64(w.boxes) * math.Pow(w.rng.Float64(), 2))
-	isNew := now >= 0 && !excluded && draws(w, mixed(uint64(key)+1), route.name, share)
+	isNew := now >= 0 && !excluded && draws(w, box, mixed(uint64(key)+1), route.name, share)
 	s, remote := w.server(key, box%3, isNew, now)
 	if s == nil {
 		s, remote = w.server(key, box%3, false, now)
@@ -363,13 +390,13 @@
 	if now >= 0 {
 		r.total++
 	}
-	if s.isNew {
-		r.sent++
-		if now > r.fiftieth+rollbackTime {
-			r.late++
-		}
+	if !w.serve(now, s, route, index, key, box, remote, queue) || !s.isNew {
+		return
+	}
+	r.sent++
+	if now > r.fiftieth+rollbackTime {
+		r.late++
 	}
-	w.serve(now, s, route, index, key, box, remote, queue)
 }
 
 func (w *world) shares() float64 {
@@ -380,8 +407,8 @@
 	return sum
 }
 
-// serve runs a request at a server and schedules its completion.
-func (w *world) serve(now float64, s *modelServer, route *modelRoute, index, key, box int, remote bool, queue *completions) {
+// serve runs a request at a server and schedules its completion. It reports false if the server is full.
+func (w *world) serve(now float64, s *modelServer, route *modelRoute, index, key, box int, remote bool, queue *completions) bool {
 	slot, busy := 0, 0.0
 	for i, free := range s.free {
 		if free < s.free[slot] {
@@ -393,7 +420,7 @@
 	}
 	begins := max(now, s.free[slot])
 	if begins-now > 4*route.work {
-		return // The server is full and does not run the request.
+		return false
 	}
 	took := route.work * between(w.rng, 0.8, 1.2) / s.speed
 	knownAt, known := s.knows[key]
@@ -424,21 +451,20 @@
 		c.at = now + route.timeout
 	}
 	if crashed {
-		return
+		return true
 	}
 	number, _ := strconv.Atoi(s.id[1:])
 	knows := [3]int{box, number, key}
 	c.sample = Sample{
-		Route: route.name, Server: s.id, IsNew: s.isNew, Key: mixed(uint64(key) + 1), Known: w.boxKnows[knows], Queued: busy >= float64(len(s.free)),
+		Route: route.name, Server: s.id, IsNew: s.isNew, Key: mixed(uint64(key) + 1), Known: w.boxKnows[knows], Fill: (busy + 1) / float64(len(s.free)),
 		Remote: remote, Failed: failed, Late: late && !failed, Took: time.Duration((c.at - now) * float64(time.Second)),
 	}
 	if route.keyless {
 		c.sample.Key, c.sample.Known = 0, false
 	}
-	if len(w.boxKnows) < 1<<20 {
-		w.boxKnows[knows] = true
-	}
+	c.knows = knows
 	heap.Push(queue, c)
+	return true
 }
 
 // learn makes the server remember a key from a time on, and forget the one it learnt first.
@@ -497,8 +523,8 @@
 			if bad {
 				w.bad = newFault(w.rng, w, kind)
 			}
-			list[i] = w.run(func(w *world, _ uint64, _ string, share float64) bool { return w.rng.Float64() < share })
-			if os.Getenv("CANARY_SHOW") != "" && (bad && (list[i].found < 0 || list[i].breaksBound()) || !bad && list[i].found >= 0) {
+			list[i] = w.run(drawKeys())
+			if os.Getenv("CANARY_SHOW") != "" && (bad && list[i].breaksBound() || !bad && list[i].found >= 0) {
 				fmt.Printf("%s %d: found %.1f of %.1f, sent %d of %d, bad %d late %d rate %.0f boxes %d servers %d routes %+v first %.1f keeps %d errors %.3f fault %+v verdict %+v\n", kind, i,
 					list[i].found, w.duration, list[i].sent, list[i].total, list[i].badAnswers, list[i].late, w.rate, w.boxes, len(w.servers), w.routes, w.firstFactor, w.keeps, w.errors, w.bad, list[i].verdict)
 			}
@@ -557,3 +583,14 @@
 		})
 	}
 }
+
+// drawKeys returns the draw of requests that boxes use, each for itself.
+func drawKeys() func(*world, int, uint64, string, float64) bool {
+	draws := map[int]*Draw{}
+	return func(_ *world, box int, key uint64, route string, share float64) bool {
+		if draws[box] == nil {
+			draws[box] = &Draw{}
+		}
+		return draws[box].Take(route, key, share)
+	}
+}
--- /dev/null
+++ b/pkg/canary/report.go
@@ -0,0 +1,194 @@
+package canary
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReported is the number of the version's answers in a report, and maxHistograms the
+	// number of bytes of its histograms, so that it fits into a datagram of 1,200 bytes.
+	maxReported   = 30
+	maxHistograms = 560
+	// answerBytes is the length of an answer in a report.
+	answerBytes = 15
+	// countScale is the resolution of counts in a report.
+	countScale = 4
+	// tick is the resolution of times in a report.
+	tick = time.Millisecond
+)
+
+// Comparison is what other servers did on a route.
+type Comparison struct {
+	Route string
+	// Others holds histograms, each as its class, the failures, the number of buckets, and each
+	// bucket with its count.
+	Others []byte
+}
+
+// Report is what a box has seen. It is at most about 1,100 bytes long if the names of routes are
+// short.
+type Report struct {
+	Comparisons []Comparison
+	// Answers holds answers of the version of answerBytes each; a route is its index above.
+	Answers []byte
+	// Servers is the number of other servers that have answered the box, BadServers the sum of
+	// their shares of bad answers.
+	Servers    uint32
+	BadServers float32
+	// Recent and RecentBad count the answers of other servers of about the last second.
+	Recent    float32
+	RecentBad float32
+}
+
+// The flags of an answer in a report.
+const (
+	flagKey = 1 << iota
+	flagKnown
+	flagCold
+	flagRemote
+	flagFailed
+	flagLate
+)
+
+func encodeReport(l *tallies, answers []answer, now time.Time) Report {
+	servers, bad := l.sumServers()
+	r := Report{Servers: uint32(servers), BadServers: float32(bad), Recent: l.recent.answers, RecentBad: l.recent.bad}
+	index := map[string]int{}
+	for i := range answers {
+		r.encodeAnswer(&answers[i], index, now)
+	}
+	r.encodeHistograms(l, index)
+	return r
+}
+
+// routeIndex returns the index of a route in the report, which is added to it.
+func (r *Report) routeIndex(index map[string]int, route string) (i int, ok bool) {
+	i, ok = index[route]
+	if !ok && len(index) < maxRoutes {
+		i, ok = len(r.Comparisons), true
+		index[route] = i
+		r.Comparisons = append(r.Comparisons, Comparison{Route: route})
+	}
+	return i, ok
+}
+
+func (r *Report) encodeAnswer(a *answer, index map[string]int, now time.Time) {
+	route, ok := r.routeIndex(index, a.route)
+	if !ok {
+		return
+	}
+	flags := byte(0)
+	for i, set := range []bool{a.hasKey, a.known, a.cold, a.remote, a.failed, a.late} {
+		if set {
+			flags |= 1 << i
+		}
+	}
+	b := append(r.Answers, byte(route), flags, a.bucket)
+	b = binary.BigEndian.AppendUint32(b, a.server)
+	b = binary.BigEndian.AppendUint32(b, a.key)
+	b = binary.BigEndian.AppendUint16(b, ticks(now.Sub(a.end)))
+	r.Answers = binary.BigEndian.AppendUint16(b, ticks(a.took))
+}
+
+func ticks(d time.Duration) uint16 { return uint16(min(math.MaxUint16, max(0, d/tick))) }
+
+// encodeHistograms adds the histograms with the most answers for which there is room.
+func (r *Report) encodeHistograms(l *tallies, index map[string]int) {
+	type entry struct {
+		route string
+		class class
+		*histogram
+	}
+	var list []entry
+	for name, t := range l.routes {
+		for c, h := range t.classes {
+			if h != nil && (h.total+h.failed)*countScale >= 1 {
+				list = append(list, entry{name, class(c), h})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b entry) int { return int(b.total+b.failed) - int(a.total+a.failed) })
+	room := maxHistograms
+	for _, e := range list {
+		encoded := e.encode(e.class)
+		if len(encoded) > room {
+			continue
+		}
+		if i, ok := r.routeIndex(index, e.route); ok {
+			r.Comparisons[i].Others = append(r.Comparisons[i].Others, encoded...)
+			room -= len(encoded) + len(e.route)
+		}
+	}
+}
+
+func (h *histogram) encode(c class) []byte {
+	var pairs []byte
+	count := 0
+	for i, n := range h.counts {
+		if scaled := uint64(n*countScale + 0.5); scaled > 0 {
+			pairs = binary.AppendUvarint(append(pairs, byte(i)), scaled)
+			count++
+		}
+	}
+	b := binary.AppendUvarint([]byte{byte(c)}, uint64(h.failed*countScale+0.5))
+	return append(append(b, byte(count)), pairs...)
+}
+
+// decode returns the contents of a report. What is malformed is left out.
+func (r *Report) decode(now time.Time) (*tallies, []answer) {
+	l := newTallies(now)
+	l.serverSum, l.badServers = float64(r.Servers), float64(r.BadServers)
+	l.recent = serverCount{answers: r.Recent, bad: r.RecentBad}
+	for i := range r.Comparisons {
+		if t := l.route(r.Comparisons[i].Route); t != nil {
+			t.decode(r.Comparisons[i].Others)
+		}
+	}
+	var answers []answer
+	for b := r.Answers; len(b) >= answerBytes; b = b[answerBytes:] {
+		if int(b[0]) < len(r.Comparisons) {
+			answers = append(answers, decodeAnswer(b, r.Comparisons[b[0]].Route, now))
+		}
+	}
+	return l, answers
+}
+
+func decodeAnswer(b []byte, route string, now time.Time) answer {
+	flags := b[1]
+	return answer{
+		route: route, hasKey: flags&flagKey != 0, known: flags&flagKnown != 0, cold: flags&flagCold != 0, remote: flags&flagRemote != 0,
+		failed: flags&flagFailed != 0, late: flags&flagLate != 0, bucket: b[2],
+		server: binary.BigEndian.Uint32(b[3:]), key: binary.BigEndian.Uint32(b[7:]),
+		end: now.Add(-time.Duration(binary.BigEndian.Uint16(b[11:])) * tick), took: time.Duration(binary.BigEndian.Uint16(b[13:])) * tick,
+	}
+}
+
+func (t *tally) decode(b []byte) {
+	for len(b) >= 3 {
+		c := class(b[0])
+		failed, n := binary.Uvarint(b[1:])
+		if int(c) >= classes || n <= 0 || len(b) < 2+n {
+			return
+		}
+		pairs := int(b[1+n])
+		b = b[2+n:]
+		h := t.class(c)
+		h.failed = float32(failed) / countScale
+		for range pairs {
+			if len(b) < 2 || b[0] >= buckets {
+				return
+			}
+			bucket := b[0]
+			count, n := binary.Uvarint(b[1:])
+			if n <= 0 {
+				return
+			}
+			h.counts[bucket] += float32(count) / countScale
+			h.total += float32(count) / countScale
+			b = b[1+n:]
+		}
+	}
+}
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -22,15 +22,16 @@
 func (c *call) receive(lease *backend.Lease, start time.Time, answer *exchange.Answer, meta AnswerMeta) *outcome.Failure {
 	c.noteSurvival(meta)
 	status := answer.Header.StatusCode()
-	c.observeAttempt(lease, Attempt{
+	attempt := Attempt{
 		Failed:   status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout,
 		TimedOut: status == http.StatusGatewayTimeout, Took: c.server.Now().Sub(start),
-	})
+	}
 	buffered, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswer+1))
 	if err != nil {
 		_ = answer.Body.Close()
 		return c.failed(lease, start, sentError(err))
 	}
+	c.observeAttempt(lease, attempt)
 	c.copyHeader(answer)
 	if len(buffered) <= bufferedAnswer {
 		_ = answer.Body.Close()
--- a/pkg/ingress/ingress_crash.go
+++ b/pkg/ingress/ingress_crash.go
@@ -32,9 +32,11 @@
 // classifyLoss returns the result of an exchange whose connection was lost. It determines
 // whether the backend server has crashed or only closed the connection, and counts a crash
 // against the request. A server that is known to be leaving ends as planned. If the request is
-// not sent again, the check runs in the background, so that the client need not wait for it.
-func (c *call) classifyLoss(lease *backend.Lease, err error) backend.Result {
+// not sent again, the check runs in the background, so that the client need not wait for it. A crash is
+// not observed as an attempt: most requests that were at the server did not cause it.
+func (c *call) classifyLoss(lease *backend.Lease, attempt Attempt, err error) backend.Result {
 	if !exchange.ClosedUnanswered(err) || !lease.Usable() {
+		c.observeAttempt(lease, attempt)
 		return backend.Broken
 	}
 	if !c.route.Idempotent() || !c.body.replayable() || c.sent >= max(1, c.route.MaxAttempts) {
@@ -42,11 +44,14 @@
 		c.server.Background(func() {
 			if c.server.HasCrashed(&server) {
 				c.server.ObserveCrash(f, server.Incarnation())
+				return
 			}
+			c.observeAttempt(lease, attempt)
 		})
 		return backend.Broken
 	}
 	if !c.server.HasCrashed(&lease.Server) {
+		c.observeAttempt(lease, attempt)
 		return backend.Broken
 	}
 	c.crashes++
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -70,7 +70,7 @@
 // preferred server states allows another request, that is asked once.
 func (c *call) choose() (*backend.Lease, *outcome.Failure) {
 	r := &backend.Request{
-		Service: c.service, Key: c.placementKey(), Priority: c.priority(), LargeBody: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Tried: c.tried,
+		Service: c.service, Route: c.route.Name, Key: c.placementKey(), Priority: c.priority(), LargeBody: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Tried: c.tried,
 	}
 	lease, err := c.server.Set.Choose(r)
 	var choice *backend.ChoiceError
@@ -223,8 +223,9 @@
 	sent := wasSent(err)
 	timedOut := errors.Is(err, context.DeadlineExceeded)
 	clientLeft := c.r.Context().Err() != nil
-	if sent && !clientLeft {
-		c.observeAttempt(lease, Attempt{Failed: !timedOut, TimedOut: timedOut, Took: c.server.Now().Sub(start)})
+	attempt := Attempt{Failed: !timedOut, TimedOut: timedOut, Took: c.server.Now().Sub(start)}
+	if sent && timedOut && !clientLeft {
+		c.observeAttempt(lease, attempt)
 	}
 	switch {
 	case clientLeft:
@@ -238,7 +239,7 @@
 	case timedOut:
 		c.finish(lease, backend.TimedOut, nil, start, err)
 	default:
-		c.finish(lease, c.classifyLoss(lease, err), nil, start, err)
+		c.finish(lease, c.classifyLoss(lease, attempt, err), nil, start, err)
 	}
 	return classify(sent, timedOut, clientLeft, err)
 }
--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -52,7 +52,7 @@
 func (n *Node) noteAttempt(route string, lease *backend.Lease, a ingress.Attempt) {
 	n.Rollouts.Observe(lease.Service, lease.Version, canary.Sample{
 		Route: route, Server: lease.ID, Key: a.Key, Known: lease.KeyKnown, Cold: lease.Cold,
-		Queued: lease.InFlight >= float64(max(1, lease.Slots)), Remote: lease.Remote, Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
+		Remote: lease.Remote, Fill: (lease.InFlight + 1) / float64(max(1, lease.Slots)), Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
 	})
 }
 
@@ -92,7 +92,8 @@
 	err := n.store.SetStatus(ctx, n.adapter.Kinds.Rollouts, c.Order.Service, c.Order.Revision, n.adapter.RolloutStatus(c))
 	fields := map[string]any{
 		"service": c.Order.Service, "version": c.Order.Version, "state": string(c.State), "revision": c.Order.Revision,
-		"route": c.Verdict.Route, "bad_share": c.Verdict.BadShare, "slower": c.Verdict.Slowdown,
+		"route": c.Verdict.Route, "bad_share": c.Verdict.BadShare, "others_share": c.Verdict.OthersShare, "slower": c.Verdict.Slowdown,
+		"bad_servers": c.Verdict.Servers, "answers": c.Verdict.Answers, "shown_good": c.Verdict.Good,
 	}
 	var conflict *objects.ConflictError
 	switch {
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -151,5 +151,5 @@
 	is.Equal(len(reports[0].Canary.Comparisons), 16)
 	datagram, err := Wire.Encode(&reports[0])
 	is.NoErr(err)
-	is.True(len(datagram) < 2000)
+	is.True(len(datagram) <= 1200)
 }
