--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -82,7 +82,7 @@
 func (n *Node) noteAttempt(route string, lease *backend.Lease, a ingress.Attempt) {
 	n.Rollouts.Observe(lease.Service, lease.Version, canary.Sample{
 		Route: route, Server: lease.ID, Key: a.Key, Known: lease.KeyKnown, Cold: lease.Cold,
-		Queued: lease.InFlight >= float64(max(1, lease.Slots)), Remote: lease.Remote, Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
+		Remote: lease.Remote, Fill: (lease.InFlight + 1) / float64(max(1, lease.Slots)), Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
 	})
 }
 
@@ -197,8 +197,9 @@
 func (n *Node) logRolloutEvent(e *rollout.Event) {
 	metrics.GetOrRegisterCounter("rollouts."+e.What, n.Metrics).Inc(1)
 	fields := map[string]any{
-		"service": e.Order.Service, "version": e.Order.Version, "share": e.Share, "ran_ms": e.Ran.Milliseconds(), "answers": e.Verdict.Answers,
-		"route": e.Verdict.Route, "bad_share": e.Verdict.BadShare, "slower": e.Verdict.Slowdown,
+		"service": e.Order.Service, "version": e.Order.Version, "share": e.Share, "ran_ms": e.Ran.Milliseconds(),
+		"route": e.Verdict.Route, "bad_share": e.Verdict.BadShare, "others_share": e.Verdict.OthersShare, "slower": e.Verdict.Slowdown,
+		"bad_servers": e.Verdict.Servers, "answers": e.Verdict.Answers, "shown_good": e.Verdict.Good,
 	}
 	switch e.What {
 	case rollout.EventBad:
