--- a/test/machines/rollouts_failures_test.go
+++ b/test/machines/rollouts_failures_test.go
@@ -146,3 +146,24 @@
 	is.Equal(stateOf(f), "rolled_back")
 	ask("resume", http.StatusNotFound)
 }
+
+// TestMalformedOrderChangesNothing checks that an order that cannot be read leaves the one before in
+// force, which goes on once it can be read again.
+func TestMalformedOrderChangesNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newRolloutFleet(t)
+	addVersion(t, f, faultless, 1)
+	order(f, "v2")
+	waitForState(t, f, "running", time.Now().Add(3*time.Second))
+	before := f.Store.StatusOf("rollouts", "shop")
+	f.Store.Put("rollouts", "shop", map[string]any{"service": "shop", "target-version": 2})
+	time.Sleep(1500 * time.Millisecond)
+	for _, b := range f.Boxes {
+		is.Equal(b.Rollouts.Rules()["shop"], rollout.Rule{Version: "v2", Share: 0.05})
+	}
+	order(f, "v2")
+	time.Sleep(time.Second)
+	is.Equal(f.Store.StatusOf("rollouts", "shop"), before)
+	is.True(!f.Boxes[2].Rollouts.Rules()["shop"].Excluded)
+}
