Roll-outs: the load that a version must carry is the sum of all boxes' requests by region

The load was taken from the mean fill that answers report, which counts busy servers more often; so only the slots counted. Now boxes report how many requests they have in each region.

--- a/pkg/backend/version_room.go
+++ b/pkg/backend/version_room.go
@@ -9,7 +9,7 @@
 )
 
 // VersionRoom returns, by region, the slots of a service's servers that run a version and of all
-// others, and how many of them are taken.
+// others, and how many requests this box has there.
 func (s *Set) VersionRoom(service, version string) []rollout.RegionRoom {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -29,6 +29,7 @@
 			regions[v.region] = r
 		}
 		r.HasOthers = r.HasOthers || v.Version != version
+		r.Load += float64(v.load.own)
 		switch {
 		case !s.carries(v, now):
 		case v.Version == version:
@@ -39,13 +40,7 @@
 	}
 	list := make([]rollout.RegionRoom, 0, len(regions))
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
-		r := regions[region]
-		taken := &g.fills.far
-		if region == s.Region {
-			taken = &g.fills.near
-		}
-		r.Load, r.KnowsLoad = taken.now(now)*(r.Version+r.Others), !taken.at.IsZero()
-		list = append(list, *r)
+		list = append(list, *regions[region])
 	}
 	return list
 }
--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -180,7 +180,7 @@
 	}
 	n.rolloutTicks++
 	if n.rolloutTicks%rolloutSendsEvery == 0 {
-		sendMessages(n, rollout.Wire, "rollouts.sent", j.others(), n.Rollouts.Reports(), func(*rollout.Report) int { return 1 })
+		sendMessages(n, rollout.Wire, "rollouts.sent", j.others(), n.Rollouts.Reports(n.Set.VersionRoom), func(*rollout.Report) int { return 1 })
 		if isJudge {
 			all, _ := n.liveBoxes()
 			n.tellProgress(randomSubset(all, progressFanOut))
--- a/pkg/rollout/advance.go
+++ b/pkg/rollout/advance.go
@@ -17,8 +17,8 @@
 	// slotsShare is the fraction of the slots of a region's other servers that the version needs
 	// there to take all their requests.
 	slotsShare = 0.9
-	// loadMargin is how many times the slots that the region's requests take now the version
-	// needs instead, if that is less.
+	// loadMargin is how many slots the version needs for each request that is at the region's
+	// servers now, if that is less.
 	loadMargin = 1.25
 	// tellTime is how long a box that has just learned of an order waits for other boxes to tell
 	// for how long that has been running, before it derives this from the time of day.
@@ -33,7 +33,8 @@
 	Others  float64
 	// HasOthers is true if other servers may get requests, whatever their condition.
 	HasOthers bool
-	// Load is how many slots are taken, and KnowsLoad is true if that is known.
+	// Load is the number of requests at all these servers: those of this box, and once the reports
+	// of other boxes are added those of all. KnowsLoad is true if there are enough of them to go by.
 	Load      float64
 	KnowsLoad bool
 }
@@ -211,7 +212,7 @@
 	if a.ByHand == Hold {
 		return Wait{Reason: WaitHeld}
 	}
-	room := v.Room(a.Service, a.Version)
+	room := a.evidence.withLoad(v.Room(a.Service, a.Version), now)
 	isUnpaced := a.ByHand == Finish || a.isInForce(room, now)
 	if !isUnpaced && !a.isPaced(now) {
 		return Wait{Reason: WaitTime}
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -44,7 +44,8 @@
 
 type countReport struct {
 	Count
-	at time.Time
+	load map[string]float32
+	at   time.Time
 }
 
 func newEvidence(now time.Time) evidence {
@@ -79,6 +80,21 @@
 	return sum
 }
 
+// withLoad adds the requests of other boxes to those of this one.
+func (e *evidence) withLoad(regions []RegionRoom, now time.Time) []RegionRoom {
+	count := e.total(now)
+	for i := range regions {
+		r := &regions[i]
+		r.KnowsLoad = count.Requests >= enoughAnswers
+		for _, report := range e.reports {
+			if now.Sub(report.at) <= reportMaxAge {
+				r.Load += float64(report.load[r.Region])
+			}
+		}
+	}
+	return regions
+}
+
 // needed returns how many answers the version must have given recently at the share.
 func (c *Count) needed(share float64) float64 {
 	return min(enoughAnswers, math.Floor(expectedShare*share*float64(c.Requests)))
@@ -107,16 +123,18 @@
 	Box     string
 	Service string
 	// Given identifies the order; see Order.
-	Given  uint64
-	Count  Count
+	Given uint64
+	Count Count
+	// Load is the number of requests that the box has at the service's servers, by region.
+	Load   map[string]float32
 	Canary canary.Report
 }
 
 // Wire encodes and decodes reports.
-var Wire = packet.Codec[Report]{Kind: "rollout reports", FirstByte: 0xf8}
+var Wire = packet.Codec[Report]{Kind: "rollout reports", FirstByte: 0xf9}
 
-// Reports returns this box's reports for the boxes that judge versions.
-func (t *Table) Reports() []Report {
+// Reports returns this box's reports for the boxes that judge versions; see View.Room.
+func (t *Table) Reports(room func(service, version string) []RegionRoom) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Report
@@ -126,12 +144,25 @@
 		}
 		a.evidence.decay(t.Now())
 		if r := a.judge.Report(t.Now()); len(r.Comparisons) > 0 {
-			list = append(list, Report{Box: t.Box, Service: service, Given: a.Given, Count: a.evidence.own, Canary: r})
+			list = append(list, Report{
+				Box: t.Box, Service: service, Given: a.Given, Count: a.evidence.own, Load: loadOf(room(service, a.Version)), Canary: r,
+			})
 		}
 	}
 	return list
 }
 
+// loadOf returns the requests at servers by region.
+func loadOf(regions []RegionRoom) map[string]float32 {
+	load := map[string]float32{}
+	for i := range regions {
+		if r := &regions[i]; r.Load > 0 {
+			load[r.Region] = float32(r.Load)
+		}
+	}
+	return load
+}
+
 // AddReport stores another box's report, unless it is about another order than the current one.
 func (t *Table) AddReport(r *Report) {
 	t.mu.Lock()
@@ -141,6 +172,6 @@
 		return
 	}
 	a.judge.AddReport(r.Box, r.Canary, t.Now())
-	a.evidence.reports[r.Box] = countReport{Count: r.Count, at: t.Now()}
+	a.evidence.reports[r.Box] = countReport{Count: r.Count, load: r.Load, at: t.Now()}
 	a.evidence.answered = a.evidence.answered || r.Count.Answers > 0
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -98,6 +99,9 @@
 	return NewTable(fmt.Sprint("box-", i), func() time.Time { return f.at }, func() int64 { return f.at.UnixMilli() })
 }
 
+// roomOf returns the room as each box sees it.
+func (f *fleet) roomOf(string, string) []RegionRoom { return slices.Clone(f.room) }
+
 // loseAll replaces all boxes by ones that know nothing.
 func (f *fleet) loseAll() {
 	for i := range f.boxes {
@@ -124,7 +128,7 @@
 	f.spread()
 	for i, b := range f.boxes {
 		f.send(b)
-		b.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return f.room }})
+		b.Tick(View{IsJudge: true, MayStep: true, Room: f.roomOf})
 		if !f.noGossip {
 			f.tell(i)
 		}
@@ -168,7 +172,7 @@
 // tell delivers what a box tells all others.
 func (f *fleet) tell(from int) {
 	m := f.boxes[from].Progress()
-	reports := f.boxes[from].Reports()
+	reports := f.boxes[from].Reports(f.roomOf)
 	for i, b := range f.boxes {
 		if i == from {
 			continue
@@ -246,7 +250,7 @@
 		{"no servers", []RegionRoom{{Region: "east", Others: 10, HasOthers: true}}, good, WaitServers},
 		{"no servers at all", nil, good, WaitServers},
 		{"none in a region", []RegionRoom{{Region: "east", Version: 10, Others: 10, HasOthers: true}, {Region: "west", Others: 4, HasOthers: true}}, good, WaitServers},
-		{"too few slots", []RegionRoom{{Region: "east", Version: 6, Others: 10, HasOthers: true, Load: 8, KnowsLoad: true}}, good, WaitSlots},
+		{"too few slots", []RegionRoom{{Region: "east", Version: 6, Others: 10, HasOthers: true, Load: 3}}, good, WaitSlots},
 		{"no answers", ample(), nil, WaitAnswers},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -264,10 +268,11 @@
 	}
 }
 
-// TestFewerServersThatCarryTheLoadSuffice checks that a version needs no more slots than the load.
+// TestFewerServersThatCarryTheLoadSuffice checks that a version needs no more slots than the load,
+// which is the sum of all boxes' requests.
 func TestFewerServersThatCarryTheLoadSuffice(t *testing.T) {
 	f := ordered(3)
-	f.room = []RegionRoom{{Region: "east", Version: 6, Others: 10, HasOthers: true, Load: 4, KnowsLoad: true}}
+	f.room = []RegionRoom{{Region: "east", Version: 6, Others: 10, HasOthers: true, Load: 1.5}}
 	f.run(orderTime)
 	is.New(t).Equal(f.store.state(), Complete)
 }
@@ -375,7 +380,7 @@
 		f.spread()
 		for i, b := range f.boxes {
 			f.send(b)
-			b.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return f.room }})
+			b.Tick(View{IsJudge: true, MayStep: true, Room: f.roomOf})
 			f.tell(i)
 			for _, c := range b.Changes(i + 1) {
 				b.Written(&c, f.store.write(&c))
@@ -552,7 +557,7 @@
 	for i := range 32 {
 		f.boxes[0].Observe("shop", "v2", canary.Sample{Route: fmt.Sprintf("route-%010d", i), Took: time.Second})
 	}
-	reports := f.boxes[0].Reports()
+	reports := f.boxes[0].Reports(f.roomOf)
 	datagram, err = Wire.Encode(&reports[0])
 	is.NoErr(err)
 	is.True(len(datagram) <= 1200)
--- a/pkg/rollout/states_test.go
+++ b/pkg/rollout/states_test.go
@@ -57,7 +57,7 @@
 		if a := b.orders["shop"]; m.forgets && a != nil {
 			a.progress.Bad = false
 		}
-		b.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return m.room }})
+		b.Tick(View{IsJudge: true, MayStep: true, Room: m.roomOf})
 		told := b.Progress()
 		for to := range m.boxes {
 			if to != i && !m.alone[i] {
@@ -129,7 +129,7 @@
 		return
 	}
 	note(m.boxes[i], "v2", 30, 30)
-	m.boxes[i].Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return m.room }})
+	m.boxes[i].Tick(View{IsJudge: true, MayStep: true, Room: m.roomOf})
 }
 
 // settle delivers everything twice with all links up: what one box knows, all know.
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -18,7 +18,7 @@
 
 // wantedState returns the state that the box would write to the store after judging once.
 func wantedState(f *fleet, t *Table) State {
-	t.Tick(View{IsJudge: true, MayStep: true, Room: func(string, string) []RegionRoom { return f.room }})
+	t.Tick(View{IsJudge: true, MayStep: true, Room: f.roomOf})
 	state, _ := t.orders["shop"].wanted()
 	return state
 }
@@ -49,7 +49,7 @@
 			noteTimed(source, "v1", 100, c.oldBad, 100*time.Millisecond)
 			noteTimed(source, "v2", 30, c.newBad, c.newTook)
 			if c.elsewhere {
-				for _, r := range source.Reports() {
+				for _, r := range source.Reports(f.roomOf) {
 					datagram, err := Wire.Encode(&r)
 					is.NoErr(err)
 					back, err := Wire.Decode(datagram)
