Canary: evidence from several servers, late first uses, distance, servers that others avoid

Tries that went: a fixed part of the threshold for each server (0.4: false roll-backs by one broken server of six; 0.25: bad versions of eight servers found late); sums of two confidence bounds (others' share twice too large, found 10 s late).

--- a/pkg/backend/version.go
+++ b/pkg/backend/version.go
@@ -13,7 +13,9 @@
 // a version and for all others.
 type versionSlots struct {
 	ofVersion, others float64
-	at                time.Time
+	// count is the number of all servers of the version.
+	count int
+	at    time.Time
 }
 
 // versionShare returns the share of requests for a version, bounded by the ratio of its slots to
@@ -28,6 +30,9 @@
 	if now.Sub(v.at) >= countVersionsEvery {
 		*v = versionSlots{at: now}
 		for _, server := range g.servers {
+			if server.Version == rule.Version {
+				v.count++
+			}
 			switch {
 			case !s.usable(server) || now.Before(server.coldUntil):
 			case server.Version == rule.Version:
@@ -43,6 +48,17 @@
 	return min(rule.Share, v.ofVersion/v.others)
 }
 
+// VersionServers returns the number of servers of the version that the service is being moved to, as
+// of the last request for it.
+func (s *Set) VersionServers(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.services[service]; g != nil {
+		return g.versions.count
+	}
+	return 0
+}
+
 // SetVersions sets which services are being moved to a version of their servers.
 func (s *Set) SetVersions(rules map[string]rollout.Rule) {
 	s.mu.Lock()
--- a/pkg/canary/answer.go
+++ b/pkg/canary/answer.go
@@ -28,7 +28,7 @@
 func answerOf(s *Sample, now time.Time) answer {
 	return answer{
 		route: s.Route, server: serverHash(s.Server), key: uint32(s.Key >> 16), hasKey: s.Key != 0, known: s.Known, cold: s.Cold, remote: s.Remote,
-		failed: s.Failed, late: s.Late && s.Fill <= 1, bucket: uint8(bucketOf(workTime(s))), end: now, took: s.Took,
+		failed: s.Failed, late: isLate(s), bucket: uint8(bucketOf(workTime(s))), end: now, took: s.Took,
 	}
 }
 
--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -8,7 +8,6 @@
 package canary
 
 import (
-	"math"
 	"time"
 )
 
@@ -28,7 +27,7 @@
 
 // DefaultParameters returns the parameters that apply if no others are set.
 func DefaultParameters() Parameters {
-	return Parameters{FalseRate: 0.001, MissRate: 0.02, Margin: 0.1, SlowFactor: 2}
+	return Parameters{FalseRate: 0.001, MissRate: 0.02, Margin: 0.08, SlowFactor: 2}
 }
 
 // Sample is how a server handled a request that reached it.
@@ -37,6 +36,9 @@
 	// Server is the server's id, and IsNew is true if it is of the version that is judged.
 	Server string
 	IsNew  bool
+	// Servers is the number of servers of the judged version that the box knows; 0 if it does not count
+	// them.
+	Servers int
 	// Key is the hash of the request's affinity key, 0 if it has none. Known means that the server
 	// has recently answered this box for the key.
 	Key   uint64
@@ -84,7 +86,7 @@
 	trialTime = 3 * time.Second
 	// fairPart is the part of the version's answers from which on a route must be shown to be
 	// good by itself.
-	fairPart = 0.1
+	fairPart = 0.05
 	// all is the name under which the routes are compared together.
 	all = ""
 )
@@ -105,6 +107,9 @@
 	servers map[uint32]time.Time
 	tests   map[string]*test
 	ratios  ratios
+	// seen counts the version's answers by route and altogether, listed its servers.
+	seen    map[string]float64
+	listed  int
 	answers float64
 	found   Verdict
 	foundAt time.Time
@@ -119,12 +124,13 @@
 // NewJudge returns a judge without samples.
 func NewJudge(now time.Time) *Judge {
 	return &Judge{
-		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{}, servers: map[uint32]time.Time{}, tests: map[string]*test{},
+		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{}, servers: map[uint32]time.Time{}, tests: map[string]*test{}, seen: map[string]float64{},
 	}
 }
 
 // Observe counts a sample of this box.
 func (j *Judge) Observe(s *Sample, now time.Time) {
+	j.listed = s.Servers
 	switch {
 	case s.IsNew:
 		a := answerOf(s, now)
@@ -191,7 +197,12 @@
 		j.uses.forget(a.server)
 		return
 	}
-	known := a.known || j.uses.usedBefore(a)
+	j.seen[all]++
+	if len(j.seen) <= maxRoutes {
+		j.seen[a.route]++
+	}
+	// What a box remembers says nothing of what the server has forgotten since.
+	known := a.known && !a.hasKey || j.uses.usedBefore(a)
 	j.uses.add(a)
 	if _, ok := j.servers[a.server]; !ok && len(j.servers) < maxServers {
 		j.servers[a.server] = now
@@ -205,8 +216,7 @@
 		return
 	}
 	j.answers++
-	share = max(share, others.currentShare())
-	limit := j.serverLimit(now) * j.threshold()
+	share = max(share, others.currentShare(len(j.servers)))
 	for _, name := range []string{a.route, all} {
 		t := j.tests[name]
 		if t == nil {
@@ -216,8 +226,8 @@
 			t = newTest()
 			j.tests[name] = t
 		}
-		t.add(a.server, isBad, isTimed, share, j.Parameters.Margin, limit)
-		if !j.found.Bad && t.isBad(j.threshold()) {
+		t.add(a.server, isBad, isTimed, share, j.Parameters.Margin, j.threshold())
+		if !j.found.Bad && t.isBad(j.threshold(), a.server == 0 || j.isSingle(now)) {
 			j.found, j.foundAt = j.describe(name, t), now
 			j.found.Bad = true
 		}
@@ -227,21 +237,17 @@
 	}
 }
 
-// serverLimit returns the part of the threshold that a single server can contribute: a version of
-// several servers is bad only if at least three of them are, or both of two.
-func (j *Judge) serverLimit(now time.Time) float64 {
-	switch len(j.servers) {
-	case 0, 1:
-		for _, since := range j.servers {
-			if now.Sub(since) < trialTime {
-				return 0.6
-			}
+// isSingle reports whether the version has one server only, which then decides by itself.
+func (j *Judge) isSingle(now time.Time) bool {
+	if len(j.servers) > 1 || j.listed > 1 {
+		return false
+	}
+	for _, since := range j.servers {
+		if now.Sub(since) < trialTime {
+			return false
 		}
-		return math.Inf(1)
-	case 2:
-		return 0.6
 	}
-	return 0.4
+	return true
 }
 
 // threshold returns the sum of log-likelihood ratios at which a test decides. Each route has its
@@ -267,8 +273,8 @@
 	if t == nil || !t.isGood(j.Parameters.MissRate) {
 		return false
 	}
-	for _, route := range j.tests {
-		if route.seen >= fairPart*t.seen && !route.isGood(math.Sqrt(j.Parameters.MissRate)) {
+	for name, route := range j.tests {
+		if j.seen[name] >= fairPart*j.seen[all] && !route.isGood(j.Parameters.MissRate) {
 			return false
 		}
 	}
--- a/pkg/canary/report.go
+++ b/pkg/canary/report.go
@@ -38,6 +38,8 @@
 	// their shares of bad answers.
 	Servers    uint32
 	BadServers float32
+	// Broken is the number of them with mostly bad answers.
+	Broken uint32
 	// Recent and RecentBad count the answers of other servers of about the last second.
 	Recent    float32
 	RecentBad float32
@@ -54,8 +56,8 @@
 )
 
 func encodeReport(l *tallies, answers []answer, now time.Time) Report {
-	servers, bad := l.sumServers()
-	r := Report{Servers: uint32(servers), BadServers: float32(bad), Recent: l.recent.answers, RecentBad: l.recent.bad}
+	servers, bad, broken := l.sumServers()
+	r := Report{Servers: uint32(servers), BadServers: float32(bad), Broken: uint32(broken), Recent: l.recent.answers, RecentBad: l.recent.bad}
 	index := map[string]int{}
 	for i := range answers {
 		r.encodeAnswer(&answers[i], index, now)
@@ -141,6 +143,7 @@
 func (r *Report) decode(now time.Time) (*tallies, []answer) {
 	l := newTallies(now)
 	l.serverSum, l.badServers = float64(r.Servers), float64(r.BadServers)
+	l.brokenSum = float64(r.Broken)
 	l.recent = serverCount{answers: r.Recent, bad: r.RecentBad}
 	for i := range r.Comparisons {
 		if t := l.route(r.Comparisons[i].Route); t != nil {
--- a/pkg/canary/sequential.go
+++ b/pkg/canary/sequential.go
@@ -13,23 +13,50 @@
 	// largeGap is the part of the gap between the others' share and 1 that a version closes
 	// whose answers are mostly bad.
 	largeGap = 0.75
-	// mostShare bounds the others' share: above it nothing can be told apart.
-	mostShare = 0.95
+	// severalServers is the number of servers that the evidence must come from, or leastPart of
+	// the threshold from each where there are many.
+	severalServers = 3
+	leastPart      = 0.25
+	// mostShare is the share of bad answers of others up to which a version can be judged.
+	mostShare = 0.6
 )
 
-// sum is a sum of log-likelihood ratios to which each server contributes a bounded part.
+// sum is a sum of log-likelihood ratios to which each server contributes at most the limit.
 type sum struct {
 	servers map[uint32]float64
 	total   float64
+	limit   float64
 }
 
-func (s *sum) add(server uint32, ratio, limit float64) {
+// part returns what a server contributes; the limit does not hold for an unknown one.
+func (s *sum) part(server uint32, part float64) float64 {
 	if server == 0 {
-		limit = math.Inf(1)
+		return part
+	}
+	return min(part, s.limit)
+}
+
+// without returns the sum without the server that contributes most.
+func (s *sum) without() float64 {
+	most := 0.0
+	for server, part := range s.servers {
+		if server != 0 {
+			most = max(most, min(part, s.limit))
+		}
+	}
+	return s.total - most
+}
+
+func (s *sum) add(server uint32, ratio, limit float64) {
+	if limit != s.limit {
+		s.limit, s.total = limit, 0
+		for other, part := range s.servers {
+			s.total += s.part(other, part)
+		}
 	}
 	before := s.servers[server]
 	s.servers[server] = before + ratio
-	s.total += min(before+ratio, limit) - min(before, limit)
+	s.total += s.part(server, before+ratio) - s.part(server, before)
 	if s.total <= 0 {
 		s.total = 0
 		clear(s.servers)
@@ -42,9 +69,10 @@
 	small sum
 	large sum
 	// decline is the evidence that the version is not worse by the margin, from answers whose time
-	// was compared; it is at most 0. seen counts all answers.
+	// was compared; it is at most 0.
 	decline float64
-	seen    float64
+	// servers holds the servers that have answered since the test began.
+	servers map[uint32]bool
 	// answers, bad and others count the answers since small began anew, the bad ones, and the sum
 	// of the shares that others could have.
 	answers float64
@@ -53,15 +81,19 @@
 }
 
 func newTest() *test {
-	return &test{small: sum{servers: map[uint32]float64{}}, large: sum{servers: map[uint32]float64{}}}
+	return &test{servers: map[uint32]bool{}, small: sum{servers: map[uint32]float64{}}, large: sum{servers: map[uint32]float64{}}}
 }
 
-// add counts an answer, where others have the given share of bad ones. The limit is the most that a
-// server can contribute.
-func (t *test) add(server uint32, isBad, isTimed bool, share, margin, limit float64) {
-	share = min(share, mostShare)
+// add counts an answer, where others have the given share of bad ones.
+func (t *test) add(server uint32, isBad, isTimed bool, share, margin, threshold float64) {
+	if len(t.servers) < maxServers {
+		t.servers[server] = true
+	}
+	limit := threshold * min(1, max(leastPart, severalServers/float64(len(t.servers))))
+	if share > mostShare {
+		return
+	}
 	small := ratio(isBad, share, min(share+margin, 1-(1-share)/2))
-	t.seen++
 	if isTimed {
 		t.decline = min(0, t.decline+small)
 	}
@@ -94,6 +126,13 @@
 
 func (t *test) level() float64 { return max(t.small.total, t.large.total) }
 
-func (t *test) isBad(threshold float64) bool { return t.bad >= minBad && t.level() >= threshold }
+// isBad reports whether the version is bad. Where it has several servers, that has to hold without the
+// worst of them as well.
+func (t *test) isBad(threshold float64, single bool) bool {
+	if t.bad < minBad || t.level() < threshold {
+		return false
+	}
+	return single || max(t.small.without(), t.large.without()) >= threshold
+}
 
 func (t *test) isGood(missRate float64) bool { return t.decline <= math.Log(missRate) }
--- a/pkg/canary/tally.go
+++ b/pkg/canary/tally.go
@@ -29,12 +29,17 @@
 	// rareKnown is the share of requests with a known key below which keys hardly ever recur:
 	// then first uses of others are such as well, and can be compared with.
 	rareKnown = 0.05
+	// longQueue is the fill of a server up to which a late answer is not due to its queue.
+	longQueue = 1.5
 	// lateShare is the share of late answers that others may have if too few are known.
-	lateShare = 0.5
+	lateShare = 0.55
+	// rareLate is the share of late answers for keys that are new to a box below which first uses
+	// are answered in time.
+	rareLate = 0.05
 	// confidence is the number of standard deviations of the upper bound of a share.
-	confidence = 2
+	confidence = 1.6
 	// leastShare is the share of bad answers that any server may have.
-	leastShare = 0.015
+	leastShare = 0.012
 )
 
 // class says which requests are compared with each other.
@@ -92,10 +97,10 @@
 	return buckets - 1
 }
 
-// slow returns the number of answers that are longer than the factor times the median's duration.
-func (h *histogram) slow(factor float64) float64 {
+// above returns the number of answers from a bucket on.
+func (h *histogram) above(bucket int) float64 {
 	n := 0.0
-	for _, count := range h.counts[h.slowFrom(factor):] {
+	for _, count := range h.counts[bucket:] {
 		n += float64(count)
 	}
 	return n
@@ -106,6 +111,21 @@
 	return min(buckets-1, h.median()+int(math.Round(bucketsPerOctave*math.Log2(factor))))
 }
 
+// limit returns the first bucket of slow answers of requests that go farther than those of a nearer
+// histogram, if any: the distance does not become longer with the work.
+func (h *histogram) limit(near *histogram, factor float64) int {
+	if near == nil || near.total < minTimed {
+		return h.slowFrom(factor)
+	}
+	base := min(h.median(), near.median())
+	return min(buckets-1, bucketOf(durationOf(h.median())+time.Duration((factor-1)*float64(durationOf(base)))))
+}
+
+// durationOf returns the middle of a bucket.
+func durationOf(bucket int) time.Duration {
+	return time.Duration(float64(shortest) * math.Exp2((float64(bucket)+0.5)/bucketsPerOctave))
+}
+
 // tally is what other servers did on a route.
 type tally struct {
 	classes [classes]*histogram
@@ -132,6 +152,8 @@
 	// and of their shares of bad answers.
 	serverSum  float64
 	badServers float64
+	// brokenSum is the sum over boxes of the number of servers with mostly bad answers.
+	brokenSum float64
 	// recent counts the answers of about the last second on all routes: the larger counts follow
 	// a sudden change too slowly.
 	recent serverCount
@@ -157,13 +179,15 @@
 	if t == nil {
 		return
 	}
-	h := t.class(classOf(s.Key != 0, s.Known, s.Remote))
+	c := classOf(s.Key != 0, s.Known, s.Remote)
+	h := t.class(c)
 	bucket := bucketOf(workTime(s))
-	isBad := s.Failed || s.Late && s.Fill <= 1 || h.total >= minTimed && bucket >= h.slowFrom(slowFactor)
+	late := isLate(s)
+	isBad := s.Failed || late || c&^remote != firstUse && h.total >= minTimed && bucket >= h.slowFrom(slowFactor)
 	switch {
 	case s.Failed:
 		h.failed++
-	case s.Late && s.Fill <= 1:
+	case late:
 		h.counts[buckets-1]++
 		h.total++
 	default:
@@ -193,6 +217,9 @@
 	}
 }
 
+// isLate reports whether the server did not answer in time although the request hardly waited.
+func isLate(s *Sample) bool { return s.Late && s.Fill <= longQueue }
+
 // workTime returns how long the server worked on the request, without the estimated time that it
 // waited for a slot.
 func workTime(s *Sample) time.Duration { return time.Duration(float64(s.Took) / max(1, s.Fill)) }
@@ -240,15 +267,18 @@
 	}
 }
 
-// sumServers returns the number of servers that answered this box, and the sum of their shares of
-// bad answers.
-func (l *tallies) sumServers() (servers, bad float64) {
-	servers, bad = l.serverSum, l.badServers
+// sumServers returns the number of servers that answered this box, the sum of their shares of bad
+// answers, and the number of those with mostly bad answers.
+func (l *tallies) sumServers() (servers, bad, broken float64) {
+	servers, bad, broken = l.serverSum, l.badServers, l.brokenSum
 	for _, c := range l.servers {
 		servers++
 		bad += float64(c.bad / c.answers)
+		if c.answers > 1.2 && c.bad > c.answers/2 {
+			broken++
+		}
 	}
-	return servers, bad
+	return servers, bad, broken
 }
 
 // merge adds the counts of another box.
@@ -264,7 +294,8 @@
 			}
 		}
 	}
-	servers, bad := o.sumServers()
+	servers, bad, broken := o.sumServers()
+	l.brokenSum += broken
 	l.serverSum += servers
 	l.badServers += bad
 	l.recent.answers += o.recent.answers
@@ -282,10 +313,12 @@
 // currentShare returns the share of bad answers of other servers, each server counted alike, or of
 // their recent answers if that is larger. The first exceeds the share of all answers where bad servers
 // are avoided, as those of the version cannot be before enough is known of each.
-func (l *tallies) currentShare() float64 {
+// Where some servers are broken, among as few as those of the version by chance more could be.
+func (l *tallies) currentShare(servers int) float64 {
 	share := 0.0
 	if l.serverSum >= minTimed {
-		share = l.badServers / l.serverSum
+		broken := l.brokenSum / l.serverSum
+		share = l.badServers/l.serverSum + confidence*math.Sqrt(broken*(1-broken)/float64(max(1, servers)))
 	}
 	if l.recent.answers >= minTimed {
 		share = max(share, float64(l.recent.bad/l.recent.answers))
@@ -297,20 +330,32 @@
 // may have. It reports false if there is nothing to compare with.
 func (t *tally) compare(a *answer, known bool, slowFactor float64, r *ratios) (isBad, isTimed bool, share float64, ok bool) {
 	failed, answers, knownAnswers, keyed := t.totals()
-	share = upperShare(failed, answers)
+	share = max(leastShare, upperShare(failed, answers))
 	h := t.counterpart(a, known, keyed > 0 && knownAnswers/keyed < rareKnown)
 	switch {
 	case h == nil && a.late:
-		return true, false, max(share, lateShare), !a.hasKey || known
+		return true, false, max(share, lateShare), !a.remote && (!a.hasKey || known || t.isFirstUseInTime())
 	case h == nil:
 		return a.failed, false, share, a.failed || answers >= minTimed
 	}
-	share += upperShare(h.slow(slowFactor), float64(h.total))
+	limit := h.slowFrom(slowFactor)
+	if a.remote {
+		limit = h.limit(t.classes[classOf(a.hasKey, known, false)], slowFactor)
+	}
+	total := float64(h.total)
+	share = max(leastShare, upperShare(h.above(limit)+total*failed/max(1, answers), total))
 	if a.failed {
 		return true, true, share, true
 	}
 	r.add(int(a.bucket) - h.median())
-	return a.late || int(a.bucket) >= h.slowFrom(slowFactor), true, share, true
+	return a.late || int(a.bucket) >= limit, true, share, true
+}
+
+// isFirstUseInTime reports whether keys that are new to a box are answered in time by others, so far as
+// is known: few of them are first uses there.
+func (t *tally) isFirstUseInTime() bool {
+	h := t.classes[firstUse]
+	return h != nil && h.total >= minTimed && upperShare(float64(h.counts[buckets-1]), float64(h.total)) < rareLate
 }
 
 // totals returns the failures and answers on the route, and of these the ones with known keys and
@@ -351,7 +396,7 @@
 func upperShare(hits, of float64) float64 {
 	const z = confidence
 	share := (hits + z*z/2 + z*math.Sqrt(max(0, hits-hits*hits/max(1, of))+z*z/4)) / (of + z*z)
-	return min(mostShare, max(leastShare, share))
+	return min(1, share)
 }
 
 // ratios averages how many times longer than others the version takes, in buckets.
--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -51,7 +51,7 @@
 // noteAttempt counts the outcome of a request at a server.
 func (n *Node) noteAttempt(route string, lease *backend.Lease, a ingress.Attempt) {
 	n.Rollouts.Observe(lease.Service, lease.Version, canary.Sample{
-		Route: route, Server: lease.ID, Key: a.Key, Known: lease.KeyKnown, Cold: lease.Cold,
+		Route: route, Server: lease.ID, Servers: n.Set.VersionServers(lease.Service), Key: a.Key, Known: lease.KeyKnown, Cold: lease.Cold,
 		Remote: lease.Remote, Fill: (lease.InFlight + 1) / float64(max(1, lease.Slots)), Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
 	})
 }
