--- a/pkg/backend/version.go
+++ b/pkg/backend/version.go
@@ -13,7 +13,9 @@
 // version and for all others: of this region at index 1, and of all other regions at index 0.
 type versionSlots struct {
 	ofVersion, others [2]float64
-	at                time.Time
+	// count is the number of all servers of the version.
+	count int
+	at    time.Time
 }
 
 // versionShare returns the share of requests for a version, of those whose key has its home in
@@ -41,6 +43,9 @@
 	v := versionSlots{at: now}
 	for _, server := range g.servers {
 		side := sideOf(server.region == s.Region)
+		if server.Version == version {
+			v.count++
+		}
 		switch {
 		case !s.usable(server) || !s.carries(server, now):
 		case server.Version == version:
@@ -60,6 +65,17 @@
 	return 0
 }
 
+// VersionServers returns the number of servers of the version that the service is being moved to, as
+// of the last request for it.
+func (s *Set) VersionServers(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.services[service]; g != nil {
+		return g.versions.count
+	}
+	return 0
+}
+
 // SetVersions sets which services are being moved to a version of their servers.
 func (s *Set) SetVersions(rules map[string]rollout.Rule) {
 	s.mu.Lock()
