--- a/pkg/rollout/advance.go
+++ b/pkg/rollout/advance.go
@@ -19,7 +19,7 @@
 	slotsShare = 0.9
 	// loadMargin is how many slots the version needs for each request that is at the region's
 	// servers now, if that is less.
-	loadMargin = 1.25
+	loadMargin = 2.0
 	// tellTime is how long a box that has just learned of an order waits for other boxes to tell
 	// for how long that has been running, before it derives this from the time of day.
 	tellTime = time.Second
