--- a/pkg/rollout/advance.go
+++ b/pkg/rollout/advance.go
@@ -20,6 +20,8 @@
 	// loadMargin is how many slots the version needs for each request that is at the region's
 	// servers now, if that is less.
 	loadMargin = 2.0
+	// reportsTime is how long a box has been a judge by the time that all boxes report to it.
+	reportsTime = 1500 * time.Millisecond
 	// tellTime is how long a box that has just learned of an order waits for other boxes to tell
 	// for how long that has been running, before it derives this from the time of day.
 	tellTime = time.Second
@@ -167,9 +169,12 @@
 		a.useWallClock(t.WallMS, now)
 		a.isDue = false
 		if !v.IsJudge || a.progress.Bad {
-			a.wait = Wait{}
+			a.wait, a.judgesSince = Wait{}, time.Time{}
 			continue
 		}
+		if a.judgesSince.IsZero() {
+			a.judgesSince = now
+		}
 		if what := a.advance(&v, now); what != "" {
 			events = append(events, Event{
 				What: what, Order: a.Order, Share: a.rule().Share, Ran: a.ran(now), Wait: a.wait, Verdict: a.verdict,
@@ -212,7 +217,10 @@
 	if a.ByHand == Hold {
 		return Wait{Reason: WaitHeld}
 	}
-	room := a.evidence.withLoad(v.Room(a.Service, a.Version), now)
+	room := v.Room(a.Service, a.Version)
+	if now.Sub(a.judgesSince) >= reportsTime {
+		a.evidence.addLoad(room, now)
+	}
 	isUnpaced := a.ByHand == Finish || a.isInForce(room, now)
 	if !isUnpaced && !a.isPaced(now) {
 		return Wait{Reason: WaitTime}
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -80,8 +80,8 @@
 	return sum
 }
 
-// withLoad adds the requests of other boxes to those of this one.
-func (e *evidence) withLoad(regions []RegionRoom, now time.Time) []RegionRoom {
+// addLoad adds the requests of other boxes to those of this one.
+func (e *evidence) addLoad(regions []RegionRoom, now time.Time) {
 	count := e.total(now)
 	for i := range regions {
 		r := &regions[i]
@@ -92,7 +92,6 @@
 			}
 		}
 	}
-	return regions
 }
 
 // needed returns how many answers the version must have given recently at the share.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -100,6 +100,8 @@
 	judge    *canary.Judge
 	verdict  canary.Verdict
 	evidence evidence
+	// judgesSince is when this box became a judge; it is zero if it is none.
+	judgesSince time.Time
 	// wait is why a judge has not taken the next step, and logged holds the reasons that have been
 	// logged since the last one. isDue is true once the order may be complete.
 	wait   Wait
