Canary: error rates from the policy, failures alone as well, broken servers among others; tests of the parts

What did it: failures are tested alone as well, since others have fewer of these than of slow answers; what others do at the moment is known by server, and slow first uses do not count there; a wider margin while many servers are broken; the share of keys for the version widens with each request that it missed, instead of any key after two (with 300 keys that moved most of them).

--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -166,9 +166,10 @@
 func (j *Judge) Verdict(now time.Time) Verdict {
 	j.own.decay(now)
 	sum := j.sum(now)
+	health := sum.health()
 	sortByEnd(j.pending)
 	for i := range j.pending {
-		j.judge(&j.pending[i], sum, now)
+		j.judge(&j.pending[i], sum, &health, now)
 	}
 	j.pending = j.pending[:0]
 	if j.found.Bad && now.Sub(j.foundAt) <= findingValid {
@@ -192,7 +193,7 @@
 }
 
 // judge compares one answer of the version.
-func (j *Judge) judge(a *answer, others *tallies, now time.Time) {
+func (j *Judge) judge(a *answer, others *tallies, health *Health, now time.Time) {
 	if a.cold {
 		j.uses.forget(a.server)
 		return
@@ -211,12 +212,12 @@
 	if route == nil {
 		route = &tally{}
 	}
-	isBad, isTimed, share, ok := route.compare(a, known, j.Parameters.SlowFactor, &j.ratios)
-	if !ok {
-		return
+	c := route.compare(a, known, j.Parameters.SlowFactor, &j.ratios)
+	c.failedShare = max(c.failedShare, health.share(len(j.servers), false))
+	c.share = max(c.share, health.share(len(j.servers), c.isTimed))
+	if c.comparable {
+		j.answers++
 	}
-	j.answers++
-	share = max(share, others.currentShare(len(j.servers)))
 	for _, name := range []string{a.route, all} {
 		t := j.tests[name]
 		if t == nil {
@@ -226,7 +227,7 @@
 			t = newTest()
 			j.tests[name] = t
 		}
-		t.add(a.server, isBad, isTimed, share, j.Parameters.Margin, j.threshold())
+		t.add(a, &c, j.Parameters.Margin, j.threshold())
 		if !j.found.Bad && t.isBad(j.threshold(), a.server == 0 || j.isSingle(now)) {
 			j.found, j.foundAt = j.describe(name, t), now
 			j.found.Bad = true
@@ -270,7 +271,7 @@
 // a fair part of the answers.
 func (j *Judge) isGood() bool {
 	t := j.tests[all]
-	if t == nil || !t.isGood(j.Parameters.MissRate) {
+	if t == nil || !t.isGood(j.Parameters.MissRate) || t.level() > j.threshold()/2 {
 		return false
 	}
 	for name, route := range j.tests {
--- /dev/null
+++ b/pkg/canary/canary_test.go
@@ -0,0 +1,95 @@
+package canary
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/hashing"
+)
+
+// TestDrawGivesTheShare: each route gives the version its share of requests, whether it has many keys,
+// a handful or none, and three quarters of its requests are for few of many keys.
+func TestDrawGivesTheShare(t *testing.T) {
+	for _, keys := range []uint64{1, 7, 300, 1 << 40} {
+		for _, share := range []float64{0.05, 0.2, 0.7} {
+			t.Run(fmt.Sprint(keys, " keys, ", share), func(t *testing.T) {
+				is := is.New(t)
+				d := &Draw{}
+				got, moved := 0, map[uint64]int{}
+				const requests = 20000
+				for i := range uint64(requests) {
+					key := hashing.Mix(hashing.Mix(i+1) % keys)
+					if d.Take("read", key, share) {
+						got++
+						moved[key]++
+					}
+				}
+				is.True(float64(got) > (share-0.01)*requests && float64(got) < (share+0.01)*requests)
+				if keys == 300 {
+					most := slices.Sorted(maps.Values(moved))
+					for sum := 0; sum < got/4; most = most[1:] {
+						sum += most[0]
+					}
+					is.True(float64(len(most)) <= (keysPerShare*share+0.05)*float64(keys))
+				}
+			})
+		}
+	}
+}
+
+// TestReportKeepsWhatIsCompared: a judge that gets the reports of two boxes finds what a judge finds that
+// has seen all answers itself; a malformed report changes nothing.
+func TestReportKeepsWhatIsCompared(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	whole, remote, boxes := NewJudge(now), NewJudge(now), []*Judge{NewJudge(now), NewJudge(now)}
+	for i := range 200 {
+		now = now.Add(20 * time.Millisecond)
+		isNew := i%5 == 0
+		s := Sample{
+			Route: "read", Server: fmt.Sprint("s", i%10/5, isNew, i%3), IsNew: isNew, Key: uint64(i%10+1) << 20, Known: !isNew, Fill: 0.5, Took: 100 * time.Millisecond,
+		}
+		if isNew && i > 50 {
+			s.Took *= 4
+		}
+		whole.Observe(&s, now)
+		boxes[i%2].Observe(&s, now)
+		if i%25 == 24 {
+			for n, b := range boxes {
+				remote.AddReport(fmt.Sprint(n), b.Report(now), now)
+			}
+			is.Equal(remote.Verdict(now).Bad, whole.Verdict(now).Bad)
+		}
+	}
+	is.True(whole.found.Bad)
+	is.True(remote.found.Bad)
+	broken := Report{Comparisons: []Comparison{{Route: "read", Others: []byte{1, 200, 1, 9, 255, 255}}}, Answers: []byte{9, 1, 2, 3}}
+	NewJudge(now).AddReport("box", broken, now)
+}
+
+// TestColdAnswersDoNotCount guards against judging servers by their cold start, and against taking keys as
+// known that a server has lost with it.
+func TestColdAnswersDoNotCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j := NewJudge(now)
+	for range 200 {
+		j.Observe(&Sample{Route: "read", Server: "old", Known: true, Key: 1 << 20, Took: 100 * time.Millisecond}, now)
+	}
+	for range 50 {
+		j.Observe(&Sample{Route: "read", Server: "new", IsNew: true, Key: 1 << 20, Cold: true, Failed: true, Took: time.Second}, now)
+	}
+	is.Equal(j.Verdict(now), Verdict{})
+	now = now.Add(time.Second)
+	j.Observe(&Sample{Route: "read", Server: "new", IsNew: true, Key: 1 << 20, Took: 100 * time.Millisecond}, now)
+	now = now.Add(time.Second)
+	j.Observe(&Sample{Route: "read", Server: "new", IsNew: true, Key: 1 << 20, Cold: true, Took: 100 * time.Millisecond}, now)
+	now = now.Add(time.Second)
+	j.Observe(&Sample{Route: "read", Server: "new", IsNew: true, Key: 1 << 20, Took: 500 * time.Millisecond}, now)
+	is.Equal(j.Verdict(now).BadShare, 0.0)
+}
--- a/pkg/canary/draw.go
+++ b/pkg/canary/draw.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"math"
 	"sync"
 
 	"github.com/stoneworks/stoneworks/pkg/hashing"
@@ -12,9 +13,11 @@
 	// the others to other servers: so its servers soon know their keys, and the same keys are
 	// compared on both sides.
 	keysPerShare = 2
-	// otherKeys is the number of requests that the version must have missed for one with any
-	// key to go there: a route may have only a handful of keys.
-	otherKeys = 2
+	// widening is the factor by which that share of keys grows with each request that the version
+	// has missed: a route may have only a handful of keys. The same keys come first on all boxes.
+	widening = 8
+	// maxCredit is the number of missed requests that count.
+	maxCredit = 3
 	// maxDrawn bounds the routes for which requests are drawn separately.
 	maxDrawn = 256
 )
@@ -39,9 +42,8 @@
 		// Many boxes with few requests each together send the share from the beginning.
 		credit = fraction(hashing.Mix(key ^ firstCredit))
 	}
-	credit = min(credit+share, otherKeys+1)
-	isEligible := fraction(hashing.Mix(key^eligible)) < keysPerShare*share
-	take := share >= 1 || credit >= 1 && isEligible || credit >= otherKeys
+	credit = min(credit+share, maxCredit)
+	take := share >= 1 || credit >= 1 && fraction(hashing.Mix(key^keyOrder)) < keysPerShare*share*math.Pow(widening, credit-1)
 	if take {
 		credit = max(0, credit-1)
 	}
@@ -52,7 +54,7 @@
 // Salts of the hashes of keys, which must not depend on each other.
 const (
 	firstCredit = 0x9e3779b97f4a7c15
-	eligible    = 0xc2b2ae3d27d4eb4f
+	keyOrder    = 0xc2b2ae3d27d4eb4f
 )
 
 // fraction maps a hash to [0, 1).
--- a/pkg/canary/model_test.go
+++ b/pkg/canary/model_test.go
@@ -66,7 +66,6 @@
 	slowFrom, slowTo, slowBy float64
 	crashAt                  float64
 	broken                   bool
-	recent                   []float64
 }
 
 // world is one order in one deployment.
@@ -447,7 +446,7 @@
 	ends := begins + took
 	fill := (busy + 1) / float64(len(s.free))
 	if begins > now {
-		fill = 1 + (begins-now)/route.work*between(w.rng, 0.7, 1.3)
+		fill = 1 + (begins-now)/took*between(w.rng, 0.7, 1.3)
 	}
 	s.free[slot] = ends
 	s.learn(key, ends, w.keeps)
--- a/pkg/canary/report.go
+++ b/pkg/canary/report.go
@@ -34,15 +34,7 @@
 	Comparisons []Comparison
 	// Answers holds answers of the version of answerBytes each; a route is its index above.
 	Answers []byte
-	// Servers is the number of other servers that have answered the box, BadServers the sum of
-	// their shares of bad answers.
-	Servers    uint32
-	BadServers float32
-	// Broken is the number of them with mostly bad answers.
-	Broken uint32
-	// Recent and RecentBad count the answers of other servers of about the last second.
-	Recent    float32
-	RecentBad float32
+	Health  Health
 }
 
 // The flags of an answer in a report.
@@ -56,8 +48,7 @@
 )
 
 func encodeReport(l *tallies, answers []answer, now time.Time) Report {
-	servers, bad, broken := l.sumServers()
-	r := Report{Servers: uint32(servers), BadServers: float32(bad), Broken: uint32(broken), Recent: l.recent.answers, RecentBad: l.recent.bad}
+	r := Report{Health: l.health()}
 	index := map[string]int{}
 	for i := range answers {
 		r.encodeAnswer(&answers[i], index, now)
@@ -142,9 +133,7 @@
 // decode returns the contents of a report. What is malformed is left out.
 func (r *Report) decode(now time.Time) (*tallies, []answer) {
 	l := newTallies(now)
-	l.serverSum, l.badServers = float64(r.Servers), float64(r.BadServers)
-	l.brokenSum = float64(r.Broken)
-	l.recent = serverCount{answers: r.Recent, bad: r.RecentBad}
+	l.elsewhere = r.Health
 	for i := range r.Comparisons {
 		if t := l.route(r.Comparisons[i].Route); t != nil {
 			t.decode(r.Comparisons[i].Others)
--- a/pkg/canary/sequential.go
+++ b/pkg/canary/sequential.go
@@ -10,6 +10,8 @@
 const (
 	// minBad is the least number of bad answers for which a version is found bad.
 	minBad = 6
+	// testsOfRoute is the number of sums for each route.
+	testsOfRoute = 3
 	// largeGap is the part of the gap between the others' share and 1 that a version closes
 	// whose answers are mostly bad.
 	largeGap = 0.75
@@ -68,48 +70,64 @@
 	// small tests for a share that is larger by the margin, large for one of mostly bad answers.
 	small sum
 	large sum
+	// failures is as small, for failures alone: others have fewer of these.
+	failures sum
 	// decline is the evidence that the version is not worse by the margin, from answers whose time
 	// was compared; it is at most 0.
 	decline float64
 	// servers holds the servers that have answered since the test began.
 	servers map[uint32]bool
-	// answers, bad and others count the answers since small began anew, the bad ones, and the sum
+	// answers, bad and others count the answers since all sums were 0, the bad ones, and the sum
 	// of the shares that others could have.
 	answers float64
 	bad     float64
 	others  float64
 }
 
+func newSum() sum { return sum{servers: map[uint32]float64{}} }
+
 func newTest() *test {
-	return &test{servers: map[uint32]bool{}, small: sum{servers: map[uint32]float64{}}, large: sum{servers: map[uint32]float64{}}}
+	return &test{servers: map[uint32]bool{}, small: newSum(), large: newSum(), failures: newSum()}
 }
 
-// add counts an answer, where others have the given share of bad ones.
-func (t *test) add(server uint32, isBad, isTimed bool, share, margin, threshold float64) {
+// add counts an answer.
+func (t *test) add(a *answer, c *comparison, margin, threshold float64) {
 	if len(t.servers) < maxServers {
-		t.servers[server] = true
+		t.servers[a.server] = true
 	}
 	limit := threshold * min(1, max(leastPart, severalServers/float64(len(t.servers))))
-	if share > mostShare {
-		return
+	if c.failedShare <= mostShare {
+		t.failures.add(a.server, marginRatio(a.failed, c.failedShare, margin), limit)
 	}
-	small := ratio(isBad, share, min(share+margin, 1-(1-share)/2))
-	if isTimed {
-		t.decline = min(0, t.decline+small)
+	if c.comparable && c.share <= mostShare {
+		small := marginRatio(c.isBad, c.share, margin)
+		if c.isTimed {
+			t.decline = min(0, t.decline+small)
+		}
+		t.small.add(a.server, small, limit)
+		t.large.add(a.server, ratio(c.isBad, c.share, c.share+largeGap*(1-c.share)), limit)
 	}
-	t.small.add(server, small, limit)
-	t.large.add(server, ratio(isBad, share, share+largeGap*(1-share)), limit)
-	if t.small.total == 0 && t.large.total == 0 {
+	t.count(c)
+}
+
+// count counts an answer for the description of the evidence.
+func (t *test) count(c *comparison) {
+	if t.level() == 0 {
 		t.answers, t.bad, t.others = 0, 0, 0
 		return
 	}
 	t.answers++
-	t.others += share
-	if isBad {
+	t.others += c.share
+	if c.isBad {
 		t.bad++
 	}
 }
 
+// marginRatio returns the log-likelihood ratio of an answer for a share that is larger by the margin.
+func marginRatio(isBad bool, share, margin float64) float64 {
+	return ratio(isBad, share, min(share+margin, 1-(1-share)/2))
+}
+
 // ratio returns the log-likelihood ratio of an answer between two shares of bad answers.
 func ratio(isBad bool, usual, larger float64) float64 {
 	if isBad {
@@ -121,10 +139,10 @@
 // thresholdOf returns the threshold for which the probability that any of the tests of that many
 // routes decides wrongly is at most the rate (Wald 1945).
 func thresholdOf(rate float64, routes int) float64 {
-	return math.Log(2 * float64(max(1, routes)) / rate)
+	return math.Log(testsOfRoute * float64(max(1, routes)) / rate)
 }
 
-func (t *test) level() float64 { return max(t.small.total, t.large.total) }
+func (t *test) level() float64 { return max(t.small.total, t.large.total, t.failures.total) }
 
 // isBad reports whether the version is bad. Where it has several servers, that has to hold without the
 // worst of them as well.
@@ -132,7 +150,7 @@
 	if t.bad < minBad || t.level() < threshold {
 		return false
 	}
-	return single || max(t.small.without(), t.large.without()) >= threshold
+	return single || max(t.small.without(), t.large.without(), t.failures.without()) >= threshold
 }
 
 func (t *test) isGood(missRate float64) bool { return t.decline <= math.Log(missRate) }
--- a/pkg/canary/tally.go
+++ b/pkg/canary/tally.go
@@ -8,15 +8,13 @@
 )
 
 // ================================================================
-// What other servers do: histograms of durations by route and class, and the share of servers that are bad
+// What other servers do: histograms of durations by route and class
 // ================================================================
 
 const (
 	// decayTime is the time constant with which counts decay exponentially: the version is
 	// compared with what others do now.
-	decayTime = 4 * time.Second
-	// recentTime is the time constant of the recent answers.
-	recentTime = 700 * time.Millisecond
+	decayTime  = 4 * time.Second
 	decayEvery = 100 * time.Millisecond
 	// reportMaxAge is how long another box's report counts.
 	reportMaxAge = 2 * time.Second
@@ -138,29 +136,24 @@
 	return t.classes[c]
 }
 
-// serverCount counts the answers of one server, or of all.
-type serverCount struct {
-	answers, bad float32
-}
-
 // tallies is what other servers did at one box, or at all.
 type tallies struct {
 	at      time.Time
 	routes  map[string]*tally
-	servers map[uint32]*serverCount
-	// serverSum and badServers are the sums over boxes of the number of servers that answered
-	// and of their shares of bad answers.
-	serverSum  float64
-	badServers float64
-	// brokenSum is the sum over boxes of the number of servers with mostly bad answers.
-	brokenSum float64
-	// recent counts the answers of about the last second on all routes: the larger counts follow
-	// a sudden change too slowly.
-	recent serverCount
+	servers serverRecords
+	// elsewhere is the sum of what other boxes have reported of servers.
+	elsewhere Health
 }
 
 func newTallies(now time.Time) *tallies {
-	return &tallies{at: now, routes: map[string]*tally{}, servers: map[uint32]*serverCount{}}
+	return &tallies{at: now, routes: map[string]*tally{}, servers: serverRecords{servers: map[uint32]*serverRecord{}}}
+}
+
+// health returns how the servers fare at this box and at those whose counts were added.
+func (l *tallies) health() Health {
+	h := l.servers.health()
+	h.add(&l.elsewhere)
+	return h
 }
 
 func (l *tallies) route(name string) *tally {
@@ -183,7 +176,8 @@
 	h := t.class(c)
 	bucket := bucketOf(workTime(s))
 	late := isLate(s)
-	isBad := s.Failed || late || c&^remote != firstUse && h.total >= minTimed && bucket >= h.slowFrom(slowFactor)
+	isTimed := c&^remote != firstUse || t.isRareKnown()
+	isBad := s.Failed || late || isTimed && h.total >= minTimed && bucket >= h.slowFrom(slowFactor)
 	switch {
 	case s.Failed:
 		h.failed++
@@ -194,27 +188,7 @@
 		h.counts[bucket]++
 		h.total++
 	}
-	l.recent.add(isBad)
-	l.countServer(serverHash(s.Server), isBad)
-}
-
-func (l *tallies) countServer(server uint32, isBad bool) {
-	c := l.servers[server]
-	if c == nil {
-		if len(l.servers) >= maxServers {
-			return
-		}
-		c = &serverCount{}
-		l.servers[server] = c
-	}
-	c.add(isBad)
-}
-
-func (c *serverCount) add(isBad bool) {
-	c.answers++
-	if isBad {
-		c.bad++
-	}
+	l.servers.add(serverHash(s.Server), isBad, s.Failed)
 }
 
 // isLate reports whether the server did not answer in time although the request hardly waited.
@@ -238,22 +212,13 @@
 		return
 	}
 	l.at = now
-	quickly := float32(math.Exp(-passed.Seconds() / recentTime.Seconds()))
-	l.recent.answers *= quickly
-	l.recent.bad *= quickly
 	by := float32(math.Exp(-passed.Seconds() / decayTime.Seconds()))
 	for _, t := range l.routes {
 		for _, h := range t.classes {
 			h.decay(by)
 		}
 	}
-	for server, c := range l.servers {
-		c.answers *= by
-		c.bad *= by
-		if c.answers < 0.1 {
-			delete(l.servers, server)
-		}
-	}
+	l.servers.decay(passed, by)
 }
 
 func (h *histogram) decay(by float32) {
@@ -267,20 +232,6 @@
 	}
 }
 
-// sumServers returns the number of servers that answered this box, the sum of their shares of bad
-// answers, and the number of those with mostly bad answers.
-func (l *tallies) sumServers() (servers, bad, broken float64) {
-	servers, bad, broken = l.serverSum, l.badServers, l.brokenSum
-	for _, c := range l.servers {
-		servers++
-		bad += float64(c.bad / c.answers)
-		if c.answers > 1.2 && c.bad > c.answers/2 {
-			broken++
-		}
-	}
-	return servers, bad, broken
-}
-
 // merge adds the counts of another box.
 func (l *tallies) merge(o *tallies) {
 	for name, t := range o.routes {
@@ -294,12 +245,8 @@
 			}
 		}
 	}
-	servers, bad, broken := o.sumServers()
-	l.brokenSum += broken
-	l.serverSum += servers
-	l.badServers += bad
-	l.recent.answers += o.recent.answers
-	l.recent.bad += o.recent.bad
+	health := o.health()
+	l.elsewhere.add(&health)
 }
 
 func (h *histogram) merge(o *histogram) {
@@ -310,45 +257,45 @@
 	}
 }
 
-// currentShare returns the share of bad answers of other servers, each server counted alike, or of
-// their recent answers if that is larger. The first exceeds the share of all answers where bad servers
-// are avoided, as those of the version cannot be before enough is known of each.
-// Where some servers are broken, among as few as those of the version by chance more could be.
-func (l *tallies) currentShare(servers int) float64 {
-	share := 0.0
-	if l.serverSum >= minTimed {
-		broken := l.brokenSum / l.serverSum
-		share = l.badServers/l.serverSum + confidence*math.Sqrt(broken*(1-broken)/float64(max(1, servers)))
-	}
-	if l.recent.answers >= minTimed {
-		share = max(share, float64(l.recent.bad/l.recent.answers))
-	}
-	return share
-}
-
-// compare reports whether an answer of the version is bad, whether its time was compared, and the share of bad answers that others
-// may have. It reports false if there is nothing to compare with.
-func (t *tally) compare(a *answer, known bool, slowFactor float64, r *ratios) (isBad, isTimed bool, share float64, ok bool) {
-	failed, answers, knownAnswers, keyed := t.totals()
-	share = max(leastShare, upperShare(failed, answers))
-	h := t.counterpart(a, known, keyed > 0 && knownAnswers/keyed < rareKnown)
+// comparison is an answer of the version against what others do.
+type comparison struct {
+	// failedShare is the share of failures that others may have. comparable is false if nothing but
+	// failures can be compared.
+	failedShare float64
+	comparable  bool
+	// isBad is true if the answer is bad, isTimed if its time was compared, and share is the share of
+	// bad answers that others may have.
+	isBad, isTimed bool
+	share          float64
+}
+
+// compare compares an answer of the version.
+func (t *tally) compare(a *answer, known bool, slowFactor float64, r *ratios) comparison {
+	isRare := t.isRareKnown()
+	failed, answers := t.totals()
+	c := comparison{failedShare: max(leastShare, upperShare(failed, answers))}
+	h := t.counterpart(a, known, isRare)
 	switch {
 	case h == nil && a.late:
-		return true, false, max(share, lateShare), !a.remote && (!a.hasKey || known || t.isFirstUseInTime())
+		c.isBad, c.share = true, max(c.failedShare, lateShare)
+		c.comparable = !a.remote && (!a.hasKey || known || t.isFirstUseInTime())
+		return c
 	case h == nil:
-		return a.failed, false, share, a.failed || answers >= minTimed
+		c.isBad, c.share, c.comparable = a.failed, c.failedShare, a.failed || answers >= minTimed
+		return c
 	}
 	limit := h.slowFrom(slowFactor)
 	if a.remote {
 		limit = h.limit(t.classes[classOf(a.hasKey, known, false)], slowFactor)
 	}
 	total := float64(h.total)
-	share = max(leastShare, upperShare(h.above(limit)+total*failed/max(1, answers), total))
-	if a.failed {
-		return true, true, share, true
+	c.comparable, c.isTimed = true, true
+	c.share = max(leastShare, upperShare(h.above(limit)+total*failed/max(1, answers), total))
+	c.isBad = a.failed || a.late || int(a.bucket) >= limit
+	if !a.failed {
+		r.add(int(a.bucket) - h.median())
 	}
-	r.add(int(a.bucket) - h.median())
-	return a.late || int(a.bucket) >= limit, true, share, true
+	return c
 }
 
 // isFirstUseInTime reports whether keys that are new to a box are answered in time by others, so far as
@@ -358,24 +305,29 @@
 	return h != nil && h.total >= minTimed && upperShare(float64(h.counts[buckets-1]), float64(h.total)) < rareLate
 }
 
-// totals returns the failures and answers on the route, and of these the ones with known keys and
-// with any.
-func (t *tally) totals() (failed, answers, known, keyed float64) {
-	for c, h := range t.classes {
-		if h == nil {
-			continue
+// totals returns the failures and all answers on the route.
+func (t *tally) totals() (failed, answers float64) {
+	for _, h := range t.classes {
+		if h != nil {
+			failed += float64(h.failed)
+			answers += float64(h.failed + h.total)
+		}
+	}
+	return failed, answers
+}
+
+// isRareKnown reports whether keys hardly ever recur on the route.
+func (t *tally) isRareKnown() bool {
+	known, first := float32(0), float32(0)
+	for _, distance := range []class{0, remote} {
+		if h := t.classes[knownKey|distance]; h != nil {
+			known += h.total
 		}
-		failed += float64(h.failed)
-		answers += float64(h.failed + h.total)
-		switch class(c) &^ remote {
-		case knownKey:
-			known += float64(h.total)
-			keyed += float64(h.total)
-		case firstUse:
-			keyed += float64(h.total)
+		if h := t.classes[firstUse|distance]; h != nil {
+			first += h.total
 		}
 	}
-	return failed, answers, known, keyed
+	return first > 0 && known < rareKnown*(known+first)
 }
 
 // counterpart returns the histogram of the requests that an answer can be compared with, or nil. A
--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/rollout"
 )
 
@@ -56,12 +57,18 @@
 	})
 }
 
+// canaryParameters returns how versions are judged.
+func canaryParameters(p *policy.Policy) canary.Parameters {
+	return canary.Parameters{FalseRate: p.CanaryFalseRate, MissRate: p.CanaryMissRate, Margin: p.CanaryMargin, SlowFactor: p.CanarySlowFactor}
+}
+
 // tickRollouts applies the versions' shares, sends the counts and writes states to the store.
 func (n *Node) tickRollouts() {
 	rules := n.Rollouts.Rules()
 	if len(rules) == 0 {
 		return
 	}
+	n.Rollouts.SetParameters(canaryParameters(n.policy.Load()))
 	changes := n.Rollouts.Changes()
 	n.Set.SetVersions(n.Rollouts.Rules())
 	sendMessages(n, rollout.Wire, "rollouts.sent", n.storePollers(), n.Rollouts.Reports(), func(*rollout.Report) int { return 1 })
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -113,6 +113,15 @@
 	QuarantineAfter int           `yaml:"quarantine_after" unit:"servers" least:"2" most:"8"`
 	QuarantineHold  time.Duration `yaml:"quarantine_hold" unit:"time" least:"1s" most:"24h"`
 
+	// CanaryFalseRate is the probability with which a new version that is as good as the other
+	// servers is found bad, CanaryMissRate the one with which a version that is worse by
+	// CanaryMargin is called good. CanarySlowFactor is how many times longer than a typical
+	// answer of others an answer takes to count as bad.
+	CanaryFalseRate  float64 `yaml:"canary_false_rate" unit:"of good versions" least:"0.000001" most:"0.2"`
+	CanaryMissRate   float64 `yaml:"canary_miss_rate" unit:"of bad versions" least:"0.000001" most:"0.2"`
+	CanaryMargin     float64 `yaml:"canary_margin" unit:"of a version's answers" least:"0.01" most:"0.5"`
+	CanarySlowFactor float64 `yaml:"canary_slow_factor" unit:"times the typical time" least:"1.2" most:"100"`
+
 	// LogAnsweredEvery is the sampling interval of log lines: of requests that were answered
 	// at the first attempt, one in so many is logged.
 	LogAnsweredEvery int `yaml:"log_answered_every" unit:"requests" least:"1" most:"1000000"`
@@ -160,6 +169,10 @@
 		ReturnRoom:       10 * time.Millisecond,
 		QuarantineAfter:  3,
 		QuarantineHold:   10 * time.Minute,
+		CanaryFalseRate:  0.001,
+		CanaryMissRate:   0.02,
+		CanaryMargin:     0.08,
+		CanarySlowFactor: 2,
 		LogAnsweredEvery: 32,
 		WatchersPerZone:  1,
 	}
