--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -18,6 +18,7 @@
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/rollout"
 )
 
@@ -86,6 +87,11 @@
 	})
 }
 
+// canaryParameters returns how versions are judged.
+func canaryParameters(p *policy.Policy) canary.Parameters {
+	return canary.Parameters{FalseRate: p.CanaryFalseRate, MissRate: p.CanaryMissRate, Margin: p.CanaryMargin, SlowFactor: p.CanarySlowFactor}
+}
+
 // ----------------------------------------------------------------
 // Who judges
 // ----------------------------------------------------------------
@@ -168,6 +174,7 @@
 	if !n.Rollouts.InProgress() {
 		return
 	}
+	n.Rollouts.SetParameters(canaryParameters(n.policy.Load()))
 	j := n.rolloutJudges()
 	turn, isJudge := j.place()
 	events := n.Rollouts.Tick(rollout.View{IsJudge: isJudge, MayStep: j.mayStep, Room: n.Set.VersionRoom})
