Backend: a request that no server of its region may take goes to the new version elsewhere

Cause: where the version had no server in the key's home region, the candidates of the other versions replaced its servers elsewhere even if there were none, and the request was refused with servers free (TestVersionElsewhereServesIfOthersCannot failed with no_server).

--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -121,7 +121,7 @@
 }
 
 // candidatesOfVersion returns the candidates of the version that the request goes to, or of the
-// other versions if that has none left where the key has its home.
+// other versions if that has none left where the key has its home and these have any.
 func (s *Set) candidatesOfVersion(g *group, r *Request, now time.Time) (near, far []candidate) {
 	stays := s.stays(g, r, now)
 	version := s.versionOf(g, r, stays, now)
@@ -129,8 +129,14 @@
 	if len(near) > 0 || len(far) > 0 && !version.mayChange() || s.skippedBackoffs.count > 0 {
 		return near, far
 	}
-	if other, ok := version.other(); ok {
-		return s.candidates(g, r, other, stays, now)
+	other, ok := version.other()
+	if !ok {
+		return near, far
+	}
+	hasFar := len(far) > 0
+	near, far = s.candidates(g, r, other, stays, now)
+	if len(near)+len(far) == 0 && hasFar {
+		return s.candidates(g, r, version, stays, now)
 	}
 	return near, far
 }
@@ -142,9 +148,9 @@
 }
 
 // candidates returns the servers of the region in which the key has its home (near), which is this
-// one if stays is true, and all others (far). In each list the servers that the key prefers come first, in the key's order.
-// Servers that have asked for a backoff are left out and counted in s.skippedBackoffs. The lists
-// are valid until the next call.
+// one if stays is true, and all others (far). In each list the servers that the key prefers come
+// first, in the key's order. Servers that have asked for a backoff are left out and counted in
+// s.skippedBackoffs. The lists are valid until the next call.
 func (s *Set) candidates(g *group, r *Request, version versionChoice, stays bool, now time.Time) (near, far []candidate) {
 	g.compareSpeeds(&s.Policy, now)
 	s.skippedBackoffs = skippedBackoffs{}
--- a/pkg/backend/version_test.go
+++ b/pkg/backend/version_test.go
@@ -123,3 +123,20 @@
 	s.SetEvacuated([]string{"west-a"})
 	is.Equal(len(s.VersionRoom("shop", "v2")), 1)
 }
+
+// TestVersionElsewhereServesIfOthersCannot checks that a request whose key has its home in a region where
+// no server of any version may take it now goes to servers of the version in another region.
+func TestVersionElsewhereServesIfOthersCannot(t *testing.T) {
+	s, _ := newTestSet(1)
+	list := append(servers("east-a", 2, 4), versionServers("west-a", 10)...)
+	for i := range 2 {
+		list[i].ColdFor = time.Minute
+	}
+	s.Replace(list, true)
+	s.SetVersions(map[string]rollout.Rule{"shop": {Version: "v2", Share: 0.4}})
+	for key := range uint64(400) {
+		lease, err := choose(s, mix(key))
+		is.New(t).NoErr(err)
+		lease.Done(Answered, nil)
+	}
+}
