Roll-outs: malformed statuses, reports and durations take nothing back and count for nothing

A status that could not be read, or an object passed on by a box of an earlier build (without the time at which it was made), made the order begin anew, which forgot a verdict and gave a bad version its share again. Counts that are not numbers passed as enough answers. A duration of 1e300 s overflowed. A report with the loads of many regions and a long box name exceeded a datagram: the test had neither loads nor histograms.

--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -261,7 +261,9 @@
 		n.noteUnreadDatagram(from, err)
 		return
 	}
-	n.Rollouts.AddReport(r)
+	if err := n.Rollouts.AddReport(r); err != nil {
+		n.noteUnreadDatagram(from, err)
+	}
 }
 
 // ----------------------------------------------------------------
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -1,7 +1,11 @@
 package rollout
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/canary"
@@ -18,6 +22,10 @@
 	// requests would have brought.
 	enoughAnswers = 30
 	expectedShare = 1.0 / 3
+	// maxLoadBytes is the number of bytes of a report that regions take, loadBytes what one adds besides its
+	// name. With what canary.Report may take, a report fits into a datagram of 1,200 bytes.
+	maxLoadBytes = 80
+	loadBytes    = 6
 )
 
 // Count counts recent requests to a service that is being moved.
@@ -71,11 +79,10 @@
 // total returns the sum over all boxes.
 func (e *evidence) total(now time.Time) Count {
 	e.decay(now)
+	maps.DeleteFunc(e.reports, func(_ string, r countReport) bool { return now.Sub(r.at) > reportMaxAge })
 	sum := e.own
 	for _, r := range e.reports {
-		if now.Sub(r.at) <= reportMaxAge {
-			sum.add(r.Count)
-		}
+		sum.add(r.Count)
 	}
 	return sum
 }
@@ -87,9 +94,7 @@
 		r := &regions[i]
 		r.KnowsLoad = count.Requests >= enoughAnswers
 		for _, report := range e.reports {
-			if now.Sub(report.at) <= reportMaxAge {
-				r.Load += float64(report.load[r.Region])
-			}
+			r.Load += float64(report.load[r.Region])
 		}
 	}
 }
@@ -151,26 +156,51 @@
 	return list
 }
 
-// loadOf returns the requests at servers by region.
+// loadOf returns the requests at servers by region, of those with the most as far as there is room in
+// a report.
 func loadOf(regions []RegionRoom) map[string]float32 {
-	load := map[string]float32{}
-	for i := range regions {
-		if r := &regions[i]; r.Load > 0 {
-			load[r.Region] = float32(r.Load)
+	byLoad := slices.SortedFunc(slices.Values(regions), func(a, b RegionRoom) int { return cmp.Compare(b.Load, a.Load) })
+	load, room := map[string]float32{}, maxLoadBytes
+	for i := range byLoad {
+		r := &byLoad[i]
+		if room -= len(r.Region) + loadBytes; r.Load <= 0 || room < 0 {
+			break
 		}
+		load[r.Region] = float32(r.Load)
 	}
 	return load
 }
 
-// AddReport stores another box's report, unless it is about another order than the current one.
-func (t *Table) AddReport(r *Report) {
+// isValid reports whether all counts are such as a box can have counted.
+func (r *Report) isValid() bool {
+	counts := slices.Collect(maps.Values(r.Load))
+	h := &r.Canary.Health
+	counts = append(counts, r.Count.Requests, r.Count.Answers, h.Servers, h.BadShares, h.Broken, h.Answers, h.Bad, h.Failed)
+	return !slices.ContainsFunc(counts, func(v float32) bool { return !(v >= 0 && v <= math.MaxFloat32) })
+}
+
+// MalformedReportError reports that a box has reported counts that cannot be ones.
+type MalformedReportError struct{ Box, Service string }
+
+// Error implements error.
+func (e *MalformedReportError) Error() string {
+	return fmt.Sprintf("rollout: the report of box %q for service %q has counts that are negative or not numbers", e.Box, e.Service)
+}
+
+// AddReport stores another box's report, unless it is about another order than the current one. The
+// error is a *MalformedReportError.
+func (t *Table) AddReport(r *Report) error {
+	if !r.isValid() {
+		return &MalformedReportError{Box: r.Box, Service: r.Service}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.orders[r.Service]
 	if a == nil || a.Given != r.Given || r.Box == t.Box {
-		return
+		return nil
 	}
 	a.judge.AddReport(r.Box, r.Canary, t.Now())
 	a.evidence.reports[r.Box] = countReport{Count: r.Count, load: r.Load, at: t.Now()}
 	a.evidence.answered = a.evidence.answered || r.Count.Answers > 0
+	return nil
 }
--- a/pkg/rollout/progress.go
+++ b/pkg/rollout/progress.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/packet"
@@ -88,7 +89,11 @@
 	return news
 }
 
+// MaxRanMS bounds the time for which an order has been running in messages and in the store, in
+// milliseconds.
+const MaxRanMS = int64(math.MaxInt64 / 2 / time.Millisecond)
+
 func (d *Told) isValid() bool {
 	isFinal := d.Final == "" || d.Final == Complete || d.Final == RolledBack
-	return isFinal && d.Step >= 0 && d.Step <= lastStep && d.RanMS >= 0
+	return isFinal && d.Step >= 0 && d.Step <= lastStep && d.RanMS >= 0 && d.RanMS <= MaxRanMS
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -42,12 +42,12 @@
 	Version string
 	// Duration is the time, from when the order is given, within which it is to be complete.
 	Duration time.Duration
-	// Made is when the order's object was made, as the store tells it.
+	// Made is when the order's object was made, as the store tells it, or empty if it is not known.
 	Made string
 	// Revision is the revision of the object's last change, used for a conditional update.
 	Revision uint64
 	// Given is the revision of the object when the order was given. It tells an order from an
-	// earlier one of the same service and version.
+	// earlier one of the same service and version. It is 0 if the status cannot be read.
 	Given uint64
 
 	// State is the state in the store; it is empty if none has been written for this order.
@@ -62,7 +62,8 @@
 
 // isSame reports whether the other object asks for the same.
 func (o *Order) isSame(other *Order) bool {
-	return o.Version == other.Version && o.Duration == other.Duration && o.Made == other.Made
+	isMadeAlike := o.Made == other.Made || o.Made == "" || other.Made == ""
+	return o.Version == other.Version && o.Duration == other.Duration && isMadeAlike
 }
 
 // withoutStatus returns the order as it is when it has just been given.
@@ -112,6 +113,9 @@
 
 // newActive returns an order that this box has just learned of.
 func newActive(o Order, now time.Time) *active {
+	if o.Given == 0 {
+		o.Given = o.Revision
+	}
 	a := &active{at: now, firstSeen: now, knowsTime: o.State == "", steppedAt: now, judge: canary.NewJudge(now), evidence: newEvidence(now)}
 	a.accept(o, now)
 	return a
@@ -198,10 +202,7 @@
 		known = newActive(o, now)
 		t.orders[o.Service] = known
 	} else {
-		if o.State == "" || o.Given == 0 {
-			o.Given = known.Given
-		}
-		known.accept(o, now)
+		known.accept(o.after(&known.Order), now)
 	}
 	known.replaced = replaced
 }
@@ -209,10 +210,25 @@
 // continues reports whether the object, which asks for the same, is still this order and not one
 // that was given again.
 func (a *active) continues(o *Order) bool {
-	if a.State == "" {
+	if a.State == "" || o.Given == 0 {
 		return true
 	}
-	return o.State != "" && (o.Given == a.Given || o.Given == 0)
+	return o.State != "" && o.Given == a.Given
+}
+
+// after returns the order with what its object does not tell taken from the last state of the same
+// order.
+func (o Order) after(last *Order) Order {
+	if o.State == "" && o.Given == 0 {
+		o.ByHand, o.Begun = last.ByHand, last.Begun
+	}
+	if o.State == "" || o.Given == 0 {
+		o.Given = last.Given
+	}
+	if o.Made == "" {
+		o.Made = last.Made
+	}
+	return o
 }
 
 // Remove deletes the order for a service.
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -179,7 +180,9 @@
 		}
 		b.Receive(&m)
 		for k := range reports {
-			b.AddReport(&reports[k])
+			if err := b.AddReport(&reports[k]); err != nil {
+				panic(err)
+			}
 		}
 	}
 }
@@ -445,6 +448,36 @@
 	is.Equal(len(f.boxes[0].Rules()), 0)
 }
 
+// TestUnreadStatusKeepsTheOrder checks that a status that cannot be read, or an object from a box
+// that does not tell when it was made, takes back neither a step nor a verdict.
+func TestUnreadStatusKeepsTheOrder(t *testing.T) {
+	for name, spoil := range map[string]func(o *Order){
+		"status":    func(o *Order) { *o = o.withoutStatus(); o.Given = 0 },
+		"no moment": func(o *Order) { o.Made = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(1)
+			f.store.give("v2", orderTime)
+			f.store.spec.Made = "17"
+			f.run(15 * time.Second)
+			b := f.boxes[0]
+			before := b.Rules()["shop"].Share
+			o := f.store.read()
+			o.Revision++
+			spoil(&o)
+			b.Set(o)
+			is.Equal(b.Rules()["shop"].Share, before)
+			note(b, "v2", 30, 30)
+			f.tick()
+			is.True(b.Rules()["shop"].Excluded)
+			o.Revision += 2
+			b.Set(o)
+			is.True(b.Rules()["shop"].Excluded)
+		})
+	}
+}
+
 // TestOlderObjectIsIgnored: a list that is seconds old takes no order back.
 func TestOlderObjectIsIgnored(t *testing.T) {
 	is := is.New(t)
@@ -534,7 +567,7 @@
 	given := f.store.read().Given
 	for _, told := range []Told{
 		{Service: "shop", Given: given + 1, Bad: true}, {Service: "desk", Given: given, Bad: true}, {Service: "shop", Given: given, Step: 99, Bad: true},
-		{Service: "shop", Given: given, Step: -1, Bad: true}, {Service: "shop", Given: given, RanMS: -1, Bad: true}, {Service: "shop", Given: given, Final: "odd"},
+		{Service: "shop", Given: given, Step: -1, Bad: true}, {Service: "shop", Given: given, RanMS: -1, Bad: true}, {Service: "shop", Given: given, RanMS: math.MaxInt64, Bad: true}, {Service: "shop", Given: given, Final: "odd"},
 	} {
 		datagram, err := ProgressWire.Encode(&Message{Orders: []Told{told}})
 		is.NoErr(err)
@@ -554,11 +587,20 @@
 	datagram, err := ProgressWire.Encode(&m)
 	is.NoErr(err)
 	is.True(len(datagram) < 60)
-	for i := range 32 {
-		f.boxes[0].Observe("shop", "v2", canary.Sample{Route: fmt.Sprintf("route-%010d", i), Took: time.Second})
+	f.boxes[0].Box = "box-" + strings.Repeat("x", 36)
+	f.room = nil
+	for i := range 24 {
+		f.room = append(f.room, RegionRoom{Region: fmt.Sprintf("region-%020d", i), Load: float64(i)})
+	}
+	for i := range 3200 {
+		version := []string{"v1", "v2"}[i%2]
+		f.boxes[0].Observe("shop", version, canary.Sample{Route: fmt.Sprintf("route-%010d", i%32), Took: time.Duration(i) * time.Millisecond})
 	}
 	reports := f.boxes[0].Reports(f.roomOf)
 	datagram, err = Wire.Encode(&reports[0])
 	is.NoErr(err)
-	is.True(len(datagram) <= 1200)
+	if len(datagram) > 1200 {
+		t.Errorf("a report has %d bytes", len(datagram))
+	}
+	is.Equal(reports[0].Load[f.room[23].Region], float32(23)) // the largest ones are kept
 }
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -54,7 +56,7 @@
 					is.NoErr(err)
 					back, err := Wire.Decode(datagram)
 					is.NoErr(err)
-					table.AddReport(back)
+					is.NoErr(table.AddReport(back))
 				}
 			}
 			is.Equal(wantedState(f, table) == RolledBack, c.result)
@@ -108,3 +110,24 @@
 	table.Remove("shop")
 	is.Equal(len(table.Rules()), 0)
 }
+
+// TestMalformedReportsAreIgnored checks that no count that cannot be one is taken for evidence.
+func TestMalformedReportsAreIgnored(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	for _, r := range []Report{
+		{Count: Count{Requests: nan}}, {Count: Count{Answers: nan}}, {Count: Count{Answers: -1}}, {Count: Count{Requests: inf}},
+		{Load: map[string]float32{"east": nan}}, {Load: map[string]float32{"east": -1}},
+		{Canary: canary.Report{Health: canary.Health{Servers: nan}}}, {Canary: canary.Report{Health: canary.Health{Failed: -1}}},
+	} {
+		is := is.New(t)
+		f := ordered(1)
+		r.Box, r.Service, r.Given = "box-9", "shop", f.store.read().Given
+		datagram, err := Wire.Encode(&r)
+		is.NoErr(err)
+		back, err := Wire.Decode(datagram)
+		is.NoErr(err)
+		var malformed *MalformedReportError
+		is.True(errors.As(f.boxes[0].AddReport(back), &malformed))
+		is.Equal(len(f.boxes[0].orders["shop"].evidence.reports), 0)
+	}
+}
