--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -115,10 +115,11 @@
 	foundAt time.Time
 }
 
-// received is what another box has reported of other servers, and when.
+// received is what another box has reported, and when. It stays encoded, since a report is much
+// smaller than the histograms in it.
 type received struct {
-	tallies *tallies
-	at      time.Time
+	report Report
+	at     time.Time
 }
 
 // NewJudge returns a judge without samples.
@@ -155,11 +156,11 @@
 
 // AddReport adds another box's report. What it says of other servers replaces the box's last report.
 func (j *Judge) AddReport(box string, r Report, now time.Time) {
-	decoded, answers := r.decode(now)
-	j.others[box] = received{tallies: decoded, at: now}
-	for _, a := range answers {
+	for _, a := range r.answers(now) {
 		j.hold(a)
 	}
+	r.Answers = nil
+	j.others[box] = received{report: r, at: now}
 }
 
 // Verdict returns whether the version is bad, on all routes together or on a single one.
@@ -187,7 +188,7 @@
 			delete(j.others, box)
 			continue
 		}
-		sum.merge(r.tallies)
+		r.report.addTo(sum)
 	}
 	return sum
 }
--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -93,3 +94,31 @@
 	j.Observe(&Sample{Route: "read", Server: "new", IsNew: true, Key: 1 << 20, Took: 500 * time.Millisecond}, now)
 	is.Equal(j.Verdict(now).BadShare, 0.0)
 }
+
+// TestReportsAreHeldAsTheyCome checks that a judge of 3,000 boxes holds no more for each than twice a
+// report's size.
+func TestReportsAreHeldAsTheyCome(t *testing.T) {
+	const boxes = 3000
+	now := time.Unix(1000, 0)
+	source, j := NewJudge(now), NewJudge(now)
+	for i := range 2000 {
+		source.Observe(&Sample{Route: fmt.Sprint("read-", i%6), Key: uint64(i), Known: i%3 != 0, Remote: i%4 == 0, Took: time.Duration(i%300) * time.Millisecond}, now)
+	}
+	reports := make([]Report, boxes)
+	for i := range reports {
+		reports[i] = source.Report(now)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range reports {
+		j.AddReport(fmt.Sprint("box-", i), reports[i], now)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if held := int64(after.HeapAlloc) - int64(before.HeapAlloc); held > 2*maxReport*boxes {
+		t.Errorf("%d bytes for %d boxes", held, boxes)
+	}
+	runtime.KeepAlive(reports)
+	runtime.KeepAlive(j)
+}
--- a/pkg/canary/report.go
+++ b/pkg/canary/report.go
@@ -130,22 +130,24 @@
 	return append(append(b, byte(count)), pairs...)
 }
 
-// decode returns the contents of a report. What is malformed is left out.
-func (r *Report) decode(now time.Time) (*tallies, []answer) {
-	l := newTallies(now)
-	l.elsewhere = r.Health
+// addTo adds what the report says of other servers. What is malformed is left out.
+func (r *Report) addTo(sum *tallies) {
+	sum.elsewhere.add(&r.Health)
 	for i := range r.Comparisons {
-		if t := l.route(r.Comparisons[i].Route); t != nil {
-			t.decode(r.Comparisons[i].Others)
+		if t := sum.route(r.Comparisons[i].Route); t != nil {
+			t.addEncoded(r.Comparisons[i].Others)
 		}
 	}
-	var answers []answer
+}
+
+// answers returns the version's answers in the report. What is malformed is left out.
+func (r *Report) answers(now time.Time) (list []answer) {
 	for b := r.Answers; len(b) >= answerBytes; b = b[answerBytes:] {
 		if int(b[0]) < len(r.Comparisons) {
-			answers = append(answers, decodeAnswer(b, r.Comparisons[b[0]].Route, now))
+			list = append(list, decodeAnswer(b, r.Comparisons[b[0]].Route, now))
 		}
 	}
-	return l, answers
+	return list
 }
 
 func decodeAnswer(b []byte, route string, now time.Time) answer {
@@ -158,7 +160,8 @@
 	}
 }
 
-func (t *tally) decode(b []byte) {
+// addEncoded adds histograms; see Comparison.
+func (t *tally) addEncoded(b []byte) {
 	for len(b) >= 3 {
 		c := class(b[0])
 		failed, n := binary.Uvarint(b[1:])
@@ -168,7 +171,7 @@
 		pairs := int(b[1+n])
 		b = b[2+n:]
 		h := t.class(c)
-		h.failed = float32(failed) / countScale
+		h.failed += float32(failed) / countScale
 		for range pairs {
 			if len(b) < 2 || b[0] >= buckets {
 				return
