--- a/pkg/node/node_rollouts.go
+++ b/pkg/node/node_rollouts.go
@@ -79,8 +79,11 @@
 	n.Set.SetVersions(n.Rollouts.Rules())
 }
 
-// noteAttempt counts the outcome of a request at a server.
+// noteAttempt counts the outcome of a request at a server of a service that is being moved.
 func (n *Node) noteAttempt(route string, lease *backend.Lease, a ingress.Attempt) {
+	if !n.Settings.Platform.Rollouts || !n.Rollouts.IsMoving(lease.Service) {
+		return
+	}
 	n.Rollouts.Observe(lease.Service, lease.Version, canary.Sample{
 		Route: route, Server: lease.ID, Servers: n.Set.VersionServers(lease.Service), Key: a.Key, Known: lease.KeyKnown, Cold: lease.Cold,
 		Remote: lease.Remote, Fill: (lease.InFlight + 1) / float64(max(1, lease.Slots)), Failed: a.Failed, Late: a.TimedOut, Took: a.Took,
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -250,6 +250,14 @@
 	return false
 }
 
+// IsMoving reports whether the service has an order that has not ended.
+func (t *Table) IsMoving(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.orders[service]
+	return a != nil && a.progress.Final == ""
+}
+
 // Rules returns the current rules by service.
 func (t *Table) Rules() map[string]Rule {
 	t.mu.Lock()
