--- a/pkg/canary/answer.go
+++ b/pkg/canary/answer.go
@@ -1,7 +1,6 @@
 package canary
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,7 +32,7 @@
 }
 
 func sortByEnd(list []answer) {
-	slices.SortStableFunc(list, func(a, b answer) int { return cmp.Compare(a.end.UnixNano(), b.end.UnixNano()) })
+	slices.SortStableFunc(list, func(a, b answer) int { return a.end.Compare(b.end) })
 }
 
 // reservoir is a uniform sample of the answers since the last report: a box cannot report more.
