--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -578,8 +578,22 @@
 	is.Equal(f.boxes[0].Rules()["shop"].Share, steps[0].share)
 }
 
-// TestMessagesAreSmall: the progress of an order is well below a hundred bytes, and a report with
-// the maximum number of routes fits into a datagram.
+// TestReportsFitAPacket: a report with the maximum number of routes fits into a datagram.
+func TestReportsFitAPacket(t *testing.T) {
+	is := is.New(t)
+	f := ordered(1)
+	for i := range 32 {
+		f.boxes[0].Observe("shop", "v2", canary.Sample{Route: fmt.Sprintf("route-%010d", i), Took: time.Second})
+	}
+	reports := f.boxes[0].Reports(f.roomOf)
+	is.Equal(len(reports[0].Canary.Comparisons), 16)
+	datagram, err := Wire.Encode(&reports[0])
+	is.NoErr(err)
+	is.True(len(datagram) <= 1200)
+}
+
+// TestMessagesAreSmall: the progress of an order is well below a hundred bytes, and a report of a box
+// with a long name, many routes and many regions fits into a datagram.
 func TestMessagesAreSmall(t *testing.T) {
 	is := is.New(t)
 	f := ordered(1)
