--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/hashing"
+	"github.com/stoneworks/stoneworks/pkg/packet"
 )
 
 // TestDrawGivesTheShare: each route gives the version its share of requests, whether it has many keys,
@@ -93,3 +94,21 @@
 	j.Observe(&Sample{Route: "read", Server: "new", IsNew: true, Key: 1 << 20, Took: 500 * time.Millisecond}, now)
 	is.Equal(j.Verdict(now).BadShare, 0.0)
 }
+
+// TestReportsAreBounded: a report fits into a datagram of 1,200 bytes however many routes, classes and answers
+// a box has seen.
+func TestReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j := NewJudge(now)
+	for i := range 20000 {
+		j.Observe(&Sample{
+			Route: fmt.Sprintf("a-route-with-quite-a-long-name-%d", i%40), Server: fmt.Sprint(i % 300), IsNew: i%3 == 0, Key: uint64(i%7) << 20,
+			Known: i%2 == 0, Remote: i%5 == 0, Fill: 0.5, Took: time.Duration(i%997) * time.Millisecond,
+		}, now)
+	}
+	r := j.Report(now)
+	datagram, err := (packet.Codec[Report]{}).Encode(&r)
+	is.NoErr(err)
+	is.True(len(datagram) <= 1200-100) // The rest is for the names of the box, the service and the version.
+}
--- a/pkg/canary/report.go
+++ b/pkg/canary/report.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -8,10 +9,13 @@
 )
 
 const (
-	// maxReported is the number of the version's answers in a report, and maxHistograms the
-	// number of bytes of its histograms, so that it fits into a datagram of 1,200 bytes.
-	maxReported   = 30
-	maxHistograms = 560
+	// maxReport is the number of bytes of routes, answers and histograms in a report: with what is
+	// round them it fits into a datagram of 1,200 bytes.
+	maxReport = 1000
+	// routeBytes is what a route adds besides its name.
+	routeBytes = 6
+	// maxReported is the number of the version's answers in a report.
+	maxReported = 30
 	// answerBytes is the length of an answer in a report.
 	answerBytes = 15
 	// countScale is the resolution of counts in a report.
@@ -28,8 +32,7 @@
 	Others []byte
 }
 
-// Report is what a box has seen. It is at most about 1,100 bytes long if the names of routes are
-// short.
+// Report is what a box has seen.
 type Report struct {
 	Comparisons []Comparison
 	// Answers holds answers of the version of answerBytes each; a route is its index above.
@@ -47,29 +50,44 @@
 	flagLate
 )
 
+// encoder builds a report of bounded length.
+type encoder struct {
+	Report
+	index map[string]int
+	// room is the number of bytes that are left.
+	room int
+}
+
 func encodeReport(l *tallies, answers []answer, now time.Time) Report {
-	r := Report{Health: l.health()}
-	index := map[string]int{}
+	e := encoder{Report: Report{Health: l.health()}, index: map[string]int{}, room: maxReport}
 	for i := range answers {
-		r.encodeAnswer(&answers[i], index, now)
+		e.addAnswer(&answers[i], now)
 	}
-	r.encodeHistograms(l, index)
-	return r
+	e.addHistograms(l)
+	return e.Report
 }
 
-// routeIndex returns the index of a route in the report, which is added to it.
-func (r *Report) routeIndex(index map[string]int, route string) (i int, ok bool) {
-	i, ok = index[route]
-	if !ok && len(index) < maxRoutes {
-		i, ok = len(r.Comparisons), true
-		index[route] = i
-		r.Comparisons = append(r.Comparisons, Comparison{Route: route})
+// take reports whether there is room for that many bytes on the route, which is added if needed, and
+// returns its index.
+func (e *encoder) take(route string, length int) (i int, ok bool) {
+	i, ok = e.index[route]
+	if !ok {
+		i = len(e.Comparisons)
+		length += len(route) + routeBytes
+	}
+	if length > e.room || i >= maxRoutes {
+		return 0, false
 	}
-	return i, ok
+	if !ok {
+		e.index[route] = i
+		e.Comparisons = append(e.Comparisons, Comparison{Route: route})
+	}
+	e.room -= length
+	return i, true
 }
 
-func (r *Report) encodeAnswer(a *answer, index map[string]int, now time.Time) {
-	route, ok := r.routeIndex(index, a.route)
+func (e *encoder) addAnswer(a *answer, now time.Time) {
+	route, ok := e.take(a.route, answerBytes)
 	if !ok {
 		return
 	}
@@ -79,17 +97,17 @@
 			flags |= 1 << i
 		}
 	}
-	b := append(r.Answers, byte(route), flags, a.bucket)
+	b := append(e.Answers, byte(route), flags, a.bucket)
 	b = binary.BigEndian.AppendUint32(b, a.server)
 	b = binary.BigEndian.AppendUint32(b, a.key)
 	b = binary.BigEndian.AppendUint16(b, ticks(now.Sub(a.end)))
-	r.Answers = binary.BigEndian.AppendUint16(b, ticks(a.took))
+	e.Answers = binary.BigEndian.AppendUint16(b, ticks(a.took))
 }
 
 func ticks(d time.Duration) uint16 { return uint16(min(math.MaxUint16, max(0, d/tick))) }
 
-// encodeHistograms adds the histograms with the most answers for which there is room.
-func (r *Report) encodeHistograms(l *tallies, index map[string]int) {
+// addHistograms adds the histograms with the most answers for which there is room.
+func (e *encoder) addHistograms(l *tallies) {
 	type entry struct {
 		route string
 		class class
@@ -103,16 +121,11 @@
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b entry) int { return int(b.total+b.failed) - int(a.total+a.failed) })
-	room := maxHistograms
-	for _, e := range list {
-		encoded := e.encode(e.class)
-		if len(encoded) > room {
-			continue
-		}
-		if i, ok := r.routeIndex(index, e.route); ok {
-			r.Comparisons[i].Others = append(r.Comparisons[i].Others, encoded...)
-			room -= len(encoded) + len(e.route)
+	slices.SortFunc(list, func(a, b entry) int { return cmp.Compare(b.total+b.failed, a.total+a.failed) })
+	for _, one := range list {
+		encoded := one.encode(one.class)
+		if i, ok := e.take(one.route, len(encoded)); ok {
+			e.Comparisons[i].Others = append(e.Comparisons[i].Others, encoded...)
 		}
 	}
 }
