--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -215,9 +215,7 @@
 	c := route.compare(a, known, j.Parameters.SlowFactor, &j.ratios)
 	c.failedShare = max(c.failedShare, health.share(len(j.servers), false))
 	c.share = max(c.share, health.share(len(j.servers), c.isTimed))
-	if c.comparable {
-		j.answers++
-	}
+	j.answers++
 	for _, name := range []string{a.route, all} {
 		t := j.tests[name]
 		if t == nil {
--- a/pkg/canary/sequential.go
+++ b/pkg/canary/sequential.go
@@ -11,7 +11,7 @@
 	// minBad is the least number of bad answers for which a version is found bad.
 	minBad = 6
 	// testsOfRoute is the number of sums for each route.
-	testsOfRoute = 3
+	testsOfRoute = 4
 	// largeGap is the part of the gap between the others' share and 1 that a version closes
 	// whose answers are mostly bad.
 	largeGap = 0.75
@@ -72,6 +72,8 @@
 	large sum
 	// failures is as small, for failures alone: others have fewer of these.
 	failures sum
+	// lates is as large, for answers of which only lateness is compared.
+	lates sum
 	// decline is the evidence that the version is not worse by the margin, from answers whose time
 	// was compared; it is at most 0.
 	decline float64
@@ -87,7 +89,7 @@
 func newSum() sum { return sum{servers: map[uint32]float64{}} }
 
 func newTest() *test {
-	return &test{servers: map[uint32]bool{}, small: newSum(), large: newSum(), failures: newSum()}
+	return &test{servers: map[uint32]bool{}, small: newSum(), large: newSum(), failures: newSum(), lates: newSum()}
 }
 
 // add counts an answer.
@@ -99,11 +101,13 @@
 	if c.failedShare <= mostShare {
 		t.failures.add(a.server, marginRatio(a.failed, c.failedShare, margin), limit)
 	}
-	if c.comparable && c.share <= mostShare {
+	switch {
+	case c.share > mostShare:
+	case c.countsLate:
+		t.lates.add(a.server, ratio(c.isBad, c.share, c.share+largeGap*(1-c.share)), limit)
+	case c.isTimed:
 		small := marginRatio(c.isBad, c.share, margin)
-		if c.isTimed {
-			t.decline = min(0, t.decline+small)
-		}
+		t.decline = min(0, t.decline+small)
 		t.small.add(a.server, small, limit)
 		t.large.add(a.server, ratio(c.isBad, c.share, c.share+largeGap*(1-c.share)), limit)
 	}
@@ -142,7 +146,9 @@
 	return math.Log(testsOfRoute * float64(max(1, routes)) / rate)
 }
 
-func (t *test) level() float64 { return max(t.small.total, t.large.total, t.failures.total) }
+func (t *test) level() float64 {
+	return max(t.small.total, t.large.total, t.failures.total, t.lates.total)
+}
 
 // isBad reports whether the version is bad. Where it has several servers, that has to hold without the
 // worst of them as well.
@@ -150,7 +156,7 @@
 	if t.bad < minBad || t.level() < threshold {
 		return false
 	}
-	return single || max(t.small.without(), t.large.without(), t.failures.without()) >= threshold
+	return single || max(t.small.without(), t.large.without(), t.failures.without(), t.lates.without()) >= threshold
 }
 
 func (t *test) isGood(missRate float64) bool { return t.decline <= math.Log(missRate) }
--- a/pkg/canary/tally.go
+++ b/pkg/canary/tally.go
@@ -259,14 +259,14 @@
 
 // comparison is an answer of the version against what others do.
 type comparison struct {
-	// failedShare is the share of failures that others may have. comparable is false if nothing but
-	// failures can be compared.
+	// failedShare is the share of failures that others may have.
 	failedShare float64
-	comparable  bool
-	// isBad is true if the answer is bad, isTimed if its time was compared, and share is the share of
-	// bad answers that others may have.
-	isBad, isTimed bool
-	share          float64
+	// isTimed is true if the answer's time can be compared, or else countsLate if it may at least be
+	// compared whether it came in time.
+	isTimed, countsLate bool
+	// isBad is true if the answer is bad, and share is the share of such answers that others may have.
+	isBad bool
+	share float64
 }
 
 // compare compares an answer of the version.
@@ -275,13 +275,9 @@
 	failed, answers := t.totals()
 	c := comparison{failedShare: max(leastShare, upperShare(failed, answers))}
 	h := t.counterpart(a, known, isRare)
-	switch {
-	case h == nil && a.late:
-		c.isBad, c.share = true, max(c.failedShare, lateShare)
-		c.comparable = !a.remote && (!a.hasKey || known || t.isFirstUseInTime())
-		return c
-	case h == nil:
-		c.isBad, c.share, c.comparable = a.failed, c.failedShare, a.failed || answers >= minTimed
+	if h == nil {
+		c.isBad, c.share = a.late || a.failed, max(c.failedShare, lateShare)
+		c.countsLate = !a.remote && (!a.hasKey || known || t.isFirstUseInTime())
 		return c
 	}
 	limit := h.slowFrom(slowFactor)
@@ -289,7 +285,7 @@
 		limit = h.limit(t.classes[classOf(a.hasKey, known, false)], slowFactor)
 	}
 	total := float64(h.total)
-	c.comparable, c.isTimed = true, true
+	c.isTimed = true
 	c.share = max(leastShare, upperShare(h.above(limit)+total*failed/max(1, answers), total))
 	c.isBad = a.failed || a.late || int(a.bucket) >= limit
 	if !a.failed {
