--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/retry"
+	"github.com/stoneworks/stoneworks/pkg/returns"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 )
 
@@ -151,6 +152,8 @@
 	Now  func() time.Time
 	// SyncClock makes Now include the time for which the machine was suspended.
 	SyncClock func()
+	// IsReturn reports whether a request is probably a client's return after a failed attempt.
+	IsReturn func(r *http.Request) bool
 	// Random returns a random number, which is the key of a request that has none.
 	Random func() uint64
 	Log    *logging.Logger
@@ -209,6 +212,10 @@
 	// cachedFingerprint is the request's fingerprint once it has been computed.
 	cachedFingerprint *quarantine.Fingerprint
 	steps             []step
+	// shed is how a server has shed the request, nil if the last one tried did not.
+	shed *returns.Shed
+	// isLeftToClient is set if the request was refused so that its client returns.
+	isLeftToClient bool
 	// full is the error of choosing a server if all servers were full.
 	full *backend.ChoiceError
 }
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -217,6 +217,9 @@
 	if requests > 1 {
 		fields["requests"] = requests
 	}
+	if c.isLeftToClient {
+		fields["left_to_client"] = true
+	}
 	if c.full != nil {
 		fields["home_fill"] = math.Round(c.full.HomeFill*10) / 10
 		fields["free_slots"] = c.full.FreeSlots
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -13,6 +13,7 @@
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/returns"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 )
 
@@ -165,11 +166,26 @@
 	if c.sent >= max(1, c.route.MaxAttempts) || c.tooManyCrashes() {
 		return false
 	}
-	if !c.server.Budget.Spend(c.service) {
-		c.server.Count("retry.denied")
+	return c.spendRetry()
+}
+
+// spendRetry takes a retry from the budget, unless the request is to be left to its client.
+func (c *call) spendRetry() bool {
+	s := c.server
+	decision := returns.Retry
+	if c.shed != nil {
+		decision = returns.Decide(*c.shed)
+	}
+	switch {
+	case decision == returns.RetryIfSpare && !s.Budget.SpendSpare(c.service, s.Policy().RetryReserve):
+		c.isLeftToClient = true
+		s.Count("retry.left_to_client")
+		return false
+	case decision == returns.Retry && !s.Budget.Spend(c.service):
+		s.Count("retry.denied")
 		return false
 	}
-	c.server.Count("retry.sent")
+	s.Count("retry.sent")
 	return true
 }
 
@@ -178,6 +194,7 @@
 	s := c.server
 	start := s.Now()
 	c.tried = append(c.tried, lease.ID)
+	c.shed = nil
 	pool := s.Pool(&lease.Server)
 	answer, err := pool.Do(c.ctx, c.request(lease, start))
 	if err != nil {
@@ -212,10 +229,17 @@
 	}
 	c.finish(lease, result, meta.Load, start, nil)
 	failure := outcome.NewNotRun(outcome.ReasonShed, lease.ID)
+	failure = failure.WithRetryAfter(c.spreadRetryAfter())
 	if result == backend.Shed && meta.Load.HasRoom() {
-		return failure.WithRetryAfter(c.server.Policy().ReturnRoom)
+		failure = failure.WithRetryAfter(c.server.Policy().ReturnRoom)
+	}
+	if result == backend.Shed {
+		c.shed = &returns.Shed{
+			HasRoom: meta.Load.HasRoom(), IsReturn: c.server.IsReturn(c.r), RetryAfter: failure.RetryAfter,
+			Left: c.deadline.Sub(c.server.Now()), Latency: lease.Expected,
+		}
 	}
-	return failure.WithRetryAfter(c.spreadRetryAfter())
+	return failure
 }
 
 // failed records a failed exchange and returns what the client is told.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
+	"github.com/stoneworks/stoneworks/pkg/pipeline"
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/quota"
@@ -323,6 +324,7 @@
 		Table:            n.table.Load,
 		Current:          n.Replica.Current,
 		Starting:         n.starting,
+		IsReturn:         pipeline.IsFirst,
 		Leaving:          n.leaving.Load,
 		Closed:           n.closed.Load,
 		Splitter:         routing.NewSplitter(),
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -29,6 +29,8 @@
 	// context ends when the client leaves or the connection is closed.
 	context context.Context
 	cancel  context.CancelFunc
+	// begun is set once the first request is being served.
+	begun bool
 
 	mu      sync.Mutex
 	framing framing
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -158,3 +158,26 @@
 	is.NoErr(err)
 	is.Equal(strings.Count(string(all), "HTTP/1.1 200"), 1)
 }
+
+// TestFirstRequestOfAConnection checks that only the first request of each connection counts as
+// the first, also if later ones are pipelined.
+func TestFirstRequestOfAConnection(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, IsFirst(r)) })
+	for range 2 {
+		c, err := net.Dial("tcp4", address)
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		request := "GET /ahead HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+		_, err = io.WriteString(c, request+request+request)
+		is.NoErr(err)
+		reader := bufio.NewReader(c)
+		for _, want := range []string{"true", "false", "false"} {
+			answer, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(answer.Body)
+			is.NoErr(err)
+			is.Equal(string(body), want)
+		}
+	}
+}
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -49,6 +49,11 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+type firstKey struct{}
+
+// IsFirst reports whether the request is the first one of its connection.
+func IsFirst(r *http.Request) bool { return r.Context().Value(firstKey{}) != nil }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, isWrapped := r.Context().Value(connKey{}).(*Conn)
@@ -56,6 +61,11 @@
 		h.Next.ServeHTTP(w, r)
 		return
 	}
+	if !c.begun {
+		// net/http serves the requests of a connection one after the other.
+		c.begun = true
+		r = r.WithContext(context.WithValue(r.Context(), firstKey{}, true))
+	}
 	a := c.takeAhead(r)
 	if a != nil || isPlain(r) && h.MayServeAhead(r) {
 		c.allowAhead()
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -107,6 +107,10 @@
 	// leaves enough time for a request of a tenth of a second.
 	ReturnRoom time.Duration `yaml:"return_room" unit:"time" least:"1ms" most:"1m"`
 
+	// RetryReserve is the part of the retry budget's tokens that is kept for requests whose
+	// client has no attempt left; see package returns.
+	RetryReserve float64 `yaml:"retry_reserve" unit:"of the most tokens" least:"0" most:"1"`
+
 	// QuarantineAfter is how many backend servers must have crashed under a request, while
 	// none has answered it since, for it to be kept from servers, and QuarantineHold for how
 	// long.
@@ -158,6 +162,7 @@
 		ReturnMost:       500 * time.Millisecond,
 		ReturnSoon:       20 * time.Millisecond,
 		ReturnRoom:       10 * time.Millisecond,
+		RetryReserve:     0.7,
 		QuarantineAfter:  3,
 		QuarantineHold:   10 * time.Minute,
 		LogAnsweredEvery: 32,
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -72,15 +72,24 @@
 	defer b.mu.Unlock()
 	counts := b.advance(service)
 	counts.requests[counts.at%bucketCount]++
-	counts.tokens = min(counts.tokens+b.Bounds.Ratio, max(1, b.slackPerBox()))
+	counts.tokens = min(counts.tokens+b.Bounds.Ratio, b.mostTokens())
 }
 
+// mostTokens returns how many tokens the box can have for a service.
+func (b *Budget) mostTokens() float64 { return max(1, b.slackPerBox()) }
+
 // Spend takes one retry from the budget and reports whether one was available.
-func (b *Budget) Spend(service string) bool {
+func (b *Budget) Spend(service string) bool { return b.spend(service, 0) }
+
+// SpendSpare is like Spend, but takes a retry only while the box has at least the given fraction
+// of the most tokens that it can have.
+func (b *Budget) SpendSpare(service string, reserve float64) bool { return b.spend(service, reserve) }
+
+func (b *Budget) spend(service string, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := b.advance(service)
-	if counts.tokens < 1 || sum(&counts.retries)+1 > b.allowed(counts) {
+	if counts.tokens < max(1, reserve*b.mostTokens()) || sum(&counts.retries)+1 > b.allowed(counts) {
 		return false
 	}
 	counts.tokens--
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -195,3 +195,31 @@
 	}
 	return sum
 }
+
+// TestSpareRetriesLeaveTheReserve checks that SpendSpare leaves the reserve, which Spend can then
+// take, and that a box that can have only one token has nothing to reserve.
+func TestSpareRetriesLeaveTheReserve(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	spend := func(boxes int, reserve float64) (spare, rest int) {
+		b := NewBudget(Bounds{Ratio: 0.2, Slack: 25, Window: 10 * time.Second}, func() int { return boxes }, func() time.Time { return now })
+		for range 200 {
+			b.Request("shop")
+		}
+		for b.SpendSpare("shop", reserve) {
+			spare++
+		}
+		for b.Spend("shop") {
+			rest++
+		}
+		return spare, rest
+	}
+	spare, rest := spend(2, 0.5)
+	is.Equal(spare, 6) // of ten tokens, while there are at least five
+	is.Equal(rest, 4)
+	spare, rest = spend(2, 0)
+	is.Equal(spare, 10)
+	is.Equal(rest, 0)
+	spare, _ = spend(1000, 0.5)
+	is.Equal(spare, 1)
+}
