Returns: in a shortage clients return late, spread over the time that they wait

Cause: while requests wait at most servers of a region, a client was asked back when its server should have worked off its queue, found the same queue, and was refused for good: clients return once.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -130,6 +130,8 @@
 	// are set where Reason is Full.
 	HomeFill  float64
 	FreeSlots int
+	// RegionFill is the average fill that the servers of the home's region report.
+	RegionFill float64
 	// RetryAfter is the expected time until the home has worked off its excess, a rate limit
 	// leaves room again, or a backoff or ejection ends; 0 if unknown.
 	RetryAfter time.Duration
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -78,7 +78,7 @@
 		}
 		if best.fill() >= limit {
 			best.shortages.record(&s.Policy, r.Priority, best.fill(), now)
-			return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: s.freeSlots(g, r, now), RetryAfter: best.retryAfter(limit, g.typicalLatency(now))}
+			return nil, &ChoiceError{Reason: Full, Service: r.Service, HomeFill: best.fill(), FreeSlots: s.freeSlots(g, r, now), RegionFill: s.regionFill(g, best.region, now), RetryAfter: best.retryAfter(limit, g.typicalLatency(now))}
 		}
 		admission, retryAfter := s.admit(best, r, now)
 		if admission == AdmissionUnknown {
--- a/pkg/backend/region.go
+++ b/pkg/backend/region.go
@@ -68,6 +68,15 @@
 	return min(share, bySlots)
 }
 
+// regionFill returns the average fill that the servers of the region, or of all regions but this
+// box's own, report.
+func (s *Set) regionFill(g *group, region string, now time.Time) float64 {
+	if region == s.Region {
+		return g.fills.near.now(now)
+	}
+	return g.fills.far.now(now)
+}
+
 // localShareOf returns the share of this region's keys that stay in the region, given the regions
 // that the request allows.
 func (s *Set) localShareOf(g *group, r *Request, now time.Time) float64 {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -216,6 +216,8 @@
 	shed *returns.Shed
 	// isLeftToClient is set if the request was refused so that its client returns.
 	isLeftToClient bool
+	// isShortage is set if the request was refused because the region's servers are short of room.
+	isShortage bool
 	// full is the error of choosing a server if all servers were full.
 	full *backend.ChoiceError
 }
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -223,6 +223,8 @@
 	if c.full != nil {
 		fields["home_fill"] = math.Round(c.full.HomeFill*10) / 10
 		fields["free_slots"] = c.full.FreeSlots
+		fields["region_fill"] = math.Round(c.full.RegionFill*10) / 10
+		fields["shortage"] = c.isShortage
 	}
 	if c.anyUnanswered() {
 		fields["fingerprint"] = c.fingerprint().String()
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -106,7 +106,7 @@
 	switch choice.Reason {
 	case backend.Full:
 		c.full = choice
-		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.roomRetryAfter(choice.RetryAfter))
+		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.fullRetryAfter(choice))
 	case backend.Limited:
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the servers that may serve it are at the rate limits that they state").WithRetryAfter(c.roomRetryAfter(choice.RetryAfter))
 	case backend.BackingOff:
@@ -131,6 +131,18 @@
 	return max(p.ReturnSoon, min(p.ReturnMost, time.Duration((0.5+chance)*float64(untilFree))))
 }
 
+// fullRetryAfter returns when a client may return whose request found its server full.
+func (c *call) fullRetryAfter(choice *backend.ChoiceError) time.Duration {
+	s := c.server
+	f := returns.Full{RegionFill: choice.RegionFill, Left: c.deadline.Sub(s.Now())}
+	if !f.InShortage(s.Policy().ShortageFill) {
+		return c.roomRetryAfter(choice.RetryAfter)
+	}
+	c.isShortage = true
+	s.Count("refused.shortage")
+	return max(s.Policy().ReturnSoon, f.InShortageAfter(float64(s.Random()%1024)/1024))
+}
+
 // backoffRetryAfter returns when requests are sent again to a server that has asked for a
 // backoff or has failed, plus a random part of up to a quarter of that time. A client that
 // returns sooner is not served.
--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -54,6 +54,7 @@
 	{"pipeline.ahead", "requests", "served at the same time as one that their client has sent before them on the same connection"},
 	{"pipeline.mismatch", "connections", "on which net/http read another request than was served ahead; its service was stopped"},
 	{"retry.sent", "requests", "sent to a second backend server after a first had got them"},
+	{"refused.shortage", "requests", "refused since the server of the key is full and requests wait at most servers of its region"},
 	{"retry.left_to_client", "requests", "shed by a server with free slots and refused so that the client returns, since the rest of the retry budget is reserved for returns"},
 	{"retry.denied", "requests", "not sent again, since the budget was spent"},
 	{"store.list", "calls", "lists asked of the store, page by page"},
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -107,6 +107,9 @@
 	// leaves enough time for a request of a tenth of a second.
 	ReturnRoom time.Duration `yaml:"return_room" unit:"time" least:"1ms" most:"1m"`
 
+	// ShortageFill is the average fill of a region's servers from which on clients that found
+	// their server full are asked to return as late as they would; see package returns.
+	ShortageFill float64 `yaml:"shortage_fill" unit:"of their slots" least:"0" most:"100"`
 	// RetryReserve is the part of the retry budget's tokens that is kept for requests whose
 	// client has no attempt left; see package returns.
 	RetryReserve float64 `yaml:"retry_reserve" unit:"of the most tokens" least:"0" most:"1"`
@@ -162,6 +165,7 @@
 		ReturnMost:       500 * time.Millisecond,
 		ReturnSoon:       20 * time.Millisecond,
 		ReturnRoom:       10 * time.Millisecond,
+		ShortageFill:     1.2,
 		RetryReserve:     0.7,
 		QuarantineAfter:  3,
 		QuarantineHold:   10 * time.Minute,
--- a/pkg/returns/returns.go
+++ b/pkg/returns/returns.go
@@ -1,8 +1,8 @@
-// Package returns decides what becomes of a request that a backend server has shed although it
-// has free slots: whether the box sends it to another server, or refuses it so that its client
-// returns.
+// Package returns decides what becomes of requests that are not served at once: whether the box
+// sends a request that a backend server has shed, although it has free slots, to another server or
+// refuses it so that its client returns; and when clients return to a full server.
 //
-// It answers the load under which many servers of a service shed a part of their requests
+// The first decision answers the load under which many servers of a service shed a part of their requests
 // whatever their load. The retry budget of the boxes then covers only some of the requests that
 // are shed, while a client's own attempts do not count against the budget. So the box spends what
 // is left of the budget on requests whose client has no attempt left, and refuses the others at
