--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -13,6 +13,7 @@
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/pkg/returns"
 	"github.com/stoneworks/stoneworks/pkg/routing"
 )
 
@@ -105,7 +106,7 @@
 	switch choice.Reason {
 	case backend.Full:
 		c.full = choice
-		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.roomRetryAfter(choice.RetryAfter))
+		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the server of its key is full").WithRetryAfter(c.fullRetryAfter(choice))
 	case backend.Limited:
 		return outcome.NewNotRun(outcome.ReasonNoCapacity, "the servers that may serve it are at the rate limits that they state").WithRetryAfter(c.roomRetryAfter(choice.RetryAfter))
 	case backend.BackingOff:
@@ -130,6 +131,18 @@
 	return max(p.ReturnSoon, min(p.ReturnMost, time.Duration((0.5+chance)*float64(untilFree))))
 }
 
+// fullRetryAfter returns when a client may return whose request found its server full.
+func (c *call) fullRetryAfter(choice *backend.ChoiceError) time.Duration {
+	s := c.server
+	f := returns.Full{RegionFill: choice.RegionFill, Left: c.deadline.Sub(s.Now())}
+	if !f.InShortage(s.Policy().ShortageFill) {
+		return c.roomRetryAfter(choice.RetryAfter)
+	}
+	c.isShortage = true
+	s.Count("refused.shortage")
+	return max(s.Policy().ReturnSoon, f.InShortageAfter(float64(s.Random()%1024)/1024))
+}
+
 // backoffRetryAfter returns when requests are sent again to a server that has asked for a
 // backoff or has failed, plus a random part of up to a quarter of that time. A client that
 // returns sooner is not served.
@@ -165,11 +178,26 @@
 	if c.sent >= max(1, c.route.MaxAttempts) || c.tooManyCrashes() {
 		return false
 	}
-	if !c.server.Budget.Spend(c.service) {
-		c.server.Count("retry.denied")
+	return c.spendRetry()
+}
+
+// spendRetry takes a retry from the budget, unless the request is to be left to its client.
+func (c *call) spendRetry() bool {
+	s := c.server
+	decision := returns.Retry
+	if c.shed != nil {
+		decision = returns.Decide(*c.shed)
+	}
+	switch {
+	case decision == returns.RetryIfSpare && !s.Budget.SpendSpare(c.service, s.Policy().RetryReserve):
+		c.isLeftToClient = true
+		s.Count("retry.left_to_client")
+		return false
+	case decision == returns.Retry && !s.Budget.Spend(c.service):
+		s.Count("retry.denied")
 		return false
 	}
-	c.server.Count("retry.sent")
+	s.Count("retry.sent")
 	return true
 }
 
@@ -178,6 +206,7 @@
 	s := c.server
 	start := s.Now()
 	c.tried = append(c.tried, lease.ID)
+	c.shed = nil
 	pool := s.Pool(&lease.Server)
 	answer, err := pool.Do(c.ctx, c.request(lease, start))
 	if err != nil {
@@ -212,10 +241,17 @@
 	}
 	c.finish(lease, result, meta.Load, start, nil)
 	failure := outcome.NewNotRun(outcome.ReasonShed, lease.ID)
+	failure = failure.WithRetryAfter(c.spreadRetryAfter())
 	if result == backend.Shed && meta.Load.HasRoom() {
-		return failure.WithRetryAfter(c.server.Policy().ReturnRoom)
+		failure = failure.WithRetryAfter(c.server.Policy().ReturnRoom)
 	}
-	return failure.WithRetryAfter(c.spreadRetryAfter())
+	if result == backend.Shed {
+		c.shed = &returns.Shed{
+			HasRoom: meta.Load.HasRoom(), IsReturn: c.server.IsReturn(c.r), RetryAfter: failure.RetryAfter,
+			Left: c.deadline.Sub(c.server.Now()), Latency: lease.Expected,
+		}
+	}
+	return failure
 }
 
 // failed records a failed exchange and returns what the client is told.
