Returning: off by default, as before; settings switch it on

What is new takes effect only where settings call for it: retry_reserve 0 and shortage_fill 100 keep the earlier behaviour, and the test sets its figure.

--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -184,12 +184,12 @@
 // spendRetry takes a retry from the budget, unless the request is to be left to its client.
 func (c *call) spendRetry() bool {
 	s := c.server
-	decision := returns.Retry
-	if c.shed != nil {
+	decision, reserve := returns.Retry, s.Policy().RetryReserve
+	if c.shed != nil && reserve > 0 {
 		decision = returns.Decide(*c.shed)
 	}
 	switch {
-	case decision == returns.RetryIfSpare && !s.Budget.SpendSpare(c.service, s.Policy().RetryReserve):
+	case decision == returns.RetryIfSpare && !s.Budget.SpendSpare(c.service, reserve):
 		c.isLeftToClient = true
 		s.Count("retry.left_to_client")
 		return false
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -108,10 +108,11 @@
 	ReturnRoom time.Duration `yaml:"return_room" unit:"time" least:"1ms" most:"1m"`
 
 	// ShortageFill is the average fill of a region's servers from which on clients that found
-	// their server full are asked to return as late as they would; see package returns.
+	// their server full are asked to return as late as they would, 100 for never; see package
+	// returns.
 	ShortageFill float64 `yaml:"shortage_fill" unit:"of their slots" least:"0" most:"100"`
 	// RetryReserve is the part of the retry budget's tokens that is kept for requests whose
-	// client has no attempt left; see package returns.
+	// client has no attempt left, 0 for none; see package returns.
 	RetryReserve float64 `yaml:"retry_reserve" unit:"of the most tokens" least:"0" most:"1"`
 
 	// QuarantineAfter is how many backend servers must have crashed under a request, while
@@ -174,8 +175,8 @@
 		ReturnMost:       500 * time.Millisecond,
 		ReturnSoon:       20 * time.Millisecond,
 		ReturnRoom:       10 * time.Millisecond,
-		ShortageFill:     1.2,
-		RetryReserve:     0.7,
+		ShortageFill:     100,
+		RetryReserve:     0,
 		QuarantineAfter:  3,
 		QuarantineHold:   10 * time.Minute,
 		CanaryFalseRate:  0.001,
--- a/test/machines/returning_test.go
+++ b/test/machines/returning_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/settings"
 )
 
 // TestReturnsGetTheRestOfTheRetryBudget guards against a retry budget that first attempts use up
@@ -15,7 +17,11 @@
 // connection that is in use are first attempts here, those that open a connection are returns.
 func TestReturnsGetTheRestOfTheRetryBudget(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 1, "east-a.1", "east-a.2")
+	f := newFleet(t, 0, "east-a.1", "east-a.2")
+	f.ChangeSettings = func(s *settings.Settings) { s.Policy.RetryReserve = 0.7 }
+	b, err := f.AddBox("east-a")
+	is.NoErr(err)
+	eventually(t, "the box is ready", b.Node.Ready)
 	eventually(t, "the box knows that it has the whole budget", func() bool { return f.Boxes[0].Node.Budget.Boxes() == 1 })
 	first := &Client{Address: f.Boxes[0].Clients}
 	defer first.Close()
