--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/utilization"
+)
 
 const (
 	// maxRecords bounds the records in one datagram, so that it fits into one packet;
@@ -83,6 +87,8 @@
 	if r.Box == "" || r.Box == t.self.Box {
 		return false
 	}
+	// A level that this version does not know is taken for the highest.
+	r.Use = min(r.Use, utilization.Full)
 	old := t.members[r.Box]
 	if old == nil {
 		e := &entry{Record: *r, ID: r.id()}
@@ -96,8 +102,9 @@
 		return false
 	}
 	restarted := r.Started != old.Started
-	versions := old.Versions
+	versions, placed := old.Versions, old.placement()
 	old.Record = *r
+	t.noteIfPlaced(placed, r)
 	t.setZone(old)
 	if !direct && !restarted {
 		old.Versions = versions
@@ -148,7 +155,9 @@
 	if uint64(s.Sequence) < least {
 		return true
 	}
+	placed := e.placement()
 	e.apply(s)
+	t.noteIfPlaced(placed, &e.Record)
 	t.markHeard(e)
 	if e.silent {
 		t.markLive(e)
@@ -191,6 +200,7 @@
 // markLive marks a box as live again.
 func (t *Table) markLive(e *entry) {
 	e.silent = false
+	t.generation++
 	t.announceLive(e)
 	t.OnChange(e.Record, "back")
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -119,6 +119,13 @@
 	// ReturnAdmission returns what an admitted request took of its customer's limit, because
 	// the request was not run.
 	ReturnAdmission func(c *customer.Customer)
+	// Admission decides whether the box has room for that many bytes of a request's body, which
+	// have not been read, or else when the client may retry. What it admits is taken back with
+	// Release.
+	Admission func(priority int, bytes int64) (admitted bool, retryAfter time.Duration)
+	Release   func(bytes int64)
+	// AsksToClose reports whether clients are to close their connections after their answers.
+	AsksToClose func() bool
 	// AwaitServerLimit asks whether the limit that a backend server states allows another
 	// request and counts the request if so; ReleaseServerLimit takes that back.
 	// AwaitServerLimit may block briefly.
@@ -200,6 +207,8 @@
 	start    time.Time
 	deadline time.Time
 	body     body
+	// reserved is how many bytes of the body Admission has admitted.
+	reserved int64
 	// isBodyRead is set once reading the body has begun.
 	isBodyRead bool
 	ctx        context.Context
@@ -225,7 +234,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{server: s, w: w, r: r, start: s.Now()}
-	if s.Leaving() && pipeline.MayClose(r.Context()) {
+	if (s.Leaving() || s.AsksToClose()) && pipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	if failure := c.prepare(); failure != nil {
@@ -239,7 +248,11 @@
 		c.fail(failure)
 		return
 	}
-	failure := c.readBody()
+	defer c.releaseBody()
+	failure := c.reserveBody()
+	if failure == nil {
+		failure = c.readBody()
+	}
 	if failure == nil {
 		failure = c.checkQuarantine()
 	}
@@ -248,16 +261,17 @@
 	}
 	if failure != nil {
 		c.returnAdmission(failure)
+		c.releaseBody() // reading the rest of a refused body takes a while
 		c.fail(failure)
 	}
 }
 
 // MayServeAhead reports whether a request may be served concurrently with others of its
-// connection. It must be idempotent, and the box must not be stopping, because then the
-// connection closes.
+// connection. It must be idempotent, and the box must neither be stopping nor ask clients to
+// close, because then the connection closes.
 func (s *Server) MayServeAhead(r *http.Request) bool {
 	table := s.Table()
-	if table == nil || s.Leaving() {
+	if table == nil || s.Leaving() || s.AsksToClose() {
 		return false
 	}
 	route := table.Find(r.Host, r.URL.EscapedPath())
