--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -125,7 +125,8 @@
 // NewJudge returns a judge without samples.
 func NewJudge(now time.Time) *Judge {
 	return &Judge{
-		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{}, servers: map[uint32]time.Time{}, tests: map[string]*test{}, seen: map[string]float64{},
+		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{},
+		servers: map[uint32]time.Time{}, tests: map[string]*test{}, seen: map[string]float64{},
 	}
 }
 
@@ -200,7 +201,7 @@
 		return
 	}
 	j.seen[all]++
-	if len(j.seen) <= maxRoutes {
+	if _, ok := j.seen[a.route]; ok || len(j.seen) <= maxRoutes {
 		j.seen[a.route]++
 	}
 	// What a box remembers says nothing of what the server has forgotten since.
--- a/pkg/canary/canary_test.go
+++ b/pkg/canary/canary_test.go
@@ -141,3 +141,17 @@
 	is.NoErr(err)
 	is.True(len(datagram) <= 1200-100) // The rest is for the names of the box, the service and the version.
 }
+
+// TestAllRoutesAreCounted guards against a service with the maximum number of routes whose answers are no
+// longer counted by route, so that none would have to be shown good by itself.
+func TestAllRoutesAreCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	j := NewJudge(now)
+	for i := range 10 * maxRoutes {
+		j.Observe(&Sample{Route: fmt.Sprint("read-", i%maxRoutes), Server: "new", IsNew: true, Took: time.Second}, now)
+	}
+	j.Verdict(now)
+	for i := range maxRoutes {
+		is.New(t).Equal(j.seen[fmt.Sprint("read-", i)], 10.0)
+	}
+}
