--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -72,7 +72,7 @@
 	// Slowdown is how many times longer than others the version takes for comparable answers; 0
 	// if there are none.
 	Slowdown float64
-	// Answers is how many answers of the version were compared.
+	// Answers is how many answers of the version were judged.
 	Answers float64
 }
 
@@ -103,14 +103,17 @@
 	// the last verdict.
 	outbox  reservoir
 	pending []answer
+	// uses holds which keys the version's servers have met, and servers since when each answers.
 	uses    uses
 	servers map[uint32]time.Time
-	tests   map[string]*test
-	ratios  ratios
-	// seen counts the version's answers by route and altogether, listed its servers.
-	seen    map[string]float64
-	listed  int
-	answers float64
+	// listed is the number of servers of the version that this box knows.
+	listed int
+	// tests holds the tests by route and of all routes together, seen the number of answers of each.
+	tests map[string]*test
+	seen  map[string]float64
+	// ratios averages how many times longer than others the version takes.
+	ratios ratios
+	// found is the last verdict that the version is bad.
 	found   Verdict
 	foundAt time.Time
 }
@@ -124,7 +127,8 @@
 // NewJudge returns a judge without samples.
 func NewJudge(now time.Time) *Judge {
 	return &Judge{
-		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{}, servers: map[uint32]time.Time{}, tests: map[string]*test{}, seen: map[string]float64{},
+		Parameters: DefaultParameters(), own: newTallies(now), others: map[string]received{}, uses: uses{},
+		servers: map[uint32]time.Time{}, tests: map[string]*test{}, seen: map[string]float64{},
 	}
 }
 
@@ -215,24 +219,24 @@
 	c := route.compare(a, known, j.Parameters.SlowFactor, &j.ratios)
 	c.failedShare = max(c.failedShare, health.share(len(j.servers), false))
 	c.share = max(c.share, health.share(len(j.servers), c.isTimed))
-	j.answers++
-	for _, name := range []string{a.route, all} {
-		t := j.tests[name]
-		if t == nil {
-			if len(j.tests) > maxRoutes {
-				continue
-			}
-			t = newTest()
-			j.tests[name] = t
-		}
-		t.add(a, &c, j.Parameters.Margin, j.threshold())
-		if !j.found.Bad && t.isBad(j.threshold(), a.server == 0 || j.isSingle(now)) {
-			j.found, j.foundAt = j.describe(name, t), now
-			j.found.Bad = true
+	j.test(a.route, a, &c, now)
+	j.test(all, a, &c, now)
+}
+
+// test adds a compared answer to the test of a route, or of all.
+func (j *Judge) test(name string, a *answer, c *comparison, now time.Time) {
+	t := j.tests[name]
+	if t == nil {
+		if len(j.tests) > maxRoutes {
+			return
 		}
+		t = newTest()
+		j.tests[name] = t
 	}
-	if j.found.Bad && now.Sub(j.foundAt) > findingValid {
-		j.found = Verdict{}
+	t.add(a, c, j.Parameters.Margin, j.threshold())
+	if t.isBad(j.threshold(), a.server == 0 || j.isSingle(now)) {
+		j.found, j.foundAt = j.describe(name, t), now
+		j.found.Bad = true
 	}
 }
 
@@ -283,6 +287,6 @@
 func (j *Judge) describe(route string, t *test) Verdict {
 	return Verdict{
 		Route: route, BadShare: t.bad / max(1, t.answers), OthersShare: t.others / max(1, t.answers), Servers: len(t.small.servers),
-		Slowdown: j.ratios.typical(), Answers: j.answers,
+		Slowdown: j.ratios.typical(), Answers: j.seen[all],
 	}
 }
