--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -220,9 +220,14 @@
 	if requests > 1 {
 		fields["requests"] = requests
 	}
+	if c.isLeftToClient {
+		fields["left_to_client"] = true
+	}
 	if c.full != nil {
 		fields["home_fill"] = math.Round(c.full.HomeFill*10) / 10
 		fields["free_slots"] = c.full.FreeSlots
+		fields["region_fill"] = math.Round(c.full.RegionFill*10) / 10
+		fields["shortage"] = c.isShortage
 	}
 	if c.anyUnanswered() {
 		fields["fingerprint"] = c.fingerprint().String()
