Roll-outs: beyond a tenth of the requests, steps wait until the version is shown good

Cause: steps asked for some answers only, so a bad version that the judges had not found yet went on to two, four and seven tenths and to complete. A good version that cannot be shown good in time is late instead.

--- a/pkg/canary/model_test.go
+++ b/pkg/canary/model_test.go
@@ -127,8 +127,31 @@
 	return last
 }
 
-// modelSteps are the shares of the version by the part of the duration that has passed.
-var modelSteps = [][2]float64{{0, 0.05}, {0.6, 0.1}, {0.7, 0.2}, {0.78, 0.4}, {0.86, 0.7}}
+// modelSteps are the parts of the duration from which on the version may get its shares; with the last one the order is
+// complete. A step lasts modelDwell of the duration at least.
+var modelSteps = [][2]float64{{0, 0.05}, {0.6, 0.1}, {0.7, 0.2}, {0.78, 0.4}, {0.86, 0.7}, {0.92, 1}}
+
+const modelDwell = 0.04
+
+// modelWiden is the part of the duration from which on a version that is not shown to be good gets its second share, and
+// modelFew the requests in an order below which steps do not wait for it.
+const (
+	modelWiden = 0.3
+	modelFew   = 300
+)
+
+// nextStep reports whether the next step is taken: its time has come and, beyond the second share, the version is shown
+// to be good.
+func (w *world) nextStep(step int, steppedAt, now float64, good bool) bool {
+	if step == len(modelSteps)-1 || now-steppedAt < modelDwell*w.duration {
+		return false
+	}
+	from := modelSteps[step+1][0]
+	if step == 0 && !good {
+		from = modelWiden
+	}
+	return now >= from*w.duration && (good || step == 0 || w.rate*w.duration < modelFew)
+}
 
 func pick[T any](rng *rand.Rand, list ...T) T { return list[rng.IntN(len(list))] }
 
@@ -277,13 +300,7 @@
 }
 
 // share returns the version's share: the step, bounded by its warm slots.
-func (w *world) share(now float64) float64 {
-	share := 0.0
-	for _, s := range modelSteps {
-		if now >= s[0]*w.duration {
-			share = s[1]
-		}
-	}
+func (w *world) share(step int, now float64) float64 {
 	ofVersion, others := 0.0, 0.0
 	for _, s := range w.servers {
 		switch {
@@ -294,7 +311,7 @@
 			others++
 		}
 	}
-	return min(share, ofVersion/max(1, others))
+	return min(modelSteps[step][1], ofVersion/max(1, others))
 }
 
 // run plays the order and returns what became of it.
@@ -308,6 +325,7 @@
 	r := result{found: -1, fiftieth: math.Inf(1)}
 	var queue completions
 	nextTick, share, excludedAt := 0.0, 0.0, math.Inf(1)
+	step, steppedAt := 0, 0.0
 	for now := -6.0; now < w.duration; {
 		rate := w.rate
 		if w.burstAt >= 0 && now >= w.burstAt && now < w.burstAt+4 {
@@ -318,9 +336,10 @@
 			w.complete(heap.Pop(&queue).(completion), judges, clock, &r)
 		}
 		for now >= nextTick {
-			if share = w.share(nextTick); !r.good {
-				share = min(share, modelSteps[0][1])
+			if w.nextStep(step, steppedAt, nextTick, r.good) {
+				step, steppedAt = step+1, nextTick
 			}
+			share = w.share(step, nextTick)
 			if v, bad := exchange(judges, clock(nextTick)); bad && r.found < 0 {
 				r.found, r.verdict, excludedAt = nextTick, v, nextTick+0.5
 			} else if !bad {
--- a/pkg/rollout/advance.go
+++ b/pkg/rollout/advance.go
@@ -67,6 +67,8 @@
 	WaitSlots WaitReason = "slots"
 	// WaitAnswers: too few answers of the version have been seen.
 	WaitAnswers WaitReason = "answers"
+	// WaitEvidence: the version is not shown to be good yet.
+	WaitEvidence WaitReason = "evidence"
 )
 
 // Wait is why a step is not taken. Have and Need are in slots or answers.
@@ -95,6 +97,8 @@
 		return "no box in contact with the store, and too few zones seen"
 	case WaitTime:
 		return "not yet time"
+	case WaitEvidence:
+		return "the version is not yet shown to be good"
 	}
 	return ""
 }
@@ -235,7 +239,13 @@
 	if w := roomFor(room, share); w.Reason != "" || isUnpaced {
 		return w
 	}
-	return a.answersFor(now)
+	if w := a.answersFor(now); w.Reason != "" {
+		return w
+	}
+	if !a.isProven(now) {
+		return Wait{Reason: WaitEvidence}
+	}
+	return Wait{}
 }
 
 // answersFor returns whether too few answers of the version have been seen for the next step.
--- a/pkg/rollout/steps.go
+++ b/pkg/rollout/steps.go
@@ -18,6 +18,16 @@
 const lastStep = 4
 
 const (
+	// trialSteps is the number of steps that need no proof that the version is good: the users'
+	// bound on the requests of a bad version allows their shares throughout.
+	trialSteps = 2
+	// widenAt is the fraction of the duration after which the second step is taken if the
+	// version is not shown to be good yet, so that evidence comes faster.
+	widenAt = 0.3
+	// fewRequests is the number of requests of a service in the duration below which steps wait
+	// for no proof, since so few answers can give none.
+	fewRequests = 300
+
 	// completeAt is the fraction of the duration after which an order that has gone well is
 	// complete, and completeAtLeast the fraction before which it is not. The rest, which is
 	// writeTime if that is more, is for writing to the store and for other boxes to learn of it.
@@ -58,5 +68,18 @@
 
 // isPaced reports whether it is time for the next step.
 func (a *active) isPaced(now time.Time) bool {
-	return a.ran(now) >= nextStepAt(a.progress.Step, a.Duration) && now.Sub(a.steppedAt) >= dwell(a.Duration)
+	at := nextStepAt(a.progress.Step, a.Duration)
+	if a.progress.Step == 0 && !a.verdict.Good {
+		at = time.Duration(widenAt * float64(a.Duration))
+	}
+	return a.ran(now) >= at && now.Sub(a.steppedAt) >= dwell(a.Duration)
+}
+
+// isProven reports whether the version is shown to be good, as far as the next step needs it.
+func (a *active) isProven(now time.Time) bool {
+	if a.verdict.Good || a.progress.Step+1 < trialSteps {
+		return true
+	}
+	perSecond := float64(a.evidence.total(now).Requests) / countFades.Seconds()
+	return perSecond*a.Duration.Seconds() < fewRequests
 }
