--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -46,6 +46,8 @@
 	own     Count
 	at      time.Time
 	reports map[string]countReport
+	// mostPerSecond is the largest rate of requests that was seen, in requests a second.
+	mostPerSecond float64
 	// answered is true once any answer of the version was seen.
 	answered bool
 }
@@ -84,6 +86,7 @@
 	for _, r := range e.reports {
 		sum.add(r.Count)
 	}
+	e.mostPerSecond = max(e.mostPerSecond, float64(sum.Requests)/countFades.Seconds())
 	return sum
 }
 
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -280,6 +280,25 @@
 	is.New(t).Equal(f.store.state(), Complete)
 }
 
+// TestStepsWaitForProof guards against a version that gets more than a tenth of the requests although
+// its answers say nothing about it: after its boxes have started anew, and with answers too few to
+// tell. It goes on once the answers do.
+func TestStepsWaitForProof(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	f.answers = func(time.Duration) canary.Sample { return canary.Sample{Cold: true, Took: 20 * time.Millisecond} }
+	f.run(nextStepAt(1, orderTime) - time.Second)
+	f.loseAll()
+	f.requests = 0 // boxes that have just started give no evidence
+	is.True(f.run(nextStepAt(1, orderTime)+2*time.Second) <= steps[trialSteps-1].share)
+	f.requests = 40
+	is.True(f.run(2*orderTime) <= steps[trialSteps-1].share)
+	is.Equal(f.boxes[0].orders["shop"].wait.Reason, WaitEvidence)
+	f.answers = good
+	f.run(3 * orderTime)
+	is.Equal(f.store.state(), Complete)
+}
+
 // TestServiceWithFewRequestsGetsOn checks that the answers needed follow the requests there are.
 func TestServiceWithFewRequestsGetsOn(t *testing.T) {
 	f := ordered(3)
--- a/pkg/rollout/steps.go
+++ b/pkg/rollout/steps.go
@@ -27,6 +27,9 @@
 	// fewRequests is the number of requests of a service in the duration below which steps wait
 	// for no proof, since so few answers can give none.
 	fewRequests = 300
+	// rateKnownAfter is how long a box must have known an order to know how many requests the
+	// service gets: boxes that have started with it report none at first.
+	rateKnownAfter = 6 * time.Second
 
 	// completeAt is the fraction of the duration after which an order that has gone well is
 	// complete, and completeAtLeast the fraction before which it is not. The rest, which is
@@ -80,6 +83,5 @@
 	if a.verdict.Good || a.progress.Step+1 < trialSteps {
 		return true
 	}
-	perSecond := float64(a.evidence.total(now).Requests) / countFades.Seconds()
-	return perSecond*a.Duration.Seconds() < fewRequests
+	return now.Sub(a.firstSeen) >= rateKnownAfter && a.evidence.mostPerSecond*a.Duration.Seconds() < fewRequests
 }
