--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -1,11 +1,11 @@
 // Package rollout moves a service's requests to a new version of its backend servers step by
 // step, and moves them back if that version is bad. It does no input or output.
 //
-// Example: an operator orders that a service moves to version v2 within 20 s. For the first
-// 12 s one request in twenty goes to servers of v2, and boxes report how these servers and the
-// others perform. The boxes that judge raise the share while v2 has servers enough and its
-// answers are good, tell all others the step, and write it to the platform's store. If v2 turns
-// out to be bad, no box sends it anything more and the order is rolled back.
+// Example: an operator orders that a service moves to version v2 within 20 s. At first one request
+// in twenty goes to servers of v2, later one in ten, and boxes report how these servers and the
+// others perform. Once that shows v2 to be good, and while it has servers enough, the boxes that
+// judge raise the share further, tell all others the step, and write it to the platform's store.
+// If v2 turns out to be bad, no box sends it anything more and the order is rolled back.
 package rollout
 
 import (
--- a/pkg/rollout/steps.go
+++ b/pkg/rollout/steps.go
@@ -10,9 +10,9 @@
 }
 
 // steps begin with a long trial of few requests: a version may turn bad later, or under load,
-// and by then must not have had a tenth of the requests. The rest moves in steps because
-// servers of the new version know no keys and would otherwise get first uses of all keys at
-// once.
+// and by then must not have had much more than a tenth of the requests. The rest moves in steps
+// because servers of the new version know no keys and would otherwise get first uses of all keys
+// at once.
 var steps = []step{{0, 0.05}, {0.6, 0.1}, {0.7, 0.2}, {0.78, 0.4}, {0.86, 0.7}}
 
 const lastStep = 4
