Roll-outs: a proof that a version is good outlasts the loss of all boxes

Cause: after a loss of power evidence begins anew, and an order whose version had been shown good waited for that again. The proof is part of the progress that boxes tell each other and write to the status; a box goes by it while it has just started. TestProofOutlastsTheLossOfAllBoxes fails without it.

--- a/pkg/rollout/advance.go
+++ b/pkg/rollout/advance.go
@@ -197,6 +197,9 @@
 		a.wait = Wait{}
 		return EventBad
 	}
+	if a.verdict.Good {
+		a.join(Progress{Proven: true}, now)
+	}
 	a.wait = a.obstacle(v, now)
 	switch {
 	case a.wait.Reason == WaitTime || a.logged[a.wait.Reason]:
--- a/pkg/rollout/progress.go
+++ b/pkg/rollout/progress.go
@@ -14,6 +14,8 @@
 	Step int
 	// Ran is how long the order has been running.
 	Ran time.Duration
+	// Proven is true once the version has been shown to be good.
+	Proven bool
 	// Bad is true once a box has found the version to be bad.
 	Bad bool
 	// Final is the final state in the store, or empty.
@@ -27,6 +29,9 @@
 	if o.Step > p.Step {
 		p.Step, news = o.Step, true
 	}
+	if o.Proven && !p.Proven {
+		p.Proven, news = true, true
+	}
 	if o.Bad && !p.Bad {
 		p.Bad, news = true, true
 	}
@@ -48,6 +53,7 @@
 	KnowsTime bool
 	Bad       bool
 	Final     State
+	Proven    bool
 }
 
 // Message tells the progress of all orders that a box knows.
@@ -66,7 +72,7 @@
 	for service, a := range t.orders {
 		m.Orders = append(m.Orders, Told{
 			Service: service, Given: a.Given, Step: a.progress.Step, RanMS: a.ran(t.Now()).Milliseconds(), KnowsTime: a.knowsTime,
-			Bad: a.progress.Bad, Final: a.progress.Final,
+			Bad: a.progress.Bad, Final: a.progress.Final, Proven: a.progress.Proven,
 		})
 	}
 	return m
@@ -83,7 +89,7 @@
 			continue
 		}
 		a.knowsTime = a.knowsTime || told.KnowsTime
-		p := Progress{Step: told.Step, Ran: time.Duration(told.RanMS) * time.Millisecond, Bad: told.Bad, Final: told.Final}
+		p := Progress{Step: told.Step, Ran: time.Duration(told.RanMS) * time.Millisecond, Proven: told.Proven, Bad: told.Bad, Final: told.Final}
 		news = a.join(p, t.Now()) || news
 	}
 	return news
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -51,11 +51,12 @@
 	Given uint64
 
 	// State is the state in the store; it is empty if none has been written for this order.
-	// Step, Ran, Begun and ByHand come from the store as well. Begun is in milliseconds since
+	// Step, Ran, Proven, Begun and ByHand come from the store as well. Begun is in milliseconds since
 	// 1970.
 	State  State
 	Step   int
 	Ran    time.Duration
+	Proven bool
 	Begun  int64
 	ByHand ByHand
 }
@@ -124,7 +125,7 @@
 // accept takes over the order as it is in the store.
 func (a *active) accept(o Order, now time.Time) {
 	a.Order = o
-	stored := Progress{Step: min(o.Step, lastStep), Ran: o.Ran}
+	stored := Progress{Step: min(o.Step, lastStep), Ran: o.Ran, Proven: o.Proven}
 	if o.State == Complete || o.State == RolledBack {
 		stored.Final = o.State
 	}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -299,6 +299,18 @@
 	is.Equal(f.store.state(), Complete)
 }
 
+// TestProofOutlastsTheLossOfAllBoxes checks that boxes that have started anew go on with a version that
+// had been shown to be good before, although they give no evidence at first.
+func TestProofOutlastsTheLossOfAllBoxes(t *testing.T) {
+	is := is.New(t)
+	f := ordered(3)
+	f.run(nextStepAt(1, orderTime) - time.Second)
+	is.True(f.store.read().Proven)
+	f.loseAll()
+	f.requests = 0
+	is.Equal(f.run(nextStepAt(1, orderTime)+2*time.Second), steps[2].share)
+}
+
 // TestServiceWithFewRequestsGetsOn checks that the answers needed follow the requests there are.
 func TestServiceWithFewRequestsGetsOn(t *testing.T) {
 	f := ordered(3)
--- a/pkg/rollout/steps.go
+++ b/pkg/rollout/steps.go
@@ -78,10 +78,14 @@
 	return a.ran(now) >= at && now.Sub(a.steppedAt) >= dwell(a.Duration)
 }
 
-// isProven reports whether the version is shown to be good, as far as the next step needs it.
+// isProven reports whether the version is shown to be good, as far as the next step needs it. A box
+// that has just started goes by what was shown before, since evidence begins anew with it.
 func (a *active) isProven(now time.Time) bool {
 	if a.verdict.Good || a.progress.Step+1 < trialSteps {
 		return true
 	}
-	return now.Sub(a.firstSeen) >= rateKnownAfter && a.evidence.mostPerSecond*a.Duration.Seconds() < fewRequests
+	if now.Sub(a.firstSeen) < rateKnownAfter {
+		return a.progress.Proven
+	}
+	return a.evidence.mostPerSecond*a.Duration.Seconds() < fewRequests
 }
--- a/pkg/rollout/writes.go
+++ b/pkg/rollout/writes.go
@@ -50,13 +50,13 @@
 	case a.isDue:
 		return Complete, true
 	}
-	return Running, a.State == "" || a.progress.Step > a.Order.Step
+	return Running, a.State == "" || a.progress.Step > a.Order.Step || a.progress.Proven && !a.Order.Proven
 }
 
 // change returns the status to be written.
 func (a *active) change(state State, now time.Time, wallMS int64) Change {
 	o := a.Order
-	o.Step, o.Ran = a.progress.Step, a.ran(now)
+	o.Step, o.Ran, o.Proven = a.progress.Step, a.ran(now), a.progress.Proven
 	if o.Begun == 0 {
 		o.Begun = wallMS - o.Ran.Milliseconds()
 	}
