Boxes cut from all servers: a failing test

The stand-in's boxes learn the three cuts at the point where connections are opened (node.Connect, a seam).

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -96,6 +96,8 @@
 	Ingress      *ingress.Server
 	// Utilization is how much of its machine the box uses.
 	Utilization *utilization.Meter
+	// Connect opens a TCP connection to an address. Tests replace it to simulate failing links.
+	Connect func(ctx context.Context, address string) (net.Conn, error)
 
 	adapter *Adapter
 	store   *objects.Client
@@ -185,6 +187,7 @@
 		refused:  map[string]bool{},
 	}
 	n.Timers.Now = c.Now
+	n.Connect = n.connect
 	n.watchSuspensions()
 	n.failureReports = &failurereport.Outbox{Box: s.Box, Now: n.Clock.Now}
 	n.background = conc.NewWaitGroup()
--- a/pkg/node/node_dial.go
+++ b/pkg/node/node_dial.go
@@ -74,13 +74,18 @@
 }
 
 func (n *Node) dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	c, err := n.dialer().DialContext(ctx, "tcp4", address)
+	c, err := n.Connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return n.traffic.counted(c), nil
 }
 
+// connect opens a TCP connection.
+func (n *Node) connect(ctx context.Context, address string) (net.Conn, error) {
+	return n.dialer().DialContext(ctx, "tcp4", address)
+}
+
 func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) {
 	metrics.GetOrRegisterCounter("backend.connections", n.Metrics).Inc(1)
 	return n.dialPeer(ctx, address)
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -57,6 +57,9 @@
 	endLog    context.CancelFunc
 }
 
+// serversHost is the last octet of the servers' address.
+const serversHost = ".100"
+
 // Zones are the zones of every fleet.
 var Zones = []topology.Zone{
 	{Zone: "east-a", Region: "east"}, {Zone: "east-b", Region: "east"}, {Zone: "west-a", Region: "west"},
@@ -91,7 +94,7 @@
 
 // AddServerWithPerformance is AddServer for a server with the given performance.
 func (f *Fleet) AddServerWithPerformance(nature Performance, id, service, zone string, slots int, work time.Duration) (*Server, error) {
-	s, err := NewServer(f.network+".100", id, slots, work)
+	s, err := NewServer(f.network+serversHost, id, slots, work)
 	if err != nil {
 		return nil, err
 	}
@@ -187,6 +190,8 @@
 	go handler.Run(logContext)
 	m := newMachine()
 	node := node.New(&s, platform.Adapter(), handler, clock.NewWithBoottime(m.boottime))
+	m.links.connect, m.links.servers = node.Connect, f.network+serversHost+":"
+	node.Connect = m.links.dial
 	if err := node.Start(); err != nil {
 		endLog()
 		node.Stop()
--- a/test/machines/machine.go
+++ b/test/machines/machine.go
@@ -5,8 +5,10 @@
 	"time"
 )
 
-// machine simulates the clocks of the machine that a box runs on.
+// machine simulates the clocks and the links of the machine that a box runs on.
 type machine struct {
+	links links
+
 	mu        sync.Mutex
 	started   time.Time
 	suspended time.Duration
