Requests reach servers through other boxes while a box's own links fail

Cause: a box knew one way to a server, its own link, and put down to the server what its link had done. All servers were ejected there one after the other, and requests refused, while other boxes were answered by the same servers.

Evidence: the log of a cut box has 75 attempts that end in "i/o timeout", 131 ejections and then 503 in 5 to 10 ms; no other box ejected one.

All decisions stay with the box that took the request. A server counts as down only if another box, or this one's link to another server, shows that the box is not cut off. Why it works: the servers are well, and the boxes reach each other.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -91,13 +91,21 @@
 	Withdrawn
 	// Crashed: the server ended while it ran the request and before it answered.
 	Crashed
+	// NoPath: this box has lost its link to the server, and no other box helped; nothing was
+	// sent.
+	NoPath
+	// PathLost: the exchange failed after something was sent, because this box has lost its link
+	// to the server, which shows nothing about the server.
+	PathLost
 )
 
 // resultNames holds the names of results in logs, indexed by value.
-var resultNames = [...]string{"answered", "shed", "unreachable", "refused", "broken", "late", "stale", "abandoned", "withdrawn", "crashed"}
+var resultNames = [...]string{"answered", "shed", "unreachable", "refused", "broken", "late", "stale", "abandoned", "withdrawn", "crashed", "no path", "path lost"}
 
 // unsent reports whether no part of the request has reached the server.
-func (r Result) unsent() bool { return r == Unreachable || r == Refused || r == Withdrawn }
+func (r Result) unsent() bool {
+	return r == Unreachable || r == Refused || r == Withdrawn || r == NoPath
+}
 
 // String returns the result's name in logs.
 func (r Result) String() string { return resultNames[r] }
--- a/pkg/backend/incarnation.go
+++ b/pkg/backend/incarnation.go
@@ -1,6 +1,9 @@
 package backend
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // byIncarnation returns the server with that incarnation, or nil if it is unknown.
 func (s *Set) byIncarnation(incarnation string) *server {
@@ -35,6 +38,34 @@
 	return v != nil && v.missingSince.IsZero() && v.Address == address
 }
 
+// IsUsableAt reports whether that incarnation of a server may get requests at the address.
+func (s *Set) IsUsableAt(incarnation, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.byIncarnation(incarnation)
+	return v != nil && s.usable(v) && v.Address == address
+}
+
+// OtherAddresses returns the addresses of up to count servers other than the one at the given
+// address, of those that may get requests, starting with the one that has answered last.
+func (s *Set) OtherAddresses(address string, count int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	var others []*server
+	for _, v := range s.servers {
+		if v.Address != address && s.usable(v) && !v.health.ejected(now) {
+			others = append(others, v)
+		}
+	}
+	slices.SortFunc(others, func(a, b *server) int { return b.health.answeredAt.Compare(a.health.answeredAt) })
+	var list []string
+	for _, v := range others[:min(count, len(others))] {
+		list = append(list, v.Address)
+	}
+	return list
+}
+
 // MarkLeaving marks that incarnation of a server as leaving, whatever the list has of it: it gets
 // no new requests, and requests that wait to be sent to it go elsewhere. The platform's store may
 // be silent, and its list then keeps showing the server as ready.
--- a/pkg/backend/lease.go
+++ b/pkg/backend/lease.go
@@ -119,6 +119,9 @@
 	case Refused:
 		v.refusedAt = now
 		ejected = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
+	case NoPath:
+		// The server may be well, so that the ejection does not grow.
+		v.health.ejectedUntil = now.Add(s.Policy.FirstRest)
 	case Unreachable:
 		ejected = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
 	case Crashed:
@@ -133,7 +136,7 @@
 		if now.Sub(v.health.answeredAt) > s.Policy.Silence {
 			ejected = v.health.failed(&s.Policy, now, 1)
 		}
-	case Withdrawn:
+	case Withdrawn, PathLost:
 	case Stale:
 		s.markStale(v)
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -38,6 +38,8 @@
 	// Sent is true if any byte of the request may have left this process.
 	Sent  bool
 	Cause error
+	// Via is the name of the box through which the connection went, "" if it was direct.
+	Via string
 }
 
 // Error implements error.
@@ -107,6 +109,8 @@
 	Length int
 	// Reused is true if the connection had carried an exchange before.
 	Reused bool
+	// Via is the name of the box through which the connection goes, "" if it is direct.
+	Via string
 }
 
 // Pool holds the connections to one address.
@@ -154,7 +158,7 @@
 		Now:          time.Now,
 		MaxIdleConns: maxIdle,
 		Reusable:     reusable,
-		StillUsable:  stillUsable,
+		StillUsable:  StillUsable,
 	}
 }
 
@@ -187,6 +191,14 @@
 	return idle <= maxIdle
 }
 
+// via returns the name of the box through which the connection goes, "" if it is direct.
+func (c *connection) via() string {
+	if relayed, ok := c.Conn.(interface{ Via() string }); ok {
+		return relayed.Via()
+	}
+	return ""
+}
+
 // Write counts the bytes handed to the network.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -218,6 +230,24 @@
 	}
 }
 
+// CloseUnusable closes the idle connections that are no longer usable.
+func (p *Pool) CloseUnusable() {
+	p.mu.Lock()
+	var kept, unusable []*connection
+	for _, c := range p.idle {
+		if p.StillUsable(c.Conn) {
+			kept = append(kept, c)
+		} else {
+			unusable = append(unusable, c)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range unusable {
+		_ = c.Conn.Close()
+	}
+}
+
 // get returns an idle connection that is still open, or a new one.
 func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*connection, error) {
 	for {
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -85,11 +85,11 @@
 		return nil, &Error{Stage: StageSend, Cause: err}
 	}
 	if err := x.send(req); err != nil {
-		return nil, &Error{Stage: StageSend, Sent: x.conn.written > 0, Cause: x.cause(err)}
+		return nil, &Error{Stage: StageSend, Sent: x.conn.written > 0, Cause: x.cause(err), Via: x.conn.via()}
 	}
-	answer := &Answer{Reused: x.conn.reused}
+	answer := &Answer{Reused: x.conn.reused, Via: x.conn.via()}
 	if err := x.readMatchingHeader(req, &answer.Header); err != nil {
-		return nil, &Error{Stage: StageHeader, Sent: true, Cause: x.cause(err)}
+		return nil, &Error{Stage: StageHeader, Sent: true, Cause: x.cause(err), Via: x.conn.via()}
 	}
 	x.closeAsked = answer.Header.ConnectionClose()
 	x.conn.keepAlive = parseKeepAlive(&answer.Header)
--- a/pkg/exchange/hangup.go
+++ b/pkg/exchange/hangup.go
@@ -7,9 +7,9 @@
 	"github.com/sourcegraph/conc"
 )
 
-// stillUsable reports whether an idle connection is open and has nothing to read. An
+// StillUsable reports whether an idle connection is open and has nothing to read. An
 // unexpected byte makes a connection unusable, as its end does.
-func stillUsable(c net.Conn) bool {
+func StillUsable(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/pkg/exchange/idle.go
+++ b/pkg/exchange/idle.go
@@ -84,7 +84,7 @@
 // closedByPeer reports whether an exchange failed because the peer had closed the idle
 // connection without notice.
 func closedByPeer(c *connection, err *Error, took time.Duration) bool {
-	if !c.reused || c.idleFor < minIdle || err.Stage != StageSend && err.Stage != StageHeader || took > closeWithin {
+	if !c.reused || c.via() != "" || c.idleFor < minIdle || err.Stage != StageSend && err.Stage != StageHeader || took > closeWithin {
 		return false
 	}
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -221,6 +221,14 @@
 	}
 }
 
+// Stays reports whether a box is live and not leaving.
+func (t *Table) Stays(box string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.members[box]
+	return e != nil && !e.Leaving && t.live(e, t.Now())
+}
+
 // Generation returns a number that changes whenever a box joins, comes back, falls silent or
 // changes what the choice of boxes for clients depends on. A box that is no longer live may be
 // noticed only by the next Expire.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -135,6 +135,11 @@
 	// ObserveTarget records whether a customer's request, which was within its limit and not
 	// cancelled by its client, was answered within the target latency of its route.
 	ObserveTarget func(c *customer.Customer, inTime bool)
+	// ObserveDirectAnswer records that a server has answered over the box's own link to it.
+	ObserveDirectAnswer func(server *backend.Server)
+	// IsPathLost reports whether an exchange failed because the box's own link to the server has
+	// failed, which shows nothing about the server.
+	IsPathLost func(server *backend.Server, err error) bool
 	// HasCrashed determines whether a backend server that closed a connection without an
 	// answer has ended. It takes one network round trip.
 	HasCrashed func(server *backend.Server) bool
@@ -155,8 +160,9 @@
 	ObserveUnknownHeader func(name string)
 	// Background runs work that outlives its request.
 	Background func(work func())
-	// Pool returns the connections to a backend server.
-	Pool func(server *backend.Server) *exchange.Pool
+	// Pool returns the connections to a backend server. If bound is true, other boxes may pass
+	// the request on in the server's region only.
+	Pool func(server *backend.Server, bound bool) *exchange.Pool
 	Now  func() time.Time
 	// SyncClock makes Now include the time for which the machine was suspended.
 	SyncClock func()
@@ -222,6 +228,8 @@
 	// cachedFingerprint is the request's fingerprint once it has been computed.
 	cachedFingerprint *quarantine.Fingerprint
 	steps             []step
+	// via is the name of the box through which the last server was reached, "" if it was directly.
+	via string
 	// shed is how a server has shed the request, nil if the last one tried did not.
 	shed *returns.Shed
 	// isLeftToClient is set if the request was refused so that its client returns.
@@ -238,6 +246,8 @@
 	result  backend.Result
 	took    time.Duration
 	problem error
+	// via is the name of the box through which the server was reached, "" if it was directly.
+	via string
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -267,6 +267,9 @@
 	if l.BackedOff > 0 {
 		fields[name+"_resting"] = l.BackedOff
 	}
+	if t.via != "" {
+		fields[name+"_via"] = t.via
+	}
 	if t.problem != nil {
 		fields[name+"_error"] = t.problem.Error()
 	}
--- a/pkg/ingress/ingress_crash.go
+++ b/pkg/ingress/ingress_crash.go
@@ -46,11 +46,16 @@
 				c.server.ObserveCrash(f, server.Incarnation())
 				return
 			}
-			c.observeAttempt(lease, attempt)
+			if !c.server.IsPathLost(&server, err) {
+				c.observeAttempt(lease, attempt)
+			}
 		})
 		return backend.Broken
 	}
 	if !c.server.HasCrashed(&lease.Server) {
+		if c.server.IsPathLost(&lease.Server, err) {
+			return backend.PathLost // found by the check
+		}
 		c.observeAttempt(lease, attempt)
 		return backend.Broken
 	}
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -206,8 +206,8 @@
 	s := c.server
 	start := s.Now()
 	c.tried = append(c.tried, lease.ID)
-	c.shed = nil
-	pool := s.Pool(&lease.Server)
+	c.shed, c.via = nil, ""
+	pool := s.Pool(&lease.Server, c.isRegionRestricted())
 	answer, err := pool.Do(c.ctx, c.request(lease, start))
 	if err != nil {
 		if wasSent(err) {
@@ -216,6 +216,10 @@
 		return c.failed(lease, start, err)
 	}
 	c.sent++
+	c.via = answer.Via
+	if answer.Via == "" {
+		s.ObserveDirectAnswer(&lease.Server)
+	}
 	meta := s.Dialect.ReadAnswer(&answer.Header)
 	s.ObserveAnswer(&lease.Server, &meta, start)
 	switch {
@@ -260,10 +264,15 @@
 	timedOut := errors.Is(err, context.DeadlineExceeded)
 	clientLeft := c.r.Context().Err() != nil
 	attempt := Attempt{Failed: !timedOut, TimedOut: timedOut, Took: c.server.Now().Sub(start)}
-	if sent && timedOut && !clientLeft {
+	pathLost := !clientLeft && c.server.IsPathLost(&lease.Server, err)
+	if sent && timedOut && !clientLeft && !pathLost {
 		c.observeAttempt(lease, attempt)
 	}
 	switch {
+	case sent && pathLost:
+		c.finish(lease, backend.PathLost, nil, start, err)
+	case pathLost:
+		c.finish(lease, backend.NoPath, nil, start, err)
 	case clientLeft:
 		c.finish(lease, backend.Abandoned, nil, start, err)
 	case isWithdrawn(err):
@@ -381,6 +390,6 @@
 		c.server.Count("backend.remote")
 	}
 	c.steps = append(c.steps, step{
-		lease: lease, result: result, took: c.server.Now().Sub(start), problem: err,
+		lease: lease, result: result, took: c.server.Now().Sub(start), problem: err, via: c.via,
 	})
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/stoneworks/stoneworks/pkg/policy"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/quota"
+	"github.com/stoneworks/stoneworks/pkg/relay"
 	"github.com/stoneworks/stoneworks/pkg/replica"
 	"github.com/stoneworks/stoneworks/pkg/retry"
 	"github.com/stoneworks/stoneworks/pkg/rollout"
@@ -37,6 +38,7 @@
 	"github.com/stoneworks/stoneworks/pkg/settings"
 	"github.com/stoneworks/stoneworks/pkg/timer"
 	"github.com/stoneworks/stoneworks/pkg/topology"
+	"github.com/stoneworks/stoneworks/pkg/tunnel"
 	"github.com/stoneworks/stoneworks/pkg/utilization"
 )
 
@@ -96,6 +98,9 @@
 	Ingress      *ingress.Server
 	// Utilization is how much of its machine the box uses.
 	Utilization *utilization.Meter
+	// Relay opens connections to backend servers, and tunnels does so for other boxes.
+	Relay   *relay.Dialer
+	tunnels *tunnel.Server
 	// Connect opens a TCP connection to an address. Tests replace it to simulate failing links.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 
@@ -197,6 +202,7 @@
 	n.newUtilization(s.Machine, logging.For(logger, "machine"))
 	n.newMembers(logging.For(logger, "members"))
 	n.newSet(logging.For(logger, "backend"))
+	n.newRelay(logging.For(logger, "relay"))
 	n.setPolicy(s.Policy)
 	n.Budget = retry.NewBudget(retry.Bounds{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
@@ -360,6 +366,8 @@
 		AwaitServerLimit: n.awaitRoom, ReleaseServerLimit: n.releaseRoom,
 		ObserveTarget:        func(c *customer.Customer, inTime bool) { n.Ledger.Record(c.Name, inTime) },
 		Pool:                 n.pool,
+		ObserveDirectAnswer:  func(server *backend.Server) { n.Relay.Paths.ObserveAnswer(server.Address) },
+		IsPathLost:           n.isPathLost,
 		HasCrashed:           n.hasCrashed,
 		ObserveCrash:         n.noteCrash,
 		ObserveRelease:       n.removeHold,
--- a/pkg/node/node_dial.go
+++ b/pkg/node/node_dial.go
@@ -12,6 +12,7 @@
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/relay"
 )
 
 // ================================================================
@@ -40,19 +41,24 @@
 // dialer returns a dialer whose connections detect a machine without power.
 func (n *Node) dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout:   dialTimeout,
-		LocalAddr: n.localAddress(),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-		},
+		Timeout:         dialTimeout,
+		LocalAddr:       n.localAddress(),
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
 	}
 }
 
+// keepAlive is the configuration of the probes.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount}
+
+// setUserTimeout sets how long sent bytes may stay unacknowledged. A kernel that does not know the
+// option uses a longer time.
+func setUserTimeout(c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	})
+}
+
 // localAddress returns the box's own IP address, by which others know it, as the source address
 // of connections.
 func (n *Node) localAddress() net.Addr {
@@ -86,6 +92,7 @@
 	return n.dialer().DialContext(ctx, "tcp4", address)
 }
 
+// dialServer connects to a backend server over this box's own link.
 func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) {
 	metrics.GetOrRegisterCounter("backend.connections", n.Metrics).Inc(1)
 	return n.dialPeer(ctx, address)
@@ -95,17 +102,23 @@
 type poolKey struct {
 	incarnation string
 	address     string
+	// bound is true for connections that go through no region but the server's, where the link to
+	// the server does not work.
+	bound bool
 }
 
-// pool returns the connections to a backend server. Each incarnation of a server has its own
-// pool, so that no connection to an earlier server at the address is reused.
-func (n *Node) pool(v *backend.Server) *exchange.Pool {
-	key := poolKey{v.Incarnation(), v.Address}
+// pool returns the connections to a backend server for requests that may, if bound is true, be
+// passed on in the server's region only. Each incarnation of a server has its own pool, so that no
+// connection to an earlier server at the address is reused.
+func (n *Node) pool(v *backend.Server, bound bool) *exchange.Pool {
+	key := poolKey{v.Incarnation(), v.Address, bound && n.Relay.Paths.State(v.Address) != relay.Working}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.pools[key]
 	if p == nil {
-		p = exchange.NewPool(v.Address, maxIdleConnections, n.dialServer)
+		target := relay.Target{Address: v.Address, Incarnation: key.incarnation, Region: n.Topology.RegionOf(v.Zone), Bound: key.bound}
+		p = exchange.NewPool(v.Address, maxIdleConnections, func(ctx context.Context, _ string) (net.Conn, error) { return n.Relay.Dial(ctx, target) })
+		p.StillUsable = func(c net.Conn) bool { return n.mayReuse(target.Address, c) && exchange.StillUsable(c) }
 		p.Now = n.Clock.Now
 		p.Idle = n.idle
 		n.pools[key] = p
--- a/pkg/node/node_mirrors_slow_test.go
+++ b/pkg/node/node_mirrors_slow_test.go
@@ -47,6 +47,7 @@
 	s := settings.Defaults()
 	s.Box, s.Zone = "box-1", "east-a"
 	n := &Node{Settings: &s, Clock: clock.New(), context: context.Background(), log: logging.For(logging.New(logging.NewAsyncJSONHandler(&bytes.Buffer{}), 0), "box")}
+	n.Connect = n.connect
 	ctx, cancel := context.WithTimeout(context.Background(), replica.PullTimeout)
 	defer cancel()
 	return n.fetchMirror(ctx, source, objects.NewMirror("servers"))
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -201,7 +201,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"peers", a.Peers, peers},
+		{"peers", a.Peers, n.withTunnels(peers)},
 		{"admin", a.Admin, admin},
 		{"ready", a.Ready, n.adapter.Readiness(n.Ready)},
 		{"directory", a.Directory, n.adapter.Directory(n.Directory.Resolve)},
--- /dev/null
+++ b/pkg/node/node_relay.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/stoneworks/stoneworks/pkg/backend"
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/logging"
+	"github.com/stoneworks/stoneworks/pkg/relay"
+	"github.com/stoneworks/stoneworks/pkg/tunnel"
+)
+
+// ================================================================
+// Connections to backend servers through other boxes.
+// ================================================================
+
+const (
+	// relayEvery is how often broken links to servers are tried, and probedLinks how many of them.
+	relayEvery  = 500 * time.Millisecond
+	probedLinks = 4
+	// relayLinger is how long after the last link has failed connections through other boxes may
+	// still be open.
+	relayLinger = 15 * time.Second
+	// maxTunnels bounds the connections that a box passes on for others, whose buffers take some
+	// 20 KB each.
+	maxTunnels = 512
+)
+
+func (n *Node) newRelay(log *logging.Logger) {
+	d := relay.NewDialer(n.Topology.RegionOf(n.Settings.Zone), n.Clock.Now, rand.Float64)
+	d.Timeout = dialTimeout
+	d.Direct, d.Through, d.Boxes, d.Go = n.dialServer, n.dialThrough, n.relayBoxes, n.background.Go
+	d.Others = n.Set.OtherAddresses
+	d.Paths.OnChange = func(address string, broken bool) {
+		text := "link to a server works again"
+		if broken {
+			text = "link to a server is broken, other boxes reach the server"
+		}
+		log.Info(text, map[string]any{"address": address})
+	}
+	n.Relay = d
+	n.tunnels = &tunnel.Server{
+		Accepts:   n.acceptsTunnel,
+		Dial:      n.dialForOther,
+		LinksWork: d.LinksWork,
+		Prepare:   func(c net.Conn) { n.prepareTunnel(log, c) },
+		Count:     func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
+	}
+}
+
+// relayBoxes returns the boxes that may pass connections on. The more of its machine a box uses,
+// the less of its capacity counts.
+func (n *Node) relayBoxes() []relay.Box {
+	var list []relay.Box
+	n.Members.EachLive(func(r *gossip.Record) {
+		if r.Ready && !r.Leaving {
+			capacity := r.Capacity / float64(1+r.Use)
+			list = append(list, relay.Box{Name: r.Box, Address: r.Peers, Region: n.Topology.RegionOf(r.Zone), Capacity: capacity})
+		}
+	})
+	return list
+}
+
+// dialThrough connects to a server through another box. The error is a *relay.HelperError.
+func (n *Node) dialThrough(ctx context.Context, box relay.Box, t relay.Target) (net.Conn, error) {
+	metrics.GetOrRegisterCounter("relay.asked", n.Metrics).Inc(1)
+	conn, err := n.dialPeer(ctx, box.Address)
+	if err != nil {
+		return nil, &relay.HelperError{Box: box.Name, Reason: relay.Unavailable, Cause: err}
+	}
+	c, err := tunnel.Open(ctx, conn, box.Name, t.Incarnation, t.Address)
+	if err != nil {
+		_ = conn.Close()
+		return nil, &relay.HelperError{Box: box.Name, Reason: reasonOf(err), Cause: err}
+	}
+	return c, nil
+}
+
+// reasonOf returns why a box did not open a tunnel.
+func reasonOf(err error) relay.Reason {
+	var refused *tunnel.StatusError
+	if errors.As(err, &refused) {
+		switch refused.Status {
+		case tunnel.StatusServerRefused:
+			return relay.ServerRefused
+		case tunnel.StatusServerSilent:
+			return relay.ServerSilent
+		}
+	}
+	return relay.Unavailable
+}
+
+// mayReuse reports whether an open connection to a server may carry another request. One through
+// another box is given up when the own link works again or that box leaves.
+func (n *Node) mayReuse(address string, c net.Conn) bool {
+	relayed, ok := c.(*tunnel.Conn)
+	if !ok {
+		return n.Relay.Paths.MayReuse(address)
+	}
+	return n.Relay.Paths.State(address) != relay.Working && n.Members.Stays(relayed.Box)
+}
+
+// isPathLost determines whether an exchange failed because of the link to the server, or of the
+// box that passed it on, and records what that shows of the link.
+func (n *Node) isPathLost(v *backend.Server, err error) bool {
+	if relay.IsNoPath(err) {
+		return true
+	}
+	var x *exchange.Error
+	if !errors.As(err, &x) || !x.Sent {
+		return false
+	}
+	if x.Via != "" {
+		return !exchange.ClosedUnanswered(err) && !errors.Is(err, context.DeadlineExceeded)
+	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		n.Relay.Paths.ObserveFailed(v.Address)
+	}
+	return n.Relay.Paths.State(v.Address) != relay.Working
+}
+
+// tickRelay tries broken links, and closes idle connections over links and through boxes that are
+// not to be used any more. It does nothing while all links work.
+func (n *Node) tickRelay() {
+	if n.Relay.Paths.AllWorkFor(relayLinger) {
+		return
+	}
+	addresses := map[string]bool{}
+	n.mu.Lock()
+	pools := make([]*exchange.Pool, 0, len(n.pools))
+	for key, p := range n.pools {
+		addresses[key.address] = true
+		pools = append(pools, p)
+	}
+	n.mu.Unlock()
+	n.Relay.Paths.Expire(func(address string) bool { return addresses[address] })
+	metrics.GetOrRegisterGauge("relay.broken_links", n.Metrics).Update(int64(n.Relay.Paths.CountBroken()))
+	n.Relay.ProbeBroken(n.context, probedLinks)
+	for _, p := range pools {
+		p.CloseUnusable()
+	}
+}
+
+// ----------------------------------------------------------------
+// For other boxes
+// ----------------------------------------------------------------
+
+// withTunnels returns a handler that also serves other boxes' requests for tunnels.
+func (n *Node) withTunnels(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			n.tunnels.ServeHTTP(w, r)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// acceptsTunnel reports whether this box passes a connection to a server on. It does so only where
+// its own link may work, since otherwise two boxes could pass it to each other.
+func (n *Node) acceptsTunnel(server, address string) bool {
+	switch {
+	case n.leaving.Load(), n.tunnels.Open() >= maxTunnels, n.asksToClose():
+		return false
+	case !n.Set.IsUsableAt(server, address):
+		return false
+	}
+	return n.Relay.Paths.State(address) == relay.Working
+}
+
+// dialForOther connects to a server for another box, over this box's own link only.
+func (n *Node) dialForOther(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := n.dialServer(ctx, address)
+	switch {
+	case err == nil:
+		n.Relay.Paths.ObserveConnected(address)
+	case ctx.Err() == nil:
+		n.Relay.Paths.ObserveFailed(address)
+	}
+	return conn, err
+}
+
+// prepareTunnel makes the connection from another box detect that its machine has lost power.
+func (n *Node) prepareTunnel(log *logging.Logger, c net.Conn) {
+	tcp, ok := c.(interface {
+		SetKeepAliveConfig(config net.KeepAliveConfig) error
+		SyscallConn() (syscall.RawConn, error)
+	})
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		err = setUserTimeout(raw)
+	}
+	if err == nil {
+		err = tcp.SetKeepAliveConfig(keepAlive)
+	}
+	if err != nil {
+		log.Warn("a tunnel cannot detect the loss of its box", map[string]any{"from": c.RemoteAddr().String(), "error": err.Error()})
+	}
+}
--- a/pkg/node/node_run.go
+++ b/pkg/node/node_run.go
@@ -49,6 +49,7 @@
 		n.Timers.Every(rolloutsEvery, n.tickRollouts)
 	}
 	n.Timers.Every(dropPoolsEvery, n.dropPools)
+	n.Timers.Every(relayEvery, n.tickRelay)
 	n.background.Go(func() { n.Timers.Run(n.context) })
 	n.background.Go(n.receiveDatagrams)
 	n.background.Go(func() { n.ports.serveClients(n.clientHandler()) })
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	n.ports.shutdown(ctx)
-	for n.inFlight.Load() > 0 && ctx.Err() == nil {
+	for n.inFlight.Load()+int64(n.tunnels.Open()) > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
 	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": n.Clock.Since(start).Milliseconds()})
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -53,6 +53,7 @@
 	is.NoErr(err)
 	defer func() { _ = l.Close() }()
 	n := &Node{Settings: &settings.Settings{Advertise: settings.Addresses{Peers: "127.0.0.1:1"}}}
+	n.Connect = n.connect
 	c, err := n.dialPeer(t.Context(), l.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
--- a/pkg/node/node_utilization_test.go
+++ b/pkg/node/node_utilization_test.go
@@ -55,6 +55,7 @@
 	}))
 	defer source.Close()
 	n := &Node{Settings: &settings.Settings{Advertise: settings.Addresses{Peers: "127.0.0.1:1"}}}
+	n.Connect = n.connect
 	_, err := n.fetchMirror(t.Context(), source.Listener.Addr().String(), &objects.Mirror{Kind: "servers"})
 	is.NoErr(err)
 	is.True(n.traffic.received.Load() > 0)
--- /dev/null
+++ b/pkg/tunnel/frames.go
@@ -0,0 +1,110 @@
+package tunnel
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+)
+
+// The bytes that come from the server are sent in frames: their number in two bytes, then the
+// bytes. A frame without bytes tells that the server has closed its connection orderly. A box
+// that is killed closes its connections orderly too, which without frames would make an answer
+// that ends with its connection look complete.
+
+// frameHeader is the size of a frame's header in bytes.
+const frameHeader = 2
+
+// Conn is the connection to a server through another box.
+type Conn struct {
+	net.Conn
+	// Box is the name of the box that passes the bytes on.
+	Box string
+
+	// left is how many bytes of the current frame have not been read; ended is true after the
+	// last frame.
+	left  int
+	ended bool
+}
+
+// Read implements net.Conn. It returns io.EOF only if the server has closed its connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.ended {
+		return 0, io.EOF
+	}
+	if c.left == 0 {
+		if err := c.readHeader(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, unexpectedEnd(err)
+}
+
+func (c *Conn) readHeader() error {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(c.Conn, header[:]); err != nil {
+		return unexpectedEnd(err)
+	}
+	c.left = int(binary.BigEndian.Uint16(header[:]))
+	if c.left == 0 {
+		c.ended = true
+		return io.EOF
+	}
+	return nil
+}
+
+// unexpectedEnd returns the error for the end of the connection to the other box.
+func unexpectedEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Via returns the name of the box that passes the bytes on.
+func (c *Conn) Via() string { return c.Box }
+
+// SetLinger sets the option of the connection to the other box, see net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := c.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
+// passFramed copies bytes from a server's connection in frames.
+func passFramed(to, from net.Conn, buffer []byte) error {
+	for {
+		n, err := from.Read(buffer[frameHeader:])
+		ended := errors.Is(err, io.EOF)
+		if n > 0 {
+			if err := writeFrame(to, buffer, n); err != nil {
+				return err
+			}
+		}
+		if ended {
+			return writeFrame(to, buffer, 0)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeFrame sends the first n bytes that follow the place of the header.
+func writeFrame(to net.Conn, buffer []byte, n int) error {
+	binary.BigEndian.PutUint16(buffer, uint16(n))
+	_, err := to.Write(buffer[:frameHeader+n])
+	return err
+}
--- /dev/null
+++ b/pkg/tunnel/tunnel_test.go
@@ -0,0 +1,166 @@
+package tunnel
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startBox starts a box that passes connections on, and returns its address.
+func startBox(t *testing.T, s *Server) string {
+	t.Helper()
+	s.Prepare, s.Count = func(net.Conn) {}, func(string) {}
+	if s.Accepts == nil {
+		s.Accepts = func(_, _ string) bool { return true }
+	}
+	if s.LinksWork == nil {
+		s.LinksWork = func(context.Context, string) bool { return true }
+	}
+	if s.Dial == nil {
+		s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		}
+	}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// startServer starts a server that handles one connection, and returns its address.
+func startServer(t *testing.T, handle func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			handle(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// open opens a tunnel, and fails the test if that fails.
+func open(t *testing.T, box, address string) *Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", box)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	c, err := Open(t.Context(), conn, "box", "server", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestBytesPassUnaltered checks both directions with more bytes than a buffer holds.
+func TestBytesPassUnaltered(t *testing.T) {
+	is := is.New(t)
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 10_000)
+	box := &Server{}
+	c := open(t, startBox(t, box), startServer(t, func(c *net.TCPConn) {
+		_, _ = io.CopyN(c, c, int64(len(sent)))
+		_ = c.Close()
+	}))
+	is.Equal(box.Open(), 1)
+	go func() { _, _ = c.Write(sent) }()
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, sent))
+	_ = c.Close()
+	for end := time.Now().Add(time.Second); box.Open() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.Equal(box.Open(), 0)
+}
+
+// TestAnswerThatBrokeOffIsIncomplete checks that only the orderly end of the server's connection
+// looks like one: not its reset, nor the loss of the box between.
+func TestAnswerThatBrokeOffIsIncomplete(t *testing.T) {
+	is := is.New(t)
+	c := open(t, startBox(t, &Server{}), startServer(t, func(c *net.TCPConn) {
+		_, _ = c.Write([]byte("half"))
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}))
+	_, err := io.ReadAll(c)
+	is.True(err != nil)
+
+	var toServer net.Conn
+	address := startServer(t, func(c *net.TCPConn) { _, _ = c.Write([]byte("half")) })
+	var fromBox net.Conn
+	box := startBox(t, &Server{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		var err error
+		toServer, err = (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		return toServer, err
+	}})
+	lost := open(t, box, address)
+	fromBox = lost.Conn
+	half := make([]byte, 4)
+	_, err = io.ReadFull(lost, half)
+	is.NoErr(err)
+	_ = fromBox.(*net.TCPConn).CloseRead() // the kernel closes a killed box's connection orderly
+	_, err = lost.Read(half)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.True(toServer != nil)
+}
+
+// TestEndOfTheClientReachesTheServer checks that a server learns that nobody waits any more.
+func TestEndOfTheClientReachesTheServer(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	c := open(t, startBox(t, &Server{}), startServer(t, func(c *net.TCPConn) {
+		_, err := io.ReadAll(c)
+		ended <- err
+	}))
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	select {
+	case err := <-ended:
+		is.True(errors.Is(err, syscall.ECONNRESET))
+	case <-time.After(time.Second):
+		t.Fatal("the server does not know")
+	}
+}
+
+// TestRefusalsAreToldApart checks what a box answers that opens no tunnel.
+func TestRefusalsAreToldApart(t *testing.T) {
+	is := is.New(t)
+	dial := func(err error) func(context.Context, string) (net.Conn, error) {
+		return func(context.Context, string) (net.Conn, error) { return nil, err }
+	}
+	for status, s := range map[int]*Server{
+		StatusUnavailable:   {Accepts: func(_, _ string) bool { return false }},
+		StatusServerRefused: {Dial: dial(syscall.ECONNREFUSED)},
+		StatusServerSilent:  {Dial: dial(context.DeadlineExceeded)},
+	} {
+		conn, err := net.Dial("tcp4", startBox(t, s))
+		is.NoErr(err)
+		_, err = Open(t.Context(), conn, "box", "server", "127.0.0.1:1")
+		var refused *StatusError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Status, status)
+		_ = conn.Close()
+	}
+	cutOff := &Server{Dial: dial(syscall.ECONNREFUSED), LinksWork: func(context.Context, string) bool { return false }}
+	conn, err := net.Dial("tcp4", startBox(t, cutOff))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = Open(t.Context(), conn, "box", "server", "127.0.0.1:1")
+	var refused *StatusError
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Status, http.StatusServiceUnavailable)
+}
