--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -47,8 +47,12 @@
 Exit codes: 0 stopped or settings valid, 1 failed, 2 invalid settings or usage.
 `
 
-// Customize may change a box before it starts; tests use it.
-type Customize func(*box.Box)
+// Customize may change a box before it starts; tests use it. Nil fields change nothing.
+type Customize struct {
+	Box func(*box.Box)
+	// Node changes a box on a platform that is a store of objects.
+	Node func(*node.Node)
+}
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer, customize ...Customize) int {
@@ -94,7 +98,7 @@
 		return ExitOK
 	}
 	if s.Platform.Protocol == settings.ProtocolObjects {
-		return runNode(s, *path, stdout, stderr)
+		return runNode(s, *path, stdout, stderr, customize)
 	}
 	return run(s, stdout, stderr, customize)
 }
@@ -133,7 +137,9 @@
 	defer cancel()
 	b := box.New(s, handler)
 	for _, c := range customize {
-		c(b)
+		if c.Box != nil {
+			c.Box(b)
+		}
 	}
 	if err := b.Start(); err != nil {
 		fmt.Fprintln(stderr, err)
--- a/pkg/daemon/daemon_node.go
+++ b/pkg/daemon/daemon_node.go
@@ -23,7 +23,7 @@
 const settingsPoll = 2 * time.Second
 
 // runNode runs a box on a platform that is a store of objects.
-func runNode(s *settings.Settings, path string, stdout, stderr io.Writer) int {
+func runNode(s *settings.Settings, path string, stdout, stderr io.Writer, customize []Customize) int {
 	handler := logging.NewAsyncHandler(stdout)
 	if s.LogFormat == "json" {
 		handler = logging.NewAsyncJSONHandler(stdout)
@@ -37,6 +37,11 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	n := node.New(s, platform.Adapter(), handler, clock.New())
+	for _, c := range customize {
+		if c.Node != nil {
+			c.Node(n)
+		}
+	}
 	if err := n.Start(); err != nil {
 		fmt.Fprintln(stderr, err)
 		n.Stop()
--- a/test/cmd/stoneworksd-control/main.go
+++ b/test/cmd/stoneworksd-control/main.go
@@ -11,5 +11,5 @@
 )
 
 func main() {
-	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, control.Controls[os.Getenv("STONEWORKS_CONTROL")]))
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, daemon.Customize{Box: control.Controls[os.Getenv("STONEWORKS_CONTROL")]}))
 }
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -190,8 +190,9 @@
 	go handler.Run(logContext)
 	m := newMachine()
 	node := node.New(&s, platform.Adapter(), handler, clock.NewWithBoottime(m.boottime))
-	m.links.connect, m.links.servers = node.Connect, f.network+serversHost+":"
-	node.Connect = m.links.dial
+	m.links.Connect = node.Connect
+	m.links.IsServer = func(address string) bool { return strings.HasPrefix(address, f.network+serversHost+":") }
+	node.Connect = m.links.Dial
 	if err := node.Start(); err != nil {
 		endLog()
 		node.Stop()
--- a/test/machines/links.go
+++ b/test/machines/links.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +25,9 @@
 	RefusesNew
 )
 
+// Cuts are the cuts by name.
+var Cuts = map[string]Cut{"": NotCut, "hanging": Hanging, "reset": ResetAll, "refuses-new": RefusesNew}
+
 // The times after which a box's kernel gives up a peer that does not answer: an attempt to
 // connect, data that stays unacknowledged, and the keep-alive probes of an idle connection.
 const (
@@ -34,11 +36,12 @@
 	idleGivesUp    = 3 * time.Second
 )
 
-// links simulates the links between a box and the backend servers.
-type links struct {
-	connect func(ctx context.Context, address string) (net.Conn, error)
-	// servers is the prefix of the servers' addresses.
-	servers string
+// Links simulates the links between a box and the backend servers.
+type Links struct {
+	// Connect opens a connection, and IsServer reports whether an address is that of a server.
+	// Both are required.
+	Connect  func(ctx context.Context, address string) (net.Conn, error)
+	IsServer func(address string) bool
 
 	mu  sync.Mutex
 	cut Cut
@@ -47,10 +50,12 @@
 	conns map[*linkConn]bool
 }
 
-// CutFromServers cuts the box off from the backend servers whose addresses are chosen by only, or
-// from all if that is nil. NotCut restores the links; connections that hung stay dead.
-func (b *Box) CutFromServers(cut Cut, only func(address string) bool) {
-	l := &b.machine.links
+// CutFromServers cuts the box off from the backend servers; see Links.Set.
+func (b *Box) CutFromServers(cut Cut, only func(address string) bool) { b.machine.links.Set(cut, only) }
+
+// Set cuts the links to the backend servers whose addresses are chosen by only, or to all if that
+// is nil. NotCut restores the links; connections that hung stay dead.
+func (l *Links) Set(cut Cut, only func(address string) bool) {
 	l.mu.Lock()
 	l.cut, l.only = cut, only
 	var affected []*linkConn
@@ -71,14 +76,14 @@
 }
 
 // isCut reports whether the link to an address is cut. The caller holds the lock.
-func (l *links) isCut(address string) bool {
+func (l *Links) isCut(address string) bool {
 	return l.cut != NotCut && (l.only == nil || l.only(address))
 }
 
-// dial opens a connection as the box's kernel would.
-func (l *links) dial(ctx context.Context, address string) (net.Conn, error) {
-	if !strings.HasPrefix(address, l.servers) {
-		return l.connect(ctx, address)
+// Dial opens a connection as the box's kernel would.
+func (l *Links) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if !l.IsServer(address) {
+		return l.Connect(ctx, address)
 	}
 	l.mu.Lock()
 	cut := l.cut
@@ -95,7 +100,7 @@
 	case ResetAll, RefusesNew:
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
-	c, err := l.connect(ctx, address)
+	c, err := l.Connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +118,7 @@
 type linkConn struct {
 	*net.TCPConn
 	address string
-	links   *links
+	links   *Links
 
 	mu      sync.Mutex
 	hanging bool
--- a/test/machines/machine.go
+++ b/test/machines/machine.go
@@ -7,7 +7,7 @@
 
 // machine simulates the clocks and the links of the machine that a box runs on.
 type machine struct {
-	links links
+	links Links
 
 	mu        sync.Mutex
 	started   time.Time
--- a/test/processes/processes.go
+++ b/test/processes/processes.go
@@ -35,6 +35,8 @@
 	Network string
 	// Store is the address of the platform's store.
 	Store string
+	// CutLinks runs a daemon whose links to backend servers can be cut.
+	CutLinks bool
 	// Drain, Contact and Grace are the durations under bounds in the settings.
 	Drain, Contact, Grace time.Duration
 }
@@ -73,6 +75,23 @@
 	return b, os.WriteFile(b.settingsPath(), []byte(text), 0o600)
 }
 
+// program returns the name of the daemon.
+func (b *Box) program() string {
+	if b.CutLinks {
+		return "stoneworksd-links"
+	}
+	return "stoneworksd"
+}
+
+// linksPath returns the file that holds the name of the box's cut from backend servers.
+func (b *Box) linksPath() string { return filepath.Join(b.Dir, b.Name+".links") }
+
+// CutFromServers cuts the box off from all backend servers, or restores its links if the name is
+// empty; see machines.Cuts. The options need CutLinks.
+func (b *Box) CutFromServers(cut string) error {
+	return os.WriteFile(b.linksPath(), []byte(cut), 0o600)
+}
+
 func (b *Box) settingsPath() string { return filepath.Join(b.Dir, b.Name+".yaml") }
 
 // Clients returns the address at which the box serves clients.
@@ -129,7 +148,8 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(filepath.Join(b.Bin, "stoneworksd"), "--config", b.settingsPath())
+	command := exec.Command(filepath.Join(b.Bin, b.program()), "--config", b.settingsPath())
+	command.Env = append(os.Environ(), "STONEWORKS_LINKS="+b.linksPath())
 	command.Stdout, command.Stderr = log, log
 	if err := startWithDeathSignal(command); err != nil {
 		_ = log.Close()
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -70,6 +70,7 @@
 	{"complete-bad", completeBad},
 	{"leaving-kept", leavingKept},
 	{"rest-kept", backoffKept},
+	{"cut-served", cutServed},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -140,6 +140,14 @@
 		"complete-bad": func(h *History) {
 			h.Moves = []Move{{Service: "shop", Version: "v2", Bad: true, Status: `{"state":"complete","target-version":"v2"}`}}
 		},
+		"cut-served": func(h *History) {
+			from := after(time.Minute)
+			h.FaultPeriods = append(h.FaultPeriods, FaultPeriod{Kind: BoxCut, Target: "127.94.0.9", From: from, To: from.Add(time.Minute)})
+			for i := range 2 * cutAllowed {
+				sent := from.Add(2 * cutContact)
+				h.Requests = append(h.Requests, Request{ID: fmt.Sprint("cut-", i), Box: "127.94.0.9", Status: 503, Sent: sent, Ended: sent})
+			}
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -58,14 +58,17 @@
 	// ServiceMoves is a rollout of a service to a new version of its servers, which may be
 	// bad.
 	ServiceMoves Kind = "service-moves"
+	// BoxCut is a box, or most boxes, cut off from all backend servers, while clients, the
+	// store and other boxes still reach it.
+	BoxCut Kind = "box-cut"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed always draws the same plan from
 // the same catalogue, so new kinds need a new catalogue.
 type Catalogue []Kind
 
-// FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds
-// and AllKinds are the catalogues. LimitKinds has only kinds under which the limit of a server
+// FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds,
+// MovesKinds and AllKinds are the catalogues. A kind that stands several times is drawn more often. LimitKinds has only kinds under which the limit of a server
 // still applies: a link that delays requests lets them arrive together, so its kinds are left
 // out. StatusHeaderKinds adds to them the kinds of status headers of servers and more faults
 // of the store.
@@ -83,12 +86,13 @@
 	FormerKinds       = append(append(Catalogue{}, CrashKinds...), ServerLimited)
 	StatusHeaderKinds = append(append(Catalogue{}, LimitKinds...), StoreBusy, StoreBlink, StoreMute, ServerLeaves, ServerRests)
 	LaterKinds        = append(append(Catalogue{}, FormerKinds...), ServerLeaves, ServerRests)
-	AllKinds          = append(append(Catalogue{}, LaterKinds...), ServiceMoves)
+	MovesKinds        = append(append(Catalogue{}, LaterKinds...), ServiceMoves)
+	AllKinds          = append(append(Catalogue{}, MovesKinds...), BoxCut, BoxCut, BoxCut)
 )
 
 // Catalogues are the catalogues by number, from 1, as seeds.txt and the command line name
 // them.
-var Catalogues = []Catalogue{FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds, MovesKinds, AllKinds}
 
 // Event is one fault or operation.
 type Event struct {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -135,7 +135,7 @@
 	}
 	r.configure()
 	options := processes.Options{
-		Bin: r.Bin, Dir: r.Dir, Network: r.Network, Store: r.store.Address(),
+		Bin: r.Bin, Dir: r.Dir, Network: r.Network, Store: r.store.Address(), CutLinks: true,
 		Drain: boundDrain, Contact: boundContact, Grace: boundGrace,
 	}
 	for i := range r.Plan.Boxes {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,7 +26,7 @@
 func build(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "stoneworksd"), "../../cmd/stoneworksd").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "stoneworksd-links"), "../cmd/stoneworksd-links").CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
