The store comes back from a copy: a failing test

What callers saw: 404 on a route of a configuration that the store had accepted 2.5 s before, at three of three boxes (twelve writes lost) and at one of three (one lost).

The stand-in of the store learns to come back from a copy: revisions are given out again, watches beyond the last are answered 410, calls that wait are cut, and Store-Era, in all answers, rises; what others than boxes wrote can be written again.

--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -48,6 +48,20 @@
 	calls          map[string]int
 	server         *http.Server
 	closed         chan struct{}
+	// era counts how often the store has come back from a copy, from 1. away is closed and replaced
+	// when it does so, which cuts the calls that wait.
+	era  int
+	away chan struct{}
+	// written holds the last write of each object by others than boxes.
+	written map[objectKey]write
+}
+
+// objectKey names an object, and write is its content as written last, nil if it was deleted.
+type objectKey struct{ kind, name string }
+
+type write struct {
+	spec     any
+	revision uint64
 }
 
 type metadata struct {
@@ -79,13 +93,14 @@
 	s := &Store{
 		Address: l.Addr().String(), objects: map[string]map[string]*storedObject{},
 		changed: make(chan struct{}), closed: make(chan struct{}), calls: map[string]int{},
+		era: 1, away: make(chan struct{}), written: map[objectKey]write{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.serve)
 	mux.HandleFunc("POST /-/objects/{kind}", s.serveCreate)
 	mux.HandleFunc("PUT /-/objects/{kind}/{name}/status", s.serveStatus)
 	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", s.serveDelete)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.withEra(mux), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
@@ -106,6 +121,13 @@
 
 // Put creates an object or replaces its spec. The spec is any value that can be encoded as JSON.
 func (s *Store) Put(kind, name string, spec any) {
+	s.put(kind, name, spec)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written[objectKey{kind, name}] = write{spec, s.revision}
+}
+
+func (s *Store) put(kind, name string, spec any) {
 	text, err := json.Marshal(spec)
 	if err != nil {
 		panic(err)
@@ -154,6 +176,13 @@
 
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
+	s.remove(kind, name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written[objectKey{kind, name}] = write{nil, s.revision}
+}
+
+func (s *Store) remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
@@ -218,7 +247,7 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	s.Put(r.PathValue("kind"), o.Metadata.Name, o.Spec)
+	s.put(r.PathValue("kind"), o.Metadata.Name, o.Spec)
 	writeJSON(w, o)
 }
 
@@ -231,7 +260,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	s.Delete(r.PathValue("kind"), r.PathValue("name"))
+	s.remove(r.PathValue("kind"), r.PathValue("name"))
 }
 
 // serveStatus replaces an object's status, or answers 409 if its revision is outdated.
@@ -319,6 +348,9 @@
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string, since uint64, wait time.Duration) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	s.mu.Lock()
+	away := s.away
+	s.mu.Unlock()
 	over := false
 	for {
 		s.mu.Lock()
@@ -344,6 +376,8 @@
 			over = true
 		case <-s.closed:
 			panic(http.ErrAbortHandler)
+		case <-away:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
@@ -351,7 +385,7 @@
 }
 
 func (s *Store) eventsSince(kind string, since uint64) (events []map[string]any, gone bool) {
-	if since < s.oldestRevision {
+	if since < s.oldestRevision || since > s.revision {
 		return nil, true
 	}
 	for _, e := range s.events {
