Revisions are compared within an era: changes are followed after the store came back from a copy

Cause: the store came back from a copy and gave its revisions out again. A list at a lower revision was taken for an older one and thrown away, and so was each change whose revision was not above the known one; the watch since the old revision was answered 410, the list was thrown away again, 350 times a second.

Evidence: 410, list, 410 without a pause from 19 to 25.5 s, when the counter passed the old revision; versions 24, 26 and 30 never in force at any box; the server that left at 22.8 s was known to leave at 25.5 s.

A new era's list replaces the copy, but undoes nothing for 2.5 s unless a change of the era says so. Holds and states of roll-outs that were lost are written again. A watch that needs a list twice in a row pauses. Why it works: what is newer is decided by what the store counts, and everybody has written again by then.

--- a/pkg/gossip/operators.go
+++ b/pkg/gossip/operators.go
@@ -65,19 +65,20 @@
 	var list []ZoneOverview
 	for name, z := range t.zones {
 		o := ZoneOverview{Zone: name, Asking: []string{}, Silent: []string{}, Crowded: []string{}}
-		oldest := t.self.Versions[kind].Revision
+		own := t.self.Versions[kind].Position()
+		oldest := own
 		if z == t.ownZone {
 			o.count(&t.self, true)
 		}
 		for _, e := range z.members {
 			live := t.live(e, now)
 			o.count(&e.Record, live)
-			at := e.Versions[kind].Revision
-			if !live || at == 0 || at >= t.self.Versions[kind].Revision {
+			at := e.Versions[kind].Position()
+			if !live || at.Revision == 0 || !at.Before(own) {
 				continue
 			}
 			o.Behind++
-			if at < oldest {
+			if at.Before(oldest) {
 				oldest, o.Slowest = at, e.Box
 			}
 		}
--- a/pkg/gossip/wire.go
+++ b/pkg/gossip/wire.go
@@ -10,7 +10,7 @@
 )
 
 // wireVersion is the first byte of a heartbeat. It changes with the fields of Message.
-const wireVersion = 6
+const wireVersion = 7
 
 // livenessRecordSize is the encoded size of a liveness record, in bytes.
 const livenessRecordSize = 9
--- a/pkg/node/node_holds.go
+++ b/pkg/node/node_holds.go
@@ -57,6 +57,17 @@
 	})
 }
 
+// storeHoldsAgain writes the held requests to the store, which has lost those that were written
+// after the copy from which it came back. Boxes that do not poll the store leave that to others.
+func (n *Node) storeHoldsAgain() {
+	if !n.Replica.IsPoller() {
+		return
+	}
+	for _, r := range n.Quarantine.Holds() {
+		n.background.Go(func() { n.storeHold(&r) })
+	}
+}
+
 // removeHold removes a request from the store that is no longer held.
 func (n *Node) removeHold(f quarantine.Fingerprint) {
 	n.background.Go(func() {
--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -42,7 +43,8 @@
 	defer idle.Stop()
 	address := "http://" + source + pathMirror + m.Kind
 	if m.Synced() {
-		address += "?since=" + strconv.FormatUint(m.Version().Revision, 10)
+		since := m.Version()
+		address += fmt.Sprintf("?since=%d&era=%d", since.Revision, since.Era)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
@@ -85,8 +87,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
-	if err == nil {
+	if since, ok := readPosition(r.URL.Query()); ok {
 		if events, held, known := m.EventsSince(since); known {
 			n.logUnsent(m.Kind, json.NewEncoder(w).Encode(replica.Handover{Events: events, Extent: held}))
 			return
@@ -104,6 +105,20 @@
 	n.logUnsent(m.Kind, err)
 }
 
+// readPosition reads the position from which another box asks for changes. A box that knows no era
+// does not tell one.
+func readPosition(query url.Values) (p objects.Position, ok bool) {
+	revision, err := strconv.ParseUint(query.Get("since"), 10, 64)
+	if err != nil {
+		return p, false
+	}
+	p.Revision = revision
+	if era := query.Get("era"); era != "" {
+		p.Era, err = strconv.ParseUint(era, 10, 64)
+	}
+	return p, err == nil
+}
+
 // logUnsent logs that a response could not be sent completely. The receiver asks again, so
 // nothing else is done.
 func (n *Node) logUnsent(kind string, err error) {
--- a/pkg/node/node_store.go
+++ b/pkg/node/node_store.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,9 +31,12 @@
 		Members: n.Members, Fetch: n.fetchMirror, Now: n.Clock.Now,
 		WatchersPerZone: func() int { return n.policy.Load().WatchersPerZone },
 		OnAnswer:        n.checkReady,
+		OnEra:           n.storeHoldsAgain,
 		Go:              n.background.Go, Context: n.context,
 		Metrics: n.Metrics, BoxLog: n.log, StoreLog: log,
 	})
+	n.Replica.Mirror(kinds.Configuration).AppliesAtOnce = always // an older version changes nothing
+	n.Replica.Mirror(kinds.Servers).AppliesAtOnce = n.isServerLeaving
 	evacuated := map[string]bool{}
 	changes := map[string]func(o objects.Object, gone bool){
 		kinds.Configuration: func(o objects.Object, gone bool) { n.configurationChanged(log, o, gone) },
@@ -40,6 +44,7 @@
 		kinds.Evacuations:   func(o objects.Object, gone bool) { n.evacuationChanged(log, evacuated, o, gone) },
 	}
 	if kinds.Rollouts != "" {
+		n.Replica.Mirror(kinds.Rollouts).AppliesAtOnce = isSameSpec // an order's progress only advances
 		changes[kinds.Rollouts] = func(o objects.Object, gone bool) { n.rolloutChanged(log, o, gone) }
 	}
 	for kind, changed := range changes {
@@ -52,6 +57,19 @@
 	}
 }
 
+func always(*objects.Object, objects.Object) bool { return true }
+
+// isSameSpec reports whether an object differs from the known one in its status only.
+func isSameSpec(known *objects.Object, listed objects.Object) bool {
+	return known != nil && bytes.Equal(known.Spec, listed.Spec)
+}
+
+// isServerLeaving reports whether an entry says that a known server leaves.
+func (n *Node) isServerLeaving(known *objects.Object, listed objects.Object) bool {
+	v, _, err := n.adapter.Server(listed)
+	return known != nil && err == nil && v.Draining
+}
+
 // configurationChanged applies a configuration if it is newer than the current one.
 func (n *Node) configurationChanged(log *logging.Logger, o objects.Object, gone bool) {
 	if gone {
--- a/pkg/objects/calls.go
+++ b/pkg/objects/calls.go
@@ -33,6 +33,9 @@
 	}
 	state.batched = false
 	changes, err := f.fetchChanges(ctx, wait)
+	if err == nil {
+		state.compactions = 0
+	}
 	state.batched = changes > 0
 	return err
 }
@@ -40,39 +43,48 @@
 // fetchChanges makes a watch, applies the changes to the mirror and returns how many there
 // were.
 func (f *Follower) fetchChanges(ctx context.Context, wait time.Duration) (changes int, err error) {
-	events, at, err := f.watch(ctx, wait)
+	c, err := f.watch(ctx, wait)
 	if err != nil {
 		return 0, err
 	}
+	if err := f.checkEra(c.Era); err != nil {
+		return 0, err
+	}
 	answered := f.Now()
-	f.Mirror.Apply(events, Exactly(at))
-	f.OnConfirmed(Answer{At: answered, Events: events})
-	return len(events), nil
+	f.Mirror.Apply(c.Events, At(Position{Era: c.Era, Revision: c.Revision}))
+	f.OnConfirmed(Answer{At: answered, Era: c.Era, Events: c.Events})
+	return len(c.Events), nil
 }
 
 // Poll fetches and applies the changes since the mirror's revision once, without waiting and
 // whether or not Allowed permits calls. The mirror must hold a list.
 func (f *Follower) Poll(ctx context.Context) error {
 	_, err := f.fetchChanges(ctx, minWait)
-	var compacted *CompactedError
-	if errors.As(err, &compacted) {
+	if mustList(err) {
 		return f.list(ctx, false)
 	}
 	return err
 }
 
-func (f *Follower) watch(ctx context.Context, wait time.Duration) ([]Event, uint64, error) {
+// mustList reports whether a watch failed so that only a list can help.
+func mustList(err error) bool {
+	var compacted *CompactedError
+	var newEra *NewEraError
+	return errors.As(err, &compacted) || errors.As(err, &newEra)
+}
+
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	start, since := f.begin(), f.Mirror.Version().Revision
-	events, at, err := f.Client.Watch(ctx, f.Mirror.Kind, since, wait)
-	f.OnCall(Call{Watch: true, Since: since, Revision: at, Objects: len(events), Took: f.Now().Sub(start), Err: err})
-	return events, at, err
+	c, err := f.Client.Watch(ctx, f.Mirror.Kind, since, wait)
+	f.OnCall(Call{Watch: true, Since: since, Era: c.Era, Revision: c.Revision, Objects: len(c.Events), Took: f.Now().Sub(start), Err: err})
+	return c, err
 }
 
 // list reads all pages of a list. It returns early if another box hands over the first list.
 func (f *Follower) list(ctx context.Context, stale bool) error {
-	first := !f.Mirror.Synced()
+	first, before := !f.Mirror.Synced(), f.Mirror.Version()
 	var items []Object
 	var extent Extent
 	after := ""
@@ -90,7 +102,11 @@
 			return err
 		}
 		if page == 0 {
-			extent.CompleteTo = p.Revision
+			extent = At(Position{Era: p.Era, Revision: p.Revision})
+			f.OnEra(p.Era)
+		}
+		if p.Era != extent.Era {
+			return &NewEraError{Kind: f.Mirror.Kind} // between two pages
 		}
 		extent.PartialTo = p.Revision
 		items = append(items, p.Items...)
@@ -99,7 +115,12 @@
 		}
 		after = p.Items[len(p.Items)-1].Name
 	}
-	f.Mirror.Load(items, extent)
+	if own := f.Mirror.Version().Era; extent.Era != 0 && extent.Era < own {
+		return &PastEraError{Kind: f.Mirror.Kind}
+	}
+	if !f.Mirror.Load(items, extent) && !stale && extent.Era == 0 && extent.CompleteTo < before.Revision {
+		f.Mirror.LoadCopy(items, extent)
+	}
 	return nil
 }
 
@@ -110,7 +131,7 @@
 	defer cancel()
 	start := f.begin()
 	p, err := f.Client.List(ctx, f.Mirror.Kind, after, stale)
-	f.OnCall(Call{Revision: p.Revision, Objects: len(p.Items), Took: f.Now().Sub(start), Err: err})
+	f.OnCall(Call{Era: p.Era, Revision: p.Revision, Objects: len(p.Items), Took: f.Now().Sub(start), Err: err})
 	return p, err
 }
 
--- a/pkg/objects/follower.go
+++ b/pkg/objects/follower.go
@@ -54,6 +54,10 @@
 	// ReadsAllPages reports whether a box that has no list yet may read a long one to its end;
 	// nil means that it may. Until then the box waits for another box to hand over the list.
 	ReadsAllPages func() bool
+	// NewestEra returns the newest era that this box has heard of, and OnEra is called with that
+	// of each answer.
+	NewestEra func() uint64
+	OnEra     func(era uint64)
 	// OnCall is called after each call, before OnSuccess or OnFailure.
 	OnCall func(c Call)
 	// OnSuccess is called after each call that was answered, OnFailure after each that was
@@ -78,8 +82,9 @@
 	// Watch is true for a watch and false for a page of a list.
 	Watch bool
 	// Since is the revision from which a watch was requested, and Revision the store's
-	// revision in the answer.
+	// revision in the answer, of the era Era.
 	Since, Revision uint64
+	Era             uint64
 	// Objects is the number of objects or changes in the answer.
 	Objects int
 	Took    time.Duration
@@ -90,6 +95,7 @@
 // Answer is an answer to a watch.
 type Answer struct {
 	At     time.Time
+	Era    uint64
 	Events []Event
 }
 
@@ -97,6 +103,7 @@
 func NewFollower(client *Client, mirror *Mirror, wait time.Duration, random func() float64) *Follower {
 	return &Follower{
 		Client: client, Mirror: mirror, Wait: wait, Now: time.Now, Random: random,
+		NewestEra: func() uint64 { return 0 }, OnEra: func(uint64) {},
 		OnCall: func(Call) {}, OnSuccess: func() {}, OnFailure: func(error) {}, OnConfirmed: func(Answer) {}, retryNow: make(chan struct{}, 1),
 	}
 }
@@ -120,6 +127,9 @@
 			f.sleep(ctx, idleInterval)
 			continue
 		}
+		if f.NewestEra() > f.Mirror.Version().Era {
+			state = followState{compactions: state.compactions}
+		}
 		state.failed = failures > 0
 		err := f.step(ctx, &state)
 		if ctx.Err() != nil {
@@ -137,13 +147,13 @@
 		if errors.As(err, &restarted) {
 			continue
 		}
-		var compacted *CompactedError
-		if errors.As(err, &compacted) {
-			state = followState{}
-			if failures == 0 {
+		if mustList(err) {
+			state = followState{compactions: state.compactions + 1}
+			if failures == 0 && state.compactions == 1 {
 				failures++
 				continue
 			}
+			failures = max(failures, state.compactions-1)
 		}
 		f.OnFailure(err)
 		f.pause(ctx, failures)
@@ -168,6 +178,8 @@
 	stale bool
 	// failed means that the previous call was not answered.
 	failed bool
+	// compactions is how many times in a row a list was needed without a watch that was answered.
+	compactions int
 	// batched means that the previous call brought changes and was followed by a pause.
 	batched bool
 }
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -6,21 +6,31 @@
 	"sort"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // Mirror is this box's copy of all objects of one kind. It accepts lists and events from the
-// store and from other boxes, in any order, and never returns to an older state.
+// store and from other boxes, in any order, and never returns to an older state. A store that has
+// come back from an older copy begins a new era; see restore.
 type Mirror struct {
 	Kind string
 	// OnChange is called with each object that was changed or deleted, in the order of the
 	// changes. It runs under the mirror's lock and must not call the mirror.
 	OnChange func(o Object, gone bool)
+	// AppliesAtOnce reports whether a difference that the first list of a new era shows is applied
+	// at once, although it may come from the older copy. known is nil for an object that the mirror
+	// did not have. It runs under the mirror's lock.
+	AppliesAtOnce func(known *Object, listed Object) bool
+	// Now is the clock; it must be monotonic.
+	Now func() time.Time
 
-	mu     sync.Mutex
-	items  map[string]Object
-	extent Extent
-	synced bool
-	digest uint32
+	mu    sync.Mutex
+	items map[string]Object
+	// deferred holds the differences that are not applied yet, by name.
+	deferred map[string]deferral
+	extent   Extent
+	synced   bool
+	digest   uint32
 	// changes[first:] are the latest changes in their order. Changes up to revision trimmedTo
 	// may be missing.
 	changes   []change
@@ -30,6 +40,12 @@
 
 // Extent is the range of revisions that a list or a set of changes reflects.
 type Extent struct {
+	// Era is the era of the revisions, which can be compared within an era only; 0 if the store
+	// does not tell it.
+	Era uint64 `json:"era,omitempty"`
+	// EraSeenAt is the lowest revision that was seen of the era. Objects with a higher one were
+	// written in the era, others may come from the copy with which it began.
+	EraSeenAt uint64 `json:"era_seen_at,omitempty"`
 	// CompleteTo is the revision up to which all changes are included.
 	CompleteTo uint64 `json:"at"`
 	// PartialTo is the revision after which no change is included. The pages of a long list
@@ -40,9 +56,38 @@
 // Exactly returns the extent of a state of the store at exactly one revision.
 func Exactly(revision uint64) Extent { return Extent{CompleteTo: revision, PartialTo: revision} }
 
-// merge returns the extent of the two states together.
+// Position is a revision of an era.
+type Position struct{ Era, Revision uint64 }
+
+// Before reports whether a position is older than another one.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
+// At returns the extent of a state of the store at exactly one position.
+func At(p Position) Extent {
+	return Extent{Era: p.Era, EraSeenAt: p.Revision, CompleteTo: p.Revision, PartialTo: p.Revision}
+}
+
+// merge returns the extent of two states of the same era together.
 func (e Extent) merge(other Extent) Extent {
-	return Extent{CompleteTo: max(e.CompleteTo, other.CompleteTo), PartialTo: max(e.PartialTo, other.PartialTo, e.CompleteTo, other.CompleteTo)}
+	seen := e.EraSeenAt
+	if other.EraSeenAt > 0 && (seen == 0 || other.EraSeenAt < seen) {
+		seen = other.EraSeenAt
+	}
+	return Extent{
+		Era: max(e.Era, other.Era), EraSeenAt: seen,
+		CompleteTo: max(e.CompleteTo, other.CompleteTo), PartialTo: max(e.PartialTo, other.PartialTo, e.CompleteTo, other.CompleteTo),
+	}
+}
+
+// isSameEra reports whether the revisions of the two can be compared. A store that does not tell
+// its era has only one.
+func (e Extent) isSameEra(other Extent) bool {
+	return e.Era == other.Era || e.Era == 0 || other.Era == 0
 }
 
 // change is a change of one object, made at maxRevision or before.
@@ -56,6 +101,8 @@
 
 // Version lets boxes compare their mirrors.
 type Version struct {
+	// Era is the era of the revision; see Extent.
+	Era uint64 `json:"era,omitempty"`
 	// Revision is the store's revision up to which all changes are known.
 	Revision uint64 `json:"at"`
 	// Digest is equal for mirrors with equal objects.
@@ -65,16 +112,25 @@
 // NewerThan reports whether a mirror of this version holds something that one of the other
 // version lacks.
 func (v Version) NewerThan(other Version) bool {
+	if v.Era != other.Era {
+		return v.Era > other.Era
+	}
 	return v.Digest != other.Digest && v.Revision > other.Revision
 }
 
+// Position returns the revision with its era.
+func (v Version) Position() Position { return Position{Era: v.Era, Revision: v.Revision} }
+
 // NewMirror returns an empty mirror.
 func NewMirror(kind string) *Mirror {
-	return &Mirror{Kind: kind, OnChange: func(Object, bool) {}, items: map[string]Object{}}
+	return &Mirror{
+		Kind: kind, OnChange: func(Object, bool) {}, AppliesAtOnce: func(*Object, Object) bool { return false }, Now: time.Now,
+		items: map[string]Object{}, deferred: map[string]deferral{},
+	}
 }
 
 // Load applies a whole list and returns true. If the list is older than the mirror, it changes
-// nothing and returns false.
+// nothing and returns false. A list of a later era replaces the mirror; see restore.
 //
 // The list may omit objects that were created and deleted in the meantime, which another
 // mirror may hold. So changes from before the list are no longer passed on to other boxes;
@@ -82,7 +138,15 @@
 func (m *Mirror) Load(items []Object, extent Extent) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.synced && extent.CompleteTo < m.extent.CompleteTo {
+	isOlder := extent.CompleteTo < m.extent.CompleteTo
+	switch {
+	case !m.synced:
+	case !extent.isSameEra(m.extent) && extent.Era < m.extent.Era:
+		return false
+	case !extent.isSameEra(m.extent), isOlder && m.extent.Era == 0 && extent.Era > 0:
+		m.restore(items, extent)
+		return true
+	case isOlder:
 		return false
 	}
 	listed := map[string]bool{}
@@ -93,21 +157,30 @@
 	for name, o := range m.items {
 		if !listed[name] && o.Revision <= max(extent.CompleteTo, extent.PartialTo) {
 			m.remove(o)
-			m.OnChange(o, true)
+			m.reportGone(o, true)
 		}
 	}
 	m.synced = true
 	m.extent = m.extent.merge(extent)
+	m.dropChanges()
+	return true
+}
+
+// dropChanges forgets the changes that were kept for other boxes.
+func (m *Mirror) dropChanges() {
 	clear(m.changes)
 	m.changes, m.first = m.changes[:0], 0
 	m.trimmedTo = m.extent.PartialTo
-	return true
 }
 
-// Apply applies events that start from the mirror's revision.
+// Apply applies events that start from the mirror's revision. Events of another era change
+// nothing.
 func (m *Mirror) Apply(events []Event, extent Extent) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !extent.isSameEra(m.extent) {
+		return
+	}
 	before := m.extent.CompleteTo
 	m.extent = m.extent.merge(extent)
 	for _, e := range events {
@@ -116,10 +189,11 @@
 		case e.Deleted && !ok:
 			// Other mirrors may hold it.
 			m.record(e)
+			m.reportGone(e.Object, false)
 		case e.Deleted && (e.Object.Revision == 0 || known.Revision <= e.Object.Revision):
 			m.remove(known)
 			m.record(e)
-			m.OnChange(known, true)
+			m.reportGone(known, true)
 		case !e.Deleted && (ok || e.Object.Revision > before || !m.synced):
 			// An object that is missing from a newer list must not be added again.
 			m.putAndRecord(e.Object)
@@ -143,12 +217,32 @@
 		return false
 	}
 	m.set(o)
-	if !ok || o.Made != "" || !bytes.Equal(known.Spec, o.Spec) || !bytes.Equal(known.Status, o.Status) {
-		m.OnChange(o, false)
+	applied, has := m.takeApplied(o.Name, known, ok)
+	if !has || !sameContent(&applied, &o) {
+		m.report(o, false)
 	}
 	return true
 }
 
+// report calls OnChange.
+func (m *Mirror) report(o Object, gone bool) {
+	o.Era = m.extent.Era
+	m.OnChange(o, gone)
+}
+
+// sameContent reports whether a change from one object to the other is to be reported.
+func sameContent(a, b *Object) bool {
+	return b.Made == "" && bytes.Equal(a.Spec, b.Spec) && bytes.Equal(a.Status, b.Status)
+}
+
+// reportGone reports an object as deleted that was reported before. had is true if the mirror has
+// had it until now.
+func (m *Mirror) reportGone(o Object, had bool) {
+	if applied, wasReported := m.takeApplied(o.Name, o, had); wasReported {
+		m.report(applied, true)
+	}
+}
+
 // record keeps a change for other boxes. The change may be as new as anything in the mirror,
 // so PartialTo is used as its revision: a list may contain changes newer than its CompleteTo,
 // and with CompleteTo as the revision such a change would not be passed on to boxes that are
@@ -168,16 +262,16 @@
 	}
 }
 
-// EventsSince returns the changes since a revision and the extent reached with them; ok is
-// false if these changes are no longer known.
-func (m *Mirror) EventsSince(revision uint64) (events []Event, extent Extent, ok bool) {
+// EventsSince returns the changes since a position and the extent reached with them; ok is
+// false if these changes are no longer known, as are those since another era.
+func (m *Mirror) EventsSince(since Position) (events []Event, extent Extent, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.synced || revision < m.trimmedTo {
+	if !m.synced || since.Era != m.extent.Era || since.Revision < m.trimmedTo {
 		return nil, Extent{}, false
 	}
 	for _, c := range m.changes[m.first:] {
-		if c.maxRevision > revision {
+		if c.maxRevision > since.Revision {
 			events = append(events, c.event)
 		}
 	}
@@ -212,7 +306,11 @@
 func (m *Mirror) Version() Version {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Version{Revision: m.extent.CompleteTo, Digest: m.digest}
+	return m.version()
+}
+
+func (m *Mirror) version() Version {
+	return Version{Era: m.extent.Era, Revision: m.extent.CompleteTo, Digest: m.digest}
 }
 
 // Lacks reports whether a mirror of the given version holds something that this one does not.
@@ -224,7 +322,7 @@
 func (m *Mirror) Comparison() (lacks func(v Version) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	synced, own := m.synced, Version{Revision: m.extent.CompleteTo, Digest: m.digest}
+	synced, own := m.synced, m.version()
 	return func(v Version) bool { return !synced || v.NewerThan(own) }
 }
 
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -18,6 +18,8 @@
 	Name string `json:"name"`
 	// Revision is the store's revision of the object's last change.
 	Revision uint64 `json:"revision"`
+	// Era is the era of the revision, as the mirror that reports the object knows it; see Extent.
+	Era uint64 `json:"-"`
 	// Made is when the object was made, as the store writes it. It tells an object from an earlier
 	// one of the same name. Only kinds whose objects boxes update keep it; of these, all revisions
 	// are reported as changes.
@@ -38,8 +40,17 @@
 	Items []Object
 	// More is true if the list continues after the name of the last item.
 	More bool
-	// Revision is the store's revision.
+	// Revision is the store's revision, and Era the era that it belongs to; see Extent.
 	Revision uint64
+	Era      uint64
+}
+
+// Changes is the answer to a watch.
+type Changes struct {
+	Events []Event
+	// Revision is the revision to continue from, and Era the era that it belongs to.
+	Revision uint64
+	Era      uint64
 }
 
 // Client makes calls to the store.
@@ -48,9 +59,8 @@
 	// cheaper and may be seconds old; a watch that starts from its revision returns what it
 	// lacks.
 	List func(ctx context.Context, kind, after string, stale bool) (Page, error)
-	// Watch returns the changes since a revision and the revision to continue from, as soon as
-	// there is a change or the wait is over.
-	Watch func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error)
+	// Watch returns the changes since a revision, as soon as there is one or the wait is over.
+	Watch func(ctx context.Context, kind string, since uint64, wait time.Duration) (Changes, error)
 	// Create writes a new object; an existing one stays as it is. Remove deletes an object if
 	// it exists.
 	Create func(ctx context.Context, kind, name string, spec any) error
--- a/pkg/objects/objects_test.go
+++ b/pkg/objects/objects_test.go
@@ -135,6 +135,8 @@
 	calls []string
 	list  func() (Page, error)
 	watch func(ctx context.Context, since uint64) ([]Event, uint64, error)
+	// era is the era of all answers to watches.
+	era atomic.Uint64
 }
 
 func (s *script) client() *Client {
@@ -148,9 +150,10 @@
 			note("list " + after)
 			return s.list()
 		},
-		Watch: func(ctx context.Context, _ string, since uint64, _ time.Duration) ([]Event, uint64, error) {
+		Watch: func(ctx context.Context, _ string, since uint64, _ time.Duration) (Changes, error) {
 			note(fmt.Sprint("watch ", since))
-			return s.watch(ctx, since)
+			events, at, err := s.watch(ctx, since)
+			return Changes{Events: events, Revision: at, Era: s.era.Load()}, err
 		},
 	}
 }
@@ -373,7 +376,7 @@
 			case 2:
 				source.Load(s.list(), Exactly(s.at))
 			case 3:
-				events, held, ok := source.EventsSince(follower.Version().Revision)
+				events, held, ok := source.EventsSince(follower.Version().Position())
 				if ok && follower.Synced() {
 					follower.Apply(events, held)
 				} else if source.Synced() {
@@ -395,9 +398,9 @@
 	for i := range uint64(maxChanges + 10) {
 		m.Apply([]Event{{Object: object("a", i+2)}}, Exactly(i+2))
 	}
-	_, _, ok := m.EventsSince(1)
+	_, _, ok := m.EventsSince(Position{Revision: 1})
 	is.True(!ok)
-	events, held, ok := m.EventsSince(maxChanges)
+	events, held, ok := m.EventsSince(Position{Revision: maxChanges})
 	is.True(ok)
 	is.Equal(held, Exactly(maxChanges+11))
 	is.Equal(len(events), 11)
--- a/pkg/objects/spread_test.go
+++ b/pkg/objects/spread_test.go
@@ -112,7 +112,7 @@
 				if source == m || !m.Lacks(source.Version()) {
 					continue
 				}
-				if events, held, ok := source.EventsSince(m.Version().Revision); ok && m.Synced() {
+				if events, held, ok := source.EventsSince(m.Version().Position()); ok && m.Synced() {
 					arriving[i] = func() { m.Apply(events, held) }
 				} else if source.Synced() {
 					items, held := source.Items()
--- a/pkg/replica/claims.go
+++ b/pkg/replica/claims.go
@@ -53,6 +53,9 @@
 			open = append(open, one)
 			continue
 		}
+		if one.version.Era != m.Version().Era {
+			continue // that box does not know yet that the store came back from an older copy
+		}
 		ok = true
 		if one.at.After(at) {
 			at = one.at
--- a/pkg/replica/fleet_test.go
+++ b/pkg/replica/fleet_test.go
@@ -139,7 +139,7 @@
 		Fetch: func(ctx context.Context, source string, m *objects.Mirror) (*Handover, error) {
 			return f.fetch(ctx, b, source, m)
 		},
-		WatchersPerZone: func() int { return 1 }, OnAnswer: func() {},
+		WatchersPerZone: func() int { return 1 }, OnAnswer: func() {}, OnEra: func() {},
 		Go: func(work func()) { b.group.Go(work) }, Context: ctx,
 		Metrics: metrics.NewRegistry(), BoxLog: log, StoreLog: log,
 	})
@@ -220,7 +220,7 @@
 	time.Sleep(2 * delayBetween(b, from))
 	theirs := from.replica.Mirror(m.Kind)
 	if m.Synced() {
-		if events, held, ok := theirs.EventsSince(m.Version().Revision); ok {
+		if events, held, ok := theirs.EventsSince(m.Version().Position()); ok {
 			time.Sleep(delayBetween(b, from))
 			return &Handover{Events: events, Extent: held}, nil
 		}
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -40,6 +40,8 @@
 	f.Now = r.Now
 	f.Allowed = r.isPoller.Load
 	f.ReadsAllPages = r.readsAllPages
+	f.NewestEra = r.era.Load
+	f.OnEra = r.noteEra
 	report := r.newCallReporter(kind)
 	f.OnCall = func(c objects.Call) {
 		r.revisions.addCall(c)
--- a/pkg/replica/pulls.go
+++ b/pkg/replica/pulls.go
@@ -135,7 +135,7 @@
 // this box's, or "", and whether that box is in the own zone. Any newer mirror in the own zone
 // is preferred to those in other zones.
 func (r *Replica) newest(kind string, m *objects.Mirror) (source string, near bool) {
-	var best uint64
+	var best objects.Position
 	// The copy must not be locked while the table of boxes is; see CopyState.
 	lacks := m.Comparison()
 	r.Members.EachLive(func(one *gossip.Record) {
@@ -144,8 +144,8 @@
 			return
 		}
 		isNear := one.Zone == r.Zone
-		if isNear && !near || isNear == near && v.Revision >= best {
-			best, source, near = v.Revision, one.Peers, isNear
+		if isNear && !near || isNear == near && !v.Position().Before(best) {
+			best, source, near = v.Position(), one.Peers, isNear
 		}
 	})
 	return source, near
@@ -164,9 +164,10 @@
 	} else {
 		m.Apply(body.Events, body.Extent)
 	}
+	r.noteEra(body.Era)
 	r.resolveClaims(m.Kind)
 	r.BoxLog.Info("caught up through another box", map[string]any{
-		"from": source, "kind": m.Kind, "revision": body.CompleteTo, "whole": body.Whole, "changes": len(body.Events),
+		"from": source, "kind": m.Kind, "revision": body.CompleteTo, "era": body.Era, "whole": body.Whole, "changes": len(body.Events),
 	})
 	r.OnAnswer()
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -71,6 +71,8 @@
 	WatchersPerZone func() int
 	// OnAnswer is called when the store has answered, or another box has handed over a copy.
 	OnAnswer func()
+	// OnEra is called once the store is known to have come back from an older copy.
+	OnEra func()
 	// Now is the clock; it must be monotonic.
 	Now func() time.Time
 	// Go runs work in the background; Context ends all of it.
@@ -97,6 +99,9 @@
 	roleMu sync.Mutex
 	role   *storepoller.Role
 
+	// era is the newest era of the store that this box has heard of, 0 if none.
+	era atomic.Uint64
+
 	pulls  *pulls
 	claims claims
 	polls  polls
@@ -112,6 +117,7 @@
 	}
 	for _, kind := range o.Kinds.byUrgency() {
 		r.mirrors[kind] = objects.NewMirror(kind)
+		r.mirrors[kind].Now = o.Now
 		r.followers[kind] = r.newFollower(kind)
 	}
 	return r
@@ -142,6 +148,9 @@
 func (r *Replica) Tick() {
 	r.chooseRole()
 	r.pollIfStale()
+	for _, m := range r.mirrors {
+		m.Settle()
+	}
 }
 
 // PullOverdue pulls the copies in which other boxes have been ahead for several heartbeats.
@@ -154,10 +163,16 @@
 
 // HandleRecord processes what another box's record says about its copies.
 func (r *Replica) HandleRecord(from *gossip.Record) {
+	for _, v := range from.Versions {
+		r.noteEra(v.Era)
+	}
 	r.pullNewerFrom(from)
 	r.addClaims(from)
 }
 
+// IsPoller reports whether this box polls the store for its zone.
+func (r *Replica) IsPoller() bool { return r.isPoller.Load() }
+
 // TakeUnannounced reports whether this box polls the store and has changes that it has not
 // announced to its zone, and marks them as announced.
 func (r *Replica) TakeUnannounced() bool { return r.isPoller.Load() && r.unannounced.Swap(false) }
@@ -200,6 +215,9 @@
 // Current reports whether the store has recently answered this box, or a box on which it
 // relies, so that whatever is not in the configuration does not exist.
 func (r *Replica) Current() bool {
+	if !r.isOfNewestEra(r.Kinds.Configuration) {
+		return false
+	}
 	return r.contact.answeredRecently() || !r.isPoller.Load() && r.anyHealthy()
 }
 
@@ -208,6 +226,36 @@
 // was down for all boxes may have lost the entries of servers that still run.
 func (r *Replica) TrustsList() bool { return r.contact.healthy() || r.anyHealthy() }
 
+// isOfNewestEra reports whether the copy of a kind is from after the store last came back from an
+// older copy, as far as this box has heard.
+func (r *Replica) isOfNewestEra(kind string) bool {
+	return r.mirrors[kind].Version().Era >= r.era.Load()
+}
+
+// noteEra records an era of the store that this box has heard of, from the store or another box.
+// If it is a new one, the copies are lists of the past: those that this box follows itself are
+// listed again at once.
+func (r *Replica) noteEra(era uint64) {
+	for {
+		known := r.era.Load()
+		if era <= known {
+			return
+		}
+		if !r.era.CompareAndSwap(known, era) {
+			continue
+		}
+		if known == 0 {
+			return
+		}
+		r.StoreLog.Warn("the store has come back from an older copy", map[string]any{"era": era, "before": known})
+		for _, f := range r.followers {
+			f.Restart()
+		}
+		r.OnEra()
+		return
+	}
+}
+
 // ConfigurationAge returns how long ago the configuration was last known to be current; ok is
 // false if it never was.
 func (r *Replica) ConfigurationAge() (age time.Duration, ok bool) {
--- a/pkg/replica/revisions.go
+++ b/pkg/replica/revisions.go
@@ -27,6 +27,8 @@
 // revisions is what this box has seen of the store's revision counter.
 type revisions struct {
 	mu sync.Mutex
+	// era is the newest era, to which all revisions here belong.
+	era uint64
 	// newest is the highest revision in any answer.
 	newest uint64
 	// sharedCounter is true once a watch without changes has returned a higher revision than
@@ -50,14 +52,30 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.enter(c.Era) {
+		return
+	}
 	v.newest = max(v.newest, c.Revision)
 	v.sharedCounter = v.sharedCounter || c.Watch && c.Objects == 0 && c.Revision > c.Since
 }
 
+// enter reports whether revisions of an era count, and forgets those of a past one. The caller
+// holds the lock.
+func (v *revisions) enter(era uint64) bool {
+	if era > v.era {
+		v.era, v.newest = era, 0
+		clear(v.seen)
+	}
+	return era == v.era
+}
+
 // addEvents records the revisions of changes.
-func (v *revisions) addEvents(events []objects.Event) {
+func (v *revisions) addEvents(era uint64, events []objects.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.enter(era) {
+		return
+	}
 	if len(v.seen)+len(events) > maxSeen {
 		clear(v.seen)
 	}
@@ -69,13 +87,13 @@
 // knownUpTo returns the revision up to which a copy lacks nothing, given its own revision:
 // each revision changes one object, so a change of another kind does not concern this copy.
 // all reports whether that is as high as the store's counter when it last answered.
-func (v *revisions) knownUpTo(own uint64) (upTo uint64, all bool) {
+func (v *revisions) knownUpTo(own objects.Position) (upTo uint64, all bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.sharedCounter {
-		return own, false
+	if !v.sharedCounter || own.Era != v.era {
+		return own.Revision, false
 	}
-	upTo = own
+	upTo = own.Revision
 	for v.seen[upTo+1] {
 		upTo++
 	}
@@ -98,10 +116,10 @@
 // it last answered, and advances the copy to the revision up to which that is known.
 func (r *Replica) isUpToDate(kind string) bool {
 	m := r.mirrors[kind]
-	own := m.Version().Revision
+	own := m.Version().Position()
 	upTo, all := r.revisions.knownUpTo(own)
-	if m.Synced() && upTo > own {
-		m.Apply(nil, objects.Exactly(upTo))
+	if m.Synced() && upTo > own.Revision {
+		m.Apply(nil, objects.At(objects.Position{Era: own.Era, Revision: upTo}))
 	}
 	return all && m.Synced()
 }
@@ -122,7 +140,7 @@
 // these kinds are watched again if their watch has a long wait, or is overdue and may never be
 // answered.
 func (r *Replica) handleAnswer(kind string, a objects.Answer) {
-	r.revisions.addEvents(a.Events)
+	r.revisions.addEvents(a.Era, a.Events)
 	r.noteConfirmed(kind, a.At)
 	if kind != r.Kinds.Servers {
 		return
--- a/pkg/replica/revisions_test.go
+++ b/pkg/replica/revisions_test.go
@@ -64,19 +64,19 @@
 	}
 	v := newRevisions()
 	v.addCall(objects.Call{Watch: true, Since: 10, Revision: 12, Objects: 2})
-	v.addEvents(told(11, 12))
-	upTo, all := v.knownUpTo(10)
+	v.addEvents(0, told(11, 12))
+	upTo, all := v.knownUpTo(objects.Position{Revision: 10})
 	is.Equal(upTo, uint64(10)) // nothing shows yet that the store counts all kinds together
 	is.True(!all)
 
 	v.addCall(objects.Call{Watch: true, Since: 10, Revision: 12})
-	upTo, all = v.knownUpTo(10)
+	upTo, all = v.knownUpTo(objects.Position{Revision: 10})
 	is.Equal(upTo, uint64(12))
 	is.True(all)
 
 	v.addCall(objects.Call{Watch: true, Since: 12, Revision: 15, Objects: 2})
-	v.addEvents(told(13, 15))
-	upTo, all = v.knownUpTo(12)
+	v.addEvents(0, told(13, 15))
+	upTo, all = v.knownUpTo(objects.Position{Revision: 12})
 	is.Equal(upTo, uint64(13)) // 14 may be a change of any kind
 	is.True(!all)
 }
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	v := newRevisions()
 	for at := range uint64(3 * maxSeen) {
-		v.addEvents([]objects.Event{{Object: objects.Object{Revision: at}}})
+		v.addEvents(0, []objects.Event{{Object: objects.Object{Revision: at}}})
 		is.True(len(v.seen) <= maxSeen)
 	}
 }
@@ -100,7 +100,7 @@
 		defer b.group.Wait()
 		defer b.stop()
 		b.revisions.sharedCounter = true
-		b.revisions.addEvents([]objects.Event{{Object: objects.Object{Name: "server", Revision: 1}}})
+		b.revisions.addEvents(0, []objects.Event{{Object: objects.Object{Name: "server", Revision: 1}}})
 		is.True(!b.isUpToDate(storeKinds.Configuration))
 	})
 }
--- a/pkg/replica/silence_test.go
+++ b/pkg/replica/silence_test.go
@@ -73,6 +73,7 @@
 		Members:         gossip.NewTable(gossip.Record{Box: "box", Zone: "east-a"}, time.Now, rand.IntN),
 		WatchersPerZone: func() int { return 1 },
 		OnAnswer:        func() {},
+		OnEra:           func() {},
 		Go:              func(work func()) { b.group.Go(work) }, Context: ctx,
 		Metrics: metrics.NewRegistry(), BoxLog: log, StoreLog: log,
 	})
--- a/pkg/replica/store_test.go
+++ b/pkg/replica/store_test.go
@@ -130,8 +130,9 @@
 		List: func(ctx context.Context, kind, after string, _ bool) (objects.Page, error) {
 			return s.list(ctx, box, kind, after)
 		},
-		Watch: func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objects.Event, uint64, error) {
-			return s.watch(ctx, box, kind, since, wait)
+		Watch: func(ctx context.Context, kind string, since uint64, wait time.Duration) (objects.Changes, error) {
+			events, at, err := s.watch(ctx, box, kind, since, wait)
+			return objects.Changes{Events: events, Revision: at}, err
 		},
 	}
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -44,8 +44,10 @@
 	Duration time.Duration
 	// Made is when the order's object was made, as the store tells it, or empty if it is not known.
 	Made string
-	// Revision is the revision of the object's last change, used for a conditional update.
+	// Revision is the revision of the object's last change, used for a conditional update. It can be
+	// compared within the era Era only: in the next one, the store has come back from an older copy.
 	Revision uint64
+	Era      uint64
 	// Given is the revision of the object when the order was given. It tells an order from an
 	// earlier one of the same service and version. It is 0 if the status cannot be read.
 	Given uint64
@@ -70,7 +72,7 @@
 // withoutStatus returns the order as it is when it has just been given.
 func (o Order) withoutStatus() Order {
 	return Order{
-		Service: o.Service, Version: o.Version, Duration: o.Duration, Made: o.Made, Revision: o.Revision, Given: o.Revision,
+		Service: o.Service, Version: o.Version, Duration: o.Duration, Made: o.Made, Era: o.Era, Revision: o.Revision, Given: o.Revision,
 	}
 }
 
@@ -110,6 +112,8 @@
 	logged map[WaitReason]bool
 	isDue  bool
 	writes writes
+	// isStatusLost is true if the store has come back from a copy that may lack the final state.
+	isStatusLost bool
 }
 
 // newActive returns an order that this box has just learned of.
@@ -188,9 +192,12 @@
 		t.orders[o.Service] = newActive(o, now)
 		return
 	}
-	if o.Revision < known.Revision {
+	if o.Era < known.Era || o.Era == known.Era && o.Revision < known.Revision {
 		return
 	}
+	if o.Era > known.Era {
+		known.enterEra(&o)
+	}
 	replaced := known.replaced
 	if !known.isSame(&o) {
 		replaced = known.Revision
@@ -208,6 +215,16 @@
 	known.replaced = replaced
 }
 
+// enterEra prepares for the order's object in a new era. The store may have lost its status, or the
+// object, which its operator then has made again. What is known of the same order stays.
+func (a *active) enterEra(o *Order) {
+	a.Era, a.Revision, a.replaced, a.writes = o.Era, 0, 0, writes{}
+	if o.Version == a.Version && o.Duration == a.Duration {
+		a.Made, a.State = o.Made, ""
+		a.isStatusLost = true
+	}
+}
+
 // continues reports whether the object, which asks for the same, is still this order and not one
 // that was given again.
 func (a *active) continues(o *Order) bool {
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -649,3 +649,32 @@
 	}
 	is.Equal(reports[0].Load[f.room[23].Region], float32(23)) // the largest ones are kept
 }
+
+// TestOrderGoesOnAfterTheStoreCameBackFromACopy checks that what is known of an order stays when the store
+// has lost its status or the object, and that the status is written again.
+func TestOrderGoesOnAfterTheStoreCameBackFromACopy(t *testing.T) {
+	for name, again := range map[string]Order{
+		"status lost":   {Service: "shop", Version: "v2", Duration: orderTime, Made: "1", Era: 2, Revision: 3, Given: 3},
+		"made again":    {Service: "shop", Version: "v2", Duration: orderTime, Made: "9", Era: 2, Revision: 12, Given: 12},
+		"older status":  {Service: "shop", Version: "v2", Duration: orderTime, Made: "1", Era: 2, Revision: 4, Given: 3, State: Running},
+		"the same one":  {Service: "shop", Version: "v2", Duration: orderTime, Made: "1", Era: 2, Revision: 9, Given: 3, State: RolledBack},
+		"a past answer": {Service: "shop", Version: "v2", Duration: orderTime, Made: "1", Era: 0, Revision: 99, Given: 3, State: Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := NewTable("box", time.Now, func() int64 { return 0 })
+			order := Order{Service: "shop", Version: "v2", Duration: orderTime, Made: "1", Era: 1, Revision: 9, Given: 3, State: RolledBack}
+			table.Set(order)
+			table.Set(again)
+			is.True(table.Rules()["shop"].Excluded)
+			changes := table.Changes(0)
+			if again.State == RolledBack || again.Era < order.Era {
+				is.Equal(len(changes), 0)
+				return
+			}
+			is.Equal(len(changes), 1)
+			is.Equal(changes[0].State, RolledBack)
+			is.Equal(changes[0].Order.Revision, again.Revision)
+		})
+	}
+}
--- a/pkg/rollout/writes.go
+++ b/pkg/rollout/writes.go
@@ -44,7 +44,7 @@
 func (a *active) wanted() (State, bool) {
 	switch {
 	case a.progress.Final != "":
-		return "", false
+		return a.progress.Final, a.isStatusLost && a.State != a.progress.Final
 	case a.progress.Bad:
 		return RolledBack, true
 	case a.isDue:
--- a/test/machines/store_copy_test.go
+++ b/test/machines/store_copy_test.go
@@ -6,11 +6,17 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/quarantine"
+	"github.com/stoneworks/stoneworks/platform"
 )
 
 // configTime is how long after the store has accepted a configuration boxes may follow the one before.
 const configTime = 2500 * time.Millisecond
 
+// writtenAgainTime is how long after the store has come back others have written again.
+const writtenAgainTime = 2 * time.Second
+
 // added is a route that a later configuration adds.
 var added = Route{Prefix: "/added/", Kind: "safe", Service: "shop", TimeoutMS: 1500}
 
@@ -73,3 +79,105 @@
 		})
 	}
 }
+
+// TestCopyUndoesNothingInEffect checks that, until everybody has written again, a server that has left
+// gets no request, an evacuation holds, a configuration stays, and no box calls the store without pause.
+func TestCopyUndoesNothingInEffect(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := copyFleet(t)
+	clients := newTraffic(f, 6)
+	time.Sleep(500 * time.Millisecond)
+	copied := f.Store.Copy()
+	f.Configure(2, read, buy, upload, added)
+	f.PutServer(f.Servers["east-a.1"], "shop", "east-a", "draining", 0)
+	f.Store.Delete("servers", "east-b.1")
+	f.Store.Put("evacuations", "west-a", map[string]any{})
+	time.Sleep(configTime + time.Second)
+	before := time.Now()
+	calls := f.Store.Calls(f.Boxes[0].IP)
+	f.Store.ComeBackFrom(copied)
+	for time.Since(before) < writtenAgainTime-300*time.Millisecond {
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(statusesOf(f, "/added/1"), []int{200, 200, 200})
+	}
+	is.True(f.Store.Calls(f.Boxes[0].IP)-calls < 40)
+	f.Store.WriteAgain(copied)
+	time.Sleep(2 * time.Second)
+	is.Equal(statusesOf(f, "/added/1"), []int{200, 200, 200})
+	clients.stopAndCount()
+	for _, id := range []string{"east-a.1", "east-b.1", "west-a.1"} {
+		for _, a := range f.Servers[id].ArrivalLog() {
+			if a.At.After(before) {
+				t.Errorf("%s got %s from %s %s after the store came back", id, a.ID, a.From, a.At.Sub(before))
+			}
+		}
+	}
+}
+
+// TestCopiesInARowAndBoxesThatTheStoreRefuses checks a second copy while the boxes still settle after
+// the first, with one box refused by the store throughout, and one suspended meanwhile.
+func TestCopiesInARowAndBoxesThatTheStoreRefuses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleetIn(t, func(i int) string { return Zones[i/2].Zone }, 4, "east-a.1", "east-b.1")
+	refused := f.Boxes[0].IP
+	f.Store.SetMode(func(ip, _ string) Mode {
+		if ip == refused {
+			return Busy
+		}
+		return Serving
+	})
+	time.Sleep(500 * time.Millisecond)
+	copied := f.Store.Copy()
+	writeUnrelated(f, 20)
+	time.Sleep(time.Second)
+	f.Store.ComeBackFrom(copied)
+	f.Boxes[1].Suspend(3 * time.Second)
+	writeUnrelated(f, 3)
+	time.Sleep(300 * time.Millisecond)
+	f.Store.ComeBackFrom(copied)
+	f.Configure(2, read, buy, upload, added)
+	time.Sleep(configTime + 1500*time.Millisecond) // the store was away until now
+	is.Equal(statusesOf(f, "/added/1"), []int{200, 200, 200, 200})
+	for _, b := range f.Boxes {
+		is.Equal(b.Replica.Mirror("config").Version().Era, uint64(3))
+	}
+}
+
+// TestBoxThatStartsWhileTheStoreComesBack checks a box whose first list is from before the copy, and
+// its first watch from after it.
+func TestBoxThatStartsWhileTheStoreComesBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := copyFleet(t)
+	copied := f.Store.Copy()
+	writeUnrelated(f, 12)
+	b, err := f.AddBox("east-a")
+	is.NoErr(err)
+	f.Store.ComeBackFrom(copied)
+	f.Configure(2, read, buy, upload, added)
+	eventually(t, "the box is ready", func() bool { return b.Node.Ready() })
+	time.Sleep(configTime)
+	is.Equal(statusesOf(f, "/added/1"), []int{200, 200, 200, 200})
+}
+
+// TestHoldsAreWrittenAgain checks that a request that is held, since it crashes servers, is in the store
+// again after that has come back from a copy without it.
+func TestHoldsAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := copyFleet(t)
+	copied := f.Store.Copy()
+	fingerprint := quarantine.Fingerprint(7)
+	for i := range 8 {
+		for _, b := range f.Boxes {
+			b.Ingress.ObserveCrash(fingerprint, fmt.Sprint("server-", i))
+		}
+	}
+	held := func() bool { return f.Store.Has(platform.Adapter().HoldsKind, fingerprint.String()) }
+	eventually(t, "the hold is in the store", held)
+	f.Store.ComeBackFrom(copied)
+	is.True(!held())
+	eventually(t, "the hold is in the store again", held)
+}
