A server's backoff holds for the box that passes requests on, and for those whose requests it passes on

What callers would see: a server that asks for a backoff sees the box whose connection it is. Where one box passes on requests of another that is cut off, only that one kept the backoff, and the server went on getting requests of the box that it had asked.

Change: the box whose request it was tells the one that passed it on, which also tells those that use it not to send further requests over their tunnels to that server (a frame without bytes); the same frame tells them at once when it leaves.

--- a/pkg/backend/incarnation.go
+++ b/pkg/backend/incarnation.go
@@ -46,6 +46,15 @@
 	return v != nil && s.usable(v) && v.Address == address
 }
 
+// IsBackedOff reports whether that incarnation of a server has asked this box for a backoff that is
+// not over.
+func (s *Set) IsBackedOff(incarnation string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.byIncarnation(incarnation)
+	return v != nil && v.backoff.blocks(s.Now())
+}
+
 // OtherAddresses returns the addresses of up to count servers other than the one at the given
 // address, of those that may get requests, starting with the one that has answered last.
 func (s *Set) OtherAddresses(address string, count int) []string {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -229,6 +229,16 @@
 	return e != nil && !e.Leaving && t.live(e, t.Now())
 }
 
+// PeersOf returns the address of a live box for other boxes, "" if it is not known.
+func (t *Table) PeersOf(box string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.members[box]; e != nil && t.live(e, t.Now()) {
+		return e.Peers
+	}
+	return ""
+}
+
 // Generation returns a number that changes whenever a box joins, comes back, falls silent or
 // changes what the choice of boxes for clients depends on. A box that is no longer live may be
 // noticed only by the next Expire.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -53,6 +53,8 @@
 	// Backoff is for how long the server asks this box to send no requests, 0 if it does not
 	// ask.
 	Backoff time.Duration
+	// Via is the box that passed the answer on, "" if it came from the server directly.
+	Via string
 	// HeaderErrors are the errors of headers that cannot be parsed, whose content is unknown.
 	HeaderErrors []error
 }
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -221,6 +221,7 @@
 		s.ObserveDirectAnswer(&lease.Server)
 	}
 	meta := s.Dialect.ReadAnswer(&answer.Header)
+	meta.Via = answer.Via
 	s.ObserveAnswer(&lease.Server, &meta, start)
 	switch {
 	case meta.Stale, meta.NotRun:
--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -50,9 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return n.dialPeer(ctx, address) }
-	client := http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
-	answer, err := client.Do(r)
+	answer, err := n.peerClient().Do(r)
 	if err != nil {
 		return nil, err
 	}
@@ -65,6 +63,12 @@
 	return body, json.NewDecoder(arriving).Decode(body)
 }
 
+// peerClient returns a client for one call to another box.
+func (n *Node) peerClient() *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return n.dialPeer(ctx, address) }
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
 // progressReader calls arrived whenever data of a body has been read.
 type progressReader struct {
 	body    io.Reader
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -187,6 +187,7 @@
 	n.ports.clients = n.newClientListener(n.ports.clients)
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
+	peers.HandleFunc("POST "+pathBackoff+"{server}", n.serveBackoff)
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", n.serveMetrics)
 	admin.HandleFunc("GET "+customerstats.Path, n.serveCustomers)
--- a/pkg/node/node_relay.go
+++ b/pkg/node/node_relay.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -106,7 +109,7 @@
 	if !ok {
 		return n.Relay.Paths.MayReuse(address)
 	}
-	return n.Relay.Paths.State(address) != relay.Working && n.Members.Stays(relayed.Box)
+	return n.Relay.Paths.State(address) != relay.Working && n.Members.Stays(relayed.Box) && !relayed.Retired()
 }
 
 // isPathLost determines whether an exchange failed because of the link to the server, or of the
@@ -171,7 +174,7 @@
 	switch {
 	case n.leaving.Load(), n.tunnels.Open() >= maxTunnels, n.asksToClose():
 		return false
-	case !n.Set.IsUsableAt(server, address):
+	case !n.Set.IsUsableAt(server, address), n.Set.IsBackedOff(server):
 		return false
 	}
 	return n.Relay.Paths.State(address) == relay.Working
@@ -189,6 +192,74 @@
 	return conn, err
 }
 
+// ----------------------------------------------------------------
+// Servers that ask for a backoff
+// ----------------------------------------------------------------
+
+// A server that asks for a backoff sees the box whose connection it is, and not the one whose
+// request it was. So both keep the backoff, and so does a box that passes on for others.
+
+const (
+	// pathBackoff is the path at which a box learns that a server has asked it for a backoff in
+	// an answer that it has passed on; the server's incarnation follows it.
+	pathBackoff = "/v1/backoffs/"
+	// backoffCallTimeout bounds the call.
+	backoffCallTimeout = time.Second
+)
+
+// tellBackoff tells a box of the backoff that a server has asked it for.
+func (n *Node) tellBackoff(box, server string, backoff time.Duration) {
+	address := n.Members.PeersOf(box)
+	if address == "" {
+		return
+	}
+	n.background.Go(func() {
+		ctx, cancel := context.WithTimeout(n.context, backoffCallTimeout)
+		defer cancel()
+		target := fmt.Sprintf("http://%s%s%s?ms=%d", address, pathBackoff, url.PathEscape(server), backoff.Milliseconds())
+		if err := n.callPeer(ctx, http.MethodPost, target); err != nil {
+			n.log.Warn("a box could not be told of a server's backoff", map[string]any{"box": box, "server": server, "error": err.Error()})
+		}
+	})
+}
+
+// callPeer makes a call without bodies to another box. The error is a *PeerError or that of the
+// call.
+func (n *Node) callPeer(ctx context.Context, method, target string) error {
+	r, err := http.NewRequestWithContext(ctx, method, target, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := n.peerClient().Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusNoContent {
+		return &PeerError{Address: r.Host, Status: answer.StatusCode}
+	}
+	return nil
+}
+
+// serveBackoff processes what another box tells of a backoff.
+func (n *Node) serveBackoff(w http.ResponseWriter, r *http.Request) {
+	ms, err := strconv.Atoi(r.URL.Query().Get("ms"))
+	if err != nil || ms <= 0 {
+		http.Error(w, "ms must be a positive number", http.StatusBadRequest)
+		return
+	}
+	n.backOff(r.PathValue("server"), time.Duration(ms)*time.Millisecond)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// backOff keeps this box, and others through it, from sending requests to a server for a while.
+func (n *Node) backOff(server string, backoff time.Duration) {
+	n.tunnels.Retire(server)
+	if n.Set.BackOff(server, backoff) {
+		n.log.Info("server asks this box to back off", map[string]any{"server": server, "rest_ms": backoff.Milliseconds()})
+	}
+}
+
 // prepareTunnel makes the connection from another box detect that its machine has lost power.
 func (n *Node) prepareTunnel(log *logging.Logger, c net.Conn) {
 	tcp, ok := c.(interface {
--- a/pkg/node/node_run.go
+++ b/pkg/node/node_run.go
@@ -96,6 +96,7 @@
 	grace := n.Settings.Bounds.Grace
 	start := n.Clock.Now()
 	n.leaving.Store(true)
+	n.tunnels.Retire("")
 	n.heartbeat()
 	n.send(n.Members.Announce())
 	n.log.Info("leaving", map[string]any{"in_flight": n.inFlight.Load(), "grace": grace.String()})
--- a/pkg/node/node_status.go
+++ b/pkg/node/node_status.go
@@ -83,8 +83,9 @@
 		return
 	}
 	metrics.GetOrRegisterCounter("words.rest", n.Metrics).Inc(1)
-	if n.Set.BackOff(server.Incarnation(), v.Backoff) {
-		n.log.Info("server asks this box to back off", map[string]any{"server": server.ID, "rest_ms": v.Backoff.Milliseconds()})
+	n.backOff(server.Incarnation(), v.Backoff)
+	if v.Via != "" {
+		n.tellBackoff(v.Via, server.Incarnation(), v.Backoff)
 	}
 }
 
--- a/pkg/tunnel/frames.go
+++ b/pkg/tunnel/frames.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -13,8 +15,12 @@
 // that is killed closes its connections orderly too, which without frames would make an answer
 // that ends with its connection look complete.
 
-// frameHeader is the size of a frame's header in bytes.
-const frameHeader = 2
+const (
+	// frameHeader is the size of a frame's header in bytes.
+	frameHeader = 2
+	// retireFrame is the header, without bytes behind it, that tells not to send another request.
+	retireFrame = 0xffff
+)
 
 // Conn is the connection to a server through another box.
 type Conn struct {
@@ -26,8 +32,14 @@
 	// last frame.
 	left  int
 	ended bool
+	// retired is true once the box has told that no other request is to be sent.
+	retired atomic.Bool
 }
 
+// Retired reports whether no other request is to be sent. A connection on which that has not been
+// read has a byte to read, which makes it unusable as well.
+func (c *Conn) Retired() bool { return c.retired.Load() }
+
 // Read implements net.Conn. It returns io.EOF only if the server has closed its connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.ended {
@@ -45,15 +57,21 @@
 
 func (c *Conn) readHeader() error {
 	var header [frameHeader]byte
-	if _, err := io.ReadFull(c.Conn, header[:]); err != nil {
-		return unexpectedEnd(err)
-	}
-	c.left = int(binary.BigEndian.Uint16(header[:]))
-	if c.left == 0 {
-		c.ended = true
-		return io.EOF
+	for {
+		if _, err := io.ReadFull(c.Conn, header[:]); err != nil {
+			return unexpectedEnd(err)
+		}
+		switch n := int(binary.BigEndian.Uint16(header[:])); n {
+		case retireFrame:
+			c.retired.Store(true)
+		case 0:
+			c.ended = true
+			return io.EOF
+		default:
+			c.left = n
+			return nil
+		}
 	}
-	return nil
 }
 
 // unexpectedEnd returns the error for the end of the connection to the other box.
@@ -83,18 +101,32 @@
 	return nil, errors.ErrUnsupported
 }
 
+// frameWriter writes frames to another box.
+type frameWriter struct {
+	net.Conn
+	mu sync.Mutex
+}
+
+// retire tells the other box not to send another request.
+func (w *frameWriter) retire() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, err := w.Conn.Write(binary.BigEndian.AppendUint16(nil, retireFrame))
+	return err
+}
+
 // passFramed copies bytes from a server's connection in frames.
-func passFramed(to, from net.Conn, buffer []byte) error {
+func (w *frameWriter) passFramed(_, from net.Conn, buffer []byte) error {
 	for {
 		n, err := from.Read(buffer[frameHeader:])
 		ended := errors.Is(err, io.EOF)
 		if n > 0 {
-			if err := writeFrame(to, buffer, n); err != nil {
+			if err := w.writeFrame(buffer, n); err != nil {
 				return err
 			}
 		}
 		if ended {
-			return writeFrame(to, buffer, 0)
+			return w.writeFrame(buffer, 0)
 		}
 		if err != nil {
 			return err
@@ -103,8 +135,10 @@
 }
 
 // writeFrame sends the first n bytes that follow the place of the header.
-func writeFrame(to net.Conn, buffer []byte, n int) error {
+func (w *frameWriter) writeFrame(buffer []byte, n int) error {
 	binary.BigEndian.PutUint16(buffer, uint16(n))
-	_, err := to.Write(buffer[:frameHeader+n])
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, err := w.Conn.Write(buffer[:frameHeader+n])
 	return err
 }
--- a/pkg/tunnel/join.go
+++ b/pkg/tunnel/join.go
@@ -15,10 +15,10 @@
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
 
 // join copies bytes between another box and a server until either connection ends.
-func join(client, server net.Conn) {
+func join(client *frameWriter, server net.Conn) {
 	var copying conc.WaitGroup
-	copying.Go(func() { end(client, server, withBuffer(server, client, pass)) })
-	end(server, client, withBuffer(client, server, passFramed))
+	copying.Go(func() { end(client.Conn, server, withBuffer(server, client.Conn, pass)) })
+	end(server, client.Conn, withBuffer(client, server, client.passFramed))
 	copying.Wait()
 }
 
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -85,11 +85,50 @@
 	// Count counts an event.
 	Count func(name string)
 
-	open atomic.Int64
+	mu sync.Mutex
+	// open holds the open tunnels, with the server that each leads to.
+	open map[*frameWriter]string
 }
 
 // Open returns how many tunnels are open.
-func (s *Server) Open() int { return int(s.open.Load()) }
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Retire tells boxes to send no other request over their tunnels to a server, or over any if the
+// name is empty. Requests in progress go on.
+func (s *Server) Retire(server string) {
+	s.mu.Lock()
+	var retired []*frameWriter
+	for t, to := range s.open {
+		if server == "" || to == server {
+			retired = append(retired, t)
+		}
+	}
+	s.mu.Unlock()
+	for _, t := range retired {
+		if err := t.retire(); err != nil {
+			abort(t.Conn) // its box no longer listens
+		}
+	}
+}
+
+func (s *Server) add(t *frameWriter, server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*frameWriter]string{}
+	}
+	s.open[t] = server
+}
+
+func (s *Server) remove(t *frameWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, t)
+}
 
 // ServeHTTP implements http.Handler for CONNECT.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -110,8 +149,6 @@
 		w.WriteHeader(StatusUnavailable)
 		return
 	}
-	s.open.Add(1)
-	defer s.open.Add(-1)
 	s.Count("relay.served")
 	s.Prepare(client)
 	_ = client.SetDeadline(time.Time{})
@@ -120,7 +157,10 @@
 		abort(server)
 		return
 	}
-	join(client, server)
+	t := &frameWriter{Conn: client}
+	s.add(t, r.Header.Get(headerServer))
+	defer s.remove(t)
+	join(t, server)
 }
 
 // statusOf returns the status for the error of an attempt to connect to a server.
--- a/test/machines/cut_beliefs_test.go
+++ b/test/machines/cut_beliefs_test.go
@@ -149,3 +149,24 @@
 		}
 	}
 }
+
+// TestBackoffIsKeptByTheBoxThatPassesOn checks that a server that asks for a backoff in an answer to a
+// request that one box has passed on for another gets no requests of either, nor of others through it.
+func TestBackoffIsKeptByTheBoxThatPassesOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newLimitFleet(t, 6)
+	clients := newTraffic(f, 12)
+	time.Sleep(500 * time.Millisecond)
+	for _, i := range []int{0, 3} {
+		f.Boxes[i].CutFromServers(Hanging, nil)
+	}
+	time.Sleep(contactTime)
+	s := busiest(f)
+	s.RejectWithRetryAfter("3")
+	time.Sleep(5 * time.Second)
+	most := maxDuringRetryAfter(s, 3*time.Second)
+	clients.stopAndCount()
+	is.True(len(s.SentHeaders(RetryAfterHeader)) > 0)
+	is.True(most <= maxRequestsInRetryAfter)
+}
