Soak: a cut box is to serve while another box is left that is not cut

The check now looks only at requests during which, and for 4 s before, one box at least was not cut. Its control still fails it.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -142,6 +142,7 @@
 		},
 		"cut-served": func(h *History) {
 			from := after(time.Minute)
+			h.Boxes = []string{"127.94.0.8", "127.94.0.9"}
 			h.FaultPeriods = append(h.FaultPeriods, FaultPeriod{Kind: BoxCut, Target: "127.94.0.9", From: from, To: from.Add(time.Minute)})
 			for i := range 2 * cutAllowed {
 				sent := from.Add(2 * cutContact)
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -69,6 +69,8 @@
 
 // History is the record of a run.
 type History struct {
+	// Boxes are the IP addresses of all boxes.
+	Boxes    []string
 	Requests []Request
 	// SideRequests are requests that do not count in the recovery: probes of the configuration
 	// that did not succeed, and requests of the customer with a limit, with removed keys and
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -196,6 +196,9 @@
 // collect adds the records of the servers and the logs of the boxes to the history.
 func (r *run) collect() *History {
 	h := &r.history
+	for _, b := range r.boxes {
+		h.Boxes = append(h.Boxes, b.IP)
+	}
 	h.Runs = map[string][]machines.Run{}
 	h.Arrivals = map[string][]machines.Arrival{}
 	h.LeavingHeaders = map[string][]machines.SentHeader{}
