Relays: idle connections over a suspect link are kept, and a suspect link has a head start

Now only those over a broken link, or of a box that seems cut off, are dropped, and a suspect link is tried alone for 50 ms.

--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -10,8 +10,10 @@
 
 const (
 	// headStart is how long a direct attempt runs alone. It is longer than the round trip between
-	// the farthest regions.
-	headStart = 250 * time.Millisecond
+	// the farthest regions. suspectHeadStart is the same over a suspect link, and longer than the
+	// round trip within a region.
+	headStart        = 250 * time.Millisecond
+	suspectHeadStart = 50 * time.Millisecond
 	// maxHelpers bounds the boxes that are asked for one connection.
 	maxHelpers = 5
 )
@@ -62,6 +64,8 @@
 	results chan attempt
 	running int
 	tried   map[string]bool
+	// next is when another box is asked unless an attempt has ended before.
+	next time.Duration
 	// directErr is the error of the direct attempt once it has failed, and stopDirect ends it.
 	directErr  error
 	stopDirect context.CancelFunc
@@ -69,8 +73,8 @@
 }
 
 // Dial connects to a server: directly, or through another box if the direct attempt fails or
-// takes longer than headStart. A link that is suspect is not waited for, and one that is broken
-// not tried. The error is a *NoPathError if the server may be well, and otherwise that of an
+// takes longer than headStart. A link that is suspect is waited for less long, and one that is
+// broken not tried. The error is a *NoPathError if the server may be well, and otherwise that of an
 // attempt.
 func (d *Dialer) Dial(ctx context.Context, t Target) (net.Conn, error) {
 	state := d.Paths.State(t.Address)
@@ -79,11 +83,16 @@
 	r := &race{
 		d: d, target: t, ctx: ctx, results: make(chan attempt, 1+maxHelpers), tried: map[string]bool{}, stopDirect: func() {},
 	}
-	if state != Broken {
+	switch state {
+	case Working:
 		r.startDirect()
-	}
-	if state != Working {
+		r.next = headStart
+	case Suspect:
+		r.startDirect()
+		r.next = suspectHeadStart
+	case Broken:
 		r.askBox()
+		r.next = headStart
 	}
 	winner, ok := r.run()
 	r.leaveRest(ok && !winner.isDirect)
@@ -130,7 +139,7 @@
 // run waits for the first attempt that succeeds and starts further ones meanwhile. ok is false
 // if none does.
 func (r *race) run() (winner attempt, ok bool) {
-	timer := time.NewTimer(headStart)
+	timer := time.NewTimer(r.next)
 	defer timer.Stop()
 	for r.running > 0 {
 		select {
--- a/pkg/relay/paths.go
+++ b/pkg/relay/paths.go
@@ -109,11 +109,10 @@
 func (p *Paths) MayReuse(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.links[address]
-	if l == nil {
-		return !p.cutOff()
+	if l := p.links[address]; l != nil && l.broken {
+		return l.answeredAt.After(l.failedAt)
 	}
-	return l.answeredAt.After(l.failedAt) || p.state(address) == Working
+	return !p.cutOff()
 }
 
 // ObserveConnected records that the link to an address works.
