--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -100,7 +100,7 @@
 )
 
 // resultNames holds the names of results in logs, indexed by value.
-var resultNames = [...]string{"answered", "shed", "unreachable", "refused", "broken", "late", "stale", "abandoned", "withdrawn", "crashed", "no path", "path lost"}
+var resultNames = [...]string{"answered", "shed", "unreachable", "refused", "broken", "late", "stale", "abandoned", "withdrawn", "crashed", "no_path", "path_lost"}
 
 // unsent reports whether no part of the request has reached the server.
 func (r Result) unsent() bool {
--- a/pkg/node/node_relay.go
+++ b/pkg/node/node_relay.go
@@ -44,10 +44,11 @@
 	d.Direct, d.Through, d.Boxes, d.Go = n.dialServer, n.dialThrough, n.relayBoxes, n.background.Go
 	d.Others = n.Set.OtherAddresses
 	d.Paths.OnChange = func(address string, broken bool) {
-		text := "link to a server works again"
+		text, name := "link to a server works again", "relay.restored"
 		if broken {
-			text = "link to a server is broken, other boxes reach the server"
+			text, name = "link to a server is broken, other boxes reach the server", "relay.broken"
 		}
+		metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1)
 		log.Info(text, map[string]any{"address": address})
 	}
 	n.Relay = d
@@ -146,7 +147,6 @@
 	}
 	n.mu.Unlock()
 	n.Relay.Paths.Expire(func(address string) bool { return addresses[address] })
-	metrics.GetOrRegisterGauge("relay.broken_links", n.Metrics).Update(int64(n.Relay.Paths.CountBroken()))
 	n.Relay.ProbeBroken(n.context, probedLinks)
 	for _, p := range pools {
 		p.CloseUnusable()
