--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -75,6 +75,7 @@
 	{"store.remove", "calls", "objects removed from the store: requests that are kept no longer"},
 	{"store.status", "calls", "that note in the store how far an order to move a service to a version has come"},
 	{"store.polls", "calls", "of a box that leaves the store to others and had no word of the list of servers, or of the configuration, for long"},
+	{"store.eras", "times", "the store has come back from an older copy"},
 	{"store.answered_ago.KIND", "milliseconds", "since the store last answered this box for a kind of objects, at a box that asks it"},
 	{"connections.refused", "connections", "of clients closed at once, since the box has nearly as many descriptors open as it may"},
 	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, refused, broken, late, stale, abandoned, withdrawn, crashed, no_path, path_lost"},
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -247,6 +247,7 @@
 		if known == 0 {
 			return
 		}
+		metrics.GetOrRegisterCounter("store.eras", r.Metrics).Inc(1)
 		r.StoreLog.Warn("the store has come back from an older copy", map[string]any{"era": era, "before": known})
 		for _, f := range r.followers {
 			f.Restart()
