--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -24,7 +24,8 @@
 	Address string
 	// Incarnation identifies the server that is expected at the address.
 	Incarnation string
-	// Region is the server's region.
+	// Zone and Region are the server's.
+	Zone   string
 	Region string
 	// Bound is true if the requests may be passed on in the server's region only.
 	Bound bool
