--- a/pkg/node/node_dial.go
+++ b/pkg/node/node_dial.go
@@ -116,7 +116,7 @@
 	defer n.mu.Unlock()
 	p := n.pools[key]
 	if p == nil {
-		target := relay.Target{Address: v.Address, Incarnation: key.incarnation, Zone: v.Zone, Region: n.Topology.RegionOf(v.Zone), Bound: key.bound}
+		target := relay.Target{Address: v.Address, Incarnation: key.incarnation, Region: n.Topology.RegionOf(v.Zone), Bound: key.bound}
 		p = exchange.NewPool(v.Address, maxIdleConnections, func(ctx context.Context, _ string) (net.Conn, error) { return n.Relay.Dial(ctx, target) })
 		p.StillUsable = func(c net.Conn) bool { return n.mayReuse(target.Address, c) && exchange.StillUsable(c) }
 		p.Now = n.Clock.Now
--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math"
 	"net"
-	"syscall"
 	"time"
 )
 
@@ -71,8 +70,6 @@
 	directErr  error
 	stopDirect context.CancelFunc
 	errs       []error
-	// isDown is true if the server is known to have refused the direct attempt itself.
-	isDown bool
 }
 
 // Dial connects to a server: directly, or through another box if the direct attempt fails or
@@ -104,7 +101,6 @@
 	}
 	if winner.isDirect {
 		d.Paths.ObserveConnected(t.Address)
-		d.Paths.ObserveZone(t.Zone)
 	} else {
 		d.Paths.ObserveRelayed(t.Address, state == Broken || r.directErr != nil)
 	}
@@ -181,11 +177,6 @@
 	r.errs = append(r.errs, a.err)
 	if a.isDirect {
 		r.directErr = a.err
-		if errors.Is(a.err, syscall.ECONNREFUSED) && r.d.Paths.ConnectsTo(r.target.Zone) {
-			// The server has ended. A box that has just lost its links is wrong for a moment.
-			r.isDown = true
-			return true
-		}
 		r.d.Paths.ObserveFailed(r.target.Address)
 		if len(r.tried) == 0 {
 			r.askBox()
@@ -235,9 +226,6 @@
 
 // failure returns the error of a race that no attempt has won.
 func (r *race) failure() error {
-	if r.isDown {
-		return r.directErr
-	}
 	for _, err := range r.errs {
 		var failed *HelperError
 		if errors.As(err, &failed) && failed.Reason != Unavailable {
--- a/pkg/relay/paths.go
+++ b/pkg/relay/paths.go
@@ -28,9 +28,6 @@
 	// cutOffSilence, for the box to suspect all of its links.
 	cutOffLinks   = 3
 	cutOffSilence = 500 * time.Millisecond
-	// connectsTime is for how long a new connection to a server shows that others to servers of
-	// its zone can be opened.
-	connectsTime = time.Second
 )
 
 // Paths holds what is known of this box's own links to servers, by address. Links that work are
@@ -48,8 +45,6 @@
 	// when links were last kept.
 	heardAt time.Time
 	keptAt  time.Time
-	// connectedAt is when a connection to a server of a zone was last opened.
-	connectedAt map[string]time.Time
 }
 
 // link is a link that has failed.
@@ -67,7 +62,7 @@
 
 // NewPaths returns the state of a box that has tried no link.
 func NewPaths(now func() time.Time) *Paths {
-	return &Paths{Now: now, OnChange: func(string, bool) {}, links: map[string]*link{}, connectedAt: map[string]time.Time{}}
+	return &Paths{Now: now, OnChange: func(string, bool) {}, links: map[string]*link{}}
 }
 
 // State returns what is known of the link to an address.
@@ -132,21 +127,6 @@
 	}
 }
 
-// ObserveZone records that a connection to a server of a zone was opened.
-func (p *Paths) ObserveZone(zone string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.connectedAt[zone] = p.Now()
-}
-
-// ConnectsTo reports whether a connection to a server of a zone was opened lately.
-func (p *Paths) ConnectsTo(zone string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at, ok := p.connectedAt[zone]
-	return ok && p.Now().Sub(at) < connectsTime
-}
-
 // ObserveAnswer records that a server has answered on a direct connection.
 func (p *Paths) ObserveAnswer(address string) {
 	p.mu.Lock()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -24,8 +24,7 @@
 	Address string
 	// Incarnation identifies the server that is expected at the address.
 	Incarnation string
-	// Zone and Region are the server's.
-	Zone   string
+	// Region is the server's region.
 	Region string
 	// Bound is true if the requests may be passed on in the server's region only.
 	Bound bool
