Relays: a box that is refused checks its own links to the zone before it asks another box

Now the box first connects to another server, of the same zone if there is one: one round trip; where that is refused as well, it asks another box as before.

--- a/pkg/backend/incarnation.go
+++ b/pkg/backend/incarnation.go
@@ -56,18 +56,31 @@
 }
 
 // OtherAddresses returns the addresses of up to count servers other than the one at the given
-// address, of those that may get requests, starting with the one that has answered last.
+// address, of those that may get requests: first those of its zone, and of these the one that has
+// answered last.
 func (s *Set) OtherAddresses(address string, count int) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
+	zone := ""
 	var others []*server
 	for _, v := range s.servers {
+		if v.Address == address {
+			zone = v.Zone
+		}
 		if v.Address != address && s.usable(v) && !v.health.ejected(now) {
 			others = append(others, v)
 		}
 	}
-	slices.SortFunc(others, func(a, b *server) int { return b.health.answeredAt.Compare(a.health.answeredAt) })
+	slices.SortFunc(others, func(a, b *server) int {
+		if isNear := a.Zone == zone; isNear != (b.Zone == zone) {
+			if isNear {
+				return -1
+			}
+			return 1
+		}
+		return b.health.answeredAt.Compare(a.health.answeredAt)
+	})
 	var list []string
 	for _, v := range others[:min(count, len(others))] {
 		list = append(list, v.Address)
--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -70,6 +71,8 @@
 	directErr  error
 	stopDirect context.CancelFunc
 	errs       []error
+	// isDown is true if the server has refused the direct attempt, over a link that works.
+	isDown bool
 }
 
 // Dial connects to a server: directly, or through another box if the direct attempt fails or
@@ -177,6 +180,10 @@
 	r.errs = append(r.errs, a.err)
 	if a.isDirect {
 		r.directErr = a.err
+		if errors.Is(a.err, syscall.ECONNREFUSED) && r.d.LinksWork(r.ctx, r.target.Address) {
+			r.isDown = true
+			return true
+		}
 		r.d.Paths.ObserveFailed(r.target.Address)
 		if len(r.tried) == 0 {
 			r.askBox()
@@ -226,6 +233,9 @@
 
 // failure returns the error of a race that no attempt has won.
 func (r *race) failure() error {
+	if r.isDown {
+		return r.directErr
+	}
 	for _, err := range r.errs {
 		var failed *HelperError
 		if errors.As(err, &failed) && failed.Reason != Unavailable {
@@ -238,8 +248,8 @@
 		return noPath
 	case r.directErr == nil:
 		return r.errs[len(r.errs)-1]
-	case r.ctx.Err() == nil && !r.d.LinksWork(r.ctx, r.target.Address):
-		return noPath
+	case errors.Is(r.directErr, syscall.ECONNREFUSED):
+		return noPath // the links do not work, see handleFailure
 	}
 	return r.directErr
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -118,6 +118,7 @@
 		{near: down, s2: refused, blamed: true},
 		{near: unavailable("near"), far: unavailable("far"), blamed: true},
 		{near: unavailable("near"), far: unavailable("far"), s2: refused, blamed: false},
+		{near: nil, s2: nil, blamed: true}, // no box is asked
 	} {
 		w := &world{direct: map[string]error{"s1": refused, "s2": c.s2}, through: map[string]error{"near": c.near, "far": c.far}}
 		d := w.dialer()
