A failed exchange keeps the error of its connection: a link that is given up is no failure of the server

What callers would see: a box whose links hang gives a connection up after 1.5 s without acknowledgement, and counts that against the server: three such exchanges eject it, and a version that is being brought in gets them as evidence. Found by reading: the relays look for ETIMEDOUT, but the HTTP library turns each timeout of a read into one of its own and each other error before the first byte into EOF; so the loss of a box that passes bytes on looked like the orderly end of the server's connection, too, and cost a check whether the server had crashed.

Change: a connection remembers the error of its last read, and an exchange tells that one. TestErrorOfTheConnectionIsKept and the count of lost paths in TestBeliefsOfACutBoxDoNotSpread failed before, and pass.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -176,6 +176,8 @@
 	// it was then idle.
 	reused  bool
 	idleFor time.Duration
+	// readErr is the error of the last read; the HTTP library replaces it with one of its own.
+	readErr error
 }
 
 // keepAliveMargin is how much earlier than the peer this side closes an idle connection, so
@@ -191,6 +193,13 @@
 	return idle <= maxIdle
 }
 
+// Read records the error.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.readErr = err
+	return n, err
+}
+
 // via returns the name of the box through which the connection goes, "" if it is direct.
 func (c *connection) via() string {
 	if relayed, ok := c.Conn.(interface{ Via() string }); ok {
@@ -283,7 +292,7 @@
 
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
-	c.r = bufio.NewReaderSize(conn, 16<<10)
+	c.r = bufio.NewReaderSize(c, 16<<10)
 	c.w = bufio.NewWriterSize(c, 4<<10)
 	return c
 }
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -124,11 +124,14 @@
 }
 
 // cause returns the error of the context if the context has ended, since that made the
-// connection return err.
+// connection return err, and otherwise that of the connection if it has failed.
 func (x *roundTrip) cause(err error) error {
 	if ctxErr := x.ctx.Err(); ctxErr != nil {
 		return ctxErr
 	}
+	if x.conn.readErr != nil {
+		return x.conn.readErr
+	}
 	return err
 }
 
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -278,3 +278,29 @@
 		})
 	}
 }
+
+// failingConn is a connection whose reads fail.
+type failingConn struct {
+	net.Conn
+	err error
+}
+
+// Read implements net.Conn.
+func (c *failingConn) Read([]byte) (int, error) { return 0, c.err }
+
+// TestErrorOfTheConnectionIsKept checks that a failed exchange tells how its connection failed.
+func TestErrorOfTheConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	for _, failure := range []error{syscall.ETIMEDOUT, syscall.ECONNRESET, io.ErrUnexpectedEOF, io.EOF} {
+		p := NewPool("server", 1, func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			return &failingConn{Conn: near, err: failure}, nil
+		})
+		h := &fasthttp.RequestHeader{}
+		h.SetMethod("GET")
+		_, err := p.Do(t.Context(), &Request{Header: h, MaxIdle: time.Second})
+		is.True(errors.Is(err, failure))
+		is.Equal(ClosedUnanswered(err), failure == io.EOF || failure == error(syscall.ECONNRESET))
+	}
+}
--- a/test/machines/cut_beliefs_test.go
+++ b/test/machines/cut_beliefs_test.go
@@ -40,6 +40,7 @@
 			f.Boxes[0].CutFromServers(cut, nil)
 			time.Sleep(2 * time.Second)
 			stop()
+			is.True(cut == ResetAll || counter(f.Boxes[0], "backend.path_lost") > 0)
 			for i, b := range f.Boxes {
 				is.Equal(counter(b, "findings.sent"), int64(0))
 				is.True(b.Quarantine.Empty())
