The store's first era may be 0

What callers would see: with eras that are counted from 0, the first return from a copy passes unnoticed where the counter is past the old revision when boxes list again, and changes with lower revisions are not taken. Found by reading: 0 stood for an answer that does not tell its era.

--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -48,7 +48,7 @@
 	calls          map[string]int
 	server         *http.Server
 	closed         chan struct{}
-	// era counts how often the store has come back from a copy, from 1. away is closed and replaced
+	// era counts how often the store has come back from a copy. away is closed and replaced
 	// when it does so, which cuts the calls that wait.
 	era  int
 	away chan struct{}
@@ -93,7 +93,7 @@
 	s := &Store{
 		Address: l.Addr().String(), objects: map[string]map[string]*storedObject{},
 		changed: make(chan struct{}), closed: make(chan struct{}), calls: map[string]int{},
-		era: 1, away: make(chan struct{}), written: map[objectKey]write{},
+		away: make(chan struct{}), written: map[objectKey]write{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.serve)
