--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -66,6 +66,9 @@
 	return c
 }
 
+// awaitRequest waits for the first byte of a request: a server does not speak before it is asked.
+func awaitRequest(c net.Conn) { _, _ = c.Read(make([]byte, 1)) }
+
 // TestBytesPassUnaltered checks both directions with more bytes than a buffer holds.
 func TestBytesPassUnaltered(t *testing.T) {
 	is := is.New(t)
@@ -91,16 +94,21 @@
 func TestAnswerThatBrokeOffIsIncomplete(t *testing.T) {
 	is := is.New(t)
 	c := open(t, startBox(t, &Server{}), startServer(t, func(c *net.TCPConn) {
+		awaitRequest(c)
 		_, _ = c.Write([]byte("half"))
 		time.Sleep(20 * time.Millisecond)
 		_ = c.SetLinger(0)
 		_ = c.Close()
 	}))
+	_, _ = c.Write([]byte("request"))
 	_, err := io.ReadAll(c)
 	is.True(err != nil)
 
 	var toServer net.Conn
-	address := startServer(t, func(c *net.TCPConn) { _, _ = c.Write([]byte("half")) })
+	address := startServer(t, func(c *net.TCPConn) {
+		awaitRequest(c)
+		_, _ = c.Write([]byte("half"))
+	})
 	var fromBox net.Conn
 	box := startBox(t, &Server{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		var err error
@@ -109,6 +117,7 @@
 	}})
 	lost := open(t, box, address)
 	fromBox = lost.Conn
+	_, _ = lost.Write([]byte("request"))
 	half := make([]byte, 4)
 	_, err = io.ReadFull(lost, half)
 	is.NoErr(err)
