Tunnels: one counts as open before its box is told so

TestBytesPassUnaltered failed in 4 of 200 runs: a tunnel was added to the open ones only after the answer to CONNECT, so that a box that began to leave, or was asked for a backoff, just then did not tell the other one.

--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// begin adds a tunnel and tells the other box that it is open. No frame comes before that.
+func (s *Server) begin(t *frameWriter, server string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.add(t, server)
+	_, err := t.Conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+	return err
+}
+
 func (s *Server) add(t *frameWriter, server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,14 +161,13 @@
 	s.Count("relay.served")
 	s.Prepare(client)
 	_ = client.SetDeadline(time.Time{})
-	if _, err := client.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
+	t := &frameWriter{Conn: client}
+	defer s.remove(t)
+	if err := s.begin(t, r.Header.Get(headerServer)); err != nil {
 		abort(client)
 		abort(server)
 		return
 	}
-	t := &frameWriter{Conn: client}
-	s.add(t, r.Header.Get(headerServer))
-	defer s.remove(t)
 	join(t, server)
 }
 
