--- a/review/standin/boxes.go
+++ b/review/standin/boxes.go
@@ -13,10 +13,10 @@
 	"time"
 )
 
-// zones are the zones of the deployment and their regions, as on the sheet of sono-dkr.
+// zones are the zones of the deployment and their regions, as on the sheet of sps-gateway.
 var zones = []struct{ zone, region string }{
-	{"dkr-plateau", "dakar"}, {"ths-nord", "thies"}, {"stl-ile", "saint-louis"},
-	{"dkr-almadies", "dakar"}, {"ths-sud", "thies"}, {"stl-sor", "saint-louis"},
+	{"ahd-navrang", "ahmedabad"}, {"srt-adajan", "surat"}, {"vdr-alkapuri", "vadodara"},
+	{"ahd-naroda", "ahmedabad"}, {"srt-udhna", "surat"}, {"vdr-makarpura", "vadodara"},
 }
 
 // Bounds of the deployment.
@@ -61,7 +61,7 @@
   drain: 2500ms
   grace: 6s
   retry_ratio: 0.2
-  retry_slack: 64
+  retry_slack: 62
   retry_window: 10s
   cold_overage: 1.5
   cold_slack: 5
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -153,10 +153,13 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
+		reason := "it was told to end"
 		select {
 		case <-signals:
 		case <-time.After(longest):
+			reason = "it took too long"
 		}
+		p.note("the case could not be played: %s", reason)
 		p.end()
 		os.Exit(exitNotPlayed)
 	}()
