Planned stops: connections close after the answer to what has arrived

Cause: net/http's Shutdown closes a connection when no request is being served on it. What has arrived and is not read, what is just being read, what waits in the listener's queue and what crosses the close gets no answer.

Evidence: new metrics connections.first_byte and connections.unanswered.

Change: pkg/graceful. A listener ends only after the connections in its queue were taken; a connection closes after the answer to a request that has begun to arrive, and one without a request with a 408, which a request that crosses the close takes for its answer. All ports of a box close so. The pipeline's count of requests served ahead was needed for Shutdown only and goes.

--- /dev/null
+++ b/pkg/graceful/conn.go
@@ -0,0 +1,234 @@
+package graceful
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+)
+
+// closingAnswer is sent on a connection that is closed while no request is on it. A client that
+// has just sent a request takes it for the answer, which states that the request was not run
+// and that it may send it again (RFC 9110, section 15.5.9).
+const closingAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// pastDeadline is a deadline that makes reads return at once.
+var pastDeadline = time.Unix(1, 0)
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	// phaseNew: no byte of a request has been read yet.
+	phaseNew phase = iota
+	// phaseRequest: a request is being read or served.
+	phaseRequest
+	// phaseIdle: all requests have been answered.
+	phaseIdle
+)
+
+// Conn is a connection as net/http reads and writes it.
+type Conn struct {
+	net.Conn
+	group    *Connections
+	accepted time.Time
+
+	mu    sync.Mutex
+	phase phase
+	// deadline is the read deadline that net/http has set.
+	deadline time.Time
+	// isInterrupted is set while a past deadline makes the pending read return, so that the
+	// connection can be closed.
+	isInterrupted bool
+	// isByteHeld is set if the last read was of a single byte. net/http reads one while it serves a
+	// request, to detect that the client leaves, and keeps it as the first one of the next request.
+	isByteHeld bool
+	// failure is the error that ended the connection.
+	failure             error
+	isClosed            bool
+	firstByte, lastByte time.Time
+	// requestBytes is how many bytes of the request have been read, and isAnswered is set once a
+	// byte was written since its first one.
+	requestBytes int
+	isAnswered   bool
+}
+
+// NetConn returns the connection that Wrap was called with.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn. net/http calls it from one goroutine at a time.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		// net/http reads a single byte only to detect that the client leaves during a request.
+		c.beginServing()
+	}
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.noteRead(n, len(p), err) {
+			return n, err
+		}
+		if c.sayClosing() {
+			return 0, io.EOF
+		}
+	}
+}
+
+// noteRead records the result of a read into a buffer of that size. It reports whether the read was
+// interrupted so that the connection can be closed.
+func (c *Conn) noteRead(n, size int, err error) (isInterrupted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.noteBytes(n)
+		c.isByteHeld = n == 1 && size == 1
+	}
+	isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !isTimeout {
+		c.failure = err
+	}
+	if c.isInterrupted && n == 0 && isTimeout {
+		c.isInterrupted = false
+		return true
+	}
+	c.endInterrupt()
+	return false
+}
+
+func (c *Conn) noteBytes(n int) {
+	if c.phase != phaseRequest {
+		c.beginRequest()
+	}
+	c.requestBytes += n
+	c.lastByte = time.Now()
+	if c.firstByte.IsZero() {
+		c.firstByte = c.lastByte
+		c.group.ObserveFirstByte(c.firstByte.Sub(c.accepted))
+	}
+}
+
+func (c *Conn) beginRequest() {
+	c.phase, c.requestBytes, c.isAnswered = phaseRequest, 0, false
+}
+
+// beginServing records that a request is being served. net/http may have read it together with
+// the one before it.
+func (c *Conn) beginServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseRequest {
+		c.beginRequest()
+	}
+	c.endInterrupt()
+}
+
+// endInterrupt takes back an interruption.
+func (c *Conn) endInterrupt() {
+	if c.isInterrupted {
+		c.isInterrupted = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.isAnswered = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.isInterrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// CloseWrite closes the writing side. net/http looks for this method.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	isUnanswered := c.phase == phaseRequest && !c.isAnswered && c.failure == nil && !c.isClosed
+	c.isClosed = true
+	u := Unanswered{
+		Age: time.Since(c.accepted), FirstByte: c.firstByte.Sub(c.accepted), LastByte: time.Since(c.lastByte), Bytes: c.requestBytes,
+	}
+	c.mu.Unlock()
+	c.group.remove(c)
+	if isUnanswered {
+		c.group.OnUnanswered(u)
+	}
+	return c.Conn.Close()
+}
+
+// becomeIdle records that all requests have been answered.
+func (c *Conn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isByteHeld {
+		c.beginRequest()
+		c.requestBytes, c.isByteHeld = 1, false
+		return
+	}
+	c.phase = phaseIdle
+}
+
+// interrupt makes the pending read of a connection return if no request is on it, or the next read if
+// none is pending, which then closes it. New connections are included if withNew is set.
+func (c *Conn) interrupt(withNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isInterrupted || c.phase == phaseRequest || c.phase == phaseNew && !withNew {
+		return
+	}
+	c.isInterrupted = true
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+}
+
+// sayClosing tells the client that the connection closes, and reads what it still sends. It returns
+// false if there is something to read, which may be a request.
+func (c *Conn) sayClosing() bool {
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	if !c.isQuiet() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_ = c.Conn.SetReadDeadline(c.deadline)
+		return false
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	if _, err := io.WriteString(c.Conn, closingAnswer); err == nil && c.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	return true
+}
+
+// isQuiet reports whether the connection is open and has nothing to read.
+func (c *Conn) isQuiet() bool {
+	if inner, ok := c.Conn.(interface{ Quiet() bool }); ok {
+		return inner.Quiet()
+	}
+	return exchange.StillUsable(c.Conn)
+}
--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -77,6 +77,8 @@
 	{"store.polls", "calls", "of a box that leaves the store to others and had no word of the list of servers, or of the configuration, for long"},
 	{"store.eras", "times", "the store has come back from an older copy"},
 	{"store.answered_ago.KIND", "milliseconds", "since the store last answered this box for a kind of objects, at a box that asks it"},
+	{"connections.first_byte", "milliseconds", "from accepting a connection to its first byte"},
+	{"connections.unanswered", "connections", "that the box has closed after it had read of a request and written no answer"},
 	{"connections.refused", "connections", "of clients closed at once, since the box has nearly as many descriptors open as it may"},
 	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, refused, broken, late, stale, abandoned, withdrawn, crashed, no_path, path_lost"},
 	{"backend.connections", "connections", "opened to backend servers"},
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/stoneworks/stoneworks/pkg/customerstats"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/graceful"
 	"github.com/stoneworks/stoneworks/pkg/pipeline"
 	"github.com/stoneworks/stoneworks/pkg/quarantine"
 	"github.com/stoneworks/stoneworks/pkg/rollout"
@@ -24,8 +27,14 @@
 // ports are the box's open sockets.
 type ports struct {
 	datagrams *net.UDPConn
-	clients   net.Listener
-	servers   []*http.Server
+	// clients accepts the connections of clients from clientSocket; callers are the open ones.
+	clients      net.Listener
+	clientSocket *graceful.Listener
+	callers      *graceful.Connections
+	// servers and sockets are those of the other ports, and others their open connections.
+	servers []*http.Server
+	sockets []*graceful.Listener
+	others  *graceful.Connections
 
 	mu sync.Mutex
 	// clientServer serves clients. It is replaced when limits change; a replaced server serves
@@ -86,6 +95,7 @@
 		ErrorLog:       nil,
 		ConnContext:    pipeline.ConnContext,
 	}
+	p.callers.Attach(p.clientServer)
 	p.clientServers = append(p.clientServers, p.clientServer)
 	p.handoff = &handoffListener{Listener: p.clients, accepted: make(chan net.Conn), closed: make(chan struct{})}
 	server, in := p.clientServer, p.handoff
@@ -113,7 +123,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		p.handOff(p.pipelined.Wrap(c))
+		p.handOff(p.callers.Wrap(p.pipelined.Wrap(c)))
 	}
 }
 
@@ -137,20 +147,22 @@
 	}
 }
 
-// shutdown stops accepting connections and waits for requests in progress. It waits for
-// pipelined requests first, because during the shutdown of a server the answer in front of them
-// closes their connection.
-func (p *ports) shutdown(ctx context.Context) {
-	_ = p.clients.Close()
-	p.mu.Lock()
-	fronts, ahead := p.clientServers, p.pipelined
-	p.mu.Unlock()
-	for ahead != nil && ahead.Running() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
-	}
-	for _, s := range fronts {
-		_ = s.Shutdown(ctx)
+// closeClients stops accepting clients' connections and closes those that are open, once no
+// request is on them. The error is that of closing the listener.
+func (p *ports) closeClients(ctx context.Context) error {
+	err := p.clientSocket.CloseInOrder()
+	p.callers.Close(ctx)
+	return err
+}
+
+// closeOthers does the same for all other ports.
+func (p *ports) closeOthers(ctx context.Context) error {
+	var failure error
+	for _, l := range p.sockets {
+		failure = errors.Join(failure, l.CloseInOrder())
 	}
+	p.others.Close(ctx)
+	return failure
 }
 
 func (p *ports) close() {
@@ -181,10 +193,12 @@
 	if err != nil {
 		return &settings.ListenError{Port: "peers", Address: a.Peers, Cause: err}
 	}
-	if n.ports.clients, err = net.Listen("tcp4", a.Callers); err != nil {
-		return &settings.ListenError{Port: "callers", Address: a.Callers, Cause: err}
+	if n.ports.clientSocket, err = listenTCP("callers", a.Callers); err != nil {
+		return err
 	}
-	n.ports.clients = n.newClientListener(n.ports.clients)
+	n.ports.clients = n.newClientListener(n.ports.clientSocket)
+	n.ports.callers = n.newConnections()
+	n.ports.others = n.newConnections()
 	peers := http.NewServeMux()
 	peers.HandleFunc("GET "+pathMirror+"{kind}", n.serveMirror)
 	peers.HandleFunc("POST "+pathBackoff+"{server}", n.serveBackoff)
@@ -214,17 +228,62 @@
 	return nil
 }
 
+// listenTCP opens a port. The error is a *settings.ListenError.
+func listenTCP(name, address string) (*graceful.Listener, error) {
+	l, err := graceful.Listen(address)
+	if err != nil {
+		return nil, &settings.ListenError{Port: name, Address: address, Cause: err}
+	}
+	return l, nil
+}
+
 func (n *Node) serve(name, address string, handler http.Handler) error {
-	l, err := net.Listen("tcp4", address)
+	l, err := listenTCP(name, address)
 	if err != nil {
-		return &settings.ListenError{Port: name, Address: address, Cause: err}
+		return err
 	}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: routing.DefaultLimits.HeaderTimeout, IdleTimeout: time.Minute}
-	n.ports.servers = append(n.ports.servers, s)
-	n.background.Go(func() { _ = s.Serve(countedListener{l, &n.traffic}) })
+	n.ports.others.Attach(s)
+	n.ports.servers, n.ports.sockets = append(n.ports.servers, s), append(n.ports.sockets, l)
+	n.background.Go(func() { _ = s.Serve(wrappingListener{countedListener{l, &n.traffic}, n.ports.others}) })
 	return nil
 }
 
+// wrappingListener adds the connections that it accepts to a set.
+type wrappingListener struct {
+	net.Listener
+	connections *graceful.Connections
+}
+
+// Accept implements net.Listener.
+func (l wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.connections.Wrap(c), nil
+}
+
+// newConnections returns a set of connections that reports what happens to them.
+func (n *Node) newConnections() *graceful.Connections {
+	g := graceful.New()
+	g.ObserveFirstByte = func(d time.Duration) {
+		metrics.GetOrRegisterTimer("connections.first_byte", n.Metrics).Update(d)
+	}
+	g.OnUnanswered = n.logUnanswered
+	return g
+}
+
+// logUnanswered reports a connection that the box has closed with a request on it that got no
+// answer.
+func (n *Node) logUnanswered(u graceful.Unanswered) {
+	metrics.GetOrRegisterCounter("connections.unanswered", n.Metrics).Inc(1)
+	n.log.Info("connection closed without an answer", map[string]any{
+		"bytes": u.Bytes, "age_ms": u.Age.Milliseconds(), "first_byte_ms": u.FirstByte.Milliseconds(),
+		"last_byte_ms": u.LastByte.Milliseconds(), "leaving": n.leaving.Load(), "closed": n.closed.Load(),
+	})
+}
+
 // clientHandler returns the handler of clients' requests. It serves pipelined requests
 // concurrently.
 func (n *Node) clientHandler() *pipeline.Handler {
--- a/pkg/node/node_run.go
+++ b/pkg/node/node_run.go
@@ -24,9 +24,11 @@
 	// requests: by then clients have left it, and the requests in progress can still finish.
 	closeShare = 0.4
 	// endMargin is how long before the end of the grace period the box stops waiting for
-	// requests; stopTimeout is how long it then waits for its own goroutines.
-	endMargin   = 500 * time.Millisecond
-	stopTimeout = 200 * time.Millisecond
+	// requests; callsTimeout is how long it then waits for calls of other boxes, and
+	// stopTimeout for its own goroutines.
+	endMargin    = 500 * time.Millisecond
+	callsTimeout = 200 * time.Millisecond
+	stopTimeout  = 200 * time.Millisecond
 	// drainPoll is how often a stopping box checks whether all requests have finished.
 	drainPoll = 20 * time.Millisecond
 )
@@ -102,14 +104,31 @@
 	n.log.Info("leaving", map[string]any{"in_flight": n.inFlight.Load(), "grace": grace.String()})
 	sleep(ctx, time.Duration(closeShare*float64(grace)))
 	n.closed.Store(true)
-	remaining := grace - endMargin - n.Clock.Since(start)
-	ctx, cancel := context.WithTimeout(ctx, remaining)
+	n.finishRequests(ctx, grace-endMargin-n.Clock.Since(start))
+	n.finishCalls(ctx)
+	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": n.Clock.Since(start).Milliseconds()})
+}
+
+// finishRequests waits for at most that long until all clients have their answers and no other
+// box uses a connection through this one.
+func (n *Node) finishRequests(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	n.ports.shutdown(ctx)
+	if err := n.ports.closeClients(ctx); err != nil {
+		n.log.Warn("the listener for clients was not closed in order", map[string]any{"error": err.Error()})
+	}
 	for n.inFlight.Load()+int64(n.tunnels.Open()) > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
-	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": n.Clock.Since(start).Milliseconds()})
+}
+
+// finishCalls answers the last calls of other boxes and questions to the directory.
+func (n *Node) finishCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callsTimeout)
+	defer cancel()
+	if err := n.ports.closeOthers(ctx); err != nil {
+		n.log.Warn("a listener was not closed in order", map[string]any{"error": err.Error()})
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"sync"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 )
 
 const (
@@ -57,7 +59,6 @@
 func (c *Conn) cancelAhead() {
 	c.cancel()
 	c.aheadAllowed = false
-	c.handler.running.Add(-int64(len(c.ahead)))
 	c.ahead = nil
 }
 
@@ -70,6 +71,14 @@
 	return nil
 }
 
+// Quiet reports whether the connection is open and nothing has arrived that was not handed out.
+func (c *Conn) Quiet() bool {
+	c.mu.Lock()
+	isRead := c.failure == nil && len(c.pending) == 0
+	c.mu.Unlock()
+	return isRead && exchange.StillUsable(c.Conn)
+}
+
 // Read implements net.Conn. net/http calls it from one goroutine at a time.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -216,6 +225,5 @@
 		return nil
 	}
 	c.ahead = c.ahead[1:]
-	c.handler.running.Add(-1)
 	return a
 }
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -15,7 +15,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 )
 
 // Handler serves the requests of wrapped connections. All fields are required.
@@ -27,14 +26,8 @@
 	MayServeAhead func(r *http.Request) bool
 	// Count counts an event.
 	Count func(name string)
-
-	running atomic.Int64
 }
 
-// Running returns how many requests are being served ahead of the one that their connection is
-// answering.
-func (h *Handler) Running() int64 { return h.running.Load() }
-
 // Wrap wraps a client's connection before net/http serves it.
 func (h *Handler) Wrap(c net.Conn) *Conn {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -105,7 +98,6 @@
 		// net/http reports what is wrong with the request.
 		return nil
 	}
-	h.running.Add(1)
 	h.Count("pipeline.ahead")
 	a := &answer{header: http.Header{}, done: make(chan struct{}), turn: make(chan struct{})}
 	ctx := context.WithValue(ConnContext(c.context, c), answerKey{}, a)
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -158,6 +158,9 @@
 		w.WriteHeader(StatusUnavailable)
 		return
 	}
+	if outer, ok := client.(interface{ NetConn() net.Conn }); ok {
+		client = outer.NetConn()
+	}
 	s.Count("relay.served")
 	s.Prepare(client)
 	_ = client.SetDeadline(time.Time{})
--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -241,14 +241,23 @@
 	return a
 }
 
+// Open opens the connection if there is none.
+func (c *Client) Open() error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := net.DialTimeout("tcp4", c.Address, time.Second)
+	if err != nil {
+		return err
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return nil
+}
+
 // Send sends a request without waiting for its answer.
 func (c *Client) Send(method, target, id, body, extra string) error {
-	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp4", c.Address, time.Second)
-		if err != nil {
-			return err
-		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
+	if err := c.Open(); err != nil {
+		return err
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: %s\r\n", method, target, id)
