Uploads: a read deadline of the box is not the client's end

Cause: net/http ends a request's context with any failed read, also one that failed by a deadline of this side, and the request path took that for a client that has left.

Change: a request's context ends when its client's connection ends, which the pipeline's connection sees. The read deadline holds for the buffered start of a body only, so that the request's own timeout comes first.

--- a/pkg/ingress/ingress_body.go
+++ b/pkg/ingress/ingress_body.go
@@ -104,8 +104,7 @@
 		return nil
 	}
 	// A client that stops sending must not block the request beyond its deadline.
-	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(time.Now().Add(c.deadline.Sub(c.server.Now())))
+	c.upload.setDeadline(time.Now().Add(c.deadline.Sub(c.server.Now())))
 	reader := io.Reader(http.MaxBytesReader(nil, io.NopCloser(c.upload), limit))
 	var buffer bytes.Buffer
 	if c.r.ContentLength > 0 && c.r.ContentLength <= bufferedBody {
@@ -121,9 +120,9 @@
 	}
 	if n <= bufferedBody {
 		c.body.whole = buffer.Bytes()
-		_ = control.SetReadDeadline(time.Time{})
 		return nil
 	}
+	c.upload.setDeadline(time.Time{}) // the end of the request's context aborts the stream
 	c.body.head = buffer.Bytes()
 	c.body.stream = io.MultiReader(&buffer, reader)
 	c.body.length = int(c.r.ContentLength)
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -354,7 +354,7 @@
 	}
 	if c.body.stream != nil {
 		x.Stream, x.Length = c.body.stream, c.body.length
-		x.AbortStream = c.abortBody
+		x.AbortStream = c.upload.abort
 		x.FinishStream = c.isSuccess
 	}
 	return x
--- a/pkg/ingress/ingress_upload.go
+++ b/pkg/ingress/ingress_upload.go
@@ -30,6 +30,8 @@
 	from io.Reader
 	// length is the body's length in bytes, -1 if it is unknown.
 	length int64
+	// setDeadline sets the deadline of reads from the client's connection; the zero time means none.
+	setDeadline func(t time.Time)
 	// isShared is set if net/http discards a part of the body when an answer begins before its end,
 	// so that nothing may be read of it after that.
 	isShared bool
@@ -48,8 +50,11 @@
 	if c.r.ContentLength == 0 || c.r.Body == nil || c.r.Body == http.NoBody {
 		return
 	}
-	c.upload = &upload{from: c.r.Body, length: c.r.ContentLength}
-	if err := http.NewResponseController(c.w).EnableFullDuplex(); err != nil {
+	control := http.NewResponseController(c.w)
+	c.upload = &upload{
+		from: c.r.Body, length: c.r.ContentLength, setDeadline: func(t time.Time) { _ = control.SetReadDeadline(t) },
+	}
+	if err := control.EnableFullDuplex(); err != nil {
 		c.upload.isShared = true
 		c.server.Log.Debug("answers cannot begin before the end of the body", map[string]any{"request": c.meta.ID, "error": err.Error()})
 	}
@@ -74,6 +79,8 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		u.isAtEnd = true
+		// From here on net/http reads to detect that the client leaves.
+		u.setDeadline(time.Time{})
 	case err != nil:
 		u.failure = err
 	}
@@ -119,9 +126,13 @@
 	c.w.WriteHeader(status)
 }
 
-// abortBody makes reads of the client's body return.
-func (c *call) abortBody() {
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+// abort makes reads of the body return, unless its end was read.
+func (u *upload) abort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.isAtEnd {
+		u.setDeadline(time.Unix(1, 0))
+	}
 }
 
 // drainUpload reads the rest of a body after its request was refused, so that the connection can be
@@ -131,10 +142,9 @@
 	if u == nil || u.isShared || u.isAtEnd || u.read == 0 && c.expectsContinue() {
 		return
 	}
-	control := http.NewResponseController(c.w)
-	if control.Flush() != nil {
+	if http.NewResponseController(c.w).Flush() != nil {
 		return // the client has left
 	}
-	_ = control.SetReadDeadline(time.Now().Add(drainTime))
+	u.setDeadline(time.Now().Add(drainTime))
 	_, _ = io.CopyN(io.Discard, u, maxDrained)
 }
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -55,6 +55,17 @@
 	return c.Conn.Close()
 }
 
+// clientContext returns a context with the values of another one that ends when the client leaves.
+// A context of net/http also ends when a read deadline that this side has set passes.
+func (c *Conn) clientContext(values context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(values))
+	stop := context.AfterFunc(c.context, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // cancelAhead cancels the requests that are served ahead.
 func (c *Conn) cancelAhead() {
 	c.cancel()
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -69,6 +69,9 @@
 		h.Next.ServeHTTP(w, r)
 		return
 	}
+	ctx, cancel := c.clientContext(r.Context())
+	defer cancel()
+	r = r.WithContext(ctx)
 	if !c.begun {
 		// net/http serves the requests of a connection one after the other.
 		c.begun = true
--- a/test/machines/uploads_test.go
+++ b/test/machines/uploads_test.go
@@ -137,3 +137,37 @@
 		})
 	}
 }
+
+// TestUploadsThatOutlastTheirTimeoutAreAnswered guards against taking a read deadline of the box's own
+// for the client's end, which closed the connections of uploads without an answer at their timeout.
+func TestUploadsThatOutlastTheirTimeoutAreAnswered(t *testing.T) {
+	const timeout = 600 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// length is the size of the body, sent how many of its bytes arrive.
+		length, sent int
+		status       int
+	}{
+		{"small body", 100 << 10, 100 << 10, 504},
+		{"long body", 1536 << 10, 1536 << 10, 504},
+		{"small body that does not end", 100 << 10, 50 << 10, 503},
+		{"long body that does not end", longBody, 2 << 20, 504},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, s := newUploadFleet(t, NoFault, 0)
+			s.Work = time.Second
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			start := time.Now()
+			is.NoErr(client.Send("PUT", "/up/1", "slow", "", fmt.Sprintf("Content-Length: %d\r\nX-Stoneworks-Request-Timeout-Ms: %d\r\n", c.length, timeout.Milliseconds())))
+			_, err := io.WriteString(client.conn, strings.Repeat("x", c.sent))
+			is.NoErr(err)
+			a := client.Read()
+			t.Logf("status %d after %v, error %v", a.Status, time.Since(start), a.Problem)
+			is.NoErr(a.Problem)
+			is.Equal(a.Status, c.status)
+			is.True(time.Since(start) < timeout+500*time.Millisecond)
+		})
+	}
+}
