Soak: planned stops of busy boxes, and uploads that are answered early

Two new kinds of events in a catalogue of their own (11): two boxes that stop at once while clients open connections and use kept ones until the processes are gone, and uploads of 1 to 3 MiB, with a length or in chunks, that servers answer before they have read them or that outlast their timeout. They overlap with all other kinds. Two checks, each with a control: no request that was sent whole is closed without an answer during a planned stop, and a body that ends properly at a server is as sent.

--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -210,8 +210,11 @@
 	Status int
 	Header http.Header
 	Body   string
-	// Problem is the error that ended the exchange, or nil if the answer is complete.
+	// Problem is the error that ended the exchange, or nil if the answer is complete. If the
+	// answer has begun, Status and Header are set.
 	Problem error
+	// RequestSent is true if the whole request was handed to the network.
+	RequestSent bool
 	// CloseAnnounced is true if the box announced that it will close the connection.
 	CloseAnnounced bool
 	Took           time.Duration
@@ -258,31 +261,43 @@
 
 // Send sends a request without waiting for its answer.
 func (c *Client) Send(method, target, id, body, extra string) error {
+	if !strings.Contains(extra, "Transfer-Encoding") && (body != "" || method == "POST") {
+		extra = fmt.Sprintf("Content-Length: %d\r\n", len(body)) + extra
+	}
+	return c.write(requestHeader(method, target, id, extra) + body)
+}
+
+// Begin sends the header of a request and returns the connection, for its body.
+func (c *Client) Begin(method, target, id, extra string) (net.Conn, error) {
+	err := c.write(requestHeader(method, target, id, extra))
+	return c.conn, err
+}
+
+func (c *Client) write(text string) error {
 	if err := c.Open(); err != nil {
 		return err
 	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: %s\r\n", method, target, id)
-	if !strings.Contains(extra, "Transfer-Encoding") && (body != "" || method == "POST") {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
-	}
-	b.WriteString(extra + "\r\n" + body)
-	_, err := io.WriteString(c.conn, b.String())
+	_, err := io.WriteString(c.conn, text)
 	return err
 }
 
+// requestHeader returns a request's header. Extra holds further lines, each with its CRLF.
+func requestHeader(method, target, id, extra string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: %s\r\n%s\r\n", method, target, id, extra)
+}
+
 // Read reads one answer, and closes the connection after an error.
 func (c *Client) Read() *Answer {
 	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		c.Close()
-		return &Answer{Problem: err}
+		return &Answer{Problem: err, RequestSent: true}
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	if err != nil || response.Close {
 		c.Close()
 	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: string(text), Problem: err, CloseAnnounced: response.Close}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: string(text), Problem: err, RequestSent: true, CloseAnnounced: response.Close}
 }
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -49,6 +49,13 @@
 	Fail
 )
 
+// FaultHeader is a header of requests that names the fault with which a server without another one
+// handles them.
+const FaultHeader = "X-Stand-In-Fault"
+
+// namedFaults are the faults that FaultHeader may name.
+var namedFaults = map[string]Fault{"early-refusal": Early, "early-answer": EarlyAnswer, "began-early": BeganEarly}
+
 // Run is one request that a server started to execute.
 type Run struct {
 	ID      string
@@ -107,8 +114,10 @@
 	StartedAtMs int64
 	// Work is the service time of a request.
 	Work time.Duration
-	// ExtraBytes is added to the length of complete answers, which then are sent in parts.
-	ExtraBytes int
+	// ExtraBytes is added to the length of complete answers, which then are sent in parts, and
+	// EarlyExtraBytes to that of answers that come before the request's body is read.
+	ExtraBytes      int
+	EarlyExtraBytes int
 	// Performance modifies the service time; set it before the first request.
 	Performance Performance
 
@@ -292,6 +301,9 @@
 	if s.fault != nil {
 		fault = s.fault(run)
 	}
+	if fault == NoFault {
+		fault = namedFaults[request.Header.Get(FaultHeader)]
+	}
 	s.mu.Unlock()
 	// A server may go on reading the body after its answer.
 	switch fault {
@@ -334,20 +346,24 @@
 	}
 	received := ReceivedBody{ID: run.ID, Bytes: int64(start.Len()) + rest, Problem: err}
 	sum.Sum(received.Sum[:0])
-	run.Body = start.String()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	run.Body = start.String()
 	s.bodies = append(s.bodies, received)
 	return err == nil
 }
 
 // answerEarly executes a request at once, and reads its body after its answer has begun.
 func (s *Server) answerEarly(c net.Conn, run *Run, body io.Reader, fault Fault) bool {
+	if expected := run.Header.Get("X-Stoneworks-Expect-Instance"); expected != "" && expected != s.ID {
+		s.refuse(c, run, http.StatusMisdirectedRequest, false)
+		return s.readBody(run, body)
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	run.Completed = true
 	s.mu.Unlock()
-	text := AnswerBody(run.ID) + strings.Repeat(".", s.ExtraBytes)
+	text := AnswerBody(run.ID) + strings.Repeat(".", s.EarlyExtraBytes)
 	s.writeHead(c, run.ID, http.StatusOK, len(text), true, "")
 	held := 0
 	if fault == BeganEarly {
--- a/test/machines/uploads_test.go
+++ b/test/machines/uploads_test.go
@@ -76,7 +76,7 @@
 		return c.Do("PUT", "/up/1", "long", strings.Repeat("x", 1<<20+1), "").Status == 200
 	})
 	s := f.Servers["east-a.1"]
-	s.ExtraBytes = extraBytes
+	s.EarlyExtraBytes = extraBytes
 	s.SetFault(func(r *Run) Fault {
 		if strings.HasPrefix(r.Target, "/up/") {
 			return fault
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -56,6 +56,8 @@
 	{"retry-budget", retryBudget},
 	{"in-time", inTime},
 	{"planned-stop", plannedStop},
+	{"stop-drops", stopDrops},
+	{"bodies", bodies},
 	{"drain", drain},
 	{"configuration", configuration},
 	{"no-regress", noRegress},
@@ -145,7 +147,7 @@
 			r := sent[run.ID]
 			if r == nil {
 				found = append(found, fmt.Sprintf("%s ran %q, which no client sent", server, run.ID))
-			} else if run.Method != r.Method || run.Target != r.Target || run.Body != r.Body {
+			} else if run.Method != r.Method || run.Target != r.Target || !r.isBody(run.Body) {
 				found = append(found, fmt.Sprintf("%s ran %s, which was altered to %s %s", server, run.ID, run.Method, run.Target))
 			}
 		}
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net/http"
 	"testing"
@@ -89,6 +90,15 @@
 			h.Requests[0].Status = 0
 			h.FaultPeriods = []FaultPeriod{{Kind: BoxStop, Target: "b1", From: start}}
 		},
+		"stop-drops": func(h *History) {
+			h.SideRequests = []Request{{ID: "dropped", Kind: "unsafe", Box: "b1", Sent: after(time.Second), Ended: after(time.Second), Timeout: time.Second, IsDropped: true}}
+			h.FaultPeriods = []FaultPeriod{{Kind: BoxStop, Target: "b1", From: start}}
+		},
+		"bodies": func(h *History) {
+			sum := sha256.Sum256([]byte("a long body"))
+			h.SideRequests = []Request{{ID: "long", Kind: "upload", Body: "a long", BodySum: &sum}}
+			h.Bodies = map[string][]machines.ReceivedBody{"s1": {{ID: "long", Sum: sha256.Sum256([]byte("a body"))}}}
+		},
 		"drain": func(h *History) {
 			h.Departures = []Departure{{Server: "s1", At: start.Add(-time.Second)}}
 			h.Arrivals["s1"][2].At = after(2500 * time.Millisecond)
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -144,6 +146,7 @@
 	q.Ended = time.Now()
 	if answer.Problem != nil {
 		c.Close()
+		q.IsDropped = answer.RequestSent && answer.Status == 0 && !errors.Is(answer.Problem, os.ErrDeadlineExceeded)
 		return
 	}
 	q.Status = answer.Status
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	server.Advertised = s.link.Address()
+	server.Advertised, server.EarlyExtraBytes = s.link.Address(), earlyExtraBytes
 	server.SetCrashOn(r.isCrashing, func() { r.replaceCrashed(s, server) })
 	s.link.SetTarget(server.Address)
 	r.update(func(h *History) {
@@ -92,6 +92,10 @@
 	switch e.Kind {
 	case BoxStop:
 		r.endBox(box, e, syscall.SIGTERM)
+	case BoxesStop:
+		r.stopBusyBoxes(e)
+	case EarlyAnswers:
+		r.sendUploads(e)
 	case BoxKill:
 		r.endBox(box, e, syscall.SIGKILL)
 	case BoxPause:
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"crypto/sha256"
 	"sync"
 	"time"
 
@@ -34,6 +35,11 @@
 	Signed bool
 	// Reason is the reason that a box gave for refusing it.
 	Reason string
+	// IsDropped reports whether the request was sent whole and its connection was closed without a
+	// byte of an answer.
+	IsDropped bool
+	// BodySum is the sum of a long body, of which Body is only the start.
+	BodySum *[sha256.Size]byte
 }
 
 // Probe is a request that tests whether a box follows a version of the configuration: its path
@@ -93,6 +99,7 @@
 	KeysLogged []string
 	Runs       map[string][]machines.Run
 	Arrivals   map[string][]machines.Arrival
+	Bodies     map[string][]machines.ReceivedBody
 	// ServiceOf is the service of each server.
 	ServiceOf      map[string]string
 	Departures     []Departure
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -63,6 +63,10 @@
 	BoxCut Kind = "box-cut"
 	// StoreCopy is a store that comes back from a copy some seconds old.
 	StoreCopy Kind = "store-copy"
+	// BoxesStop is a planned stop of two boxes at once while clients open connections to them.
+	// EarlyAnswers is long uploads that servers answer before they have read them.
+	BoxesStop    Kind = "boxes-stop"
+	EarlyAnswers Kind = "early-answers"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed always draws the same plan from
@@ -70,7 +74,7 @@
 type Catalogue []Kind
 
 // FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds,
-// MovesKinds, CutKinds and AllKinds are the catalogues. A kind that stands several times is drawn more often. LimitKinds has only kinds under which the limit of a server
+// MovesKinds, CutKinds, CopyKinds and AllKinds are the catalogues. A kind that stands several times is drawn more often. LimitKinds has only kinds under which the limit of a server
 // still applies: a link that delays requests lets them arrive together, so its kinds are left
 // out. StatusHeaderKinds adds to them the kinds of status headers of servers and more faults
 // of the store.
@@ -90,12 +94,13 @@
 	LaterKinds        = append(append(Catalogue{}, FormerKinds...), ServerLeaves, ServerRests)
 	MovesKinds        = append(append(Catalogue{}, LaterKinds...), ServiceMoves)
 	CutKinds          = append(append(Catalogue{}, MovesKinds...), BoxCut, BoxCut, BoxCut)
-	AllKinds          = append(append(Catalogue{}, CutKinds...), StoreCopy, StoreCopy, StoreCopy)
+	CopyKinds         = append(append(Catalogue{}, CutKinds...), StoreCopy, StoreCopy, StoreCopy)
+	AllKinds          = append(append(Catalogue{}, CopyKinds...), BoxesStop, BoxesStop, BoxesStop, EarlyAnswers, EarlyAnswers, EarlyAnswers)
 )
 
 // Catalogues are the catalogues by number, from 1, as seeds.txt and the command line name
 // them.
-var Catalogues = []Catalogue{FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds, MovesKinds, CutKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds, MovesKinds, CutKinds, CopyKinds, AllKinds}
 
 // Event is one fault or operation.
 type Event struct {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -124,6 +124,7 @@
 		return err
 	}
 	r.store.KeepSource = true
+	r.fleet.MaxBody = maxBody
 	for _, z := range machines.Zones {
 		for _, service := range services {
 			for range serversEach(r.Plan.Boxes) {
@@ -201,11 +202,13 @@
 	}
 	h.Runs = map[string][]machines.Run{}
 	h.Arrivals = map[string][]machines.Arrival{}
+	h.Bodies = map[string][]machines.ReceivedBody{}
 	h.LeavingHeaders = map[string][]machines.SentHeader{}
 	h.RetryAfterHeaders = map[string][]machines.SentHeader{}
 	for id, s := range r.fleet.Servers {
 		h.Runs[id] = s.Runs()
 		h.Arrivals[id] = s.ArrivalLog()
+		h.Bodies[id] = s.Bodies()
 		h.LeavingHeaders[id] = s.SentHeaders(machines.LeavingHeader)
 		h.RetryAfterHeaders[id] = s.SentHeaders(machines.RetryAfterHeader)
 	}
