--- a/test/machines/fleet.go
+++ b/test/machines/fleet.go
@@ -23,9 +23,10 @@
 type Fleet struct {
 	// Policy holds the policy parameters of boxes that are added later; nil means the defaults.
 	Policy *policy.Policy
-	// Customers are the customers of the next configuration, and MaxBody its longest request body in
-	// bytes.
+	// Customers are the customers of the next configuration, and MaxHeader and MaxBody its longest
+	// header and body of a request in bytes.
 	Customers []Customer
+	MaxHeader int
 	MaxBody   int
 	// ChangeSettings modifies the settings of boxes that are added later; nil leaves them as they are.
 	ChangeSettings func(s *settings.Settings)
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Fleet{Store: store, Servers: map[string]*Server{}, zones: Zones, network: network, log: log, MaxBody: 1 << 20}, nil
+	return &Fleet{Store: store, Servers: map[string]*Server{}, zones: Zones, network: network, log: log, MaxHeader: 8192, MaxBody: 1 << 20}, nil
 }
 
 // Close stops all boxes, servers and the store.
@@ -157,7 +158,7 @@
 	}
 	f.Store.Put("config", "main", map[string]any{
 		"version": fmt.Sprintf("%08x", version), "services": list,
-		"limits":  map[string]any{"max-header-bytes": 8192, "max-body-bytes": f.MaxBody, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
+		"limits":  map[string]any{"max-header-bytes": f.MaxHeader, "max-body-bytes": f.MaxBody, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
 		"hosts":   []map[string]any{{"host": "shop.example", "paths": paths}},
 		"tenants": f.Customers,
 	})
--- a/test/machines/planned_stop_test.go
+++ b/test/machines/planned_stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -99,3 +101,74 @@
 	t.Logf("statuses and errors: %v", results)
 	is.True(results["200 <nil>"] > 100)
 }
+
+// TestPlannedStopAnswersConnectionsOfFormerLimits guards against forgetting, at a planned stop, the
+// connections that were accepted under limits that have changed since.
+func TestPlannedStopAnswersConnectionsOfFormerLimits(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	is.Equal(c.Do("GET", "/read/1", "former", "", "").Status, 200)
+	f.MaxHeader = 4096
+	f.Configure(2, read, buy, upload)
+	eventually(t, "the limits are in force", func() bool {
+		newer := &Client{Address: f.Boxes[0].Clients}
+		defer newer.Close()
+		return newer.Do("GET", "/read/1", "newer", "", "X: "+strings.Repeat("x", 10_000)+"\r\n").Status == 431
+	})
+	start := stopping(t, f)
+	time.Sleep(time.Until(start.Add(closesAfter + 50*time.Millisecond)))
+	a := c.Do("POST", "/buy/1", "crossing", "body", "")
+	is.NoErr(a.Problem)
+	is.Equal(a.Status, 408)
+}
+
+// TestPlannedStopFinishesUploads guards against dropping an upload whose header has arrived before the
+// box accepts no more requests and whose body ends after that.
+func TestPlannedStopFinishesUploads(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	start := stopping(t, f)
+	time.Sleep(time.Until(start.Add(closesAfter - 100*time.Millisecond)))
+	c := &Client{Address: f.Boxes[0].Clients}
+	defer c.Close()
+	conn, err := c.Begin("POST", "/buy/1", "upload", "Content-Length: 4\r\n")
+	is.NoErr(err)
+	time.Sleep(time.Until(start.Add(closesAfter + 100*time.Millisecond)))
+	_, err = io.WriteString(conn, "body")
+	is.NoErr(err)
+	a := c.Read()
+	is.NoErr(a.Problem)
+	is.Equal(a.Body, AnswerBody("upload"))
+}
+
+// TestPlannedStopAnswersDirectoryToItsEnd guards against closing the directory's connections with
+// questions on them.
+func TestPlannedStopAnswersDirectoryToItsEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1")
+	slow := f.Servers["east-a.1"]
+	slow.Work = 1200 * time.Millisecond // keeps the box from ending before
+	working := &Client{Address: f.Boxes[0].Clients}
+	defer working.Close()
+	is.NoErr(working.Send("GET", "/read/1", "working", "", ""))
+	start := stopping(t, f)
+	var asking conc.WaitGroup
+	for range 4 {
+		asking.Go(func() {
+			c := &Client{Address: f.Boxes[0].Directory}
+			defer c.Close()
+			for answered := 0; time.Since(start) < 3*time.Second; answered++ {
+				if c.Send("GET", "/-/resolve?name=shop.example&region=east&zone=east-a", "directory", "", "") != nil {
+					is.True(answered > 10)
+					return
+				}
+				is.NoErr(c.Read().Problem)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	asking.Wait()
+	is.Equal(working.Read().Status, 200)
+}
--- a/test/machines/uploads_test.go
+++ b/test/machines/uploads_test.go
@@ -64,10 +64,10 @@
 	return err
 }
 
-// newUploadFleet returns a fleet of one box and one server that uses a fault for the uploads.
-func newUploadFleet(t *testing.T, fault Fault, extraBytes int) (*Fleet, *Server) {
+// newUploadFleet returns a fleet of two boxes with servers that use a fault for uploads.
+func newUploadFleet(t *testing.T, fault Fault, extraBytes int, servers ...string) *Fleet {
 	t.Helper()
-	f := newFleet(t, 1, "east-a.1")
+	f := newFleet(t, 2, servers...)
 	f.MaxBody = 64 << 20
 	f.Configure(2, read, buy, Route{Prefix: "/up/", Kind: "upload", Service: "shop", TimeoutMS: 5000})
 	eventually(t, "long bodies are allowed", func() bool {
@@ -75,15 +75,33 @@
 		defer c.Close()
 		return c.Do("PUT", "/up/1", "long", strings.Repeat("x", 1<<20+1), "").Status == 200
 	})
-	s := f.Servers["east-a.1"]
-	s.EarlyExtraBytes = extraBytes
-	s.SetFault(func(r *Run) Fault {
-		if strings.HasPrefix(r.Target, "/up/") {
-			return fault
+	for _, s := range f.Servers {
+		s.EarlyExtraBytes = extraBytes
+		s.SetFault(func(r *Run) Fault {
+			if strings.HasPrefix(r.Target, "/up/") {
+				return fault
+			}
+			return NoFault
+		})
+	}
+	return f
+}
+
+// receivedBody waits until a server has received the body of a request, or it has broken off.
+func receivedBody(t *testing.T, f *Fleet, id string) (body ReceivedBody) {
+	t.Helper()
+	eventually(t, "a server has read the body", func() bool {
+		for _, s := range f.Servers {
+			for _, b := range s.Bodies() {
+				if b.ID == id {
+					body = b
+					return true
+				}
+			}
 		}
-		return NoFault
+		return false
 	})
-	return f, s
+	return body
 }
 
 // TestEarlyAnswersDoNotChangeUploads guards against an upload that reaches its server with a gap and a
@@ -107,8 +125,7 @@
 	} {
 		t.Run(answer.name, func(t *testing.T) {
 			is := is.New(t)
-			f, s := newUploadFleet(t, answer.fault, answer.extraBytes)
-			before := len(s.Bodies())
+			f := newUploadFleet(t, answer.fault, answer.extraBytes, "east-a.1")
 			for i, framing := range uploadFramings {
 				c := &Client{Address: f.Boxes[0].Clients}
 				defer c.Close()
@@ -124,8 +141,7 @@
 				t.Logf("%s: status %d, error %v, sending %v", framing.name, a.Status, a.Problem, sendErr)
 				is.NoErr(a.Problem)
 				is.Equal(a.Status, answer.status)
-				eventually(t, "the server has read the body", func() bool { return len(s.Bodies()) > before+i })
-				received := s.Bodies()[before+i]
+				received := receivedBody(t, f, fmt.Sprint("upload-", i))
 				t.Logf("the server got %d bytes, %v", received.Bytes, received.Problem)
 				is.True(received.Problem != nil || received.Sum == sum)
 				mayBreakOff := strings.Contains(framing.header, "Expect") && answer.extraBytes > 0
@@ -138,6 +154,41 @@
 	}
 }
 
+// TestEarlyAnswersDoNotChangeRelayedUploads checks the same for uploads that another box passes on.
+func TestEarlyAnswersDoNotChangeRelayedUploads(t *testing.T) {
+	body := randomBody()
+	sum := sha256.Sum256(body)
+	for name, fault := range map[string]Fault{"whole answer": EarlyAnswer, "late end": BeganEarly} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newUploadFleet(t, fault, 400_000, "east-a.1", "east-a.2")
+			f.Boxes[0].CutFromServers(ResetAll, nil)
+			eventually(t, "the other box passes requests on", func() bool {
+				c := &Client{Address: f.Boxes[0].Clients}
+				defer c.Close()
+				return c.Do("GET", "/read/1", "relayed", "", "").Status == 200
+			})
+			for i, framing := range uploadFramings[:2] {
+				id := fmt.Sprint("upload-", i)
+				c := &Client{Address: f.Boxes[0].Clients}
+				defer c.Close()
+				is.NoErr(c.Open())
+				var sending conc.WaitGroup
+				var sendErr error
+				sending.Go(func() { sendErr = sendUpload(c, id, &framing, body) })
+				a := c.Read()
+				sending.Wait()
+				is.NoErr(sendErr)
+				is.NoErr(a.Problem)
+				is.Equal(a.Status, 200)
+				received := receivedBody(t, f, id)
+				is.NoErr(received.Problem)
+				is.Equal(received.Sum, sum)
+			}
+		})
+	}
+}
+
 // TestUploadsThatOutlastTheirTimeoutAreAnswered guards against taking a read deadline of the box's own
 // for the client's end, which closed the connections of uploads without an answer at their timeout.
 func TestUploadsThatOutlastTheirTimeoutAreAnswered(t *testing.T) {
@@ -155,8 +206,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f, s := newUploadFleet(t, NoFault, 0)
-			s.Work = time.Second
+			f := newUploadFleet(t, NoFault, 0, "east-a.1")
+			f.Servers["east-a.1"].Work = time.Second
 			client := &Client{Address: f.Boxes[0].Clients}
 			defer client.Close()
 			start := time.Now()
