Membership: a box that was only heard of is suspected with the second heartbeat

Cause: a box that starts took a record that others forwarded for a sign of life as of now. The only other box of a dead box's zone restarted twice within the 2.5 s after which it would have reported the silence.

Evidence: the logs of members show the dead box as seen at each start, with its last sequence number; when a report comes, all zones follow it within 0.2 s.

Change: a box of the own zone that is known from others only is greeted and probed, as before, and suspected with the second heartbeat after that.

TestRestartsDoNotKeepADeadBoxNamed failed before.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -34,6 +34,9 @@
 	// zones stop naming its boxes.
 	SuspectAfter    = 5 * Interval
 	SuspectFarAfter = 8 * Interval
+	// knownTime is how long a box of the own zone that was only heard of has to answer to a greeting
+	// and a probe: it is suspected with the second heartbeat after it has become known.
+	knownTime = Interval + Interval/2
 	// probeAfter is how long a box may be silent before boxes of its zone probe it for an
 	// answer. It is probed three times before it is suspected, since datagrams may be lost.
 	probeAfter = 2 * Interval
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -436,3 +436,53 @@
 	is.Equal(m.From.ListConfirmedAgo, uint32(0)) // this box does not poll the store
 	is.Equal(table.Self().ConfirmedAgo, uint32(1+300))
 }
+
+// TestRestartsDoNotKeepADeadBoxNamed guards against boxes of other zones that name a box without power
+// because the other box of its zone, which would report its silence, has restarted again and again
+// and took the records of others for signs of life as of then.
+func TestRestartsDoNotKeepADeadBoxNamed(t *testing.T) {
+	is := is.New(t)
+	f := newZonedFleet(8, func(name string) string {
+		if name < "box-2" {
+			return "east-a"
+		}
+		return "west-a"
+	})
+	isNamed := func() bool {
+		for name, table := range f.boxes {
+			for _, m := range table.Members() {
+				if name >= "box-2" && m.Box == "box-1" && m.Live() {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	// Other than beat, it expires before it sends, as boxes do.
+	beat := func(length time.Duration) {
+		for range int(length / Interval) {
+			for _, name := range f.names() {
+				t := f.boxes[name]
+				t.Expire()
+				for _, e := range t.Beat() {
+					f.send(name, t, e)
+				}
+			}
+			f.now = f.now.Add(Interval)
+		}
+	}
+	beat(10 * time.Second)
+	is.True(isNamed())
+	delete(f.boxes, "box-1")
+	for range 2 {
+		beat(2 * time.Second)
+		f.start("box-0")
+		for _, e := range f.boxes["box-0"].Beat() {
+			f.send("box-0", f.boxes["box-0"], e)
+		}
+	}
+	beat(2 * time.Second)
+	f.cut = func(from, to string) bool { return from == "box-0" || to == "box-0" }
+	beat(time.Second)
+	is.True(!isNamed())
+}
--- a/pkg/gossip/receive.go
+++ b/pkg/gossip/receive.go
@@ -94,7 +94,7 @@
 		e := &entry{Record: *r, ID: r.id()}
 		t.add(e)
 		t.announceLive(e)
-		t.markHeard(e)
+		t.markKnown(e, direct)
 		t.OnChange(*r, "seen")
 		return true
 	}
@@ -114,7 +114,11 @@
 		old.ID = r.id()
 		t.ids[old.ID] = old
 	}
-	t.markHeard(old)
+	if restarted {
+		t.markKnown(old, direct)
+	} else {
+		t.markHeard(old)
+	}
 	returned := old.silent || restarted
 	if returned {
 		t.markLive(old)
@@ -184,9 +188,23 @@
 	t.setUpdatesLeft(e, silentForwards)
 }
 
+// markKnown notes that an incarnation of a box has become known. A box of the own zone that was
+// only heard of may have ended long before. It is greeted at once and probed after that, so it is
+// suspected sooner than one that falls silent; otherwise restarts of this box would keep a dead one
+// from being reported.
+func (t *Table) markKnown(e *entry, direct bool) {
+	if direct || e.zone != t.ownZone {
+		t.markHeard(e)
+		return
+	}
+	t.markHeardAt(e, t.Now().Add(knownTime-SuspectAfter))
+}
+
 // markHeard notes that a higher sequence number of a box has arrived.
-func (t *Table) markHeard(e *entry) {
-	e.heard = t.Now()
+func (t *Table) markHeard(e *entry) { t.markHeardAt(e, t.Now()) }
+
+func (t *Table) markHeardAt(e *entry, at time.Time) {
+	e.heard = at
 	if !e.inRecent {
 		e.inRecent = true
 		t.recent = append(t.recent, e)
@@ -194,7 +212,9 @@
 	if e.Serving {
 		e.servingHeard = e.heard
 	}
-	e.zone.heard = e.heard
+	if e.heard.After(e.zone.heard) {
+		e.zone.heard = e.heard
+	}
 }
 
 // markLive marks a box as live again.
