Planned stops: the closing answer is not lost to a reset

A first form of the orderly close interrupted a connection again while it was being read after its 408, so that it closed at once, and a request that crossed it made the kernel reset it. A connection that is being closed has a phase of its own now; idle connections are interrupted once, and those that become idle later as they do.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -30,6 +30,8 @@
 	phaseRequest
 	// phaseIdle: all requests have been answered.
 	phaseIdle
+	// phaseClosing: the client is told that the connection closes.
+	phaseClosing
 )
 
 // Conn is a connection as net/http reads and writes it.
@@ -232,7 +234,7 @@
 func (c *Conn) interrupt(withNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isInterrupted || c.phase == phaseRequest || c.phase == phaseNew && !withNew {
+	if c.isInterrupted || c.phase != phaseIdle && (c.phase != phaseNew || !withNew) {
 		return
 	}
 	c.isInterrupted = true
@@ -242,11 +244,9 @@
 // sayClosing tells the client that the connection closes, and reads what it still sends. It returns
 // false if there is something to read, which may be a request.
 func (c *Conn) sayClosing() bool {
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	former := c.setPhase(phaseClosing, time.Time{})
 	if !c.isQuiet() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		_ = c.Conn.SetReadDeadline(c.deadline)
+		c.setPhase(former, c.deadline)
 		return false
 	}
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
@@ -256,6 +256,15 @@
 	return true
 }
 
+// setPhase sets the phase and a deadline of reads, and returns the former phase.
+func (c *Conn) setPhase(p phase, deadline time.Time) (former phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	former, c.phase = c.phase, p
+	_ = c.Conn.SetReadDeadline(deadline)
+	return former
+}
+
 // isQuiet reports whether the connection is open and has nothing to read.
 func (c *Conn) isQuiet() bool {
 	if inner, ok := c.Conn.(interface{ Quiet() bool }); ok {
--- a/pkg/graceful/graceful.go
+++ b/pkg/graceful/graceful.go
@@ -153,12 +153,13 @@
 	if deadline, ok := ctx.Deadline(); ok && deadline.Add(-lingerTime).Before(until) {
 		until = deadline.Add(-lingerTime)
 	}
+	g.interrupt(false)
 	ticker := time.NewTicker(closePoll)
 	defer ticker.Stop()
-	for g.Len() > 0 {
-		isLate := !time.Now().Before(until)
-		for _, c := range g.list() {
-			c.interrupt(isLate)
+	for isLate := false; g.Len() > 0; {
+		if !isLate && !time.Now().Before(until) {
+			isLate = true
+			g.interrupt(true)
 		}
 		select {
 		case <-ctx.Done():
@@ -167,3 +168,11 @@
 		}
 	}
 }
+
+// interrupt closes the connections that are idle now. Those that become idle later are closed by
+// follow.
+func (g *Connections) interrupt(withNew bool) {
+	for _, c := range g.list() {
+		c.interrupt(withNew)
+	}
+}
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -190,3 +190,23 @@
 	is.Equal(err, io.EOF)
 	is.Equal(s.unanswered.Load(), int64(1))
 }
+
+// TestClosingAnswerIsNotDiscardedByAReset guards against closing a connection while its client sends a
+// request that crosses the closing answer, which would reset the connection.
+func TestClosingAnswerIsNotDiscardedByAReset(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, noContent)
+	close(s.mayAccept)
+	c := s.dial(t)
+	c.send(t, request)
+	is.Equal(c.status(t), http.StatusNoContent)
+	var closing conc.WaitGroup
+	closing.Go(s.closeAll)
+	defer closing.Wait()
+	for range 4 {
+		time.Sleep(50 * time.Millisecond)
+		c.send(t, request)
+	}
+	is.Equal(c.status(t), http.StatusRequestTimeout)
+	_ = c.Conn.Close()
+}
