Uploads: the rest of a body that was not read is no request

Found when the diff was read. Callers could see: a request that stands inside an upload's body was run, if the body stalled until its timeout or, after a refusal, for two seconds.

Cause: since answers may begin before a body's end, net/http does not close a connection whose body it cannot read within the deadline. It reads the next request from where the body stopped.

Change: a request whose body was not read to its end is the last one of its connection. The connection gives net/http no more bytes, a request that it has buffered already is not served, and the client's bytes are read for a while.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -30,7 +30,7 @@
 	phaseRequest
 	// phaseIdle: all requests have been answered.
 	phaseIdle
-	// phaseClosing: the client is told that the connection closes.
+	// phaseClosing: the connection closes, and no request is read from it any more.
 	phaseClosing
 )
 
@@ -53,8 +53,8 @@
 	// failure is the error that ended the connection.
 	failure  error
 	isClosed bool
-	// isLingering is set if Close is to read on for a while.
-	isLingering         bool
+	// isLast is set if no request may follow the one that is being served.
+	isLast              bool
 	firstByte, lastByte time.Time
 	// requestBytes is how many bytes of the request have been read, and isAnswered is set once a
 	// byte was written since its first one.
@@ -71,6 +71,9 @@
 		// net/http reads a single byte only to detect that the client leaves during a request.
 		c.beginServing()
 	}
+	if c.isClosing() {
+		return 0, io.EOF
+	}
 	for {
 		n, err := c.Conn.Read(p)
 		if !c.noteRead(n, len(p), err) {
@@ -120,14 +123,24 @@
 }
 
 // beginServing records that a request is being served. net/http may have read it together with
-// the one before it.
-func (c *Conn) beginServing() {
+// the one before it. It returns false if the request must not be served.
+func (c *Conn) beginServing() (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == phaseClosing {
+		return false
+	}
 	if c.phase != phaseRequest {
 		c.beginRequest()
 	}
 	c.endInterrupt()
+	return true
+}
+
+func (c *Conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseClosing
 }
 
 // endInterrupt takes back an interruption.
@@ -177,7 +190,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	isUnanswered := c.phase == phaseRequest && !c.isAnswered && c.failure == nil && !c.isClosed
-	isLingering := c.isLingering && c.failure == nil && !c.isClosed
+	isLingering := c.isLast && c.failure == nil && !c.isClosed
 	c.isClosed = true
 	u := Unanswered{
 		Age: time.Since(c.accepted), FirstByte: c.firstByte.Sub(c.accepted), LastByte: time.Since(c.lastByte), Bytes: c.requestBytes,
@@ -205,22 +218,28 @@
 	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
-// LingerOnClose makes the connection of a request read on for a while when it is closed, so that the
-// bytes that its client still sends do not make the kernel reset it, which could discard the answer.
-func LingerOnClose(ctx context.Context) {
+// EndAfterAnswer makes the request of the context the last one of its connection, since the rest of its
+// body is not read. net/http would take the rest for the next request where it cannot read it in time.
+// When the connection is closed, it is read for a while, so that the bytes that the client still sends
+// do not make the kernel reset it, which could discard the answer.
+func EndAfterAnswer(ctx context.Context) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isLingering = true
+	c.isLast = true
 }
 
 // becomeIdle records that all requests have been answered.
 func (c *Conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isLast {
+		c.phase = phaseClosing
+		return
+	}
 	if c.isByteHeld {
 		c.beginRequest()
 		c.requestBytes, c.isByteHeld = 1, false
--- a/pkg/graceful/graceful.go
+++ b/pkg/graceful/graceful.go
@@ -76,8 +76,8 @@
 		return context.WithValue(ctx, connKey{}, own)
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if own, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			own.beginServing()
+		if own, ok := r.Context().Value(connKey{}).(*Conn); ok && !own.beginServing() {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -256,6 +256,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{server: s, w: w, r: r, start: s.Now()}
 	c.openUpload()
+	defer c.endUpload()
 	if (s.Leaving() || s.AsksToClose()) && pipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
--- a/pkg/ingress/ingress_upload.go
+++ b/pkg/ingress/ingress_upload.go
@@ -52,7 +52,9 @@
 	}
 	control := http.NewResponseController(c.w)
 	c.upload = &upload{
-		from: c.r.Body, length: c.r.ContentLength, setDeadline: func(t time.Time) { _ = control.SetReadDeadline(t) },
+		from: c.r.Body, length: c.r.ContentLength,
+		// It fails only on a closed connection, from which nothing is read.
+		setDeadline: func(t time.Time) { _ = control.SetReadDeadline(t) },
 	}
 	if err := control.EnableFullDuplex(); err != nil {
 		c.upload.isShared = true
@@ -87,6 +89,13 @@
 	return n, err
 }
 
+// isRead reports whether the whole body was read.
+func (u *upload) isRead() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.isAtEnd
+}
+
 // brokenOff returns why the body cannot be read to its end, nil if it can.
 func (u *upload) brokenOff() error {
 	u.mu.Lock()
@@ -121,11 +130,17 @@
 	}
 	if !isReusable {
 		c.w.Header().Set("Connection", "close")
-		graceful.LingerOnClose(c.r.Context())
 	}
 	c.w.WriteHeader(status)
 }
 
+// endUpload ends the connection after the answer if the body has not been read to its end.
+func (c *call) endUpload() {
+	if c.upload != nil && !c.upload.isRead() {
+		graceful.EndAfterAnswer(c.r.Context())
+	}
+}
+
 // abort makes reads of the body return, unless its end was read.
 func (u *upload) abort() {
 	u.mu.Lock()
--- a/test/machines/uploads_test.go
+++ b/test/machines/uploads_test.go
@@ -222,3 +222,50 @@
 		})
 	}
 }
+
+// TestRestOfABodyIsNoRequest guards against reading the rest of an upload that came to nothing as the
+// next request of its connection.
+func TestRestOfABodyIsNoRequest(t *testing.T) {
+	const smuggled = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: smuggled\r\n\r\n"
+	for _, c := range []struct {
+		name, target string
+		fault        Fault
+		// sent is how many bytes of the body arrive before the client stalls, left how many do not.
+		sent, left int
+		stall      time.Duration
+		status     int
+	}{
+		{"refused without a route", "/none/1", NoFault, 1000, len(smuggled), drainLimit, 404},
+		{"stalled until its timeout", "/up/1", NoFault, 1000, len(smuggled), 800 * time.Millisecond, 503},
+		{"answered early, stalled until its timeout", "/up/1", EarlyAnswer, 2 << 20, len(smuggled), 800 * time.Millisecond, 200},
+		{"begun early, stalled until its timeout", "/up/1", BeganEarly, 2 << 20, len(smuggled), 800 * time.Millisecond, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newUploadFleet(t, c.fault, 0, "east-a.1")
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			conn, err := client.Begin("PUT", c.target, "upload", fmt.Sprintf("Content-Length: %d\r\nX-Stoneworks-Request-Timeout-Ms: 600\r\n", c.sent+c.left))
+			is.NoErr(err)
+			start := time.Now()
+			_, err = io.WriteString(conn, strings.Repeat("x", c.sent))
+			is.NoErr(err)
+			time.Sleep(c.stall)
+			// The box may have closed the connection.
+			_, err = io.WriteString(conn, smuggled)
+			t.Logf("the rest was sent after %v: %v", time.Since(start), err)
+			a := client.Read()
+			t.Logf("status %d, error %v", a.Status, a.Problem)
+			if c.status != 0 {
+				is.Equal(a.Status, c.status)
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, r := range f.Servers["east-a.1"].Runs() {
+				is.True(r.ID != "smuggled")
+			}
+		})
+	}
+}
+
+// drainLimit is longer than a box reads on after a refusal.
+const drainLimit = 2500 * time.Millisecond
