Planned stops: the queue of a listener is handed over before its end is reported

Connections that were taken from a listener's queue reach their owner one by one; the box could find no open connection before that, take itself for done and end with requests on them.

CloseInOrder returns once Accept has reported the end, or after 0.1 s with an error. TestClosedListenerHandsItsQueueOver failed before and passes since. The test of the rest of a body also checks that a body that stalls behind an early answer breaks off at its server.

--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -210,3 +210,17 @@
 	is.Equal(c.status(t), http.StatusRequestTimeout)
 	_ = c.Conn.Close()
 }
+
+// TestClosedListenerHandsItsQueueOver guards against ending, as if no connection were open, before the
+// owner has got the connections that were in the listener's queue.
+func TestClosedListenerHandsItsQueueOver(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, noContent)
+	var clients []*client
+	for range 20 {
+		clients = append(clients, s.dial(t))
+	}
+	time.AfterFunc(20*time.Millisecond, func() { close(s.mayAccept) })
+	is.NoErr(s.listener.CloseInOrder())
+	is.Equal(s.Len(), len(clients))
+}
--- a/pkg/graceful/listener.go
+++ b/pkg/graceful/listener.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,19 +17,26 @@
 type Listener struct {
 	*net.TCPListener
 
-	// closing is closed when CloseInOrder begins, and drained once queued is complete.
-	closing, drained chan struct{}
-	mu               sync.Mutex
-	queued           []net.Conn
+	// closing is closed when CloseInOrder begins, drained once queued is complete, and ended once
+	// Accept has reported the end.
+	closing, drained, ended chan struct{}
+	mu                      sync.Mutex
+	queued                  []net.Conn
+	hasEnded                bool
 }
 
+// handOverTime bounds how long CloseInOrder waits for the owner to accept what was in the queue.
+const handOverTime = 100 * time.Millisecond
+
 // Listen opens a listener.
 func Listen(address string) (*Listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: l.(*net.TCPListener), closing: make(chan struct{}), drained: make(chan struct{})}, nil
+	return &Listener{
+		TCPListener: l.(*net.TCPListener), closing: make(chan struct{}), drained: make(chan struct{}), ended: make(chan struct{}),
+	}, nil
 }
 
 // Accept implements net.Listener. Once the listener is closed, it returns the connections that were
@@ -51,6 +60,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.queued) == 0 {
+		if !l.hasEnded {
+			l.hasEnded = true
+			close(l.ended)
+		}
 		return nil, net.ErrClosed
 	}
 	c := l.queued[0]
@@ -60,14 +73,31 @@
 
 // CloseInOrder closes the listener after the connections in its queue were taken from it, for Accept.
 // They are not served before the listener is closed, so that their clients open no others meanwhile.
-// It may be called once.
+// It returns once Accept has returned all of them and the end. It may be called once.
 func (l *Listener) CloseInOrder() error {
 	close(l.closing)
-	defer close(l.drained)
-	if err := l.SetDeadline(pastDeadline); err != nil {
-		return errors.Join(err, l.Close())
+	err := l.SetDeadline(pastDeadline)
+	if err == nil {
+		err = l.takeQueue()
+	}
+	err = errors.Join(err, l.Close())
+	close(l.drained)
+	timer := time.NewTimer(handOverTime)
+	defer timer.Stop()
+	select {
+	case <-l.ended:
+	case <-timer.C:
+		err = errors.Join(err, &HandOverError{Address: l.Addr().String()})
 	}
-	return errors.Join(l.takeQueue(), l.Close())
+	return err
+}
+
+// HandOverError is the error of a listener whose owner has not accepted all connections in time.
+type HandOverError struct{ Address string }
+
+// Error implements error.
+func (e *HandOverError) Error() string {
+	return fmt.Sprintf("listener %s: connections in its queue were not accepted within %v", e.Address, handOverTime)
 }
 
 // takeQueue accepts the connections in the queue until there are none, and ends the socket at once.
--- a/test/machines/uploads_test.go
+++ b/test/machines/uploads_test.go
@@ -224,7 +224,8 @@
 }
 
 // TestRestOfABodyIsNoRequest guards against reading the rest of an upload that came to nothing as the
-// next request of its connection.
+// next request of its connection. It also checks that a body that stalls behind an early answer breaks
+// off at its server.
 func TestRestOfABodyIsNoRequest(t *testing.T) {
 	const smuggled = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: smuggled\r\n\r\n"
 	for _, c := range []struct {
@@ -259,6 +260,9 @@
 			if c.status != 0 {
 				is.Equal(a.Status, c.status)
 			}
+			if c.fault != NoFault {
+				is.True(receivedBody(t, f, "upload").Problem != nil)
+			}
 			time.Sleep(200 * time.Millisecond)
 			for _, r := range f.Servers["east-a.1"].Runs() {
 				is.True(r.ID != "smuggled")
