Answers: a head outside HTTP's grammar is no answer

What callers saw: an answer with status 000 arrived as a 200 with its body, one with status 999 as a 999, one with status 099 as a closed connection. A head with a blank in a field's name or before its colon, a folded line, or HTTP/9.9 arrived as a 200; a length written "Content-Length : 5" cut the body to five bytes.

Cause: answers are parsed by fasthttp, which reads more than the grammar of RFC 9112 allows and drops or repairs what does not fit. Nothing checked a head before it counted.

Change: pkg/exchange reads a head from its buffer, checks status line and field lines against the grammar, and only then has it parsed. What does not fit is a FramingError: the connection is closed, the request counts as sent, and a client is told 502 answer_malformed, or its request goes to another server if it may run twice. Interim answers are checked the same way. All answers of servers, direct or over another box, of boxes to pkg/entry and to pkg/caller, and of health checks pass here.

--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/entry"
+	"github.com/stoneworks/stoneworks/pkg/outcome"
+)
+
+// startBox starts a box that answers each connection's first bytes like this, and returns its address.
+func startBox(t *testing.T, answer func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 4096)); err == nil {
+					answer(c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// submit sends a request to a box that answers like this.
+func submit(t *testing.T, answer func(c net.Conn)) *Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	address := startBox(t, answer)
+	return New("", address).Submit(ctx, address, Submission{Request: Request{Service: "shop", Method: "GET", Path: "/"}, ID: "1"})
+}
+
+// TestBrokenAnswersAreUnknown checks that a caller gets no part of an answer whose head is malformed.
+func TestBrokenAnswersAreUnknown(t *testing.T) {
+	for name, start := range map[string]string{
+		"status 000":                    "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n",
+		"blank in a name":               "HTTP/1.1 200 OK\r\nX Status: 1\r\nContent-Length: 5\r\n",
+		"blank before a length's colon": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := submit(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, start+entry.HeaderOutcome+": "+string(outcome.Answered)+"\r\n\r\nhello")
+			})
+			is.Equal(r.Outcome, outcome.Unknown)
+			is.Equal(r.Reason, outcome.ReasonMalformed)
+			is.Equal(len(r.Body), 0)
+		})
+	}
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -60,8 +60,9 @@
 	return errors.Is(x.Cause, io.EOF) || errors.Is(x.Cause, syscall.ECONNRESET) || errors.Is(x.Cause, syscall.EPIPE)
 }
 
-// FramingError is the error of an answer's body that does not match its framing.
+// FramingError is the error of bytes that are not an answer in the grammar of HTTP/1.1.
 type FramingError struct {
+	// Detail describes the violation. It does not hold values of fields, which may be secrets.
 	Detail string
 }
 
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -210,7 +210,7 @@
 
 func (x *roundTrip) readHeader(h *fasthttp.ResponseHeader) error {
 	for {
-		if err := h.Read(x.conn.r); err != nil {
+		if err := x.readHead(h); err != nil {
 			return err
 		}
 		if status := h.StatusCode(); status < 100 || status >= 200 {
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -311,6 +311,7 @@
 }
 
 func classify(sent, timedOut, clientLeft bool, err error) *outcome.Failure {
+	var malformed *exchange.FramingError
 	switch {
 	case clientLeft && !sent:
 		return outcome.NewNotRun(outcome.ReasonCancelled, "the client left")
@@ -322,6 +323,8 @@
 		return outcome.NewNotRun(outcome.ReasonConnect, err.Error()).WithRetryAfter(notReadyRetry)
 	case timedOut:
 		return outcome.NewUnknown(outcome.ReasonTimeout, err.Error())
+	case errors.As(err, &malformed):
+		return outcome.NewUnknown(outcome.ReasonMalformed, err.Error())
 	}
 	return outcome.NewUnknown(outcome.ReasonConnectionLost, err.Error())
 }
--- /dev/null
+++ b/test/machines/broken_answers_test.go
@@ -0,0 +1,120 @@
+package machines
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// brokenSignature is the signature of raw answers.
+const brokenSignature = "broken"
+
+// rawAnswer returns a signed answer of a server's with a status line and further header lines, each with
+// its CRLF. Its body ends with the connection if no line says otherwise.
+func rawAnswer(statusLine, extra string) func(id string) string {
+	return func(id string) string {
+		return fmt.Sprintf("%s\r\nX-Stoneworks-Request-Id: %s\r\nX-Stoneworks-Response-Signature: %s\r\n%s\r\n%s", statusLine, id, brokenSignature, extra, AnswerBody(id))
+	}
+}
+
+// brokenHeads are answers whose heads do not follow the grammar of HTTP/1.1.
+var brokenHeads = map[string]func(id string) string{
+	"status 000":                    rawAnswer("HTTP/1.1 000 OK", ""),
+	"status 099":                    rawAnswer("HTTP/1.1 099 OK", ""),
+	"status 999":                    rawAnswer("HTTP/1.1 999 OK", ""),
+	"unknown version":               rawAnswer("HTTP/9.9 200 OK", ""),
+	"blank in a name":               rawAnswer("HTTP/1.1 200 OK", "X Status: 1\r\n"),
+	"blank before a colon":          rawAnswer("HTTP/1.1 200 OK", "X-Status : 1\r\n"),
+	"control byte in a name":        rawAnswer("HTTP/1.1 200 OK", "X-\x01Status: 1\r\n"),
+	"blank before a length's colon": rawAnswer("HTTP/1.1 200 OK", "Content-Length : 5\r\n"),
+	"folded line":                   rawAnswer("HTTP/1.1 200 OK", "X-Status: 1\r\n Content-Length: 5\r\n"),
+	"length and chunks":             rawAnswer("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"),
+}
+
+// answerRaw makes a server answer requests to the route buy with those bytes.
+func answerRaw(s *Server, answer func(id string) string) {
+	s.RawAnswer = answer
+	s.SetFault(func(r *Run) Fault {
+		if strings.HasPrefix(r.Target, buy.Prefix) {
+			return Raw
+		}
+		return NoFault
+	})
+}
+
+// checkRefusal checks that a client got an answer of the box's own in place of a broken one.
+func checkRefusal(t *testing.T, a *Answer) {
+	t.Helper()
+	is := is.New(t)
+	t.Logf("status %d, error %v, body %.40q", a.Status, a.Problem, a.Body)
+	is.NoErr(a.Problem)
+	is.Equal(a.Status, 502)
+	is.Equal(a.Header.Get("X-Stoneworks-Response-Signature"), "")
+	is.Equal(strings.TrimSpace(a.Body), "answer_malformed")
+}
+
+// TestBrokenHeadsDoNotReachClients checks that a client gets no part of an answer whose head is
+// malformed.
+func TestBrokenHeadsDoNotReachClients(t *testing.T) {
+	for name, answer := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, "east-a.1")
+			answerRaw(f.Servers["east-a.1"], answer)
+			c := &Client{Address: f.Boxes[0].Clients}
+			defer c.Close()
+			checkRefusal(t, c.Do("POST", "/buy/1", "broken", "body", ""))
+		})
+	}
+}
+
+// TestBrokenHeadsDoNotPassRelays checks the same for answers that another box passes on.
+func TestBrokenHeadsDoNotPassRelays(t *testing.T) {
+	for name, answer := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, "east-a.1", "east-a.2")
+			for _, s := range f.Servers {
+				answerRaw(s, answer)
+			}
+			f.Boxes[0].CutFromServers(ResetAll, nil)
+			c := &Client{Address: f.Boxes[0].Clients}
+			defer c.Close()
+			eventually(t, "the other box passes requests on", func() bool {
+				return c.Do("GET", "/read/1", "relayed", "", "").Status == 200
+			})
+			checkRefusal(t, c.Do("POST", "/buy/1", "broken", "body", ""))
+		})
+	}
+}
+
+// TestBrokenHeadIsRetried checks that a request that may run twice is answered by another server.
+func TestBrokenHeadIsRetried(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, "east-a.1", "east-a.2")
+	send := func(name string, count int) {
+		for i := range count {
+			id := fmt.Sprint(name, "-", i)
+			c := &Client{Address: f.Boxes[0].Clients}
+			a := c.Do("GET", fmt.Sprintf("/read/%d", i), id, "", "")
+			c.Close()
+			is.NoErr(a.Problem)
+			is.Equal(a.Status, 200)
+			is.Equal(a.Body, AnswerBody(id))
+			is.True(a.Header.Get("X-Stoneworks-Response-Signature") != brokenSignature)
+		}
+	}
+	send("whole", 40) // fills the retry budget
+	broken := f.Servers["east-a.1"]
+	broken.RawAnswer = brokenHeads["status 000"]
+	var sent atomic.Bool
+	broken.SetFault(func(*Run) Fault {
+		if sent.CompareAndSwap(false, true) {
+			return Raw
+		}
+		return NoFault
+	})
+	send("broken", 20)
+	is.True(sent.Load())
+}
