Answers through net/http: fields with malformed names, ends of bodies

What was seen: a list of the store, or of another box, counted although a field of its head was named with a blank ("Content-Length : 5" was not applied, and the body was taken as a whole one), although it was cut off behind its JSON value, or although more bytes followed that belong to something else. Callers get their servers and routes from such lists; that a client was misled was not seen.

Cause: net/http keeps fields whose names hold blanks and applies none of them, and a decoder of JSON stops behind the first value without asking for the body's end.

Change: pkg/httpjson checks the names, and reads a body to its end, which must be one JSON value.

--- a/pkg/ctl/ctl_boxes.go
+++ b/pkg/ctl/ctl_boxes.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+
+	"github.com/stoneworks/stoneworks/pkg/httpjson"
 )
 
 // ================================================================
@@ -73,8 +74,11 @@
 	if answer.StatusCode != http.StatusOK && answer.StatusCode != http.StatusNoContent {
 		return &AnswerError{Status: answer.StatusCode}
 	}
+	if err := httpjson.CheckFields(answer.Header); err != nil {
+		return err
+	}
 	if target == nil {
 		return nil
 	}
-	return json.NewDecoder(answer.Body).Decode(target)
+	return httpjson.Decode(answer.Body, target)
 }
--- a/pkg/exchange/exchange_head.go
+++ b/pkg/exchange/exchange_head.go
@@ -98,7 +98,7 @@
 	switch {
 	case !hasColon:
 		return "", "a line without a colon"
-	case !isToken(before):
+	case !IsToken(before):
 		return "", fmt.Sprintf("field name %.40q", before)
 	case !isFieldText(value):
 		return "", fmt.Sprintf("a control byte in the field %.40q", before)
@@ -115,8 +115,8 @@
 	return true
 }
 
-// isToken reports whether the text is a token of RFC 9110, section 5.6.2.
-func isToken(text []byte) bool {
+// IsToken reports whether the text is a token of RFC 9110, section 5.6.2.
+func IsToken(text []byte) bool {
 	for _, b := range text {
 		isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
 		if !isLetter && (b < '0' || b > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoneworks/stoneworks/pkg/httpjson"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/replica"
 )
@@ -58,9 +59,12 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, &PeerError{Address: source, Status: answer.StatusCode}
 	}
+	if err := httpjson.CheckFields(answer.Header); err != nil {
+		return nil, err
+	}
 	body := &replica.Handover{}
 	arriving := &progressReader{body: answer.Body, arrived: func() { idle.Reset(replica.PullIdleTimeout) }}
-	return body, json.NewDecoder(arriving).Decode(body)
+	return body, httpjson.Decode(arriving, body)
 }
 
 // peerClient returns a client for one call to another box.
