Answers: a reset during an upload is no end of an answer

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still sent. The client got that part as a complete answer.

Cause: one goroutine reads the answer while another one sends the body. The kernel reports a reset once; the sender was told, and the reader's next read returned EOF, which is the end of a body without a length. A box that passes a connection on has the same two goroutines, and told the other box that the server had closed in order.

Change: exchange.ResetConn records a reset that a write was told of, and a read returns it in place of EOF. A write that is just returning is waited for, only where the kernel says that the connection has ended both ways; a peer that closes its own side and reads on holds nobody up. A reset behind an orderly close is EPIPE to a write, not ECONNRESET, so the end of a whole answer stays one. Exchanges with servers and package tunnel use it.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -299,6 +299,10 @@
 
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
+	if c.via() == "" {
+		// Another box tells by itself how the connection to the server has ended.
+		c.Conn = NewResetConn(conn)
+	}
 	c.r = bufio.NewReaderSize(c, 16<<10)
 	c.w = bufio.NewWriterSize(c, 4<<10)
 	return c
--- a/pkg/exchange/hangup.go
+++ b/pkg/exchange/hangup.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -16,7 +17,7 @@
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return errors.Is(err, errors.ErrUnsupported)
 	}
 	isQuiet := false
 	err = raw.Read(func(fd uintptr) bool {
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 )
 
 // The statuses of an answer to CONNECT other than 200.
@@ -171,7 +173,8 @@
 		abort(server)
 		return
 	}
-	join(t, server)
+	// The frames tell how the server's connection has ended, which is read and written at once.
+	join(t, exchange.NewResetConn(server))
 }
 
 // statusOf returns the status for the error of an attempt to connect to a server.
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -127,6 +127,28 @@
 	is.True(toServer != nil)
 }
 
+// TestResetDuringAnUploadIsNoEnd checks that an answer is incomplete if the server's connection is reset
+// while bytes are sent to it. The kernel reports the reset to the sender or to the reader of the answer,
+// so many runs are needed.
+func TestResetDuringAnUploadIsNoEnd(t *testing.T) {
+	complete := 0
+	for range 150 {
+		c := open(t, startBox(t, &Server{}), startServer(t, func(c *net.TCPConn) {
+			awaitRequest(c)
+			_, _ = c.Write([]byte("part"))
+			time.Sleep(time.Millisecond)
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}))
+		go func() { _, _ = c.Write(make([]byte, 4<<20)) }()
+		if _, err := io.ReadAll(c); err == nil {
+			complete++
+		}
+		_ = c.Close()
+	}
+	is.New(t).Equal(complete, 0)
+}
+
 // TestEndOfTheClientReachesTheServer checks that a server learns that nobody waits any more.
 func TestEndOfTheClientReachesTheServer(t *testing.T) {
 	is := is.New(t)
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 )
 
 // brokenSignature is the signature of raw answers.
@@ -118,3 +119,38 @@
 	send("broken", 20)
 	is.True(sent.Load())
 }
+
+// TestResetUploadsAreNotAnswered checks that a part of an answer without a length does not reach a
+// client as a whole one if the server resets its connection while the upload is still sent, over a
+// direct connection and through another box.
+func TestResetUploadsAreNotAnswered(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprint("relayed ", relayed), func(t *testing.T) {
+			is := is.New(t)
+			f := newUploadFleet(t, ResetEarly, 0, "east-a.1", "east-a.2")
+			if relayed {
+				f.Boxes[0].CutFromServers(ResetAll, nil)
+				eventually(t, "the other box passes requests on", func() bool {
+					c := &Client{Address: f.Boxes[0].Clients}
+					defer c.Close()
+					return c.Do("GET", "/read/1", "relayed", "", "").Status == 200
+				})
+			}
+			body := strings.Repeat("x", longBody)
+			results := map[string]int{}
+			for i := range 60 {
+				c := &Client{Address: f.Boxes[0].Clients}
+				is.NoErr(c.Open())
+				var sending conc.WaitGroup
+				sending.Go(func() { _ = c.Send("PUT", "/up/1", fmt.Sprint("upload-", i), body, "") })
+				a := c.Read()
+				results[fmt.Sprint(a.Status, " ", a.Problem)]++
+				sending.Wait()
+				c.Close()
+			}
+			t.Logf("statuses and errors: %v", results)
+			is.Equal(results["200 <nil>"], 0)
+			is.True(results["502 <nil>"] > 0)
+		})
+	}
+}
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -39,6 +39,9 @@
 	// the last byte.
 	EarlyAnswer
 	BeganEarly
+	// ResetEarly answers without a length before it reads the request's body, and resets the
+	// connection after a part of the answer.
+	ResetEarly
 	// Refuse answers 503 and that the request was not executed, although slots are free.
 	Refuse
 	// Garbage sends bytes that are not an answer.
@@ -316,6 +319,9 @@
 		return s.readBody(run, request.Body)
 	case EarlyAnswer, BeganEarly:
 		return s.answerEarly(c, run, request.Body, fault)
+	case ResetEarly:
+		s.resetEarly(c, run)
+		return false
 	}
 	if !s.readBody(run, request.Body) {
 		return false
@@ -383,6 +389,20 @@
 	return err == nil
 }
 
+// resetEarly answers a part of a request's answer, without a length, and resets the connection.
+func (s *Server) resetEarly(c net.Conn, run *Run) {
+	s.mu.Lock()
+	s.runs = append(s.runs, run)
+	s.mu.Unlock()
+	s.writeHead(c, run.ID, http.StatusOK, -1, true, "")
+	_, _ = io.WriteString(c, AnswerBody(run.ID)[:100])
+	time.Sleep(time.Millisecond)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (s *Server) acquireSlot() bool {
 	s.mu.Lock()
 	if s.busy+s.waiting >= s.Slots+s.Queue {
