Answers: bytes without end are refused

What was seen: behind a server whose answer went on without end in a line of its trailer, a request outlasted its 1.5 s by 1.1 s, and the process allocated 5.3 GB meanwhile. Trailer lines, interim answers and bodies of answers to other requests held the request until its end. A list of another box without end took all memory; an answer without end ended a caller's process or took its memory, and CONNECT's answer did the same.

Cause: a trailer was read up to the next line feed, and whole answers up to their end, with no bound on either.

Change: pkg/exchange bounds the trailer (and checks its lines), the interim answers and what is skipped, and refuses bytes that begin no head without waiting for its end. A body that is passed on to a client while it arrives has no bound but the request's time, since it is not held.

--- a/pkg/box/box_probes.go
+++ b/pkg/box/box_probes.go
@@ -15,6 +15,9 @@
 // HealthPath is the path of a backend server's health endpoint.
 const HealthPath = "/stoneworks/health"
 
+// maxHealth is the longest answer to a health check in bytes.
+const maxHealth = 64 << 10
+
 // maxConcurrentProbes is the highest number of probes that run at the same time.
 const maxConcurrentProbes = 32
 
@@ -59,9 +62,9 @@
 	if err != nil {
 		return
 	}
-	defer func() { _ = got.Body.Close() }()
+	text, err := got.ReadAll(maxHealth)
 	var health Health
-	if got.Header.StatusCode() != fasthttp.StatusOK || json.NewDecoder(got.Body).Decode(&health) != nil {
+	if err != nil || got.Header.StatusCode() != fasthttp.StatusOK || json.Unmarshal(text, &health) != nil {
 		return
 	}
 	if gate.SetSelfLeaving(s.Name, health.Leaving) {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/url"
 	"sync"
@@ -26,10 +25,14 @@
 const (
 	// DefaultAttempts is the default maximum number of attempts of a request.
 	DefaultAttempts = 5
-	lookupTimeout   = 2 * time.Second
-	connectTimeout  = time.Second
-	initialBackoff  = 50 * time.Millisecond
-	maxBackoff      = 2 * time.Second
+	// DefaultMaxAnswer is the default longest body of an answer in bytes.
+	DefaultMaxAnswer = 64 << 20
+	// maxLookup is the longest answer to a look-up in bytes.
+	maxLookup      = 1 << 20
+	lookupTimeout  = 2 * time.Second
+	connectTimeout = time.Second
+	initialBackoff = 50 * time.Millisecond
+	maxBackoff     = 2 * time.Second
 	// maxIdle is the time after which an idle connection is not used again.
 	maxIdle = 2 * time.Second
 )
@@ -44,6 +47,9 @@
 	Address string
 	// MaxAttempts is the maximum number of attempts of a request.
 	MaxAttempts int
+	// MaxAnswer is the longest body of an answer in bytes. A longer one is not returned, and its
+	// request counts as one that may have run.
+	MaxAnswer int64
 
 	mu          sync.Mutex
 	lookups     map[string]cachedLookup
@@ -102,7 +108,7 @@
 // New makes a client that uses the given boxes for its first look-ups.
 func New(address string, boxes ...string) *Client {
 	return &Client{
-		Boxes: boxes, Address: address, MaxAttempts: DefaultAttempts,
+		Boxes: boxes, Address: address, MaxAttempts: DefaultAttempts, MaxAnswer: DefaultMaxAnswer,
 		lookups: map[string]cachedLookup{}, pools: map[string]*exchange.Pool{},
 	}
 }
@@ -179,8 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = got.Body.Close() }()
-	text, err := io.ReadAll(got.Body)
+	text, err := got.ReadAll(maxLookup)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/caller/caller_do.go
+++ b/pkg/caller/caller_do.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"time"
 
@@ -118,9 +117,8 @@
 	if err != nil {
 		return result.fail(err)
 	}
-	defer func() { _ = got.Body.Close() }()
 	got.Header.CopyTo(&result.Header)
-	body, err := io.ReadAll(got.Body)
+	body, err := got.ReadAll(c.MaxAnswer)
 	if err != nil {
 		return result.fail(err)
 	}
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -38,13 +38,18 @@
 	return l.Addr().String()
 }
 
+// maxTestAnswer is the longest answer that the tests' clients accept, in bytes.
+const maxTestAnswer = 1 << 20
+
 // submit sends a request to a box that answers like this.
 func submit(t *testing.T, answer func(c net.Conn)) *Result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	address := startBox(t, answer)
-	return New("", address).Submit(ctx, address, Submission{Request: Request{Service: "shop", Method: "GET", Path: "/"}, ID: "1"})
+	c := New("", address)
+	c.MaxAnswer = maxTestAnswer
+	return c.Submit(ctx, address, Submission{Request: Request{Service: "shop", Method: "GET", Path: "/"}, ID: "1"})
 }
 
 // TestBrokenAnswersAreUnknown checks that a caller gets no part of an answer whose head is malformed.
@@ -65,3 +70,19 @@
 		})
 	}
 }
+
+// TestAnswersWithoutEndAreUnknown checks that a caller does not hold an answer without end.
+func TestAnswersWithoutEndAreUnknown(t *testing.T) {
+	is := is.New(t)
+	begun := time.Now()
+	r := submit(t, func(c net.Conn) {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+entry.HeaderOutcome+": "+string(outcome.Answered)+"\r\n\r\n")
+		for part := make([]byte, 1<<20); err == nil; {
+			_, err = c.Write(part)
+		}
+	})
+	is.Equal(r.Outcome, outcome.Unknown)
+	is.Equal(r.Reason, outcome.ReasonMalformed)
+	is.Equal(len(r.Body), 0)
+	is.True(time.Since(begun) < time.Second)
+}
--- a/pkg/ctl/ctl_boxes.go
+++ b/pkg/ctl/ctl_boxes.go
@@ -59,6 +59,9 @@
 	return !errors.As(err, &answer) && !(errors.As(err, &network) && network.Op == "dial")
 }
 
+// maxAnswer is the longest answer of a box in bytes.
+const maxAnswer = 64 << 20
+
 // callBox makes one call and decodes its answer into the target, unless the target is nil. The
 // error is an *AnswerError or that of the connection.
 func callBox(ctx context.Context, method, address, path string, target any) error {
@@ -80,5 +83,5 @@
 	if target == nil {
 		return nil
 	}
-	return httpjson.Decode(answer.Body, target)
+	return httpjson.Decode(answer.Body, maxAnswer, target)
 }
--- a/pkg/entry/entry_local.go
+++ b/pkg/entry/entry_local.go
@@ -207,6 +207,7 @@
 
 func reasonOf(x *exchange.Error) outcome.Reason {
 	var framing *exchange.FramingError
+	var tooLong *exchange.TooLongError
 	switch {
 	case errors.Is(x.Cause, context.Canceled):
 		return outcome.ReasonCancelled
@@ -216,7 +217,7 @@
 		return outcome.ReasonTimeout
 	case !x.Sent:
 		return outcome.ReasonConnect
-	case errors.As(x.Cause, &framing):
+	case errors.As(x.Cause, &framing), errors.As(x.Cause, &tooLong):
 		return outcome.ReasonMalformed
 	case x.Stage == exchange.StageBody:
 		return outcome.ReasonTruncated
--- a/pkg/exchange/exchange_body.go
+++ b/pkg/exchange/exchange_body.go
@@ -1,9 +1,11 @@
 package exchange
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
-	"strings"
 )
 
 // body reads an answer's body and checks it against its framing: a premature end is an error,
@@ -64,7 +66,7 @@
 func (b *body) readChunks(p []byte) (int, error) {
 	n, err := b.chunks.Read(p)
 	if errors.Is(err, io.EOF) {
-		if err := b.readTrailer(); err != nil {
+		if err := readTrailer(b.trip.conn.r); err != nil {
 			return n, b.fail(err)
 		}
 		b.finish()
@@ -76,17 +78,54 @@
 	return n, nil
 }
 
+// maxTrailer bounds the lines after the last chunk, in bytes.
+const maxTrailer = 16 << 10
+
 // readTrailer reads the lines after the last chunk up to the empty line.
-func (b *body) readTrailer() error {
-	for {
-		line, err := b.trip.conn.r.ReadString('\n')
+func readTrailer(r *bufio.Reader) error {
+	for left := maxTrailer; ; {
+		line, err := r.ReadSlice('\n')
+		left -= len(line)
+		if errors.Is(err, bufio.ErrBufferFull) || left < 0 {
+			return &FramingError{Detail: fmt.Sprintf("trailer longer than %d bytes", maxTrailer)}
+		}
 		if err != nil {
 			return err
 		}
-		if strings.TrimRight(line, "\r\n") == "" {
+		field, hasEnd := bytes.CutSuffix(line, endOfLine)
+		if hasEnd && len(field) == 0 {
 			return nil
 		}
+		if _, problem := fieldProblem(field); problem != "" {
+			return &FramingError{Detail: problem}
+		}
+	}
+}
+
+// TooLongError is the error of an answer's body that is longer than the limit of its reader.
+type TooLongError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string { return fmt.Sprintf("body longer than %d bytes", e.Limit) }
+
+// ReadAll reads the body to its end, which may be at most limit bytes long, and closes it. The error is
+// an *Error.
+func (a *Answer) ReadAll(limit int64) ([]byte, error) {
+	defer func() { _ = a.Body.Close() }()
+	if int64(a.Length) > limit {
+		return nil, &Error{Stage: StageBody, Sent: true, Cause: &TooLongError{Limit: limit}, Via: a.Via}
+	}
+	text, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err == nil && int64(len(text)) > limit {
+		err = &Error{Stage: StageBody, Sent: true, Cause: &TooLongError{Limit: limit}, Via: a.Via}
+	}
+	if err != nil {
+		return nil, err
 	}
+	return text, nil
 }
 
 func (b *body) finish() {
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http/httputil"
 	"strconv"
@@ -208,8 +209,11 @@
 // Reading
 // ----------------------------------------------------------------
 
+// maxInterim bounds the interim answers, such as 103, before an answer.
+const maxInterim = 64
+
 func (x *roundTrip) readHeader(h *fasthttp.ResponseHeader) error {
-	for {
+	for range maxInterim + 1 {
 		if err := x.readHead(h); err != nil {
 			return err
 		}
@@ -217,10 +221,15 @@
 			return nil
 		}
 	}
+	return &FramingError{Detail: fmt.Sprintf("more than %d interim answers", maxInterim)}
 }
 
-// maxMismatches bounds the answers to other requests that are discarded.
-const maxMismatches = 4
+const (
+	// maxMismatches bounds the answers to other requests that are discarded.
+	maxMismatches = 4
+	// maxSkipped bounds the body of such an answer, in bytes.
+	maxSkipped = 1 << 20
+)
 
 // MismatchError is the error of an exchange that received only answers to other requests.
 type MismatchError struct{}
@@ -249,15 +258,18 @@
 // connection is closed, no other answer can follow.
 func (x *roundTrip) skipBody(h *fasthttp.ResponseHeader) error {
 	switch length := h.ContentLength(); {
-	case length >= 0:
+	case length >= 0 && length <= maxSkipped:
 		_, err := io.CopyN(io.Discard, x.conn.r, int64(length))
 		return err
 	case length == -1:
-		b := &body{trip: x, chunks: httputil.NewChunkedReader(x.conn.r)}
-		if _, err := io.Copy(io.Discard, b.chunks); err != nil {
+		chunks := httputil.NewChunkedReader(x.conn.r)
+		skipped, err := io.Copy(io.Discard, io.LimitReader(chunks, maxSkipped+1))
+		if err != nil {
 			return err
 		}
-		return b.readTrailer()
+		if skipped <= maxSkipped {
+			return readTrailer(x.conn.r)
+		}
 	}
 	return &MismatchError{}
 }
--- a/pkg/exchange/exchange_head.go
+++ b/pkg/exchange/exchange_head.go
@@ -12,8 +12,9 @@
 )
 
 var (
-	endOfLine = []byte("\r\n")
-	endOfHead = []byte("\r\n\r\n")
+	startOfHead = []byte("HTTP/1.")
+	endOfLine   = []byte("\r\n")
+	endOfHead   = []byte("\r\n\r\n")
 )
 
 // readHead reads the head of an answer. The HTTP library reads more than HTTP's grammar allows, and
@@ -30,13 +31,16 @@
 }
 
 // peekHead returns the next head with the empty line at its end, without consuming it. It must fit
-// into the reader's buffer.
+// into the reader's buffer. Bytes that do not begin a head are not waited for to end as one.
 func peekHead(r *bufio.Reader) ([]byte, error) {
 	for {
 		held, _ := r.Peek(r.Buffered())
 		if i := bytes.Index(held, endOfHead); i >= 0 {
 			return held[:i+len(endOfHead)], nil
 		}
+		if known := min(len(held), len(startOfHead)); !bytes.Equal(held[:known], startOfHead[:known]) {
+			return nil, &FramingError{Detail: fmt.Sprintf("it begins with %.20q", held)}
+		}
 		_, err := r.Peek(len(held) + 1)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			return nil, &FramingError{Detail: fmt.Sprintf("longer than %d bytes", r.Size())}
--- a/pkg/exchange/exchange_head_test.go
+++ b/pkg/exchange/exchange_head_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -72,6 +74,8 @@
 		"chunked twice":                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 		"malformed interim answer":        "HTTP/1.1 103 Early\r\nX Status: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 		"malformed chunk size":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\nhello\r\n0\r\n\r\n",
+		"blank in a trailer's name":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX Status: 1\r\n\r\n",
+		"trailer without a colon":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"no last chunk":                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -84,6 +88,22 @@
 	}
 }
 
+// TestBytesThatBeginNoHeadAreRefused checks that the end of such bytes is not waited for.
+func TestBytesThatBeginNoHeadAreRefused(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	go func() {
+		_, _ = far.Read(make([]byte, 1024))
+		_, _ = far.Write([]byte("HTTP/x"))
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := newTestPool(near).Do(ctx, newRequest(""))
+	var malformed *FramingError
+	is.True(errors.As(err, &malformed))
+}
+
 // TestUnusualHeadsAreAnswers checks that heads which the grammar allows are still answers.
 func TestUnusualHeadsAreAnswers(t *testing.T) {
 	for name, answer := range map[string]string{
--- a/pkg/httpjson/httpjson.go
+++ b/pkg/httpjson/httpjson.go
@@ -37,10 +37,19 @@
 	return nil
 }
 
-// Decode reads a body to its end, which must be one JSON value, and decodes it. The error is a
-// *TrailingError, one of package json, or that of reading the body.
-func Decode(body io.Reader, target any) error {
-	d := json.NewDecoder(body)
+// Decode reads a body to its end, which must be one JSON value of at most limit bytes, and decodes it.
+// The error is a *TrailingError, an *exchange.TooLongError, one of package json, or that of reading the
+// body.
+func Decode(body io.Reader, limit int64, target any) error {
+	bounded := &io.LimitedReader{R: body, N: limit + 1}
+	err := decodeOne(json.NewDecoder(bounded), target)
+	if bounded.N <= 0 {
+		return &exchange.TooLongError{Limit: limit}
+	}
+	return err
+}
+
+func decodeOne(d *json.Decoder, target any) error {
 	if err := d.Decode(target); err != nil {
 		return err
 	}
--- a/pkg/node/node_answers_test.go
+++ b/pkg/node/node_answers_test.go
@@ -1,12 +1,17 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 )
 
 // serveRaw starts a box that answers each call with these bytes, and returns its address.
@@ -52,3 +57,29 @@
 		})
 	}
 }
+
+// TestListWithoutEndIsRefused checks that a box does not hold a list of another box without end. Blanks
+// between two values are no part of one, and do not end a decoder's work either.
+func TestListWithoutEndIsRefused(t *testing.T) {
+	for name, c := range map[string]struct{ start, more string }{
+		"items":  {`{"at":7,"whole":true,"items":[{}`, ",{}"},
+		"a text": {`{"at":7,"whole":true,"items":[{"name":"`, "a"},
+		"blanks": {`{"at":7,"whole":true,"items":[]}`, " "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := pull(t, serveRaw(t, func(conn net.Conn) {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+c.start)
+				for part := strings.Repeat(c.more, 1<<20); err == nil; {
+					_, err = io.WriteString(conn, part)
+				}
+			}))
+			runtime.ReadMemStats(&after)
+			t.Logf("%v, %d bytes allocated", err, after.TotalAlloc-before.TotalAlloc)
+			var tooLong *exchange.TooLongError
+			is.New(t).True(errors.As(err, &tooLong))
+			is.New(t).True(after.TotalAlloc-before.TotalAlloc < 8*maxHandover)
+		})
+	}
+}
--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -26,6 +26,13 @@
 // pathMirror is the path under which mirrors are served; the kind follows it.
 const pathMirror = "/v1/mirrors/"
 
+const (
+	// maxHandover is the longest answer of another box in bytes, uncompressed.
+	maxHandover = 64 << 20
+	// maxPeerHead is the longest head of such an answer in bytes.
+	maxPeerHead = 16 << 10
+)
+
 // PeerError reports that another box did not answer as expected.
 type PeerError struct {
 	Address string
@@ -64,13 +71,13 @@
 	}
 	body := &replica.Handover{}
 	arriving := &progressReader{body: answer.Body, arrived: func() { idle.Reset(replica.PullIdleTimeout) }}
-	return body, httpjson.Decode(arriving, body)
+	return body, httpjson.Decode(arriving, maxHandover, body)
 }
 
 // peerClient returns a client for one call to another box.
 func (n *Node) peerClient() *http.Client {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return n.dialPeer(ctx, address) }
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHead}}
 }
 
 // progressReader calls arrived whenever data of a body has been read.
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -47,6 +48,9 @@
 // headerServer names the server that is expected at the address.
 const headerServer = "Stoneworks-Server"
 
+// maxOpenAnswer is the longest answer to CONNECT in bytes.
+const maxOpenAnswer = 4 << 10
+
 // Open asks for a tunnel to a server on a connection to another box, whose name is given. It fails
 // when the context ends. The error is a *StatusError, an *EarlyBytesError or that of the
 // connection, which stays open.
@@ -56,7 +60,7 @@
 	if _, err := fmt.Fprintf(conn, "CONNECT %[1]s HTTP/1.1\r\nHost: %[1]s\r\n%[2]s: %[3]s\r\n\r\n", address, headerServer, server); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReaderSize(conn, 512)
+	reader := bufio.NewReaderSize(io.LimitReader(conn, maxOpenAnswer), 512)
 	answer, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return nil, err
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -149,6 +150,32 @@
 	is.New(t).Equal(complete, 0)
 }
 
+// TestAnswerWithoutEndOpensNoTunnel checks that the head of an answer to CONNECT is not read without end.
+func TestAnswerWithoutEndOpensNoTunnel(t *testing.T) {
+	for name, start := range map[string]string{"status line": "HTTP/1.1 200 ", "field": "HTTP/1.1 200 OK\r\nX: ", "fields": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp4", startServer(t, func(c *net.TCPConn) {
+				_, err := io.WriteString(c, start)
+				for part := bytes.Repeat([]byte("X"), 1<<20); err == nil; {
+					_, err = c.Write(part)
+				}
+			}))
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err = Open(ctx, conn, "box", "server", "127.0.0.1:1")
+			runtime.ReadMemStats(&after)
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+			is.True(after.TotalAlloc-before.TotalAlloc < 16<<20)
+		})
+	}
+}
+
 // TestEndOfTheClientReachesTheServer checks that a server learns that nobody waits any more.
 func TestEndOfTheClientReachesTheServer(t *testing.T) {
 	is := is.New(t)
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
@@ -120,6 +122,47 @@
 	is.True(sent.Load())
 }
 
+// TestBytesWithoutEndAreRefused checks that a client is refused soon whose server answers with bytes that
+// do not end, and that the box does not grow.
+func TestBytesWithoutEndAreRefused(t *testing.T) {
+	const maxGrowth = 64 << 20
+	chunked := func(end string) func(id string) string {
+		return func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Stoneworks-Request-Id: %s\r\nX-Stoneworks-Response-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s", id, brokenSignature, end)
+		}
+	}
+	for name, c := range map[string]struct {
+		start func(id string) string
+		more  string
+	}{
+		"no answer":       {func(string) string { return "" }, "no answer "},
+		"status line":     {func(string) string { return "HTTP/1.1 200 " }, "OK"},
+		"interim answers": {func(string) string { return "" }, "HTTP/1.1 102 Processing\r\n\r\n"},
+		"chunk size":      {chunked(""), "0"},
+		"trailer line":    {chunked("5\r\nhello\r\n0\r\nX-Status: "), "1"},
+		"trailer lines":   {chunked("5\r\nhello\r\n0\r\n"), "X-Status: 1\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, "east-a.1")
+			s := f.Servers["east-a.1"]
+			s.RawAnswer, s.RawMore = c.start, c.more
+			s.SetFault(func(*Run) Fault { return RawEndless })
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			a := client.Do("POST", "/buy/1", "endless", "body", "")
+			runtime.ReadMemStats(&after)
+			t.Logf("status %d, error %v after %v, %d bytes allocated", a.Status, a.Problem, a.Took, after.TotalAlloc-before.TotalAlloc)
+			is.NoErr(a.Problem)
+			is.Equal(a.Status, 502)
+			is.True(a.Took < 500*time.Millisecond)
+			is.True(after.TotalAlloc-before.TotalAlloc < maxGrowth)
+		})
+	}
+}
+
 // TestResetUploadsAreNotAnswered checks that a part of an answer without a length does not reach a
 // client as a whole one if the server resets its connection while the upload is still sent, over a
 // direct connection and through another box.
