Answers between boxes and of the agreement's platform: status 000, bytes without end

What was seen, in the form of boxes with idempotency keys (pkg/box): an answer with status 000 counted as a 200, as a list, as a write that was done, or as another box's message. HTTP/9.9 and a field named with a blank counted too. A body without end, or 256 MiB of zeros in a small compressed body, was held whole: 2.7 and 1.6 GB allocated.

Cause: these calls went through fasthttp's client, whose status code 0 reads as 200, and which bounds no body.

Change: both use exchange.Pool, as requests do, with the longest body given; a compressed answer is bounded after decompression as well. fasthttp's client is not used any more.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -150,7 +150,7 @@
 	b.log = logging.For(b.logger, "box")
 	b.Table = membership.NewTable(s.Box, time.Now)
 	b.dialer = &net.Dialer{Timeout: time.Second, LocalAddr: localAddress(s.Listen.Peers)}
-	b.Platform = platform.NewHTTP(s.Platform.Address, s.Platform.Timeout, b.dialAddress, b.countPlatformCall)
+	b.Platform = platform.NewHTTP(s.Platform.Address, s.Platform.Timeout, b.dial, b.countPlatformCall)
 	b.Writer = &config.Writer{Platform: b.Platform, Store: b.Store, Timeout: 2 * s.Platform.Timeout}
 	b.Exchanger = peer.NewExchanger(s.Box, s.Zone, s.Seeds, b.Table, b.Store, logging.For(b.logger, "peer"))
 	b.Exchanger.Call = b.newPeerCaller()
@@ -233,7 +233,3 @@
 func (b *Box) dial(ctx context.Context, address string) (net.Conn, error) {
 	return b.dialer.DialContext(ctx, "tcp", address)
 }
-
-func (b *Box) dialAddress(address string) (net.Conn, error) {
-	return b.dial(b.context, address)
-}
--- a/pkg/box/box_peers.go
+++ b/pkg/box/box_peers.go
@@ -1,6 +1,8 @@
 package box
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/httpjson"
 	"github.com/stoneworks/stoneworks/pkg/peer"
 )
 
@@ -26,50 +30,57 @@
 // Error implements error.
 func (e *PeerError) Error() string { return fmt.Sprintf("box at %s: status %d", e.Address, e.Status) }
 
+const (
+	// maxPeerAnswer is the longest answer of another box in bytes, uncompressed.
+	maxPeerAnswer = 16 << 20
+	// idlePeer is how long an idle connection to another box may be reused.
+	idlePeer = 10 * time.Second
+)
+
 // newPeerCaller returns the function that sends messages to other boxes.
 func (b *Box) newPeerCaller() func(ctx context.Context, address, path string, in, out any) error {
-	client := &fasthttp.Client{
-		Dial:                      b.dialAddress,
-		ReadTimeout:               peer.CallTimeout,
-		WriteTimeout:              peer.CallTimeout,
-		MaxIdleConnDuration:       10 * time.Second,
-		NoDefaultUserAgentHeader:  true,
-		MaxIdemponentCallAttempts: 1,
-	}
 	return func(ctx context.Context, address, path string, in, out any) error {
-		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		defer fasthttp.ReleaseRequest(req)
-		defer fasthttp.ReleaseResponse(resp)
 		text, err := json.Marshal(in)
 		if err != nil {
 			return err
 		}
-		req.SetRequestURI("http://" + address + path)
-		req.Header.SetMethod(fasthttp.MethodPost)
-		req.Header.SetContentType("application/json")
 		body, compressed := compress(text)
-		if compressed {
-			req.Header.SetContentEncoding("gzip")
-		}
-		req.SetBody(body)
-		deadline, ok := ctx.Deadline()
-		if !ok {
-			deadline = time.Now().Add(peer.CallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
+		defer cancel()
+		got, err := b.peerPool(address).Do(ctx, &exchange.Request{Header: peerHeader(address, path, compressed), Body: body, MaxIdle: idlePeer})
+		if err != nil {
+			return err
 		}
-		if err := client.DoDeadline(req, resp, deadline); err != nil {
+		answer, err := got.ReadAll(maxPeerAnswer)
+		if err != nil {
 			return err
 		}
-		if resp.StatusCode() != fasthttp.StatusOK {
-			return &PeerError{Address: address, Status: resp.StatusCode()}
+		if status := got.Header.StatusCode(); status != fasthttp.StatusOK {
+			return &PeerError{Address: address, Status: status}
 		}
 		metrics.GetOrRegisterCounter("peer.calls", b.Metrics).Inc(1)
-		metrics.GetOrRegisterCounter("peer.bytes", b.Metrics).Inc(int64(len(body) + len(resp.Body())))
-		answer, err := resp.BodyUncompressed()
+		metrics.GetOrRegisterCounter("peer.bytes", b.Metrics).Inc(int64(len(body) + len(answer)))
+		if string(got.Header.ContentEncoding()) != "gzip" {
+			return json.Unmarshal(answer, out)
+		}
+		uncompressed, err := gzip.NewReader(bytes.NewReader(answer))
 		if err != nil {
 			return err
 		}
-		return json.Unmarshal(answer, out)
+		return httpjson.Decode(uncompressed, maxPeerAnswer, out)
+	}
+}
+
+func peerHeader(address, path string, compressed bool) *fasthttp.RequestHeader {
+	h := &fasthttp.RequestHeader{}
+	h.SetMethod(fasthttp.MethodPost)
+	h.SetRequestURI(path)
+	h.SetHost(address)
+	h.SetContentType("application/json")
+	if compressed {
+		h.SetContentEncoding("gzip")
 	}
+	return h
 }
 
 func compress(text []byte) (body []byte, compressed bool) {
