Planned stops: requests that the box might have to cut off go to another box

What callers saw: in a planned stop with a grace of 10 s, requests sent 3 to 4 s after SIGTERM were passed on to a server that works 8 s on them, and cut off with no answer 9.5 s after SIGTERM, POSTs among them.

Cause: a stopping box takes requests until 0.4 of its grace, which is a share, whatever time a request asks for and whatever time the box has left.

One whose deadline lies before the end is served as before.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -105,6 +105,8 @@
 	// Leaving reports whether the box is stopping, Closed whether it accepts no new requests.
 	Leaving func() bool
 	Closed  func() bool
+	// Stop returns the box's planned stop.
+	Stop func() Stop
 
 	// Starting returns for how long the box has been starting, 0 once it has been ready.
 	Starting func() time.Duration
@@ -325,9 +327,12 @@
 		return failure
 	}
 	if s.Closed() {
-		return outcome.NewNotRun(outcome.ReasonBoxLeaving, "").WithRetryAfter(time.Millisecond)
+		return newBoxLeaving()
 	}
 	c.deadline = c.start.Add(c.timeout())
+	if failure := c.stopFailure(0); failure != nil {
+		return failure
+	}
 	c.service = c.route.Backends[s.Splitter.Pick(c.route)].Service
 	c.key = s.Random()
 	if c.route.SessionAffinity && meta.Key != "" {
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -36,6 +36,10 @@
 		if failure != nil {
 			return preferLast(last, failure)
 		}
+		if failure := c.stopFailure(lease.Expected); failure != nil {
+			c.withdraw(lease)
+			return preferLast(last, failure)
+		}
 		failure = c.try(lease)
 		if failure == nil {
 			return nil
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -151,8 +151,10 @@
 	refusedMu sync.Mutex
 	refused   map[string]bool
 
-	leaving  atomic.Bool
-	closed   atomic.Bool
+	leaving atomic.Bool
+	closed  atomic.Bool
+	// stopping is the planned stop, nil if there is none.
+	stopping atomic.Pointer[ingress.Stop]
 	ready    atomic.Bool
 	inFlight atomic.Int64
 
@@ -354,6 +356,7 @@
 		IsReturn:         pipeline.IsFirst,
 		Leaving:          n.leaving.Load,
 		Closed:           n.closed.Load,
+		Stop:             n.plannedStop,
 		Splitter:         routing.NewSplitter(),
 		Set:              n.Set,
 		Budget:           n.Budget,
--- a/pkg/node/node_run.go
+++ b/pkg/node/node_run.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/quota"
 	"github.com/stoneworks/stoneworks/pkg/settings"
 )
@@ -29,6 +30,9 @@
 	endMargin    = 500 * time.Millisecond
 	callsTimeout = 200 * time.Millisecond
 	stopTimeout  = 200 * time.Millisecond
+	// lastAnswers is how long before that the last request must have its answer, or have reached its
+	// deadline, so that the answer is written.
+	lastAnswers = 100 * time.Millisecond
 	// drainPoll is how often a stopping box checks whether all requests have finished.
 	drainPoll = 20 * time.Millisecond
 )
@@ -97,6 +101,7 @@
 func (n *Node) Leave(ctx context.Context) {
 	grace := n.Settings.Bounds.Grace
 	start := n.Clock.Now()
+	n.stopping.Store(&ingress.Stop{Began: start, Ends: start.Add(grace - endMargin - lastAnswers)})
 	n.leaving.Store(true)
 	n.tunnels.Retire("")
 	n.heartbeat()
@@ -109,6 +114,14 @@
 	n.log.Info("left", map[string]any{"in_flight": n.inFlight.Load(), "took_ms": n.Clock.Since(start).Milliseconds()})
 }
 
+// plannedStop returns the planned stop of the box.
+func (n *Node) plannedStop() ingress.Stop {
+	if s := n.stopping.Load(); s != nil {
+		return *s
+	}
+	return ingress.Stop{}
+}
+
 // finishRequests waits for at most that long until all clients have their answers and no other
 // box uses a connection through this one.
 func (n *Node) finishRequests(ctx context.Context, timeout time.Duration) {
