The store's entries: one that is nested deep or out of range hides no other

What was seen: another writer left one entry among those of the servers, nested 9,997 or 15,000 deep. Boxes stopped following the list, so that a server that had gone still got requests and a new one none, and a box that started later had no list at all. Entries with 2^62 slots, port 0, or a cold-remaining-ms of 1e300, which is negative once read, counted as servers'. No process ended.

Cause: package encoding/json fails for a whole text when one value in it is nested deeper than 10,000, before the entries are told apart; and the fields of an entry had no upper bound.

Change: httpjson replaces what is nested deeper than 512 levels while an answer is read, and the store's client what is deeper than 64 in an entry, with a log line that names it; lists that boxes hand to each other nest entries only a little deeper. The client of the agreement's platform reads lists the same way.

--- a/pkg/httpjson/httpjson.go
+++ b/pkg/httpjson/httpjson.go
@@ -38,11 +38,11 @@
 }
 
 // Decode reads a body to its end, which must be one JSON value of at most limit bytes, and decodes it.
-// The error is a *TrailingError, an *exchange.TooLongError, one of package json, or that of reading the
-// body.
+// Arrays and objects that are nested deeper than maxDepth are replaced; see LimitDepth. The error is a
+// *TrailingError, an *exchange.TooLongError, one of package json, or that of reading the body.
 func Decode(body io.Reader, limit int64, target any) error {
 	bounded := &io.LimitedReader{R: body, N: limit + 1}
-	err := decodeOne(json.NewDecoder(bounded), target)
+	err := decodeOne(json.NewDecoder(&depthReader{from: bounded, limit: depthLimit{levels: maxDepth}}), target)
 	if bounded.N <= 0 {
 		return &exchange.TooLongError{Limit: limit}
 	}
--- a/pkg/platform/platform_http.go
+++ b/pkg/platform/platform_http.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/httpjson"
 )
 
 // WatchTimeout is the time for which the platform may hold a watch without changes.
@@ -90,7 +92,7 @@
 	case status != fasthttp.StatusOK:
 		return status, &UnavailableError{Detail: "status " + strconv.Itoa(status)}
 	}
-	if err := json.Unmarshal(text, into); err != nil {
+	if err := httpjson.Decode(bytes.NewReader(text), maxAnswer, into); err != nil {
 		return fasthttp.StatusOK, &MalformedError{Detail: err.Error()}
 	}
 	return fasthttp.StatusOK, nil
--- a/pkg/platform/platform_http_test.go
+++ b/pkg/platform/platform_http_test.go
@@ -88,3 +88,17 @@
 		})
 	}
 }
+
+// TestDeepObjectsDoNotHideOthers checks that objects are read beside one that is nested deeper than
+// package encoding/json reads.
+func TestDeepObjectsDoNotHideOthers(t *testing.T) {
+	is := is.New(t)
+	deep := strings.Repeat("[", 15_000) + strings.Repeat("]", 15_000)
+	p := startPlatform(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, `HTTP/1.1 200 OK`+"\r\n\r\n"+`{"version":7,"objects":[{"name":"a","value":`+deep+`},{"name":"b","value":{}}]}`)
+	})
+	page, err := p.List(t.Context(), "services")
+	is.NoErr(err)
+	is.Equal(len(page.Objects), 2)
+	is.Equal(string(page.Objects[1].Value), "{}")
+}
--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -3,6 +3,7 @@
 package machines
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -52,6 +53,8 @@
 	// when it does so, which cuts the calls that wait.
 	era  int
 	away chan struct{}
+	// texts holds the specs that are sent as they are, by the quoted text that stands for each.
+	texts sync.Map
 	// written holds the last write of each object by others than boxes.
 	written map[objectKey]write
 }
@@ -127,6 +130,14 @@
 	s.written[objectKey{kind, name}] = write{spec, s.revision}
 }
 
+// PutText is Put for a spec that is given as a JSON text, which may be nested deeper than package
+// encoding/json reads and writes.
+func (s *Store) PutText(kind, name, text string) {
+	placeholder := "the text of " + kind + "/" + name
+	s.texts.Store(strconv.Quote(placeholder), text)
+	s.Put(kind, name, placeholder)
+}
+
 func (s *Store) put(kind, name string, spec any) {
 	text, err := json.Marshal(spec)
 	if err != nil {
@@ -248,7 +259,7 @@
 		return
 	}
 	s.put(r.PathValue("kind"), o.Metadata.Name, o.Spec)
-	writeJSON(w, o)
+	s.writeJSON(w, o)
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
@@ -342,7 +353,7 @@
 	for _, name := range page {
 		items = append(items, s.objects[kind][name])
 	}
-	writeJSON(w, map[string]any{"items": items, "more": len(names) > len(page), "at": s.revision})
+	s.writeJSON(w, map[string]any{"items": items, "more": len(names) > len(page), "at": s.revision})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string, since uint64, wait time.Duration) {
@@ -364,7 +375,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || over:
-			writeJSON(w, map[string]any{"events": append([]map[string]any{}, events...), "at": at})
+			s.writeJSON(w, map[string]any{"events": append([]map[string]any{}, events...), "at": at})
 			return
 		}
 		select {
@@ -396,11 +407,15 @@
 	return events, false
 }
 
-func writeJSON(w http.ResponseWriter, body any) {
+func (s *Store) writeJSON(w http.ResponseWriter, body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
+	s.texts.Range(func(placeholder, spec any) bool {
+		text = bytes.ReplaceAll(text, []byte(placeholder.(string)), []byte(spec.(string)))
+		return true
+	})
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(text)
 }
