Answers: a transfer coding outside HTTP/1.1 is no framing

What callers would see: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" arrived with the sizes of its chunks in its body. Cause: HTTP/1.0 has no transfer codings, and the field was dropped as if it said nothing (RFC 9112, section 6.1: the framing is faulty). Change: such a head is refused, as other malformed ones are. Shown before: 2 of the 6 cases added to TestMalformedHeadsAreNoAnswers; the other 4 were refused already and are kept.

--- a/pkg/exchange/exchange_head.go
+++ b/pkg/exchange/exchange_head.go
@@ -13,6 +13,7 @@
 
 var (
 	startOfHead = []byte("HTTP/1.")
+	version11   = []byte("HTTP/1.1 ")
 	endOfLine   = []byte("\r\n")
 	endOfHead   = []byte("\r\n\r\n")
 )
@@ -57,7 +58,7 @@
 	if problem := statusLineProblem(line); problem != "" {
 		return &FramingError{Detail: problem}
 	}
-	hasLength, isChunked := false, false
+	hasLength, hasCoding := false, false
 	for {
 		line, rest, _ = bytes.Cut(rest, endOfLine)
 		if len(line) == 0 {
@@ -68,10 +69,13 @@
 			return &FramingError{Detail: problem}
 		}
 		hasLength = hasLength || strings.EqualFold(name, fasthttp.HeaderContentLength)
-		isChunked = isChunked || strings.EqualFold(name, fasthttp.HeaderTransferEncoding)
+		hasCoding = hasCoding || strings.EqualFold(name, fasthttp.HeaderTransferEncoding)
 	}
-	if hasLength && isChunked {
+	switch {
+	case hasCoding && hasLength:
 		return &FramingError{Detail: "both a length and a transfer coding"}
+	case hasCoding && !bytes.HasPrefix(head, version11):
+		return &FramingError{Detail: "a transfer coding outside HTTP/1.1"}
 	}
 	return nil
 }
