--- a/pkg/box/box_peers.go
+++ b/pkg/box/box_peers.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -40,11 +41,11 @@
 // newPeerCaller returns the function that sends messages to other boxes.
 func (b *Box) newPeerCaller() func(ctx context.Context, address, path string, in, out any) error {
 	return func(ctx context.Context, address, path string, in, out any) error {
-		text, err := json.Marshal(in)
+		message, err := json.Marshal(in)
 		if err != nil {
 			return err
 		}
-		body, compressed := compress(text)
+		body, compressed := compress(message)
 		ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
 		defer cancel()
 		got, err := b.peerPool(address).Do(ctx, &exchange.Request{Header: peerHeader(address, path, compressed), Body: body, MaxIdle: idlePeer})
@@ -60,14 +61,13 @@
 		}
 		metrics.GetOrRegisterCounter("peer.calls", b.Metrics).Inc(1)
 		metrics.GetOrRegisterCounter("peer.bytes", b.Metrics).Inc(int64(len(body) + len(answer)))
-		if string(got.Header.ContentEncoding()) != "gzip" {
-			return json.Unmarshal(answer, out)
-		}
-		uncompressed, err := gzip.NewReader(bytes.NewReader(answer))
-		if err != nil {
-			return err
+		var text io.Reader = bytes.NewReader(answer)
+		if string(got.Header.ContentEncoding()) == "gzip" {
+			if text, err = gzip.NewReader(text); err != nil {
+				return err
+			}
 		}
-		return httpjson.Decode(uncompressed, maxPeerAnswer, out)
+		return httpjson.Decode(text, maxPeerAnswer, out)
 	}
 }
 
--- a/pkg/httpjson/httpjson.go
+++ b/pkg/httpjson/httpjson.go
@@ -2,7 +2,8 @@
 //
 // net/http accepts header fields whose names hold blanks, such as "Content-Length : 5", and does not
 // apply them. A decoder of JSON stops behind the first value, and so neither finds a body that is cut
-// off behind it nor bytes that belong to something else. Such an answer is an error here.
+// off behind it nor bytes that belong to something else. Such an answer is an error here. A value that
+// is nested very deep makes a decoder fail for the whole text; here it is left out.
 package httpjson
 
 import (
