Tests of raw answers share their servers; one way to set linger and to get raw connections

No check changes: six test files had the same listener and the same measure of what is allocated, and three places the same lines round net.Conn.

--- a/pkg/box/box_peers_test.go
+++ b/pkg/box/box_peers_test.go
@@ -3,36 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
 
-// startPeer starts a box that answers one call with what answer writes, and returns its address.
-func startPeer(t *testing.T, answer func(c net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if _, err := c.Read(make([]byte, 4096)); err == nil {
-			answer(c)
-		}
-	}()
-	return l.Addr().String()
-}
+	"github.com/stoneworks/stoneworks/test/rawserver"
+)
 
 // TestBrokenAnswersOfBoxesAreErrors checks that a call of another box fails whose answer is malformed or
 // does not end.
@@ -51,24 +28,21 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := startPeer(t, func(conn net.Conn) {
-				_, err := io.WriteString(conn, c.start)
-				for part := strings.Repeat(c.more, 1<<20); err == nil && c.more != ""; {
-					_, err = io.WriteString(conn, part)
-				}
-			})
+			answer := rawserver.Text(c.start)
+			if c.more != "" {
+				answer = rawserver.Endless(c.start, c.more)
+			}
+			address := rawserver.Start(t, answer)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			call := newTestBox(is).newPeerCaller()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			var answer struct{ Box string }
-			err := call(ctx, address, "/v1/heartbeat", struct{}{}, &answer)
-			runtime.ReadMemStats(&after)
-			t.Logf("%v, %d bytes allocated", err, after.TotalAlloc-before.TotalAlloc)
+			var out struct{ Box string }
+			var err error
+			grown := rawserver.Allocated(func() { err = call(ctx, address, "/v1/heartbeat", struct{}{}, &out) })
+			t.Logf("%v, %d bytes allocated", err, grown)
 			is.True(err != nil)
-			is.Equal(answer.Box, "")
-			is.True(after.TotalAlloc-before.TotalAlloc < maxGrowth)
+			is.Equal(out.Box, "")
+			is.True(grown < maxGrowth)
 		})
 	}
 }
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"testing"
 	"time"
@@ -11,33 +10,9 @@
 
 	"github.com/stoneworks/stoneworks/pkg/entry"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
-// startBox starts a box that answers each connection's first bytes like this, and returns its address.
-func startBox(t *testing.T, answer func(c net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 4096)); err == nil {
-					answer(c)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // maxTestAnswer is the longest answer that the tests' clients accept, in bytes.
 const maxTestAnswer = 1 << 20
 
@@ -46,7 +21,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	address := startBox(t, answer)
+	address := rawserver.Start(t, answer)
 	c := New("", address)
 	c.MaxAnswer = maxTestAnswer
 	return c.Submit(ctx, address, Submission{Request: Request{Service: "shop", Method: "GET", Path: "/"}, ID: "1"})
@@ -61,9 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			r := submit(t, func(c net.Conn) {
-				_, _ = io.WriteString(c, start+entry.HeaderOutcome+": "+string(outcome.Answered)+"\r\n\r\nhello")
-			})
+			r := submit(t, rawserver.Text(start+entry.HeaderOutcome+": "+string(outcome.Answered)+"\r\n\r\nhello"))
 			is.Equal(r.Outcome, outcome.Unknown)
 			is.Equal(r.Reason, outcome.ReasonMalformed)
 			is.Equal(len(r.Body), 0)
@@ -75,12 +48,7 @@
 func TestAnswersWithoutEndAreUnknown(t *testing.T) {
 	is := is.New(t)
 	begun := time.Now()
-	r := submit(t, func(c net.Conn) {
-		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+entry.HeaderOutcome+": "+string(outcome.Answered)+"\r\n\r\n")
-		for part := make([]byte, 1<<20); err == nil; {
-			_, err = c.Write(part)
-		}
-	})
+	r := submit(t, rawserver.Endless("HTTP/1.1 200 OK\r\n"+entry.HeaderOutcome+": "+string(outcome.Answered)+"\r\n\r\n", "hello"))
 	is.Equal(r.Outcome, outcome.Unknown)
 	is.Equal(r.Reason, outcome.ReasonMalformed)
 	is.Equal(len(r.Body), 0)
--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
-	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
 // endless are answers that begin with one text and go on with another one until the connection ends.
@@ -35,30 +34,6 @@
 	"chunks":                          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
 }
 
-// startEndless starts a server whose answers begin with start and go on with more without end, and
-// returns its address.
-func startEndless(t *testing.T, start, more string) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, _ = c.Read(make([]byte, 1024))
-		part := []byte(strings.Repeat(more, 16<<10))
-		for _, err = io.WriteString(c, start); err == nil; {
-			_, err = c.Write(part)
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestBytesWithoutEndAreRefused checks that an exchange whose answer does not end fails long before its
 // deadline, and that the process does not grow.
 func TestBytesWithoutEndAreRefused(t *testing.T) {
@@ -70,7 +45,7 @@
 	)
 	for name, answer := range endless {
 		t.Run(name, func(t *testing.T) {
-			p := NewPool(startEndless(t, answer.start, answer.more), 1, func(ctx context.Context, address string) (net.Conn, error) {
+			p := NewPool(rawserver.Start(t, rawserver.Endless(answer.start, answer.more)), 1, func(ctx context.Context, address string) (net.Conn, error) {
 				return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 			})
 			defer p.Close()
@@ -78,23 +53,22 @@
 			defer cancel()
 			r := newRequest("")
 			r.Match = func(h *fasthttp.ResponseHeader) bool { return len(h.Peek("X-Other")) == 0 }
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
+			var err error
 			begun := time.Now()
-			a, err := p.Do(ctx, r)
-			if err == nil {
-				_, err = a.ReadAll(maxBody)
-			}
+			grown := rawserver.Allocated(func() {
+				var a *Answer
+				if a, err = p.Do(ctx, r); err == nil {
+					_, err = a.ReadAll(maxBody)
+				}
+			})
 			took := time.Since(begun)
-			runtime.ReadMemStats(&after)
-			growth := after.TotalAlloc - before.TotalAlloc
-			t.Logf("%v after %v, %d bytes allocated", err, took, growth)
+			t.Logf("%v after %v, %d bytes allocated", err, took, grown)
 			is := is.New(t)
 			var failure *Error
 			is.True(errors.As(err, &failure))
 			is.True(failure.Sent)
 			is.True(took < maxDuration)
-			is.True(growth < maxGrowth)
+			is.True(grown < maxGrowth)
 		})
 	}
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -227,10 +227,8 @@
 // request is delivered when the partition heals, to a server that has left meanwhile, long
 // after it was known to leave.
 func (c *connection) reset() {
-	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		// A connection that is already closed has nothing to discard.
-		_ = tcp.SetLinger(0)
-	}
+	// A connection that is already closed has nothing to discard.
+	_ = SetLinger(c.Conn, 0)
 	_ = c.Conn.Close()
 }
 
--- a/pkg/exchange/hangup.go
+++ b/pkg/exchange/hangup.go
@@ -11,11 +11,7 @@
 // StillUsable reports whether an idle connection is open and has nothing to read. An
 // unexpected byte makes a connection unusable, as its end does.
 func StillUsable(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := RawConn(c)
 	if err != nil {
 		return errors.Is(err, errors.ErrUnsupported)
 	}
--- a/pkg/exchange/reset.go
+++ b/pkg/exchange/reset.go
@@ -61,11 +61,7 @@
 
 // hasEnded reports whether the connection has ended in both directions, false if that is not known.
 func (c *ResetConn) hasEnded() bool {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := inner.SyscallConn()
+	raw, err := RawConn(c.Conn)
 	if err != nil {
 		return false
 	}
@@ -78,16 +74,22 @@
 }
 
 // SetLinger sets the option of the connection, see net.TCPConn.
-func (c *ResetConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+func (c *ResetConn) SetLinger(seconds int) error { return SetLinger(c.Conn, seconds) }
+
+// SyscallConn implements syscall.Conn.
+func (c *ResetConn) SyscallConn() (syscall.RawConn, error) { return RawConn(c.Conn) }
+
+// SetLinger sets the option of a connection if it has the option, see net.TCPConn.
+func SetLinger(c net.Conn, seconds int) error {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		return tcp.SetLinger(seconds)
 	}
 	return nil
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *ResetConn) SyscallConn() (syscall.RawConn, error) {
-	if raw, ok := c.Conn.(syscall.Conn); ok {
+// RawConn returns the raw connection of c. The error is errors.ErrUnsupported if there is none.
+func RawConn(c net.Conn) (syscall.RawConn, error) {
+	if raw, ok := c.(syscall.Conn); ok {
 		return raw.SyscallConn()
 	}
 	return nil, errors.ErrUnsupported
--- a/pkg/node/node_answers_test.go
+++ b/pkg/node/node_answers_test.go
@@ -3,42 +3,14 @@
 import (
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"runtime"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
-// serveRaw starts a box that answers each call with these bytes, and returns its address.
-func serveRaw(t *testing.T, answer func(c net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 4096)); err == nil {
-					answer(c)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestBrokenListsOfBoxesAreErrors checks that a list of another box fails whose answer is malformed or
 // ends early, in place of being taken.
 func TestBrokenListsOfBoxesAreErrors(t *testing.T) {
@@ -51,7 +23,7 @@
 		"more behind its list":          "HTTP/1.1 200 OK\r\n\r\n" + list + list,
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := pull(t, serveRaw(t, func(c net.Conn) { _, _ = io.WriteString(c, answer) }))
+			_, err := pull(t, rawserver.Start(t, rawserver.Text(answer)))
 			t.Log(err)
 			is.New(t).True(err != nil)
 		})
@@ -67,19 +39,14 @@
 		"blanks": {`{"at":7,"whole":true,"items":[]}`, " "},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			_, err := pull(t, serveRaw(t, func(conn net.Conn) {
-				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+c.start)
-				for part := strings.Repeat(c.more, 1<<20); err == nil; {
-					_, err = io.WriteString(conn, part)
-				}
-			}))
-			runtime.ReadMemStats(&after)
-			t.Logf("%v, %d bytes allocated", err, after.TotalAlloc-before.TotalAlloc)
+			var err error
+			grown := rawserver.Allocated(func() {
+				_, err = pull(t, rawserver.Start(t, rawserver.Endless("HTTP/1.1 200 OK\r\n\r\n"+c.start, c.more)))
+			})
+			t.Logf("%v, %d bytes allocated", err, grown)
 			var tooLong *exchange.TooLongError
 			is.New(t).True(errors.As(err, &tooLong))
-			is.New(t).True(after.TotalAlloc-before.TotalAlloc < 8*maxHandover)
+			is.New(t).True(grown < 8*maxHandover)
 		})
 	}
 }
--- a/pkg/platform/platform_http_test.go
+++ b/pkg/platform/platform_http_test.go
@@ -3,43 +3,24 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
 // startPlatform starts a platform that answers each call with what answer writes, and returns a client
 // of it.
 func startPlatform(t *testing.T, answer func(c net.Conn)) *Client {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 4096)); err == nil {
-					answer(c)
-				}
-			}()
-		}
-	}()
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 	}
-	return NewHTTP(l.Addr().String(), time.Second, dial, func(string) {})
+	return NewHTTP(rawserver.Start(t, answer), time.Second, dial, func(string) {})
 }
 
 // TestBrokenAnswersAreErrors checks that a malformed answer is neither a list nor a write that was done.
@@ -52,9 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := startPlatform(t, func(c net.Conn) {
-				_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", start, len(body), body)
-			})
+			p := startPlatform(t, rawserver.Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", start, len(body), body)))
 			_, err := p.List(t.Context(), "services")
 			is.True(err != nil)
 			_, err = p.Put(t.Context(), Object{Kind: "services", Name: "shop", Value: []byte("{}")})
@@ -72,19 +51,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := startPlatform(t, func(conn net.Conn) {
-				_, err := io.WriteString(conn, c.start)
-				for part := strings.Repeat(c.more, 1<<16); err == nil; {
-					_, err = io.WriteString(conn, part)
-				}
-			})
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			_, err := p.List(t.Context(), "services")
-			runtime.ReadMemStats(&after)
-			t.Logf("%v, %d bytes allocated", err, after.TotalAlloc-before.TotalAlloc)
+			p := startPlatform(t, rawserver.Endless(c.start, c.more))
+			var err error
+			grown := rawserver.Allocated(func() { _, err = p.List(t.Context(), "services") })
+			t.Logf("%v, %d bytes allocated", err, grown)
 			is.True(err != nil)
-			is.True(after.TotalAlloc-before.TotalAlloc < maxGrowth)
+			is.True(grown < maxGrowth)
 		})
 	}
 }
@@ -94,9 +66,7 @@
 func TestDeepObjectsDoNotHideOthers(t *testing.T) {
 	is := is.New(t)
 	deep := strings.Repeat("[", 15_000) + strings.Repeat("]", 15_000)
-	p := startPlatform(t, func(c net.Conn) {
-		_, _ = io.WriteString(c, `HTTP/1.1 200 OK`+"\r\n\r\n"+`{"version":7,"objects":[{"name":"a","value":`+deep+`},{"name":"b","value":{}}]}`)
-	})
+	p := startPlatform(t, rawserver.Text("HTTP/1.1 200 OK\r\n\r\n"+`{"version":7,"objects":[{"name":"a","value":`+deep+`},{"name":"b","value":{}}]}`))
 	page, err := p.List(t.Context(), "services")
 	is.NoErr(err)
 	is.Equal(len(page.Objects), 2)
--- a/pkg/tunnel/frames.go
+++ b/pkg/tunnel/frames.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 )
 
 // The bytes that come from the server are sent in frames: their number in two bytes, then the
@@ -86,20 +88,10 @@
 func (c *Conn) Via() string { return c.Box }
 
 // SetLinger sets the option of the connection to the other box, see net.TCPConn.
-func (c *Conn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return tcp.SetLinger(seconds)
-	}
-	return nil
-}
+func (c *Conn) SetLinger(seconds int) error { return exchange.SetLinger(c.Conn, seconds) }
 
 // SyscallConn implements syscall.Conn.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if raw, ok := c.Conn.(syscall.Conn); ok {
-		return raw.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return exchange.RawConn(c.Conn) }
 
 // frameWriter writes frames to another box.
 type frameWriter struct {
--- a/pkg/tunnel/join.go
+++ b/pkg/tunnel/join.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 )
 
 // bufferSize is the size of a copy's buffer in bytes. Most requests and answers fit into one.
@@ -59,8 +61,6 @@
 
 // abort closes a connection with a reset, which discards what it has not sent yet.
 func abort(c net.Conn) {
-	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
-		_ = tcp.SetLinger(0)
-	}
+	_ = exchange.SetLinger(c, 0)
 	_ = c.Close()
 }
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -8,12 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
 // startBox starts a box that passes connections on, and returns its address.
@@ -155,23 +156,15 @@
 	for name, start := range map[string]string{"status line": "HTTP/1.1 200 ", "field": "HTTP/1.1 200 OK\r\nX: ", "fields": ""} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			conn, err := net.Dial("tcp4", startServer(t, func(c *net.TCPConn) {
-				_, err := io.WriteString(c, start)
-				for part := bytes.Repeat([]byte("X"), 1<<20); err == nil; {
-					_, err = c.Write(part)
-				}
-			}))
+			conn, err := net.Dial("tcp4", rawserver.Start(t, rawserver.Endless(start, "X")))
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			_, err = Open(ctx, conn, "box", "server", "127.0.0.1:1")
-			runtime.ReadMemStats(&after)
+			grown := rawserver.Allocated(func() { _, err = Open(ctx, conn, "box", "server", "127.0.0.1:1") })
 			is.True(err != nil)
 			is.NoErr(ctx.Err())
-			is.True(after.TotalAlloc-before.TotalAlloc < 16<<20)
+			is.True(grown < 16<<20)
 		})
 	}
 }
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
 // brokenSignature is the signature of raw answers.
@@ -150,15 +151,13 @@
 			s.SetFault(func(*Run) Fault { return RawEndless })
 			client := &Client{Address: f.Boxes[0].Clients}
 			defer client.Close()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			a := client.Do("POST", "/buy/1", "endless", "body", "")
-			runtime.ReadMemStats(&after)
-			t.Logf("status %d, error %v after %v, %d bytes allocated", a.Status, a.Problem, a.Took, after.TotalAlloc-before.TotalAlloc)
+			var a *Answer
+			grown := rawserver.Allocated(func() { a = client.Do("POST", "/buy/1", "endless", "body", "") })
+			t.Logf("status %d, error %v after %v, %d bytes allocated", a.Status, a.Problem, a.Took, grown)
 			is.NoErr(a.Problem)
 			is.Equal(a.Status, 502)
 			is.True(a.Took < 500*time.Millisecond)
-			is.True(after.TotalAlloc-before.TotalAlloc < maxGrowth)
+			is.True(grown < maxGrowth)
 		})
 	}
 }
