--- /dev/null
+++ b/pkg/ctl/ctl_boxes_test.go
@@ -0,0 +1,28 @@
+package ctl
+
+import (
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/test/rawserver"
+)
+
+// TestBrokenAnswersAreFailures checks that a verb fails if a box's answer is malformed or cut off.
+func TestBrokenAnswersAreFailures(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		code   int
+	}{
+		"whole":               {"HTTP/1.1 200 OK\r\n\r\n{}", ExitOK},
+		"status 000":          {"HTTP/1.1 000 OK\r\n\r\n{}", ExitFailed},
+		"blank in a name":     {"HTTP/1.1 200 OK\r\nX Status: 1\r\n\r\n{}", ExitFailed},
+		"cut behind its list": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", ExitFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawserver.Start(t, rawserver.Text(c.answer))
+			is.New(t).Equal(Main([]string{"quarantine", address}, nil, io.Discard, io.Discard), c.code)
+		})
+	}
+}
