Planned stops: the time after which nothing is taken that may be cut off has a margin

The platform counts 3 s from the signal, and a box begins its stop when it handles that, a moment later. A request sent just after the 3 s would still have been taken.

--- a/pkg/ingress/ingress_stop.go
+++ b/pkg/ingress/ingress_stop.go
@@ -15,8 +15,8 @@
 }
 
 // lateAfter is how long after the start of a planned stop the box still takes a request that it may
-// have to cut off. By then clients have been told to use other boxes.
-const lateAfter = 3 * time.Second
+// have to cut off. Clients are to use other boxes 3 s after the signal, which comes before the start.
+const lateAfter = 2500 * time.Millisecond
 
 // stopFailure returns a failure if the request is not to be sent to a server because of a planned stop:
 // the box might have to cut it off, and the stop has gone on for long or the request is not expected to
