--- a/test/machines/links.go
+++ b/test/machines/links.go
@@ -45,16 +45,18 @@
 
 	mu  sync.Mutex
 	cut Cut
-	// only restricts the cut to addresses; nil means all servers.
+	// only chooses the addresses that are cut off; nil means those of all servers.
 	only  func(address string) bool
 	conns map[*linkConn]bool
 }
 
-// CutFromServers cuts the box off from the backend servers; see Links.Set.
+// CutFromServers cuts the box off from backend servers, and from boxes that only chooses; see
+// Links.Set.
 func (b *Box) CutFromServers(cut Cut, only func(address string) bool) { b.machine.links.Set(cut, only) }
 
-// Set cuts the links to the backend servers whose addresses are chosen by only, or to all if that
-// is nil. NotCut restores the links; connections that hung stay dead.
+// Set cuts the links to the addresses that only chooses, or to all backend servers if that is nil.
+// The open connections to other boxes stay as they are. NotCut restores the links; connections
+// that hung stay dead.
 func (l *Links) Set(cut Cut, only func(address string) bool) {
 	l.mu.Lock()
 	l.cut, l.only = cut, only
@@ -77,14 +79,17 @@
 
 // isCut reports whether the link to an address is cut. The caller holds the lock.
 func (l *Links) isCut(address string) bool {
-	return l.cut != NotCut && (l.only == nil || l.only(address))
+	if l.cut == NotCut {
+		return false
+	}
+	if l.only == nil {
+		return l.IsServer(address)
+	}
+	return l.only(address)
 }
 
 // Dial opens a connection as the box's kernel would.
 func (l *Links) Dial(ctx context.Context, address string) (net.Conn, error) {
-	if !l.IsServer(address) {
-		return l.Connect(ctx, address)
-	}
 	l.mu.Lock()
 	cut := l.cut
 	if !l.isCut(address) {
@@ -101,8 +106,8 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
 	c, err := l.Connect(ctx, address)
-	if err != nil {
-		return nil, err
+	if err != nil || !l.IsServer(address) {
+		return c, err
 	}
 	conn := &linkConn{TCPConn: c.(*net.TCPConn), address: address, links: l}
 	l.mu.Lock()
