Relays: a log line and a metric for restricted requests that leave their regions

The request log tells which box passed a request on, but not in which region that box stands, nor whether the connection was new or kept, nor what the link counted as. Nothing changes in what is sent.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -96,6 +96,9 @@
 	// MaySend reports, once there is a connection, whether the request may still be sent,
 	// since connecting may have taken a while; nil means that it may.
 	MaySend func() bool
+	// OnConnection is called with the connection that is about to carry the request, and whether
+	// that has carried another one before; nil ignores it.
+	OnConnection func(c net.Conn, reused bool)
 }
 
 // WithdrawnError is the error of a request that was no longer to be sent.
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -40,6 +40,9 @@
 		p.put(c)
 		return nil, &Error{Stage: StageConnect, Cause: &WithdrawnError{}}
 	}
+	if req.OnConnection != nil {
+		req.OnConnection(c.Conn, c.reused)
+	}
 	x := &roundTrip{pool: p, conn: c, ctx: ctx, abort: func() {}}
 	if req.AbortStream != nil {
 		x.abort = req.AbortStream
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -167,7 +168,10 @@
 	// Pool returns the connections to a backend server. If bound is true, other boxes may pass
 	// the request on in the server's region only.
 	Pool func(server *backend.Server, bound bool) *exchange.Pool
-	Now  func() time.Time
+	// ObserveRestricted is called with the connection that is about to carry a request which may
+	// not run in all regions, and whether that has carried another one before.
+	ObserveRestricted func(server *backend.Server, c net.Conn, reused bool)
+	Now               func() time.Time
 	// SyncClock makes Now include the time for which the machine was suspended.
 	SyncClock func()
 	// IsReturn reports whether a request is probably a client's return after a failed attempt.
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -359,6 +360,9 @@
 	if c.route.Idempotent() {
 		x.MaxIdle = idleIdempotent
 	}
+	if c.isRegionRestricted() {
+		x.OnConnection = func(conn net.Conn, reused bool) { c.server.ObserveRestricted(&lease.Server, conn, reused) }
+	}
 	if c.body.stream != nil {
 		x.Stream, x.Length = c.body.stream, c.body.length
 		x.AbortStream = c.upload.abort
--- a/pkg/node/node_relay.go
+++ b/pkg/node/node_relay.go
@@ -86,9 +86,25 @@
 		_ = conn.Close()
 		return nil, &relay.HelperError{Box: box.Name, Reason: reasonOf(err), Cause: err}
 	}
+	c.Region = box.Region
 	return c, nil
 }
 
+// logRestricted reports a request that may run in some regions only and leaves them, since a box
+// outside the server's region passes it on.
+func (n *Node) logRestricted(v *backend.Server, c net.Conn, reused bool) {
+	relayed, ok := c.(*tunnel.Conn)
+	region := n.Topology.RegionOf(v.Zone)
+	if !ok || relayed.Region == region {
+		return
+	}
+	metrics.GetOrRegisterCounter("relay.outside_regions", n.Metrics).Inc(1)
+	n.log.Warn("a restricted request leaves its regions through another box", map[string]any{
+		"server": v.ID, "region": region, "box": relayed.Box, "box_region": relayed.Region, "reused": reused,
+		"link": n.Relay.Paths.State(v.Address).String(),
+	})
+}
+
 // reasonOf returns why a box did not open a tunnel.
 func reasonOf(err error) relay.Reason {
 	var refused *tunnel.StatusError
--- a/pkg/relay/paths.go
+++ b/pkg/relay/paths.go
@@ -21,6 +21,9 @@
 	Broken
 )
 
+// String returns the name of the state in logs.
+func (s State) String() string { return [...]string{"working", "suspect", "broken"}[s] }
+
 const (
 	// suspectTime is how long a link stays suspect without new evidence.
 	suspectTime = 5 * time.Second
--- a/pkg/tunnel/frames.go
+++ b/pkg/tunnel/frames.go
@@ -29,6 +29,8 @@
 	net.Conn
 	// Box is the name of the box that passes the bytes on.
 	Box string
+	// Region is the region of that box, if the caller of Open has set it.
+	Region string
 
 	// left is how many bytes of the current frame have not been read; ended is true after the
 	// last frame.
