Relays: a request bound to regions uses no connection through another region

Cause: which connections such a request may use was decided from the state of the link when the pool was chosen (Node.pool). A link that has just failed counts as working until an attempt to connect has failed, and that attempt was one of the pool for all requests, which may ask any box. The decision was made from a state that its own outcome changes.

Change: the requests to a server share its connections again, each connection through another box keeps that box's region, and a bound request takes, opens and uses only those that pass no region but the server's. This is checked where its bytes go out, whatever the link counts as.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -96,9 +97,27 @@
 	// MaySend reports, once there is a connection, whether the request may still be sent,
 	// since connecting may have taken a while; nil means that it may.
 	MaySend func() bool
-	// OnConnection is called with the connection that is about to carry the request, and whether
-	// that has carried another one before; nil ignores it.
-	OnConnection func(c net.Conn, reused bool)
+	// Restriction limits the connections that may carry the request; nil allows any.
+	Restriction *Restriction
+}
+
+// Restriction limits the connections that may carry a request. All fields are required.
+type Restriction struct {
+	// Allows reports whether a connection may carry the request.
+	Allows func(net.Conn) bool
+	// Dial opens a connection that does, in place of the pool's Dial.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// RestrictionError is the error of a request that the connection opened for it must not carry.
+type RestrictionError struct {
+	// Via is the name of the box through which the connection went, "" if it was direct.
+	Via string
+}
+
+// Error implements error.
+func (e *RestrictionError) Error() string {
+	return fmt.Sprintf("the request must not use the connection through box %q", e.Via)
 }
 
 // WithdrawnError is the error of a request that was no longer to be sent.
@@ -265,10 +284,10 @@
 	}
 }
 
-// get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*connection, error) {
+// get returns an idle connection that is still open, or a new one. The restriction may be nil.
+func (p *Pool) get(ctx context.Context, maxIdle time.Duration, r *Restriction) (*connection, error) {
 	for {
-		c := p.pop()
+		c := p.pop(r)
 		if c == nil {
 			break
 		}
@@ -280,7 +299,11 @@
 		}
 		_ = c.Conn.Close()
 	}
-	conn, err := p.Dial(ctx, p.Address)
+	dial := p.Dial
+	if r != nil {
+		dial = r.Dial
+	}
+	conn, err := dial(ctx, p.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -309,18 +332,22 @@
 	return c
 }
 
-func (p *Pool) pop() *connection {
+// pop takes the idle connection that was used last, of those that the restriction allows.
+func (p *Pool) pop(r *Restriction) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; r.allows(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
+// allows reports whether the connection may carry the request.
+func (r *Restriction) allows(c *connection) bool { return r == nil || r.Allows(c.Conn) }
+
 func (p *Pool) put(c *connection) {
 	_ = c.SetDeadline(time.Time{})
 	c.idleSince = p.Now()
--- a/pkg/exchange/exchange_do.go
+++ b/pkg/exchange/exchange_do.go
@@ -32,7 +32,7 @@
 	if req.NonIdempotent {
 		maxIdle = p.Idle.Cap(maxIdle)
 	}
-	c, err := p.get(ctx, maxIdle)
+	c, err := p.get(ctx, maxIdle, req.Restriction)
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Cause: err}
 	}
@@ -40,8 +40,9 @@
 		p.put(c)
 		return nil, &Error{Stage: StageConnect, Cause: &WithdrawnError{}}
 	}
-	if req.OnConnection != nil {
-		req.OnConnection(c.Conn, c.reused)
+	if !req.Restriction.allows(c) {
+		p.put(c)
+		return nil, &Error{Stage: StageConnect, Cause: &RestrictionError{Via: c.via()}}
 	}
 	x := &roundTrip{pool: p, conn: c, ctx: ctx, abort: func() {}}
 	if req.AbortStream != nil {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -165,13 +164,11 @@
 	ObserveUnknownHeader func(name string)
 	// Background runs work that outlives its request.
 	Background func(work func())
-	// Pool returns the connections to a backend server. If bound is true, other boxes may pass
-	// the request on in the server's region only.
-	Pool func(server *backend.Server, bound bool) *exchange.Pool
-	// ObserveRestricted is called with the connection that is about to carry a request which may
-	// not run in all regions, and whether that has carried another one before.
-	ObserveRestricted func(server *backend.Server, c net.Conn, reused bool)
-	Now               func() time.Time
+	// Pool returns the connections to a backend server. Restriction allows those that pass through
+	// no other box than those of the server's region.
+	Pool        func(server *backend.Server) *exchange.Pool
+	Restriction func(server *backend.Server) *exchange.Restriction
+	Now         func() time.Time
 	// SyncClock makes Now include the time for which the machine was suspended.
 	SyncClock func()
 	// IsReturn reports whether a request is probably a client's return after a failed attempt.
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -213,8 +212,7 @@
 	start := s.Now()
 	c.tried = append(c.tried, lease.ID)
 	c.shed, c.via = nil, ""
-	pool := s.Pool(&lease.Server, c.isRegionRestricted())
-	answer, err := pool.Do(c.ctx, c.request(lease, start))
+	answer, err := s.Pool(&lease.Server).Do(c.ctx, c.request(lease, start))
 	if err != nil {
 		if wasSent(err) {
 			c.sent++
@@ -361,7 +359,7 @@
 		x.MaxIdle = idleIdempotent
 	}
 	if c.isRegionRestricted() {
-		x.OnConnection = func(conn net.Conn, reused bool) { c.server.ObserveRestricted(&lease.Server, conn, reused) }
+		x.Restriction = c.server.Restriction(&lease.Server)
 	}
 	if c.body.stream != nil {
 		x.Stream, x.Length = c.body.stream, c.body.length
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -369,7 +369,7 @@
 		AwaitServerLimit: n.awaitRoom, ReleaseServerLimit: n.releaseRoom,
 		ObserveTarget:        func(c *customer.Customer, inTime bool) { n.Ledger.Record(c.Name, inTime) },
 		Pool:                 n.pool,
-		ObserveRestricted:    n.logRestricted,
+		Restriction:          n.restriction,
 		ObserveDirectAnswer:  func(server *backend.Server) { n.Relay.Paths.ObserveAnswer(server.Address) },
 		IsPathLost:           n.isPathLost,
 		HasCrashed:           n.hasCrashed,
--- a/pkg/node/node_crash.go
+++ b/pkg/node/node_crash.go
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.context, crashCheckTimeout)
 	defer cancel()
-	err := n.pool(v, false).Probe(ctx)
+	err := n.pool(v).Probe(ctx)
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
 	if crashed {
 		n.log.Info("server crashed", map[string]any{"server": v.ID, "service": v.Service, "address": v.Address})
--- a/pkg/node/node_dial.go
+++ b/pkg/node/node_dial.go
@@ -102,21 +102,17 @@
 type poolKey struct {
 	incarnation string
 	address     string
-	// bound is true for connections that go through no region but the server's, where the link to
-	// the server does not work.
-	bound bool
 }
 
-// pool returns the connections to a backend server for requests that may, if bound is true, be
-// passed on in the server's region only. Each incarnation of a server has its own pool, so that no
-// connection to an earlier server at the address is reused.
-func (n *Node) pool(v *backend.Server, bound bool) *exchange.Pool {
-	key := poolKey{v.Incarnation(), v.Address, bound && n.Relay.Paths.State(v.Address) != relay.Working}
+// pool returns the connections to a backend server. Each incarnation of a server has its own pool,
+// so that no connection to an earlier server at the address is reused.
+func (n *Node) pool(v *backend.Server) *exchange.Pool {
+	key := poolKey{v.Incarnation(), v.Address}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.pools[key]
 	if p == nil {
-		target := relay.Target{Address: v.Address, Incarnation: key.incarnation, Region: n.Topology.RegionOf(v.Zone), Bound: key.bound}
+		target := n.target(v)
 		p = exchange.NewPool(v.Address, maxIdleConnections, func(ctx context.Context, _ string) (net.Conn, error) { return n.Relay.Dial(ctx, target) })
 		p.StillUsable = func(c net.Conn) bool { return n.mayReuse(target.Address, c) && exchange.StillUsable(c) }
 		p.Now = n.Clock.Now
@@ -126,6 +122,28 @@
 	return p
 }
 
+func (n *Node) target(v *backend.Server) relay.Target {
+	return relay.Target{Address: v.Address, Incarnation: v.Incarnation(), Region: n.Topology.RegionOf(v.Zone)}
+}
+
+// restriction allows the connections to a backend server for requests that may not run in all
+// regions: direct ones, and those through boxes of the server's region. Links fail at any time, so
+// this is determined for each connection, and not for the state of the link.
+func (n *Node) restriction(v *backend.Server) *exchange.Restriction {
+	target := n.target(v)
+	target.Bound = true
+	return &exchange.Restriction{
+		Allows: func(c net.Conn) bool { return staysIn(target.Region, c) },
+		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			conn, err := n.Relay.Dial(ctx, target)
+			if err == nil && !staysIn(target.Region, conn) {
+				n.logOutside(target, conn)
+			}
+			return conn, err
+		},
+	}
+}
+
 // dropPools closes the connections to servers that are no longer listed.
 func (n *Node) dropPools() {
 	n.mu.Lock()
--- a/pkg/node/node_relay.go
+++ b/pkg/node/node_relay.go
@@ -90,19 +90,21 @@
 	return c, nil
 }
 
-// logRestricted reports a request that may run in some regions only and leaves them, since a box
-// outside the server's region passes it on.
-func (n *Node) logRestricted(v *backend.Server, c net.Conn, reused bool) {
+// staysIn reports whether a connection to a server passes through no other box than those of the
+// region.
+func staysIn(region string, c net.Conn) bool {
 	relayed, ok := c.(*tunnel.Conn)
-	region := n.Topology.RegionOf(v.Zone)
-	if !ok || relayed.Region == region {
-		return
+	return !ok || relayed.Region == region
+}
+
+// logOutside reports a connection that was opened for a request which must not use it.
+func (n *Node) logOutside(t relay.Target, c net.Conn) {
+	fields := map[string]any{"server": t.Incarnation, "region": t.Region}
+	if relayed, ok := c.(*tunnel.Conn); ok {
+		fields["box"], fields["box_region"] = relayed.Box, relayed.Region
 	}
 	metrics.GetOrRegisterCounter("relay.outside_regions", n.Metrics).Inc(1)
-	n.log.Warn("a restricted request leaves its regions through another box", map[string]any{
-		"server": v.ID, "region": region, "box": relayed.Box, "box_region": relayed.Region, "reused": reused,
-		"link": n.Relay.Paths.State(v.Address).String(),
-	})
+	n.log.Warn("a connection for a restricted request passes through another region", fields)
 }
 
 // reasonOf returns why a box did not open a tunnel.
