Answers: a connection that is given up during an upload is no end of an answer

What callers saw: nothing was reported here; found while the report of resets during uploads was checked again. A server answers a long upload at once with a 200 without a length, sends a part of its body and stops reading, as one that hangs or has lost power does. The client got that part as a complete answer.

Cause: a box gives a connection up whose bytes were not acknowledged for a while (TCP_USER_TIMEOUT). The kernel tells of that once, as of a reset: ETIMEDOUT goes to the goroutine that sends the body, and the next read of the one that reads the answer returns EOF, which is the end of a body without a length. exchange.ResetConn kept ECONNRESET only.

Change: ResetConn keeps every error of the kernel that a write was told of, but for EPIPE, which follows an orderly close of the peer's, and returns it in place of EOF. That covers exchanges and the boxes that pass connections on, which both use it, and other errors that end a connection.

--- a/pkg/exchange/reset.go
+++ b/pkg/exchange/reset.go
@@ -12,13 +12,15 @@
 )
 
 // ResetConn is a TCP connection on which one goroutine may read while another one writes. The kernel
-// reports a reset once, and after that a read returns io.EOF, as if the peer had closed the connection
-// in order. If a write was told of the reset, Read returns it as well.
+// reports once that a connection has failed, by a reset or since sent bytes were not acknowledged, and
+// after that a read returns io.EOF, as if the peer had closed the connection in order. If a write was
+// told of the failure, Read returns it as well.
 type ResetConn struct {
 	net.Conn
 	// writing is held during a write.
 	writing sync.Mutex
-	isReset atomic.Bool
+	// failure is the kernel's error that a write was told of, 0 if there was none.
+	failure atomic.Uintptr
 }
 
 // NewResetConn returns a connection over c.
@@ -29,8 +31,9 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if errors.Is(err, syscall.ECONNRESET) {
-		c.isReset.Store(true)
+	var failure syscall.Errno
+	if errors.As(err, &failure) && failure != syscall.EPIPE {
+		c.failure.Store(uintptr(failure))
 	}
 	return n, err
 }
@@ -38,22 +41,25 @@
 // Read implements net.Conn. It returns io.EOF only if the peer has closed its side in order.
 func (c *ResetConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && c.wasReset() {
-		return n, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
+	if failure := c.writeFailure(err); failure != 0 {
+		return n, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: failure}
 	}
 	return n, err
 }
 
-// wasReset reports whether a write was told of a reset. A write that is in progress may be returning it.
-// It is waited for only where the connection has ended in both directions, so that it returns at once:
-// if the peer has only closed its own side, a write may wait for the peer to read on. A reset that
-// follows an orderly close is another error, EPIPE.
-func (c *ResetConn) wasReset() bool {
+// writeFailure returns the failure of the connection that a write was told of, if a read returned io.EOF.
+// A write that is in progress may be returning it. It is waited for only where the connection has ended
+// in both directions, so that it returns at once: if the peer has only closed its own side, a write may
+// wait for the peer to read on. A reset that follows an orderly close is another error, EPIPE.
+func (c *ResetConn) writeFailure(readErr error) syscall.Errno {
+	if !errors.Is(readErr, io.EOF) {
+		return 0
+	}
 	if c.hasEnded() {
 		c.writing.Lock()
 		defer c.writing.Unlock()
 	}
-	return c.isReset.Load()
+	return syscall.Errno(c.failure.Load())
 }
 
 // tcpClose is the state TCP_CLOSE of the kernel's connections.
--- a/pkg/exchange/reset_test.go
+++ b/pkg/exchange/reset_test.go
@@ -7,15 +7,24 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 )
 
 // uploadTo sends a body of 4 MiB to a server that serves its connection like this, and reads the answer.
 func uploadTo(t *testing.T, serve func(c *net.TCPConn), length int) (body []byte, err error) {
+	t.Helper()
+	return uploadOver(t, &net.Dialer{}, serve, length)
+}
+
+// uploadOver does the same over a connection of the dialer's.
+func uploadOver(t *testing.T, dialer *net.Dialer, serve func(c *net.TCPConn), length int) (body []byte, err error) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +37,7 @@
 		}
 	}()
 	p := NewPool(l.Addr().String(), 1, func(ctx context.Context, address string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		return dialer.DialContext(ctx, "tcp4", address)
 	})
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -70,6 +79,40 @@
 	}
 }
 
+// TestTimeoutDuringAnUploadIsNoEnd checks the same if the kernel gives the connection up, since the server
+// has stopped reading.
+func TestTimeoutDuringAnUploadIsNoEnd(t *testing.T) {
+	const userTimeout = 200 * time.Millisecond
+	dialer := &net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
+	}}
+	var complete, timedOut atomic.Int32
+	var uploads conc.WaitGroup
+	for range 40 {
+		uploads.Go(func() {
+			_, err := uploadOver(t, dialer, func(c *net.TCPConn) {
+				_, _ = c.Read(make([]byte, 1024))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				<-t.Context().Done()
+				_ = c.Close()
+			}, -1)
+			switch {
+			case err == nil:
+				complete.Add(1)
+			case errors.Is(err, syscall.ETIMEDOUT):
+				timedOut.Add(1)
+			}
+		})
+	}
+	uploads.Wait()
+	t.Logf("%d complete, %d timed out", complete.Load(), timedOut.Load())
+	is := is.New(t)
+	is.Equal(complete.Load(), int32(0))
+	is.True(timedOut.Load() > 0)
+}
+
 // TestEndDuringAnUploadIsAnEnd checks that an answer without a length is complete if its server closes
 // its sending side in order, also while the request's body cannot be sent on, and if the connection is
 // reset after that.
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/stoneworks/stoneworks/test/rawserver"
 )
@@ -168,31 +169,55 @@
 func TestResetUploadsAreNotAnswered(t *testing.T) {
 	for _, relayed := range []bool{false, true} {
 		t.Run(fmt.Sprint("relayed ", relayed), func(t *testing.T) {
-			is := is.New(t)
-			f := newUploadFleet(t, ResetEarly, 0, "east-a.1", "east-a.2")
-			if relayed {
-				f.Boxes[0].CutFromServers(ResetAll, nil)
-				eventually(t, "the other box passes requests on", func() bool {
-					c := &Client{Address: f.Boxes[0].Clients}
-					defer c.Close()
-					return c.Do("GET", "/read/1", "relayed", "", "").Status == 200
-				})
-			}
-			body := strings.Repeat("x", longBody)
-			results := map[string]int{}
-			for i := range 60 {
-				c := &Client{Address: f.Boxes[0].Clients}
-				is.NoErr(c.Open())
-				var sending conc.WaitGroup
-				sending.Go(func() { _ = c.Send("PUT", "/up/1", fmt.Sprint("upload-", i), body, "") })
-				a := c.Read()
-				results[fmt.Sprint(a.Status, " ", a.Problem)]++
-				sending.Wait()
-				c.Close()
+			checkPartialAnswers(t, ResetEarly, relayed, 60, 1, strings.Repeat("x", longBody))
+		})
+	}
+}
+
+// TestStalledUploadsAreNotAnswered checks the same if the server stops reading, so that the connection is
+// given up.
+func TestStalledUploadsAreNotAnswered(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprint("relayed ", relayed), func(t *testing.T) {
+			checkPartialAnswers(t, StallEarly, relayed, 8, 4, strings.Repeat("x", 8*longBody))
+		})
+	}
+}
+
+// checkPartialAnswers sends uploads to servers with a fault that breaks their answers off, some of them at
+// a time, and checks that no answer is taken as whole.
+func checkPartialAnswers(t *testing.T, fault Fault, relayed bool, uploads, atOnce int, body string) {
+	t.Helper()
+	is := is.New(t)
+	f := newUploadFleet(t, fault, 0, "east-a.1", "east-a.2")
+	if relayed {
+		f.Boxes[0].CutFromServers(ResetAll, nil)
+		eventually(t, "the other box passes requests on", func() bool {
+			c := &Client{Address: f.Boxes[0].Clients}
+			defer c.Close()
+			return c.Do("GET", "/read/1", "relayed", "", "").Status == 200
+		})
+	}
+	clients := pool.NewWithResults[string]().WithMaxGoroutines(atOnce)
+	for i := range uploads {
+		clients.Go(func() string {
+			c := &Client{Address: f.Boxes[0].Clients}
+			defer c.Close()
+			if err := c.Open(); err != nil {
+				return err.Error()
 			}
-			t.Logf("statuses and errors: %v", results)
-			is.Equal(results["200 <nil>"], 0)
-			is.True(results["502 <nil>"] > 0)
+			var sending conc.WaitGroup
+			sending.Go(func() { _ = c.Send("PUT", "/up/1", fmt.Sprint("upload-", i), body, "") })
+			a := c.Read()
+			sending.Wait()
+			return fmt.Sprint(a.Status, " ", a.Problem)
 		})
 	}
+	results := map[string]int{}
+	for _, result := range clients.Wait() {
+		results[result]++
+	}
+	t.Logf("statuses and errors: %v", results)
+	is.Equal(results["200 <nil>"], 0)
+	is.True(results["502 <nil>"] > 0)
 }
--- a/test/machines/server.go
+++ b/test/machines/server.go
@@ -40,8 +40,9 @@
 	EarlyAnswer
 	BeganEarly
 	// ResetEarly answers without a length before it reads the request's body, and resets the
-	// connection after a part of the answer.
+	// connection after a part of the answer; StallEarly keeps it open for stallTime without reading.
 	ResetEarly
+	StallEarly
 	// Refuse answers 503 and that the request was not executed, although slots are free.
 	Refuse
 	// Garbage sends bytes that are not an answer.
@@ -323,8 +324,8 @@
 		return s.readBody(run, request.Body)
 	case EarlyAnswer, BeganEarly:
 		return s.answerEarly(c, run, request.Body, fault)
-	case ResetEarly:
-		s.resetEarly(c, run)
+	case ResetEarly, StallEarly:
+		s.resetEarly(c, run, fault)
 		return false
 	}
 	if !s.readBody(run, request.Body) {
@@ -393,14 +394,21 @@
 	return err == nil
 }
 
+// stallTime is longer than a box leaves sent bytes unacknowledged.
+const stallTime = 4 * time.Second
+
 // resetEarly answers a part of a request's answer, without a length, and resets the connection.
-func (s *Server) resetEarly(c net.Conn, run *Run) {
+func (s *Server) resetEarly(c net.Conn, run *Run, fault Fault) {
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
 	s.writeHead(c, run.ID, http.StatusOK, -1, true, "")
 	_, _ = io.WriteString(c, AnswerBody(run.ID)[:100])
-	time.Sleep(time.Millisecond)
+	if fault == StallEarly {
+		time.Sleep(stallTime)
+	} else {
+		time.Sleep(time.Millisecond)
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
