Answers: one that breaks off does not end in order for a client of HTTP/1.0

What callers saw: nothing was reported; found while it was checked on which ways a part of an answer can pass for a whole one. A client of HTTP/1.0 that got a long answer (over 256 KiB) without a length, whose server broke off, saw its connection end in order behind a part of it, which is a whole answer there. The users' clients speak HTTP/1.1.

Cause: HTTP/1.0 has no chunks. A box shows that an answer broke off by closing the client's connection, and where the answer has no length that is its end.

Change: such a connection is set to end with a reset before the first byte of the answer is sent, and in order again once the last one has left the process (graceful.ResetOnClose).

Shown before, on: TestBrokenOffAnswersDoNotEndInOrder got "status 200, 524288 bytes, error <nil>" and "status 200, 307200 bytes, error <nil>" for the two answers that were cut; the two whole ones passed. Now the cut ones end with "connection reset by peer" in 5 of 5 runs, and the whole ones are whole. TestResetOnCloseLeavesNoOrderlyEnd is new with the function, and passed 30 of 30 runs.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -54,7 +54,9 @@
 	failure  error
 	isClosed bool
 	// isLast is set if no request may follow the one that is being served.
-	isLast              bool
+	isLast bool
+	// isReset is set if the connection ends with a reset.
+	isReset             bool
 	firstByte, lastByte time.Time
 	// requestBytes is how many bytes of the request have been read, and isAnswered is set once a
 	// byte was written since its first one.
@@ -190,7 +192,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	isUnanswered := c.phase == phaseRequest && !c.isAnswered && c.failure == nil && !c.isClosed
-	isLingering := c.isLast && c.failure == nil && !c.isClosed
+	isLingering := c.isLast && !c.isReset && c.failure == nil && !c.isClosed
 	c.isClosed = true
 	u := Unanswered{
 		Age: time.Since(c.accepted), FirstByte: c.firstByte.Sub(c.accepted), LastByte: time.Since(c.lastByte), Bytes: c.requestBytes,
@@ -232,6 +234,25 @@
 	c.isLast = true
 }
 
+// ResetOnClose sets whether the connection of the request of the context ends with a reset, also if the
+// process is killed. Where the end of the connection is the end of the answer, only a reset shows that the
+// answer is incomplete.
+func ResetOnClose(ctx context.Context, isReset bool) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isReset = isReset
+	linger := -1
+	if isReset {
+		linger = 0
+	}
+	// It fails only if the connection is closed already.
+	_ = exchange.SetLinger(c.Conn, linger)
+}
+
 // becomeIdle records that all requests have been answered.
 func (c *Conn) becomeIdle() {
 	c.mu.Lock()
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -211,6 +214,29 @@
 	_ = c.Conn.Close()
 }
 
+// TestResetOnCloseLeavesNoOrderlyEnd checks that a client does not see the end of a connection that is to
+// end with a reset, also where its request has not been read whole.
+func TestResetOnCloseLeavesNoOrderlyEnd(t *testing.T) {
+	for _, isReset := range []bool{true, false} {
+		is := is.New(t)
+		s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			ResetOnClose(r.Context(), true)
+			EndAfterAnswer(r.Context())
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			ResetOnClose(r.Context(), isReset)
+			panic(http.ErrAbortHandler)
+		})
+		close(s.mayAccept)
+		c := s.dial(t)
+		c.send(t, "GET / HTTP/1.0\r\n\r\n")
+		text, err := io.ReadAll(c.reader)
+		is.Equal(errors.Is(err, syscall.ECONNRESET), isReset)
+		is.Equal(err == nil, !isReset)
+		is.True(isReset || strings.HasSuffix(string(text), "part"))
+	}
+}
+
 // TestClosedListenerHandsItsQueueOver guards against ending, as if no connection were open, before the
 // owner has got the connections that were in the listener's queue.
 func TestClosedListenerHandsItsQueueOver(t *testing.T) {
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoneworks/stoneworks/pkg/backend"
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/graceful"
 	"github.com/stoneworks/stoneworks/pkg/outcome"
 )
 
@@ -62,12 +63,17 @@
 	if answer.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.Itoa(answer.Length))
 	}
+	// HTTP/1.0 has no chunks.
+	endsWithConn := answer.Length < 0 && !c.r.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		graceful.ResetOnClose(c.r.Context(), true)
+	}
 	c.beginAnswer(answer.Header.StatusCode(), answer.Sending)
 	_, err := c.w.Write(buffered)
 	if err == nil {
 		_, err = io.Copy(c.w, answer.Body)
 	}
-	if err == nil && answer.Sending {
+	if err == nil && (answer.Sending || endsWithConn) {
 		err = http.NewResponseController(c.w).Flush()
 	}
 	_ = answer.Body.Close()
@@ -82,6 +88,9 @@
 		// incomplete.
 		panic(http.ErrAbortHandler)
 	}
+	if endsWithConn {
+		graceful.ResetOnClose(c.r.Context(), false)
+	}
 	c.finish(lease, backend.Answered, meta.Load, start, nil)
 	c.answered(answer.Header.StatusCode())
 }
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -82,6 +82,9 @@
 	return nil
 }
 
+// SetLinger sets the option of the connection, see net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error { return exchange.SetLinger(c.Conn, seconds) }
+
 // Quiet reports whether the connection is open and nothing has arrived that was not handed out.
 func (c *Conn) Quiet() bool {
 	c.mu.Lock()
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -221,3 +221,37 @@
 	is.Equal(results["200 <nil>"], 0)
 	is.True(results["502 <nil>"] > 0)
 }
+
+// TestBrokenOffAnswersDoNotEndInOrder checks that a client of HTTP/1.0, for which the end of its connection
+// is the end of an answer without a length, does not take a part of a long one as whole.
+func TestBrokenOffAnswersDoNotEndInOrder(t *testing.T) {
+	const start, end = "Transfer-Encoding: chunked\r\n\r\n80000\r\n", "\r\n0\r\n\r\n"
+	text := strings.Repeat("x", 512<<10)
+	for name, c := range map[string]struct {
+		request string
+		rest    string
+		isWhole bool
+	}{
+		"GET, whole":  {"GET /read/1 HTTP/1.0\r\n\r\n", text + end, true},
+		"GET, cut":    {"GET /read/1 HTTP/1.0\r\n\r\n", text, false},
+		"POST, whole": {"POST /buy/1 HTTP/1.0\r\nContent-Length: 4\r\n\r\nbody", text + end, true},
+		"POST, cut":   {"POST /buy/1 HTTP/1.0\r\nContent-Length: 4\r\n\r\nbody", text[:300<<10], false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, "east-a.1")
+			s := f.Servers["east-a.1"]
+			s.RawAnswer = func(id string) string {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Stoneworks-Request-Id: %s\r\nX-Stoneworks-Response-Signature: %s\r\n%s%s", id, brokenSignature, start, c.rest)
+			}
+			s.SetFault(func(*Run) Fault { return Raw })
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			is.NoErr(client.write(strings.Replace(c.request, "\r\n", "\r\nHost: shop.example\r\nX-Stoneworks-Request-Id: 1\r\n", 1)))
+			a := client.Read()
+			t.Logf("status %d, %d bytes, error %v", a.Status, len(a.Body), a.Problem)
+			is.Equal(a.Problem == nil, c.isWhole)
+			is.True(!c.isWhole || a.Body == text)
+		})
+	}
+}
