Tests: answers that are cut in their heads, on all ways

Other operators saw servers stop in the middle of an answer's head, and clients that got a 200 with an empty or short body. Here nothing of the kind was found, and nothing in the product is changed. The tests end an answer in front of each of its bytes, once with a close and once with a reset:

- test/machines: a signed head with a length, directly and over another box, close only
- pkg/tunnel: the head as the server sends it, the answer to CONNECT, and the frames

pkg/pipeline: an answer that is served ahead and breaks off has no end. The table of malformed heads has status 001 too; 000, 099, 600 and 999 were there.

--- a/pkg/box/box_peers_test.go
+++ b/pkg/box/box_peers_test.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// TestCutAnswersOfBoxesAreErrors checks the same for answers that are cut anywhere.
+func TestCutAnswersOfBoxesAreErrors(t *testing.T) {
+	call := newTestBox(is.New(t)).newPeerCaller()
+	for name, answer := range rawserver.Cuts("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + `{"Box":"dakar-a-2"} `) {
+		var out struct{ Box string }
+		if call(t.Context(), rawserver.Start(t, answer), "/v1/heartbeat", struct{}{}, &out) == nil {
+			t.Error(name)
+		}
+	}
+}
+
 // compressedZeros returns 256 MiB of zeros, compressed.
 func compressedZeros() []byte {
 	body, _ := compress(make([]byte, 256<<20))
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// TestCutHeadsAreUnknown checks that a caller gets no part of an answer whose connection ends within its head.
+func TestCutHeadsAreUnknown(t *testing.T) {
+	for name, answer := range rawserver.Cuts("HTTP/1.1 200 OK\r\n" + entry.HeaderOutcome + ": " + string(outcome.Answered) + "\r\n\r\n") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := submit(t, answer)
+			is.Equal(r.Outcome, outcome.Unknown)
+			is.Equal(r.Status, 0)
+			is.Equal(len(r.Body), 0)
+		})
+	}
+}
+
 // TestAnswersWithoutEndAreUnknown checks that a caller does not hold an answer without end.
 func TestAnswersWithoutEndAreUnknown(t *testing.T) {
 	is := is.New(t)
--- a/pkg/ctl/ctl_boxes_test.go
+++ b/pkg/ctl/ctl_boxes_test.go
@@ -26,3 +26,17 @@
 		})
 	}
 }
+
+// TestCutAnswersAreFailures checks the same for answers that are cut anywhere.
+func TestCutAnswersAreFailures(t *testing.T) {
+	for name, answer := range rawserver.Cuts("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}") {
+		if code := Main([]string{"quarantine", rawserver.Start(t, answer)}, nil, io.Discard, io.Discard); code != ExitFailed {
+			t.Errorf("%s: %d", name, code)
+		}
+	}
+	for name, answer := range rawserver.Cuts("HTTP/1.1 204 No Content\r\nX-Status: 1\r\n\r\n") {
+		if callBox(t.Context(), "DELETE", rawserver.Start(t, answer), "/", nil) == nil {
+			t.Error(name)
+		}
+	}
+}
--- a/pkg/exchange/exchange_head_test.go
+++ b/pkg/exchange/exchange_head_test.go
@@ -6,10 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
 // exchangeWith returns the body of an answer that a server sends as these bytes, or the error with which
@@ -30,6 +33,7 @@
 	const rest = "Content-Length: 11\r\n\r\nhello world"
 	for name, answer := range map[string]string{
 		"status 000":                      "HTTP/1.1 000 OK\r\n" + rest,
+		"status 001":                      "HTTP/1.1 001 OK\r\n" + rest,
 		"status 099":                      "HTTP/1.1 099 OK\r\n" + rest,
 		"status 600":                      "HTTP/1.1 600 OK\r\n" + rest,
 		"status 999":                      "HTTP/1.1 999 OK\r\n" + rest,
@@ -110,27 +114,30 @@
 	is.True(errors.As(err, &malformed))
 }
 
+// unusualHeads are answers with the body "hello" whose heads the grammar allows.
+var unusualHeads = map[string]string{
+	"no reason":             "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello",
+	"no blank behind it":    "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
+	"HTTP/1.0":              "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+	"empty value":           "HTTP/1.1 200 OK\r\nX-Status:\r\nContent-Length: 5\r\n\r\nhello",
+	"tab in a value":        "HTTP/1.1 200 OK\r\nX-Status:\t1\t2\r\nContent-Length: 5\r\n\r\nhello",
+	"bytes above 127":       "HTTP/1.1 200 \xc3\xa4\r\nX-Status: \xc3\xa4\r\nContent-Length: 5\r\n\r\nhello",
+	"all kinds of names":    "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 5\r\n\r\nhello",
+	"coding in capitals":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"trailer":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Status: 1\r\n\r\n",
+	"interim answers":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+	"until the end":         "HTTP/1.1 200 OK\r\n\r\nhello",
+	"until the end, 1.0":    "HTTP/1.0 200 OK\r\n\r\nhello",
+	"highest status, 599":   "HTTP/1.1 599 Other\r\nContent-Length: 5\r\n\r\nhello",
+	"later minor version":   "HTTP/1.2 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+	"colons in a value":     "HTTP/1.1 200 OK\r\nX-Status: a: b\r\nContent-Length: 5\r\n\r\nhello",
+	"blanks round a value":  "HTTP/1.1 200 OK\r\nContent-Length:   5  \r\n\r\nhello",
+	"chunks with extension": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\n\r\n",
+}
+
 // TestUnusualHeadsAreAnswers checks that heads which the grammar allows are still answers.
 func TestUnusualHeadsAreAnswers(t *testing.T) {
-	for name, answer := range map[string]string{
-		"no reason":             "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello",
-		"no blank behind it":    "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
-		"HTTP/1.0":              "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-		"empty value":           "HTTP/1.1 200 OK\r\nX-Status:\r\nContent-Length: 5\r\n\r\nhello",
-		"tab in a value":        "HTTP/1.1 200 OK\r\nX-Status:\t1\t2\r\nContent-Length: 5\r\n\r\nhello",
-		"bytes above 127":       "HTTP/1.1 200 \xc3\xa4\r\nX-Status: \xc3\xa4\r\nContent-Length: 5\r\n\r\nhello",
-		"all kinds of names":    "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 5\r\n\r\nhello",
-		"coding in capitals":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
-		"trailer":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Status: 1\r\n\r\n",
-		"interim answers":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-		"until the end":         "HTTP/1.1 200 OK\r\n\r\nhello",
-		"until the end, 1.0":    "HTTP/1.0 200 OK\r\n\r\nhello",
-		"highest status, 599":   "HTTP/1.1 599 Other\r\nContent-Length: 5\r\n\r\nhello",
-		"later minor version":   "HTTP/1.2 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-		"colons in a value":     "HTTP/1.1 200 OK\r\nX-Status: a: b\r\nContent-Length: 5\r\n\r\nhello",
-		"blanks round a value":  "HTTP/1.1 200 OK\r\nContent-Length:   5  \r\n\r\nhello",
-		"chunks with extension": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\n\r\n",
-	} {
+	for name, answer := range unusualHeads {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			body, err := exchangeWith(answer)
@@ -139,3 +146,42 @@
 		})
 	}
 }
+
+// TestCutHeadsAreNoAnswers checks that an answer does not count whose connection ends within its head or the
+// interim answers before it.
+func TestCutHeadsAreNoAnswers(t *testing.T) {
+	heads := map[string]string{
+		"204": "HTTP/1.1 204 No Content\r\nX-Status: 1\r\n\r\n",
+		"304": "HTTP/1.1 304 Not Modified\r\nContent-Length: 1234\r\n\r\n",
+	}
+	for name, answer := range unusualHeads {
+		last := strings.LastIndex(answer, "HTTP/1.")
+		heads[name] = answer[:last+strings.Index(answer[last:], "\r\n\r\n")+len("\r\n\r\n")]
+	}
+	forms := map[string]func(r *Request){
+		"GET":              func(r *Request) { r.Header.SetMethod("GET") },
+		"HEAD":             func(r *Request) { r.Header.SetMethod("HEAD") },
+		"POST":             func(r *Request) { r.Body = []byte("body") },
+		"upload":           func(r *Request) { r.Stream, r.Length = strings.NewReader("body"), len("body") },
+		"upload in chunks": func(r *Request) { r.Stream, r.Length = strings.NewReader("body"), -1 },
+	}
+	plays := 0
+	for name, head := range heads {
+		for cut, answer := range rawserver.Cuts(head) {
+			p := NewPool(rawserver.Start(t, answer), 1, func(ctx context.Context, address string) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+			})
+			for form, set := range forms {
+				r := newRequest("")
+				set(r)
+				plays++
+				_, err := p.Do(t.Context(), r)
+				var failure *Error
+				if !errors.As(err, &failure) || !failure.Sent {
+					t.Errorf("%s, %s, %s: error %v", form, name, cut, err)
+				}
+			}
+		}
+	}
+	t.Logf("%d answers", plays)
+}
--- a/pkg/node/node_answers_test.go
+++ b/pkg/node/node_answers_test.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// TestCutListsOfBoxesAreErrors checks the same for a list that is cut anywhere.
+func TestCutListsOfBoxesAreErrors(t *testing.T) {
+	for name, answer := range rawserver.Cuts("HTTP/1.1 200 OK\r\nContent-Length: 32\r\n\r\n" + `{"at":7,"whole":true,"items":[]}`) {
+		if _, err := pull(t, rawserver.Start(t, answer)); err == nil {
+			t.Error(name)
+		}
+	}
+}
+
 // TestListWithoutEndIsRefused checks that a box does not hold a list of another box without end. Blanks
 // between two values are no part of one, and do not end a decoder's work either.
 func TestListWithoutEndIsRefused(t *testing.T) {
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -160,6 +161,35 @@
 	is.Equal(strings.Count(string(all), "HTTP/1.1 200"), 1)
 }
 
+// TestPartOfAnAbortedAnswerIsNotWhole checks that an answer served ahead that breaks off has no end, whether
+// its part was held or not.
+func TestPartOfAnAbortedAnswerIsNotWhole(t *testing.T) {
+	for _, size := range []int{1, maxHeld, maxHeld + 1} {
+		is := is.New(t)
+		address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			if r.Header.Get("Abort") != "" {
+				_, _ = w.Write(make([]byte, size))
+				panic(http.ErrAbortHandler)
+			}
+		})
+		c := dial(t, address)
+		_, err := io.WriteString(c, "GET /ahead HTTP/1.1\r\nHost: h\r\n\r\nGET /ahead HTTP/1.1\r\nHost: h\r\nAbort: 1\r\n\r\n")
+		is.NoErr(err)
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		reader := bufio.NewReader(c)
+		first, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, first.Body)
+		is.NoErr(err)
+		second, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, second.Body)
+		}
+		is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	}
+}
+
 // TestNoAnswerClosesInFrontOfRequestsThatAreServed checks that a box that begins to stop while
 // requests are served ahead closes their connection with the last of them, and that what follows
 // that one is not served.
--- a/pkg/platform/platform_http_test.go
+++ b/pkg/platform/platform_http_test.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// TestCutAnswersAreErrors checks the same for answers that are cut anywhere.
+func TestCutAnswersAreErrors(t *testing.T) {
+	for name, answer := range rawserver.Cuts("HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n" + `{"version":7,"objects":[]}`) {
+		p := startPlatform(t, answer)
+		if _, err := p.List(t.Context(), "services"); err == nil {
+			t.Error("list", name)
+		}
+		if _, err := p.Put(t.Context(), Object{Kind: "services", Name: "shop", Value: []byte("{}")}); err == nil {
+			t.Error("write", name)
+		}
+	}
+}
+
 // TestAnswersWithoutEndAreErrors checks that an answer is not read without end.
 func TestAnswersWithoutEndAreErrors(t *testing.T) {
 	const maxGrowth = 128 << 20
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
+	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/test/rawserver"
 )
 
@@ -151,6 +153,67 @@
 	is.New(t).Equal(complete, 0)
 }
 
+// exchangeOver sends a request over a tunnel and returns the body of its answer.
+func exchangeOver(t *testing.T, box, address string) (string, error) {
+	t.Helper()
+	p := exchange.NewPool(address, 1, func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", box)
+		if err != nil {
+			return nil, err
+		}
+		return Open(ctx, conn, "box", "server", address)
+	})
+	defer p.Close()
+	r := &exchange.Request{Header: &fasthttp.RequestHeader{}, Body: []byte("body")}
+	r.Header.SetMethod("POST")
+	a, err := p.Do(t.Context(), r)
+	if err != nil {
+		return "", err
+	}
+	body, err := a.ReadAll(1 << 10)
+	return string(body), err
+}
+
+// TestCutAnswersDoNotPassTunnels checks that an answer does not count if the server's connection ends within
+// its head, or that to the box between anywhere in front of the last frame.
+func TestCutAnswersDoNotPassTunnels(t *testing.T) {
+	const head = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Status: 1\r\n\r\n"
+	box := startBox(t, &Server{})
+	for name, answer := range rawserver.Cuts(head) {
+		if body, err := exchangeOver(t, box, rawserver.Start(t, answer)); err == nil {
+			t.Errorf("server %s: %q", name, body)
+		}
+	}
+	frames := string([]byte{0, byte(len(head))}) + head + "\x00\x05hello\x00\x00"
+	serve := func(answer func(c net.Conn)) (string, error) {
+		return exchangeOver(t, rawserver.Start(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			_, _ = c.Read(make([]byte, 1024))
+			answer(c)
+		}), "127.0.0.1:1")
+	}
+	for name, answer := range rawserver.Cuts(frames) {
+		if body, err := serve(answer); err == nil {
+			t.Errorf("box %s: %q", name, body)
+		}
+	}
+	body, err := serve(rawserver.Text(frames))
+	is.New(t).NoErr(err)
+	is.New(t).Equal(body, "hello")
+}
+
+// TestCutAnswersOpenNoTunnel checks that an answer to CONNECT whose head is cut opens none.
+func TestCutAnswersOpenNoTunnel(t *testing.T) {
+	for name, answer := range rawserver.Cuts("HTTP/1.1 200 OK\r\nX-Status: 1\r\n\r\n") {
+		conn, err := net.Dial("tcp4", rawserver.Start(t, answer))
+		is.New(t).NoErr(err)
+		if _, err := Open(t.Context(), conn, "box", "server", "127.0.0.1:1"); err == nil {
+			t.Error(name)
+		}
+		_ = conn.Close()
+	}
+}
+
 // TestAnswerWithoutEndOpensNoTunnel checks that the head of an answer to CONNECT is not read without end.
 func TestAnswerWithoutEndOpensNoTunnel(t *testing.T) {
 	for name, start := range map[string]string{"status line": "HTTP/1.1 200 ", "field": "HTTP/1.1 200 OK\r\nX: ", "fields": ""} {
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -94,6 +94,52 @@
 	}
 }
 
+// TestCutHeadsDoNotReachClients checks that a client gets no part of an answer whose connection ends within
+// its head, directly and through another box.
+func TestCutHeadsDoNotReachClients(t *testing.T) {
+	requests := []struct{ method, target, body, extra string }{
+		{"GET", "/buy/1", "", ""},
+		{"POST", "/buy/1", "body", ""},
+		{"PUT", "/up/1", "body", ""},
+		{"PUT", "/up/1", "4\r\nbody\r\n0\r\n\r\n", "Transfer-Encoding: chunked\r\n"},
+	}
+	whole := rawAnswer("HTTP/1.1 200 OK", "Content-Length: 1234\r\n")
+	headLength := strings.Index(whole("cut"), "\r\n\r\n") + len("\r\n\r\n")
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprint("relayed ", relayed), func(t *testing.T) {
+			f := newFleet(t, 2, "east-a.1", "east-a.2")
+			var length, cuts atomic.Int64
+			for _, s := range f.Servers {
+				s.RawAnswer = func(id string) string {
+					cuts.Add(1)
+					return whole(id)[:length.Load()]
+				}
+				s.SetFault(func(r *Run) Fault {
+					if strings.HasPrefix(r.Target, read.Prefix) {
+						return NoFault
+					}
+					return Raw
+				})
+			}
+			if relayed {
+				f.Boxes[0].CutFromServers(ResetAll, nil)
+			}
+			c := &Client{Address: f.Boxes[0].Clients}
+			defer c.Close()
+			for n := range headLength {
+				length.Store(int64(n))
+				eventually(t, "servers answer", func() bool { return c.Do("GET", "/read/1", "whole", "", "").Status == 200 })
+				r := requests[n%len(requests)]
+				a := c.Do(r.method, r.target, "cut", r.body, r.extra)
+				if a.Problem != nil || a.Status != 502 || a.Header.Get("X-Stoneworks-Response-Signature") != "" {
+					t.Errorf("%s after %d bytes: status %d, error %v, body %.40q", r.method, n, a.Status, a.Problem, a.Body)
+				}
+			}
+			is.New(t).Equal(cuts.Load(), int64(headLength))
+		})
+	}
+}
+
 // TestBrokenHeadIsRetried checks that a request that may run twice is answered by another server.
 func TestBrokenHeadIsRetried(t *testing.T) {
 	is := is.New(t)
--- a/test/rawserver/rawserver.go
+++ b/test/rawserver/rawserver.go
@@ -2,6 +2,7 @@
 package rawserver
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -50,6 +51,19 @@
 	}
 }
 
+// Cuts returns answers that end in front of each byte of a text, with a close or a reset, by what they are.
+func Cuts(text string) map[string]func(c net.Conn) {
+	cuts := map[string]func(c net.Conn){}
+	for n := range len(text) {
+		cuts[fmt.Sprintf("closed after %d bytes", n)] = Text(text[:n])
+		cuts[fmt.Sprintf("reset after %d bytes", n)] = func(c net.Conn) {
+			_, _ = io.WriteString(c, text[:n])
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}
+	return cuts
+}
+
 // Allocated returns how many bytes the process allocates while work runs.
 func Allocated(work func()) uint64 {
 	var before, after runtime.MemStats
