Answers: one to HEAD keeps the length that its server states

What callers saw: nothing was reported; found while it was checked which answers can pass for others. An answer to HEAD with "Content-Length: 1234", or without a length, reached the client with "Content-Length: 0", as a 200 whose body is empty.

Cause: a box reads a short answer whole and states the length of what it has read. After HEAD there is nothing to read.

Change: the length in an answer to HEAD is the one that the server states, if it does.

Shown before, on: TestHeadAnswersKeepTheirLength printed "0 != 1234" for HEAD and "0 != " for HEAD with an unknown length. The test then also wanted the length of a 304, which net/http leaves out and RFC 9110 lets a server leave out; that line now holds that there is none. GET without a length passed.

--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -40,13 +40,24 @@
 	}
 	_ = answer.Body.Close() // waits for the rest of a body that is still being sent
 	c.finish(lease, backend.Answered, meta.Load, start, nil)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
+	c.setLength(answer, len(buffered))
 	c.beginAnswer(status, false)
 	_, _ = c.w.Write(buffered)
 	c.answered(status)
 	return nil
 }
 
+// setLength sets the length of the answer's body, negative if it is not known. An answer to HEAD has no body,
+// and states the length that one to GET would have.
+func (c *call) setLength(answer *exchange.Answer, length int) {
+	if c.r.Method == http.MethodHead {
+		length = answer.Header.ContentLength()
+	}
+	if length >= 0 {
+		c.w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
 // sentError makes sure that a failure of an answer's body counts as one after the request was
 // sent.
 func sentError(err error) error {
@@ -60,9 +71,7 @@
 // stream passes on an answer while it arrives. If the request's body is still being sent, that goes on
 // until its end.
 func (c *call) stream(lease *backend.Lease, start time.Time, answer *exchange.Answer, buffered []byte, meta AnswerMeta) {
-	if answer.Length >= 0 {
-		c.w.Header().Set("Content-Length", strconv.Itoa(answer.Length))
-	}
+	c.setLength(answer, answer.Length)
 	// HTTP/1.0 has no chunks.
 	endsWithConn := answer.Length < 0 && !c.r.ProtoAtLeast(1, 1)
 	if endsWithConn {
--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -301,3 +302,32 @@
 		})
 	}
 }
+
+// TestHeadAnswersKeepTheirLength checks that an answer to HEAD does not say that the body is empty.
+func TestHeadAnswersKeepTheirLength(t *testing.T) {
+	f := newFleet(t, 1, "east-a.1")
+	for name, c := range map[string]struct{ method, status, extra, length string }{
+		"HEAD":                 {"HEAD", "200 OK", "Content-Length: 1234\r\n", "1234"},
+		"HEAD, unknown length": {"HEAD", "200 OK", "Transfer-Encoding: chunked\r\n", ""},
+		"304":                  {"GET", "304 Not Modified", "Content-Length: 1234\r\n", ""},
+		"GET, until the end":   {"GET", "200 OK", "", fmt.Sprint(len(AnswerBody("length")))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answerRaw(f.Servers["east-a.1"], func(id string) string {
+				text := rawAnswer("HTTP/1.1 "+c.status, c.extra)(id)
+				if c.extra != "" {
+					text = strings.TrimSuffix(text, AnswerBody(id))
+				}
+				return text
+			})
+			client := &Client{Address: f.Boxes[0].Clients}
+			defer client.Close()
+			is.NoErr(client.Send(c.method, "/buy/1", "length", "", ""))
+			answer, err := http.ReadResponse(client.reader, &http.Request{Method: c.method})
+			is.NoErr(err)
+			t.Log(answer.Status, answer.Header)
+			is.Equal(answer.Header.Get("Content-Length"), c.length)
+		})
+	}
+}
