--- a/test/machines/broken_answers_test.go
+++ b/test/machines/broken_answers_test.go
@@ -251,7 +251,7 @@
 			c := &Client{Address: f.Boxes[0].Clients}
 			defer c.Close()
 			if err := c.Open(); err != nil {
-				return err.Error()
+				t.Error(err)
 			}
 			var sending conc.WaitGroup
 			sending.Go(func() { _ = c.Send("PUT", "/up/1", fmt.Sprint("upload-", i), body, "") })
