Directory: boxes that stop or start are not taken for boxes that failed

While the boxes of a region stop as planned, its clients are named boxes of regions where their host's requests may not run (HOME, its clause on the directory, which counts planned work). A box that starts named such boxes too, though boxes of its region serve.

If no region that the host allows had a box in the list, any region was named, whether its boxes had failed, were leaving or had not been heard of yet; and a box without a configuration took every region for allowed.

Evidence: two boxes of a region stop, six boxes are asked for 1.5 s: 152 answers named boxes of both other regions.

Change: boxes of a region that the host does not allow are named only if a box of the client's region has fallen silent that did not leave as planned. Otherwise the answer is 503: clients ask another directory and keep their former names. hostAllowed is false without a configuration. This follows what docs/design/placing-clients.md said already (HOME holds).

Tests, on the code before: TestPlannedStopsSendNoRestrictedRequestsToOtherRegions "map[east:152 north:152] != map[]", TestBoxWithoutConfigurationNamesNoOtherRegion "not true", TestOnlyBoxesThatFailAreReplacedByThoseOfAnyRegion "1 != 0 // not heard of yet". All pass now. TestNoOtherRegionIsNamedNeedlessly demanded a name from any region wherever none is allowed, which is the fault; it now demands it where a box of the client's region has failed and forbids it elsewhere, and draws silent boxes. So it failed before too ("10.0.0.0 of region a is named, where the host's requests may not run").

It costs requests while all boxes of a region stop at once and their host allows no other region.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -40,12 +40,12 @@
 	StandbyTTL time.Duration
 	// RegionOf returns the region of a zone.
 	RegionOf func(zone string) string
-	// Self returns this box's record, and EachLive calls f with those of the other live boxes;
-	// see gossip.Table.
-	Self     func() gossip.Record
-	EachLive func(f func(r *gossip.Record))
+	// Self returns this box's record, and EachBox calls f with those of the other boxes that were
+	// heard of lately, and with whether each is live; see gossip.Table.EachPossibleSender.
+	Self    func() gossip.Record
+	EachBox func(f func(r *gossip.Record, isLive bool))
 	// RegionAllowed reports whether the requests of a host may be sent to a region other than
-	// the client's own.
+	// the client's own. It is false while the routes of the host are not known.
 	RegionAllowed func(host, region string) bool
 	// Generation returns a number that changes whenever boxes join, fall silent or change what
 	// the directory reads of them, and Now the time. If Generation is nil, each query reads the
@@ -58,9 +58,12 @@
 }
 
 // Resolve names the boxes of the client's zone; if these are too few, those of its region; and
-// if there are none, those of other regions that may serve the host's requests. Boxes much
-// smaller than others are left out as long as enough others remain; then standby boxes are
-// named as well, and boxes that use most of their machines are left out by part of the fleet.
+// if there are none, those of other regions that may serve the host's requests. If these have none
+// either, it names nobody, unless boxes of the client's region have failed: boxes that stop as
+// planned or that this box has not heard of yet are back soon, and clients keep their former answer
+// until then. Boxes much smaller than others are left out as long as enough others remain; then
+// standby boxes are named as well, and boxes that use most of their machines are left out by part
+// of the fleet.
 func (d *Directory) Resolve(q Query) Answer {
 	c := d.fleet().choose(q, d.RegionAllowed)
 	if c.hasStandby {
@@ -92,7 +95,7 @@
 // readFleet lists the boxes that accept requests by zone and region. Records are large, and are
 // not copied.
 func (d *Directory) readFleet() *fleet {
-	f := &fleet{zones: map[string][]*entry{}, regions: map[string][]*entry{}, regionOf: map[string]string{}, near: map[string]choice{}}
+	f := &fleet{zones: map[string][]*entry{}, regions: map[string][]*entry{}, regionOf: map[string]string{}, failed: map[string]bool{}, near: map[string]choice{}}
 	add := func(r *gossip.Record) {
 		if r.Ready && !r.Leaving {
 			f.zones[r.Zone] = append(f.zones[r.Zone], &entry{zone: r.Zone, clients: r.Clients, capacity: r.Capacity, use: r.Use})
@@ -101,7 +104,14 @@
 	self := d.Self()
 	f.answering = self.Box
 	add(&self)
-	d.EachLive(add)
+	d.EachBox(func(r *gossip.Record, isLive bool) {
+		switch {
+		case isLive:
+			add(r)
+		case !r.Leaving:
+			f.failed[d.RegionOf(r.Zone)] = true
+		}
+	})
 	for zone, list := range f.zones {
 		region := d.RegionOf(zone)
 		f.regionOf[zone] = region
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -20,7 +20,7 @@
 	}
 	return &Directory{
 		TTL: 3 * time.Second, StandbyTTL: 5 * time.Second, RegionOf: func(zone string) string { return zone[:len(zone)-2] },
-		Self: table.Self, EachLive: table.EachLive, RegionAllowed: func(_, region string) bool { return region != "north" },
+		Self: table.Self, EachBox: table.EachPossibleSender, RegionAllowed: func(_, region string) bool { return region != "north" },
 		Generation: table.Generation, Now: func() time.Time { return now },
 	}
 }
@@ -91,19 +91,21 @@
 
 // TestNoOtherRegionIsNamedNeedlessly checks that, whatever boxes run, a client is named boxes
 // of its own region if there are any, otherwise boxes of regions where its host's requests may
-// run, and others only if there are none of these; never a box that is not ready or is
-// leaving.
+// run, and others only if there are none of these and a box of its own region has failed; never a
+// box that is not ready, is leaving or has fallen silent.
 func TestNoOtherRegionIsNamedNeedlessly(t *testing.T) {
 	regions := map[string]string{"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b", "c-1": "c"}
 	zones := []string{"a-1", "a-2", "b-1", "b-2", "c-1"}
 	rapid.Check(t, func(t *rapid.T) {
 		var records []gossip.Record
+		var live []bool
 		for i := range rapid.IntRange(1, 14).Draw(t, "boxes") {
 			records = append(records, gossip.Record{
 				Box: fmt.Sprint("box-", i), Clients: fmt.Sprint("10.0.0.", i), Zone: rapid.SampledFrom(zones).Draw(t, "zone"),
 				Capacity: rapid.SampledFrom([]float64{0, 100, 1000}).Draw(t, "capacity"),
 				Ready:    rapid.IntRange(0, 9).Draw(t, "ready") > 0, Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
 			})
+			live = append(live, i == 0 || rapid.IntRange(0, 4).Draw(t, "live") > 0)
 		}
 		allowed := map[string]bool{}
 		for _, r := range []string{"a", "b", "c"} {
@@ -112,9 +114,9 @@
 		d := &Directory{
 			TTL: time.Second, RegionOf: func(zone string) string { return regions[zone] },
 			Self: func() gossip.Record { return records[0] },
-			EachLive: func(f func(r *gossip.Record)) {
+			EachBox: func(f func(r *gossip.Record, isLive bool)) {
 				for i := range records[1:] {
-					f(&records[1+i])
+					f(&records[1+i], live[1+i])
 				}
 			},
 			RegionAllowed: func(_, region string) bool { return allowed[region] },
@@ -124,11 +126,13 @@
 		named := d.Resolve(Query{Host: "host", Region: own, Zone: zone}).Addresses
 		serves := map[string]bool{}
 		zoneOf := map[string]string{}
-		for _, r := range records {
-			if r.Ready && !r.Leaving {
+		hasFailed := false
+		for i, r := range records {
+			if live[i] && r.Ready && !r.Leaving {
 				serves[regions[r.Zone]] = true
 				zoneOf[r.Clients] = r.Zone
 			}
+			hasFailed = hasFailed || !live[i] && !r.Leaving && regions[r.Zone] == own
 		}
 		anyAllowed := false
 		for r := range serves {
@@ -142,12 +146,34 @@
 			switch region := regions[z]; {
 			case serves[own] && region != own:
 				t.Fatalf("%s of region %s is named, though boxes of %s serve", address, region, own)
-			case !serves[own] && anyAllowed && !allowed[region]:
+			case !serves[own] && !allowed[region] && (anyAllowed || !hasFailed):
 				t.Fatalf("%s of region %s is named, where the host's requests may not run", address, region)
 			}
 		}
-		if len(named) == 0 && len(serves) > 0 {
-			t.Fatal("boxes serve, and none is named")
+		if len(named) == 0 && (serves[own] || anyAllowed || hasFailed && len(serves) > 0) {
+			t.Fatal("boxes serve that may be named, and none is")
 		}
 	})
 }
+
+// TestOnlyBoxesThatFailAreReplacedByThoseOfAnyRegion guards against names of boxes where the host's
+// requests may not run, given while the boxes of the client's region have left as planned.
+func TestOnlyBoxesThatFailAreReplacedByThoseOfAnyRegion(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		table := gossip.NewTable(box("self", "east-a"), func() time.Time { return now }, func(int) int { return 0 })
+		d := newDirectory()
+		d.Self, d.EachBox, d.Generation, d.Now = table.Self, table.EachPossibleSender, table.Generation, func() time.Time { return now }
+		d.RegionAllowed = func(_, region string) bool { return region == "west" }
+		resolve := func() []string { return d.Resolve(Query{Region: "west", Zone: "west-a"}).Addresses }
+		is.Equal(len(resolve()), 0) // not heard of yet
+		last := box("w1", "west-a")
+		table.Receive(&gossip.Message{From: last})
+		is.Equal(resolve(), []string{"w1"})
+		last.Sequence, last.Leaving = 1, leaving
+		table.Receive(&gossip.Message{From: last})
+		now = now.Add(gossip.SuspectFarAfter + time.Millisecond)
+		is.Equal(len(resolve()) == 0, leaving)
+	}
+}
--- a/pkg/directory/fleet.go
+++ b/pkg/directory/fleet.go
@@ -21,6 +21,8 @@
 	answering string
 	// regionOf holds the region of each zone that has boxes.
 	regionOf map[string]string
+	// failed holds the regions of which a box has fallen silent that did not leave as planned.
+	failed map[string]bool
 
 	mu sync.Mutex
 	// near holds the choices for clients of zones that have boxes, by zone. They depend on
@@ -63,7 +65,7 @@
 		region = slices.Concat(region, zone)
 	}
 	if len(region) == 0 {
-		return choice{addresses: addressesOf(f.farBoxes(q.Host, allowed))}
+		return choice{addresses: addressesOf(f.farBoxes(q, allowed))}
 	}
 	if isUnlike(region) {
 		if uncrowded := f.uncrowded(region); len(uncrowded) >= minBoxes {
@@ -77,19 +79,19 @@
 }
 
 // farBoxes returns boxes of the regions in which the host's requests may run, or, if these have
-// none, of all regions.
-func (f *fleet) farBoxes(host string, allowed func(host, region string) bool) []*entry {
+// none and boxes of the client's region have failed, of all regions.
+func (f *fleet) farBoxes(q Query, allowed func(host, region string) bool) []*entry {
 	var far, all []*entry
 	for region, list := range f.regions {
 		all = append(all, list...)
-		if allowed(host, region) {
+		if allowed(q.Host, region) {
 			far = append(far, list...)
 		}
 	}
-	if len(far) > 0 {
-		return largest(far, far)
+	if len(far) == 0 && f.failed[q.Region] {
+		return largest(all, all)
 	}
-	return largest(all, all)
+	return largest(far, far)
 }
 
 // omitted is the share of the directory's boxes that leave out a box of each level of use. Some
--- a/pkg/directory/standby_test.go
+++ b/pkg/directory/standby_test.go
@@ -82,7 +82,7 @@
 	}
 	d, read := newDirectory(), 0
 	d.Self, d.Generation, d.Now = table.Self, table.Generation, func() time.Time { return now }
-	d.EachLive = func(f func(r *gossip.Record)) { read++; table.EachLive(f) }
+	d.EachBox = func(f func(r *gossip.Record, isLive bool)) { read++; table.EachPossibleSender(f) }
 	for range 1000 {
 		is.Equal(len(west(d).Addresses), 4)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -211,7 +211,7 @@
 	}, n.boxCount, n.Clock.Now)
 	n.Directory = &directory.Directory{
 		TTL: min(preferredTTL, s.LookupTTL), StandbyTTL: min(standbyTTL, s.LookupTTL), RegionOf: n.Topology.RegionOf,
-		Self: n.Members.Self, EachLive: n.Members.EachLive, RegionAllowed: n.hostAllowed,
+		Self: n.Members.Self, EachBox: n.Members.EachPossibleSender, RegionAllowed: n.hostAllowed,
 		Generation: n.Members.Generation, Now: n.Clock.Now,
 	}
 	n.newReplica(logging.For(logger, "store"))
@@ -410,11 +410,11 @@
 	return ok && ago <= b.Revoke-min(revokeMargin, b.Revoke/2)
 }
 
-// hostAllowed reports whether all routes of the host allow the region.
+// hostAllowed reports whether all routes of the host are known to allow the region.
 func (n *Node) hostAllowed(host, region string) bool {
 	t := n.table.Load()
 	if t == nil {
-		return true
+		return false
 	}
 	routes := t.HostRoutes(host)
 	for _, r := range routes {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -45,6 +45,12 @@
 	is.Equal(capacityOf(settings.Machine{}), 0.0)
 }
 
+// TestBoxWithoutConfigurationNamesNoOtherRegion guards against a directory that names boxes of any
+// region while its box has just started and does not know the routes of a host.
+func TestBoxWithoutConfigurationNamesNoOtherRegion(t *testing.T) {
+	is.New(t).True(!(&Node{}).hostAllowed("shop.example", "east"))
+}
+
 // TestConnectionsNoticeASilentOtherEnd checks the socket options by which the kernel detects a
 // silent peer, also while nothing is sent.
 func TestConnectionsNoticeASilentOtherEnd(t *testing.T) {
