Relays: names and comments of the restriction, after the review

A request that the restriction stops no longer counts against its server (it has not been reached, by no fault of its own); it cannot come about as the code is. One function connects to a target; the log line names the server by its ID as others do.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -105,11 +105,12 @@
 type Restriction struct {
 	// Allows reports whether a connection may carry the request.
 	Allows func(net.Conn) bool
-	// Dial opens a connection that does, in place of the pool's Dial.
+	// Dial opens a connection that may, in place of the pool's Dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-// RestrictionError is the error of a request that the connection opened for it must not carry.
+// RestrictionError is the error of a request that was not sent, since its restriction does not allow
+// the connection that was opened for it.
 type RestrictionError struct {
 	// Via is the name of the box through which the connection went, "" if it was direct.
 	Via string
@@ -117,7 +118,7 @@
 
 // Error implements error.
 func (e *RestrictionError) Error() string {
-	return fmt.Sprintf("the request must not use the connection through box %q", e.Via)
+	return fmt.Sprintf("the request must not use a connection through %q", e.Via)
 }
 
 // WithdrawnError is the error of a request that was no longer to be sent.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -164,9 +164,10 @@
 	ObserveUnknownHeader func(name string)
 	// Background runs work that outlives its request.
 	Background func(work func())
-	// Pool returns the connections to a backend server. Restriction allows those that pass through
-	// no other box than those of the server's region.
-	Pool        func(server *backend.Server) *exchange.Pool
+	// Pool returns the connections to a backend server.
+	Pool func(server *backend.Server) *exchange.Pool
+	// Restriction allows, for requests that may not run in all regions, the connections to a
+	// server that pass through no box outside the server's region.
 	Restriction func(server *backend.Server) *exchange.Restriction
 	Now         func() time.Time
 	// SyncClock makes Now include the time for which the machine was suspended.
--- a/pkg/node/node_dial.go
+++ b/pkg/node/node_dial.go
@@ -113,7 +113,7 @@
 	p := n.pools[key]
 	if p == nil {
 		target := n.target(v)
-		p = exchange.NewPool(v.Address, maxIdleConnections, func(ctx context.Context, _ string) (net.Conn, error) { return n.Relay.Dial(ctx, target) })
+		p = exchange.NewPool(v.Address, maxIdleConnections, n.dialTo(target))
 		p.StillUsable = func(c net.Conn) bool { return n.mayReuse(target.Address, c) && exchange.StillUsable(c) }
 		p.Now = n.Clock.Now
 		p.Idle = n.idle
@@ -122,22 +122,28 @@
 	return p
 }
 
+// target returns a server as a destination of connections for requests that may run in all regions.
 func (n *Node) target(v *backend.Server) relay.Target {
 	return relay.Target{Address: v.Address, Incarnation: v.Incarnation(), Region: n.Topology.RegionOf(v.Zone)}
 }
 
-// restriction allows the connections to a backend server for requests that may not run in all
-// regions: direct ones, and those through boxes of the server's region. Links fail at any time, so
-// this is determined for each connection, and not for the state of the link.
+// dialTo returns a function that connects to a server, directly or through another box.
+func (n *Node) dialTo(t relay.Target) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, _ string) (net.Conn, error) { return n.Relay.Dial(ctx, t) }
+}
+
+// restriction allows the connections to a backend server that requests bound to regions may use:
+// direct ones, and those through boxes of the server's region.
 func (n *Node) restriction(v *backend.Server) *exchange.Restriction {
 	target := n.target(v)
 	target.Bound = true
+	dial := n.dialTo(target)
 	return &exchange.Restriction{
 		Allows: func(c net.Conn) bool { return staysIn(target.Region, c) },
-		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
-			conn, err := n.Relay.Dial(ctx, target)
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
 			if err == nil && !staysIn(target.Region, conn) {
-				n.logOutside(target, conn)
+				n.logOutside(v, conn)
 			}
 			return conn, err
 		},
--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -52,7 +52,7 @@
 	{"relay.served", "connections", "to backend servers passed on for other boxes"},
 	{"relay.refused", "connections", "not passed on, since this box is busy or leaving, or its own link may not work"},
 	{"relay.failed", "connections", "not passed on, since the backend server could not be reached"},
-	{"relay.outside_regions", "connections", "opened for requests that are restricted to regions, through a box outside these, and not used; it must stay 0"},
+	{"relay.outside_regions", "connections", "opened for requests bound to regions through a box outside the server's region, and not used; it must stay 0"},
 	{"rollouts.sent", "reports", "of how a new version of a service's servers fares, told to the boxes that ask the store"},
 	{"rollouts.told", "messages", "of how far orders to move services to new versions have come, to other boxes"},
 	{"rollouts.step", "steps", "that this box has taken, by which a new version of a service's servers gets a larger share of the requests"},
--- a/pkg/node/node_relay.go
+++ b/pkg/node/node_relay.go
@@ -98,13 +98,13 @@
 }
 
 // logOutside reports a connection that was opened for a request which must not use it.
-func (n *Node) logOutside(t relay.Target, c net.Conn) {
-	fields := map[string]any{"server": t.Incarnation, "region": t.Region}
+func (n *Node) logOutside(v *backend.Server, c net.Conn) {
+	fields := map[string]any{"server": v.ID, "zone": v.Zone}
 	if relayed, ok := c.(*tunnel.Conn); ok {
 		fields["box"], fields["box_region"] = relayed.Box, relayed.Region
 	}
 	metrics.GetOrRegisterCounter("relay.outside_regions", n.Metrics).Inc(1)
-	n.log.Warn("a connection for a restricted request passes through another region", fields)
+	n.log.Warn("a connection for a request bound to regions passes through another region", fields)
 }
 
 // reasonOf returns why a box did not open a tunnel.
@@ -134,7 +134,8 @@
 // isPathLost determines whether an exchange failed because of the link to the server, or of the
 // box that passed it on, and records what that shows of the link.
 func (n *Node) isPathLost(v *backend.Server, err error) bool {
-	if relay.IsNoPath(err) {
+	var restricted *exchange.RestrictionError
+	if relay.IsNoPath(err) || errors.As(err, &restricted) {
 		return true
 	}
 	var x *exchange.Error
