Backends: a bound request without a path rests its server for bound requests only

Callers were refused whose requests any box may pass on: a box was cut off from the servers and boxes of a region, and requests bound to that region found no path there, upon which the servers rested for all requests; where the link did not count as broken yet, the failure counted against the server.

Cause: what a request finds that few boxes may pass on was taken for what holds for all.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -163,8 +163,10 @@
 	// LargeBody is true if the request carries a large body. Such requests are kept near the box
 	// where that has no other cost.
 	LargeBody bool
-	// RegionAllowed reports whether the request may run in a region.
+	// RegionAllowed reports whether the request may run in a region. Bound is true if it may not
+	// run in all regions, so that fewer boxes may pass it on.
 	RegionAllowed func(region string) bool
+	Bound         bool
 	// Tried lists the IDs of the servers that the request was already sent to.
 	Tried []string
 	// AdmissionAsked is true once the caller has asked whether a server's limit leaves room for
--- a/pkg/backend/choose.go
+++ b/pkg/backend/choose.go
@@ -74,7 +74,7 @@
 			break
 		}
 		if best.ejected {
-			return nil, s.allEjected(r.Service, now, near, far)
+			return nil, s.allEjected(r, now, near, far)
 		}
 		if best.fill() >= limit {
 			best.shortages.record(&s.Policy, r.Priority, best.fill(), now)
@@ -97,6 +97,7 @@
 		best.shortages.record(&s.Policy, r.Priority, best.fill(), now)
 		l := s.lease(best, place, r.Key, now)
 		l.Metered, l.Denied, l.BackedOff = admission == Granted, denied.count, s.skippedBackoffs.count
+		l.bound = r.Bound
 		return l, nil
 	}
 	return nil, s.noServer(&denied, r.Service, now)
@@ -105,15 +106,15 @@
 // allEjected returns the error for a request whose candidates are all ejected or skipped, with
 // the time until the first ejection ends. It considers the region of the key's home if that has
 // any candidate. A client that retries sooner would be refused again.
-func (s *Set) allEjected(service string, now time.Time, near, far []candidate) *ChoiceError {
-	e := &ChoiceError{Reason: Failing, Service: service, RetryAfter: s.skippedBackoffs.retryAfter(now)}
+func (s *Set) allEjected(r *Request, now time.Time, near, far []candidate) *ChoiceError {
+	e := &ChoiceError{Reason: Failing, Service: r.Service, RetryAfter: s.skippedBackoffs.retryAfter(now)}
 	list := near
 	if len(list) == 0 {
 		list = far
 	}
 	for i := range list {
 		c := &list[i]
-		if in := c.health.ejectedUntil.Sub(now); c.ejected && !c.tried && (e.RetryAfter == 0 || in < e.RetryAfter) {
+		if in := c.health.ejectedUntilFor(r).Sub(now); c.ejected && !c.tried && (e.RetryAfter == 0 || in < e.RetryAfter) {
 			e.RetryAfter = in
 		}
 	}
@@ -210,7 +211,7 @@
 		return c, false
 	}
 	switch {
-	case v.health.ejected(now):
+	case now.Before(v.health.ejectedUntilFor(r)):
 		c.ejected = true
 		c.score = math.Inf(-1)
 	case c.cold:
--- a/pkg/backend/health.go
+++ b/pkg/backend/health.go
@@ -11,6 +11,9 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// boundEjectedUntil is the same for bound requests alone, for which there was no path to the
+	// server.
+	boundEjectedUntil time.Time
 	// latency is a moving average of the latency without the wait for a slot; 0 before the first
 	// answer.
 	latency time.Duration
@@ -69,6 +72,14 @@
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
+// ejectedUntilFor returns until when the server is ejected for a request.
+func (h *health) ejectedUntilFor(r *Request) time.Time {
+	if r.Bound && h.boundEjectedUntil.After(h.ejectedUntil) {
+		return h.boundEjectedUntil
+	}
+	return h.ejectedUntil
+}
+
 // loadEstimate is the estimated load of a server: this box's own requests, and those of other
 // boxes as last reported by the server.
 type loadEstimate struct {
--- a/pkg/backend/lease.go
+++ b/pkg/backend/lease.go
@@ -31,6 +31,8 @@
 	server *server
 	key    uint64
 	start  time.Time
+	// bound is true if the request may not run in all regions.
+	bound bool
 	// trial is true if the request probes whether a server accepts requests again after its
 	// backoff.
 	trial bool
@@ -120,8 +122,13 @@
 		v.refusedAt = now
 		ejected = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
 	case NoPath:
-		// The server may be well, so that the ejection does not grow.
-		v.health.ejectedUntil = now.Add(s.Policy.FirstRest)
+		// The server may be well, so that the ejection does not grow. Other requests may have a
+		// path to it where a bound one has none.
+		if l.bound {
+			v.health.boundEjectedUntil = now.Add(s.Policy.FirstRest)
+		} else {
+			v.health.ejectedUntil = now.Add(s.Policy.FirstRest)
+		}
 	case Unreachable:
 		ejected = v.health.failed(&s.Policy, now, s.Policy.FailuresToRest)
 	case Crashed:
--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -76,7 +76,7 @@
 // preferred server states allows another request, that is asked once.
 func (c *call) choose() (*backend.Lease, *outcome.Failure) {
 	r := &backend.Request{
-		Service: c.service, Route: c.route.Name, Key: c.placementKey(), Priority: c.priority(), LargeBody: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Tried: c.tried,
+		Service: c.service, Route: c.route.Name, Key: c.placementKey(), Priority: c.priority(), LargeBody: c.route.Kind == routing.Upload, RegionAllowed: c.regionAllowed, Bound: c.isRegionRestricted(), Tried: c.tried,
 	}
 	lease, err := c.server.Set.Choose(r)
 	var choice *backend.ChoiceError
--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -246,6 +246,8 @@
 	switch {
 	case r.d.Paths.State(r.target.Address) == Broken, r.d.Paths.CutOff():
 		return noPath
+	case r.target.Bound && len(r.d.Boxes()) > 0 && !errors.Is(r.ctx.Err(), context.Canceled):
+		return noPath // boxes of other regions may reach the server, and were not asked
 	case r.directErr == nil:
 		return r.errs[len(r.errs)-1]
 	case errors.Is(r.directErr, syscall.ECONNREFUSED):
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -183,3 +183,17 @@
 	is.True(p.MayReuse("s1"))
 	is.Equal(p.State("s1"), Broken)
 }
+
+// TestBoundRequestBlamesNoServerWithoutAVerdict guards against a server that counts as down for a request
+// which the boxes that might reach it may not pass on.
+func TestBoundRequestBlamesNoServerWithoutAVerdict(t *testing.T) {
+	for name, failure := range map[string]error{"hangs": errHangs, "refuses": refused} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := &world{direct: map[string]error{"s1": failure, "s2": failure}, through: map[string]error{"far": errHangs}}
+			_, err := w.dialer().Dial(t.Context(), Target{Address: "s1", Region: "west", Bound: true})
+			is.True(IsNoPath(err))
+			is.Equal(w.asked, []string{"far"})
+		})
+	}
+}
