KNOWN-RED: beside bound requests without a path, servers count as full

What callers see: at a box that is cut off from the servers and boxes of a region, 26 to 69 of some 800 requests that any box may pass on are refused as their server is full, beside as many clients whose requests are bound to that region (10 and one in 50 are allowed, as in the other tests of cuts). With no bound requests it was 5 of 1,506.

A failed try, not kept: a helping box that accepts no connection within 250 ms is not asked again for 2 s, also where the attempt to connect has ended by then. 34 of 791, 31 of 791 and 32 of 790.

--- a/test/machines/restricted_regions_test.go
+++ b/test/machines/restricted_regions_test.go
@@ -109,3 +109,37 @@
 		})
 	}
 }
+
+// TestBoundRequestsWithoutAPathRestNoServer guards against servers that get no requests at all, since a
+// request that only boxes of their region may pass on has found none.
+func TestBoundRequestsWithoutAPathRestNoServer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newThreeRegions(t)
+	f.Boxes[0].CutFromServers(Hanging, func(address string) bool {
+		host, _, _ := strings.Cut(address, ":")
+		return strings.HasSuffix(host, serversHost) || host == f.Boxes[1].IP || host == f.Boxes[4].IP
+	})
+	tries := &firstTries{served: map[int]int{}, failed: map[int]int{}, problems: map[string]int{}}
+	tr := newTrafficOf(f, 16, 20*time.Millisecond, func(c *Client, i, n int) *Answer {
+		c.Address = f.Boxes[0].Clients
+		method, prefix := "GET", "/read/"
+		if i%2 == 1 {
+			method, prefix = "POST", "/west/"
+		}
+		sent := time.Now()
+		a := c.Do(method, fmt.Sprint(prefix, n), fmt.Sprintf("%s-%d-%d", strings.Trim(prefix, "/"), i, n), "", fmt.Sprintf("X-Stoneworks-Affinity-Key: %d\r\n", n%40))
+		if prefix == "/read/" {
+			tries.add(0, sent, a)
+		}
+		return a
+	})
+	time.Sleep(contactTime)
+	tries.countFrom(time.Now())
+	time.Sleep(4 * time.Second)
+	tr.stopAndCount()
+	served, failed := tries.served[0], tries.failed[0]
+	t.Logf("%d served, %d not: %v", served, failed, tries.problems)
+	is.True(served > 0)
+	is.True(failed <= 10+(served+failed)/50)
+}
