Heads of requests count against the memory of the machine

Callers sent requests of legal size made of very many short or odd header lines, and a box ran out of memory. A line is held by itself: a head of 2,600 lines of three letters is 16 kB on the wire and 248 kB once net/http has parsed it (TestSizeCoversWhatIsHeld), as long as its request is read or served. Only the bytes of bodies were counted, and connections by their descriptors, so all heads together had no bound, at no port. Pipelined requests multiplied that by those served ahead.

heads.Account is one account for all ports. graceful.Conn counts a head by its bytes and lines while it arrives, before net/http parses them, so heads that are not ended count too; what may have been read of a head together with the body before it is carried over. All heads may take a quarter of memory_mb; larger ones are refused from 0.7 and 0.85 of it, so that a crowd of them leaves room for ordinary callers. A refused head is answered 503 with Retry-After and Connection: close before the request has been read whole, so it has not run; net/http adds nothing, and the connection is read for a while so that a reset does not discard the answer. Where later requests of the connection are being served already, it is only closed. One line is logged when refusals begin and end, and each is counted (heads.refused).

A single request of each form is served as before (TestOneRequestOfManyLinesIsServedInCalm).

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/pkg/heads"
 )
 
 // closingAnswer is sent on a connection that is closed while no request is on it. A client that
@@ -17,6 +19,10 @@
 // and that it may send it again (RFC 9110, section 15.5.9).
 const closingAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// refusingAnswer is sent in place of the answer to a request for whose head there is no memory. The
+// request has not been run.
+const refusingAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // pastDeadline is a deadline that makes reads return at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -53,6 +59,8 @@
 	// failure is the error that ended the connection.
 	failure  error
 	isClosed bool
+	// isHijacked is set once the connection carries no requests any more.
+	isHijacked bool
 	// isLast is set if no request may follow the one that is being served.
 	isLast bool
 	// isReset is set if the connection ends with a reset.
@@ -62,6 +70,10 @@
 	// byte was written since its first one.
 	requestBytes int
 	isAnswered   bool
+	// scanner follows the heads of requests, and headSize is what the group's account has counted
+	// for the current one.
+	scanner  heads.Scanner
+	headSize int64
 }
 
 // NetConn returns the connection that Wrap was called with.
@@ -78,23 +90,41 @@
 	}
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.noteRead(n, len(p), err) {
+		switch c.noteRead(p[:n], len(p), err) {
+		case readDone:
 			return n, err
-		}
-		if c.sayClosing() {
-			return 0, io.EOF
+		case readRefused:
+			return 0, c.refuse()
+		case readInterrupted:
+			if c.sayClosing() {
+				return 0, io.EOF
+			}
 		}
 	}
 }
 
-// noteRead records the result of a read into a buffer of that size. It reports whether the read was
-// interrupted so that the connection can be closed.
-func (c *Conn) noteRead(n, size int, err error) (isInterrupted bool) {
+// readResult is what becomes of a read.
+type readResult int
+
+const (
+	readDone readResult = iota
+	// readRefused: there is no memory for what was read.
+	readRefused
+	// readInterrupted: the read was interrupted so that the connection can be closed.
+	readInterrupted
+)
+
+// noteRead records the result of a read into a buffer of that size.
+func (c *Conn) noteRead(data []byte, size int, err error) readResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	n := len(data)
 	if n > 0 {
 		c.noteBytes(n)
 		c.isByteHeld = n == 1 && size == 1
+		if !c.isHijacked && !c.reserveHead(c.scanner.Scan(data, size)) {
+			return readRefused
+		}
 	}
 	isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
 	if err != nil && !isTimeout {
@@ -102,10 +132,10 @@
 	}
 	if c.isInterrupted && n == 0 && isTimeout {
 		c.isInterrupted = false
-		return true
+		return readInterrupted
 	}
 	c.endInterrupt()
-	return false
+	return readDone
 }
 
 func (c *Conn) noteBytes(n int) {
@@ -124,6 +154,51 @@
 	c.phase, c.requestBytes, c.isAnswered = phaseRequest, 0, false
 }
 
+// reserveHead makes the account count the head with the given size, in bytes.
+func (c *Conn) reserveHead(size int64) (ok bool) {
+	if ok = c.group.Heads.Grow(c.headSize, size); ok {
+		c.headSize = size
+	}
+	return ok
+}
+
+// releaseHead takes back what the account has counted.
+func (c *Conn) releaseHead() {
+	c.group.Heads.Release(c.headSize)
+	c.headSize = 0
+}
+
+// refuse answers the request whose head is being read, and makes net/http close the connection. No
+// request after it is read.
+func (c *Conn) refuse() error {
+	c.mu.Lock()
+	c.phase, c.isLast, c.isAnswered = phaseClosing, true, true
+	c.mu.Unlock()
+	address := c.RemoteAddr().String()
+	inner, isPipelined := c.Conn.(interface{ EndRequests() (mayAnswer bool) })
+	if isPipelined && !inner.EndRequests() {
+		return refusal(address)
+	}
+	// Nothing depends on whether the client gets the answer.
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.Conn, refusingAnswer)
+	return refusal(address)
+}
+
+// NoMemoryError is the error of reading a head for which there is no memory.
+type NoMemoryError struct{ Client string }
+
+// Error implements error.
+func (e *NoMemoryError) Error() string {
+	return fmt.Sprintf("no memory for the head of a request of %s", e.Client)
+}
+
+// refusal returns the error of a refused head in the form after which net/http closes a connection
+// without an answer of its own.
+func refusal(client string) error {
+	return &net.OpError{Op: "read", Net: "tcp", Err: &NoMemoryError{Client: client}}
+}
+
 // beginServing records that a request is being served. net/http may have read it together with
 // the one before it. It returns false if the request must not be served.
 func (c *Conn) beginServing() (ok bool) {
@@ -135,6 +210,7 @@
 	if c.phase != phaseRequest {
 		c.beginRequest()
 	}
+	c.scanner.EndHead()
 	c.endInterrupt()
 	return true
 }
@@ -194,6 +270,7 @@
 	isUnanswered := c.phase == phaseRequest && !c.isAnswered && c.failure == nil && !c.isClosed
 	isLingering := c.isLast && !c.isReset && c.failure == nil && !c.isClosed
 	c.isClosed = true
+	c.releaseHead()
 	u := Unanswered{
 		Age: time.Since(c.accepted), FirstByte: c.firstByte.Sub(c.accepted), LastByte: time.Since(c.lastByte), Bytes: c.requestBytes,
 	}
@@ -257,6 +334,8 @@
 func (c *Conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releaseHead()
+	c.scanner.Next()
 	if c.isLast {
 		c.phase = phaseClosing
 		return
@@ -269,6 +348,14 @@
 	c.phase = phaseIdle
 }
 
+// becomeHijacked records that the connection carries no requests any more.
+func (c *Conn) becomeHijacked() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHijacked = true
+	c.releaseHead()
+}
+
 // interrupt makes the pending read of a connection return if no request is on it, or the next read if
 // none is pending, which then closes it. New connections are included if withNew is set.
 func (c *Conn) interrupt(withNew bool) {
--- a/pkg/graceful/graceful.go
+++ b/pkg/graceful/graceful.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/stoneworks/stoneworks/pkg/heads"
 )
 
 const (
@@ -35,6 +37,9 @@
 	// OnUnanswered is called when this side closes a connection on which a part of a request,
 	// or all of it, has been read and no byte has been written since.
 	OnUnanswered func(u Unanswered)
+	// Heads counts what the heads of requests take of memory. A request for whose head there is none
+	// is refused, and its connection closed.
+	Heads *heads.Account
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -56,7 +61,7 @@
 // New returns an empty set of connections that reports nothing.
 func New() *Connections {
 	return &Connections{
-		ObserveFirstByte: func(time.Duration) {}, OnUnanswered: func(Unanswered) {}, open: map[*Conn]struct{}{},
+		ObserveFirstByte: func(time.Duration) {}, OnUnanswered: func(Unanswered) {}, Heads: &heads.Account{}, open: map[*Conn]struct{}{},
 	}
 }
 
@@ -107,6 +112,7 @@
 			own.interrupt(false)
 		}
 	case http.StateHijacked:
+		own.becomeHijacked()
 		g.remove(own)
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/stoneworks/stoneworks/pkg/exchange"
 	"github.com/stoneworks/stoneworks/pkg/failurereport"
 	"github.com/stoneworks/stoneworks/pkg/gossip"
+	"github.com/stoneworks/stoneworks/pkg/heads"
 	"github.com/stoneworks/stoneworks/pkg/ingress"
 	"github.com/stoneworks/stoneworks/pkg/logging"
 	"github.com/stoneworks/stoneworks/pkg/objects"
@@ -166,6 +167,8 @@
 	traffic        traffic
 	// bodies bounds the request bodies that the box holds.
 	bodies utilization.Bodies
+	// heads bounds the heads of requests that the box holds.
+	heads heads.Account
 
 	ports      *ports
 	background *conc.WaitGroup
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -271,6 +271,7 @@
 		metrics.GetOrRegisterTimer("connections.first_byte", n.Metrics).Update(d)
 	}
 	g.OnUnanswered = n.logUnanswered
+	g.Heads = &n.heads
 	return g
 }
 
@@ -289,6 +290,7 @@
 func (n *Node) clientHandler() *pipeline.Handler {
 	return &pipeline.Handler{
 		Next: n.countRequests(n.Ingress), MayServeAhead: n.Ingress.MayServeAhead, Count: n.Ingress.Count,
+		Heads: &n.heads,
 	}
 }
 
--- a/pkg/node/node_utilization.go
+++ b/pkg/node/node_utilization.go
@@ -143,6 +143,8 @@
 		Now:   n.Clock.Now,
 	}
 	n.bodies.Memory, n.bodies.Now = m.MemoryMB*(1<<20), n.Clock.Now
+	n.heads.Memory, n.heads.OnChange = m.MemoryMB*(1<<20), n.logHeads
+	n.heads.OnRefused = func() { gometrics.GetOrRegisterCounter("heads.refused", n.Metrics).Inc(1) }
 	if unknown := n.Utilization.Unknown(); len(unknown) > 0 {
 		names := make([]string, 0, len(unknown))
 		for _, r := range unknown {
@@ -153,6 +155,15 @@
 	n.utilizationLog = log
 }
 
+// logHeads logs that heads of requests have begun to be refused, or have room again.
+func (n *Node) logHeads(isShort bool, held int64) {
+	message := "memory for heads of requests is free again"
+	if isShort {
+		message = "heads of requests are refused, since memory runs short"
+	}
+	n.utilizationLog.Info(message, map[string]any{"held": held, "refused": gometrics.GetOrRegisterCounter("heads.refused", n.Metrics).Count()})
+}
+
 // readUtilization reads the box's counters and returns the level that other boxes are told.
 func (n *Node) readUtilization(former utilization.Level) utilization.Level {
 	n.Utilization.Observe(n.readMachine())
--- a/pkg/pipeline/answer.go
+++ b/pkg/pipeline/answer.go
@@ -19,6 +19,8 @@
 type answer struct {
 	request *http.Request
 	header  http.Header
+	// release takes back what the request's head takes of memory. It may be called more than once.
+	release func()
 	// done is closed when the handler has returned; panicked is its panic, if it panicked.
 	done     chan struct{}
 	panicked *panics.Recovered
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -21,6 +21,11 @@
 	readSize = 4 << 10
 	// maxAhead bounds the requests of a connection that are served ahead.
 	maxAhead = 8
+	// aheadSize is what a request that is served ahead takes of memory besides its head, in bytes.
+	aheadSize = 16 << 10
+	// pendingSize is what a connection takes of memory while it is read beyond the request that is
+	// being served, in bytes.
+	pendingSize = 2*maxPending + readSize
 )
 
 // Conn is a client's connection as net/http reads it. Reads return no byte of a request before
@@ -41,6 +46,8 @@
 	pending    []byte
 	aheadBytes int
 	ahead      []*answer
+	// pendingSize is what is counted of memory for pending.
+	pendingSize int64
 	// aheadAllowed is set if requests after the one being served may be served too.
 	aheadAllowed bool
 	// failure is the error that ended the connection's stream.
@@ -51,6 +58,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.cancelAhead()
+	c.dropPending()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -70,9 +78,46 @@
 func (c *Conn) cancelAhead() {
 	c.cancel()
 	c.aheadAllowed = false
+	for _, a := range c.ahead {
+		a.release()
+	}
 	c.ahead = nil
 }
 
+// dropPending drops the bytes that follow the current request.
+func (c *Conn) dropPending() {
+	c.pending = nil
+	c.releasePending()
+}
+
+// reservePending reports whether there is memory to read beyond the request that is being served.
+func (c *Conn) reservePending() (ok bool) {
+	if c.pendingSize > 0 {
+		return true
+	}
+	if ok = c.handler.Heads.Grow(0, pendingSize); ok {
+		c.pendingSize = pendingSize
+	}
+	return ok
+}
+
+func (c *Conn) releasePending() {
+	c.handler.Heads.Release(c.pendingSize)
+	c.pendingSize = 0
+}
+
+// EndRequests ends the requests of a connection: what is still read of it is discarded and not kept.
+// It reports whether none is being served ahead, whose place an answer would take.
+func (c *Conn) EndRequests() (mayAnswer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mayAnswer = len(c.ahead) == 0
+	c.cancelAhead()
+	c.dropPending()
+	c.framing = framing{opaque: true}
+	return mayAnswer
+}
+
 // CloseWrite closes the writing side before the connection is closed, since a client that is
 // still sending must not lose its answer to a reset. net/http looks for this method.
 func (c *Conn) CloseWrite() error {
@@ -132,6 +177,9 @@
 	n = c.framing.advance(p[:n])
 	c.pending = c.pending[:copy(c.pending, c.pending[n:])]
 	c.aheadBytes = max(0, c.aheadBytes-n)
+	if len(c.pending) == 0 {
+		c.dropPending()
+	}
 	return n
 }
 
@@ -142,8 +190,9 @@
 	for {
 		c.mu.Lock()
 		held := len(c.pending)
+		mayRead := held < maxPending && (held == 0 || c.reservePending())
 		c.mu.Unlock()
-		if held >= maxPending {
+		if !mayRead {
 			return c.handOut(p), nil
 		}
 		if held > 0 && len(chunk) == 1 {
@@ -166,7 +215,7 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.mu.Lock()
 		c.failure = err
-		c.pending = nil
+		c.dropPending()
 		c.cancelAhead()
 		c.mu.Unlock()
 	}
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -14,10 +14,18 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/stoneworks/stoneworks/pkg/heads"
 )
 
 // serve serves connections through Conn with a handler until the test ends.
 func serve(t *testing.T, handler http.HandlerFunc) (address string) {
+	t.Helper()
+	return serveWith(t, &heads.Account{}, handler)
+}
+
+// serveWith is serve with an account of heads.
+func serveWith(t *testing.T, account *heads.Account, handler http.HandlerFunc) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -25,7 +33,7 @@
 	}
 	h := &Handler{
 		Next: handler, MayServeAhead: func(r *http.Request) bool { return r.URL.Path == "/ahead" },
-		Count: func(name string) { t.Log(name) },
+		Count: func(name string) { t.Log(name) }, Heads: account,
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ConnContext: ConnContext}
 	go func() { _ = s.Serve(&wrappingListener{l, h}) }()
@@ -266,3 +274,53 @@
 		}
 	}
 }
+
+// TestRequestsWithoutMemoryWaitForTheirTurn checks that pipelined requests for which there is no memory are
+// served all the same, one after the other.
+func TestRequestsWithoutMemoryWaitForTheirTurn(t *testing.T) {
+	is := is.New(t)
+	account := &heads.Account{Memory: 1}
+	var running, most atomic.Int64
+	address := serveWith(t, account, func(w http.ResponseWriter, _ *http.Request) {
+		most.Store(max(most.Load(), running.Add(1)))
+		time.Sleep(5 * time.Millisecond)
+		running.Add(-1)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c := dial(t, address)
+	const count = 30
+	_, err := io.WriteString(c, strings.Repeat("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n", count))
+	is.NoErr(err)
+	reader := bufio.NewReader(c)
+	for range count {
+		answer, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(answer.StatusCode, http.StatusNoContent)
+	}
+	is.Equal(most.Load(), int64(1))
+	is.Equal(account.Held(), int64(0))
+}
+
+// TestPipelinedRequestsAreReleased checks that nothing stays counted when a client leaves while its
+// requests are being served.
+func TestPipelinedRequestsAreReleased(t *testing.T) {
+	is := is.New(t)
+	account := &heads.Account{Memory: 64 << 20}
+	var begun atomic.Int64
+	address := serveWith(t, account, func(_ http.ResponseWriter, r *http.Request) {
+		begun.Add(1)
+		<-r.Context().Done()
+	})
+	c := dial(t, address)
+	_, err := io.WriteString(c, strings.Repeat("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n", 30))
+	is.NoErr(err)
+	for end := time.Now().Add(5 * time.Second); begun.Load() < maxAhead && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(account.Held() > 0)
+	_ = c.Close()
+	for end := time.Now().Add(5 * time.Second); account.Held() != 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(account.Held(), int64(0))
+}
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -15,6 +15,9 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+
+	"github.com/stoneworks/stoneworks/pkg/heads"
 )
 
 // Handler serves the requests of wrapped connections. All fields are required.
@@ -26,6 +29,8 @@
 	MayServeAhead func(r *http.Request) bool
 	// Count counts an event.
 	Count func(name string)
+	// Heads counts what requests take that are read before their turn.
+	Heads *heads.Account
 }
 
 // Wrap wraps a client's connection before net/http serves it.
@@ -83,6 +88,7 @@
 		defer c.forbidAhead()
 	}
 	if a != nil {
+		defer a.release()
 		a.deliver(w)
 		return
 	}
@@ -96,6 +102,20 @@
 
 // begin starts serving a request ahead. It returns nil if the request may not be served ahead.
 func (h *Handler) begin(c *Conn, head []byte) *answer {
+	size := aheadSize + heads.Size(head)
+	if !h.Heads.Grow(0, size) {
+		return nil
+	}
+	a := h.serveAhead(c, head)
+	if a == nil {
+		h.Heads.Release(size)
+		return nil
+	}
+	a.release = sync.OnceFunc(func() { h.Heads.Release(size) })
+	return a
+}
+
+func (h *Handler) serveAhead(c *Conn, head []byte) *answer {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil || !isPlain(r) || !h.MayServeAhead(r) {
 		// net/http reports what is wrong with the request.
