The collector keeps garbage within the machine's memory

The runtime knew nothing of the machine: it lets the heap grow to twice of what lives before it collects, and a crowd that is refused leaves much garbage in little time.

runNode sets the runtime's memory limit to 0.7 of memory_mb; the rest is for the program's own pages and what the runtime does not count. The limit is soft: it makes the collector run more often near it, and bounds nothing that lives, which is what the accounts of heads and bodies are for. With memory_mb unknown nothing is set.

--- a/pkg/daemon/daemon_node.go
+++ b/pkg/daemon/daemon_node.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -42,6 +43,7 @@
 			c.Node(n)
 		}
 	}
+	limitMemory(s.Machine)
 	if err := n.Start(); err != nil {
 		fmt.Fprintln(stderr, err)
 		n.Stop()
@@ -55,6 +57,17 @@
 	return ExitOK
 }
 
+// collectShare is the share of the machine's memory from which the collector runs more often, so that
+// garbage does not exceed the machine. The rest is for what the runtime does not count.
+const collectShare = 0.7
+
+// limitMemory makes the runtime keep garbage within the memory of the machine, if that is known.
+func limitMemory(m settings.Machine) {
+	if m.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(collectShare * m.MemoryMB * (1 << 20)))
+	}
+}
+
 // reloadUntilStopped applies changed settings until a signal tells the box to stop.
 func reloadUntilStopped(n *node.Node, path string, signals <-chan os.Signal, log *logging.Logger) {
 	poll := time.NewTicker(settingsPoll)
