Pipelining: connections keep no copy of a head that has ended

framing gathers a head that arrives in parts, to find its end, and kept the buffer of up to 64 kB for the life of the connection; with a head that is too long to be parsed here it kept the part as well. An idle connection is counted as free by heads.Account, so a crowd that sends a large head in two parts, gets its answer and stays idle held 12 kB and more each that nothing counted: 45 MB on a machine with 4,100 descriptors.

The buffer is dropped once the head has ended. bodyLength reads the lines where they are instead of in a copy of the head with a table of them, which was garbage of several times the head.

TestHeadsAreNotKeptAfterTheirEnd failed before ("12288 != 0") and passes.

--- a/pkg/pipeline/framing.go
+++ b/pkg/pipeline/framing.go
@@ -56,7 +56,7 @@
 	end := headerEnd(head)
 	switch {
 	case end > maxHeader || end < 0 && len(head) > maxHeader:
-		f.opaque = true
+		f.opaque, f.head = true, nil
 		return len(data)
 	case end < 0:
 		if before == 0 {
@@ -65,7 +65,7 @@
 		return len(data)
 	}
 	length, ok := bodyLength(head[:end])
-	f.head = f.head[:0]
+	f.head = nil
 	f.bodyLeft = length
 	f.opaque = !ok
 	return end - before
@@ -83,26 +83,34 @@
 // bodyLength returns the length of the body that a header announces. ok is false if the header
 // can be read in another way, or if only the body determines the length.
 func bodyLength(head []byte) (length int64, ok bool) {
-	lines := strings.Split(strings.TrimSuffix(string(head), "\r\n\r\n"), "\r\n")
-	if lines[0] == "" {
+	first, rest, _ := bytes.Cut(bytes.TrimSuffix(head, []byte("\r\n\r\n")), lineEnd)
+	if len(first) == 0 || bytes.ContainsAny(first, "\r\n") {
 		return 0, false
 	}
 	found := false
-	for _, line := range lines[1:] {
-		name, value, isField := strings.Cut(line, ":")
-		if !isField || strings.ContainsAny(line, "\r\n") || strings.ContainsAny(name, " \t") {
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, lineEnd)
+		name, value, isField := bytes.Cut(line, []byte{':'})
+		if !isField || bytes.ContainsAny(line, "\r\n") || bytes.ContainsAny(name, " \t") {
 			return 0, false
 		}
 		switch {
-		case strings.EqualFold(name, "Transfer-Encoding"), strings.EqualFold(name, "Upgrade"):
+		case isName(name, "Transfer-Encoding"), isName(name, "Upgrade"):
 			return 0, false
-		case strings.EqualFold(name, "Content-Length"):
-			n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 62)
+		case isName(name, "Content-Length"):
+			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 62)
 			if err != nil || found {
 				return 0, false
 			}
 			length, found = int64(n), true
 		}
 	}
-	return length, !strings.ContainsAny(lines[0], "\r\n")
+	return length, true
+}
+
+var lineEnd = []byte("\r\n")
+
+func isName(name []byte, known string) bool {
+	return len(name) == len(known) && strings.EqualFold(string(name), known)
 }
--- a/pkg/pipeline/framing_test.go
+++ b/pkg/pipeline/framing_test.go
@@ -67,3 +67,18 @@
 		is.New(t).Equal(f.betweenRequests(), false)
 	}
 }
+
+// TestHeadsAreNotKeptAfterTheirEnd guards against idle connections that hold copies of heads.
+func TestHeadsAreNotKeptAfterTheirEnd(t *testing.T) {
+	is := is.New(t)
+	f := &framing{}
+	head := "GET /a HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 3000)
+	f.advance([]byte(head))
+	f.advance([]byte("\r\n"))
+	is.True(f.betweenRequests())
+	is.Equal(cap(f.head), 0)
+	f.advance([]byte(strings.Repeat("x", maxHeader)))
+	f.advance([]byte("x"))
+	is.True(f.opaque)
+	is.Equal(cap(f.head), 0)
+}
