Other ports: heads of more than 16 kB are refused

The ports for other boxes, operators, readiness checks and the directory took heads of up to 1 MB, net/http's default: 60 clients with heads of 260 kB took 207 to 224 MB (test/crowds). Since heads are counted they no longer exceed the machine, but a single client could still take what all heads may take together.

These ports get the limit that holds for clients until a configuration sets another one (routing.DefaultLimits.HeaderBytes, 16 kB). What is asked there has a path, a short query and few lines. A longer head is answered 431 by net/http.

--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -242,7 +242,10 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: routing.DefaultLimits.HeaderTimeout, IdleTimeout: time.Minute}
+	s := &http.Server{
+		Handler: handler, ReadHeaderTimeout: routing.DefaultLimits.HeaderTimeout, IdleTimeout: time.Minute,
+		MaxHeaderBytes: routing.DefaultLimits.HeaderBytes,
+	}
 	n.ports.others.Attach(s)
 	n.ports.servers, n.ports.sockets = append(n.ports.servers, s), append(n.ports.sockets, l)
 	n.background.Go(func() { _ = s.Serve(wrappingListener{countedListener{l, &n.traffic}, n.ports.others}) })
--- a/test/machines/box_limits_test.go
+++ b/test/machines/box_limits_test.go
@@ -146,3 +146,14 @@
 	share, known := b.Utilization.Share(utilization.Descriptors)
 	is.True(known && share <= 1)
 }
+
+// TestLongHeadsAreRefusedAtEveryPort guards against ports that take heads of the default limit of net/http.
+func TestLongHeadsAreRefusedAtEveryPort(t *testing.T) {
+	b := newLimitedBox(t, settings.Machine{})
+	long := "X: " + strings.Repeat("a", 64<<10) + "\r\n"
+	for port := 8101; port <= 8105; port++ {
+		c := &Client{Address: fmt.Sprintf("%s:%d", b.IP, port)}
+		is.New(t).Equal(c.Do("GET", "/", "1", "", long).Status, 431)
+		c.Close()
+	}
+}
