Other ports: connections leave descriptors to clients

The clients' port closes new connections at once from nine tenths of the descriptors on.

Each of these ports now closes new connections at once while a quarter of the descriptors is open at it, and from nine tenths in all on, as the clients' port does. So a crowd at one of them leaves the others and the clients their parts. A quarter is 1,025 connections on the smallest machine of 4,100 descriptors; refusals are counted by port (connections.refused_other.PORT).

TestOtherPortsLeaveDescriptorsToClients checks the bounds.

--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -82,6 +82,7 @@
 	{"connections.first_byte", "milliseconds", "from accepting a connection to its first byte"},
 	{"connections.unanswered", "connections", "that the box has closed after it had read of a request and written no answer"},
 	{"connections.refused", "connections", "of clients closed at once, since the box has nearly as many descriptors open as it may"},
+	{"connections.refused_other.PORT", "connections", "at the port for peers, admin, ready or directory closed at once, since a quarter of the descriptors is open there, or nearly all are in use"},
 	{"heads.refused", "times", "a head, a part of one or a request read before its turn got no memory; a refused head is answered 503 and its connection closed"},
 	{"backend.RESULT", "exchanges", "ended, by result: answered, shed, unreachable, refused, broken, late, stale, abandoned, withdrawn, crashed, no_path, path_lost"},
 	{"backend.connections", "connections", "opened to backend servers"},
--- a/pkg/node/node_ports.go
+++ b/pkg/node/node_ports.go
@@ -248,7 +248,7 @@
 	}
 	n.ports.others.Attach(s)
 	n.ports.servers, n.ports.sockets = append(n.ports.servers, s), append(n.ports.sockets, l)
-	n.background.Go(func() { _ = s.Serve(wrappingListener{countedListener{l, &n.traffic}, n.ports.others}) })
+	n.background.Go(func() { _ = s.Serve(wrappingListener{n.newOtherListener(name, l), n.ports.others}) })
 	return nil
 }
 
--- a/pkg/node/node_utilization.go
+++ b/pkg/node/node_utilization.go
@@ -41,7 +41,7 @@
 		return c
 	}
 	t.open.Add(1)
-	return &countedConn{TCPConn: tcp, traffic: t}
+	return &countedConn{TCPConn: tcp, traffic: t, onClose: func() {}}
 }
 
 // countedConn is a connection whose bytes are counted.
@@ -49,6 +49,8 @@
 	*net.TCPConn
 	traffic *traffic
 	closed  atomic.Bool
+	// onClose is called once when the connection closes.
+	onClose func()
 }
 
 // Read implements net.Conn.
@@ -83,6 +85,7 @@
 func (c *countedConn) Close() error {
 	if !c.closed.Swap(true) {
 		c.traffic.open.Add(-1)
+		c.onClose()
 	}
 	return c.TCPConn.Close()
 }
@@ -102,32 +105,58 @@
 	return l.traffic.counted(c), nil
 }
 
-// clientListener accepts the connections of clients. Close to the limit of descriptors it closes
-// them at once, so that a client uses another box without waiting.
-type clientListener struct {
+// refusingListener closes connections at once while it refuses them, close to the limit of
+// descriptors, so that a client uses another box without waiting.
+type refusingListener struct {
 	countedListener
-	refuses func() bool
+	// refuses reports whether a connection is refused, given how many others of the listener are open.
+	refuses func(open int) bool
 	refused func()
+	// open is the number of open connections.
+	open *atomic.Int64
 }
 
 // Accept implements net.Listener.
-func (l clientListener) Accept() (net.Conn, error) {
+func (l refusingListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.countedListener.Accept()
-		if err != nil || !l.refuses() {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if l.refuses(int(l.open.Load())) {
+			_ = c.Close()
+			l.refused()
+			continue
 		}
-		_ = c.Close()
-		l.refused()
+		if counted, ok := c.(*countedConn); ok {
+			l.open.Add(1)
+			counted.onClose = func() { l.open.Add(-1) }
+		}
+		return c, nil
 	}
 }
 
 // newClientListener wraps the listener for clients.
 func (n *Node) newClientListener(l net.Listener) net.Listener {
-	return clientListener{
+	return n.newListener(l, "connections.refused", func(int) bool {
+		return n.Utilization.Sizes.RefusesConnections(n.traffic.descriptors())
+	})
+}
+
+// newOtherListener wraps the listener of another port.
+func (n *Node) newOtherListener(name string, l net.Listener) net.Listener {
+	return n.newListener(l, "connections.refused_other."+name, func(open int) bool {
+		return n.Utilization.Sizes.RefusesAtPort(n.traffic.descriptors(), open)
+	})
+}
+
+// newListener wraps a listener that counts the connections that it refuses in a metric.
+func (n *Node) newListener(l net.Listener, metric string, refuses func(open int) bool) net.Listener {
+	return refusingListener{
 		countedListener: countedListener{l, &n.traffic},
-		refuses:         func() bool { return n.Utilization.Sizes.RefusesConnections(n.traffic.descriptors()) },
-		refused:         func() { gometrics.GetOrRegisterCounter("connections.refused", n.Metrics).Inc(1) },
+		refuses:         refuses,
+		refused:         func() { gometrics.GetOrRegisterCounter(metric, n.Metrics).Inc(1) },
+		open:            &atomic.Int64{},
 	}
 }
 
--- a/pkg/utilization/bodies.go
+++ b/pkg/utilization/bodies.go
@@ -80,6 +80,9 @@
 	// once. The rest is for connections to backend servers and other boxes.
 	closeFrom  = 0.8
 	refuseFrom = 0.9
+	// portShare is the share of descriptors that the connections of a port which does not serve
+	// requests of clients may take.
+	portShare = 0.25
 )
 
 // AsksToClose reports whether clients are to close their connections, given how many descriptors
@@ -92,3 +95,9 @@
 func (s Sizes) RefusesConnections(open int) bool {
 	return s.Descriptors > 0 && float64(open) >= refuseFrom*float64(s.Descriptors)
 }
+
+// RefusesAtPort reports whether new connections of a port that does not serve requests of clients are
+// closed at once, given how many descriptors are open, and how many of them at the port.
+func (s Sizes) RefusesAtPort(open, atPort int) bool {
+	return s.RefusesConnections(open) || s.Descriptors > 0 && float64(atPort) >= portShare*float64(s.Descriptors)
+}
--- a/pkg/utilization/utilization_test.go
+++ b/pkg/utilization/utilization_test.go
@@ -57,7 +57,16 @@
 	is.Equal(m.Unknown(), []Resource{Processor, Memory, Descriptors})
 	_, _, known := (&Meter{}).Largest()
 	is.True(!known)
-	is.True(!Sizes{}.AsksToClose(1<<20) && !Sizes{}.RefusesConnections(1<<20))
+	is.True(!Sizes{}.AsksToClose(1<<20) && !Sizes{}.RefusesConnections(1<<20) && !Sizes{}.RefusesAtPort(1<<20, 1<<20))
+}
+
+// TestOtherPortsLeaveDescriptorsToClients guards against a port that takes every descriptor.
+func TestOtherPortsLeaveDescriptorsToClients(t *testing.T) {
+	is := is.New(t)
+	s := Sizes{Descriptors: 400}
+	is.True(!s.RefusesAtPort(120, 99))
+	is.True(s.RefusesAtPort(120, 100))
+	is.True(s.RefusesAtPort(360, 1))
 }
 
 func TestLevelsDoNotAlternate(t *testing.T) {
