Requests: the cost of Connection options grows with the head, not its square

For each header of a request the box compared its name with every option of the Connection header. A head of 16 kB with 4,000 options and 1,300 lines takes five million comparisons for each try at a server, so a few clients that send such heads keep a machine's processor from all other callers.

The options are put into a table once, by their names in lower case, and each header is looked up there.

--- a/pkg/ingress/ingress_forward.go
+++ b/pkg/ingress/ingress_forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -376,29 +377,29 @@
 	return h.StatusCode() < http.StatusMultipleChoices && meta.Signed && !meta.NotRun && !meta.Stale
 }
 
-// connectionListed returns the headers that a Connection header names.
-func connectionListed(values []string) []string {
-	var listed []string
+// connectionListed returns the headers that a Connection header names, by their names in lower case.
+func connectionListed(values []string) map[string]struct{} {
+	var listed map[string]struct{}
 	for _, v := range values {
-		for _, name := range strings.Split(v, ",") {
-			listed = append(listed, strings.TrimSpace(name))
+		for name := range strings.SplitSeq(v, ",") {
+			if listed == nil {
+				listed = map[string]struct{}{}
+			}
+			listed[strings.ToLower(strings.TrimSpace(name))] = struct{}{}
 		}
 	}
 	return listed
 }
 
-func isHopByHop(name string, connectionHeaders []string) bool {
-	for _, h := range hopByHop {
-		if name == h {
-			return true
-		}
+func isHopByHop(name string, connectionHeaders map[string]struct{}) bool {
+	if slices.Contains(hopByHop, name) {
+		return true
 	}
-	for _, h := range connectionHeaders {
-		if strings.EqualFold(name, h) {
-			return true
-		}
+	if len(connectionHeaders) == 0 {
+		return false
 	}
-	return false
+	_, isListed := connectionHeaders[strings.ToLower(name)]
+	return isListed
 }
 
 // finish ends the use of the backend server and records it for the log.
