Pipelining: answers that were written are not kept

A connection that serves requests ahead keeps their answers in a slice and took the first one off by reslicing. The array behind the slice went on holding what had been taken, the request's head and the answer of up to 256 kB, eight of them, until the array was replaced: on an idle connection for as long as it is open, and counted by nothing.

TestTakenAnswersAreNotKept failed before ("not true: !slices.Contains(list, taken)") and passes.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 
 	"github.com/stoneworks/stoneworks/pkg/exchange"
@@ -287,6 +288,6 @@
 		c.cancelAhead()
 		return nil
 	}
-	c.ahead = c.ahead[1:]
+	c.ahead = slices.Delete(c.ahead, 0, 1) // also clears the place that the answer had
 	return a
 }
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -314,13 +315,32 @@
 	c := dial(t, address)
 	_, err := io.WriteString(c, strings.Repeat("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n", 30))
 	is.NoErr(err)
-	for end := time.Now().Add(5 * time.Second); begun.Load() < maxAhead && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	waitFor(t, func() bool { return begun.Load() >= maxAhead })
 	is.True(account.Held() > 0)
 	_ = c.Close()
-	for end := time.Now().Add(5 * time.Second); account.Held() != 0 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
+	waitFor(t, func() bool { return account.Held() == 0 })
+}
+
+// TestTakenAnswersAreNotKept guards against connections that hold answers, with their requests, after
+// they were written.
+func TestTakenAnswersAreNotKept(t *testing.T) {
+	is := is.New(t)
+	r, err := http.NewRequest(http.MethodGet, "/ahead", nil)
+	is.NoErr(err)
+	taken := &answer{request: r}
+	list := []*answer{taken, {request: r}, {request: r}}
+	c := &Conn{ahead: list}
+	is.Equal(c.takeAhead(r), taken)
+	is.Equal(len(c.ahead), 2)
+	is.True(!slices.Contains(list, taken))
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not in time")
+		}
 	}
-	is.Equal(account.Held(), int64(0))
 }
