Pipelining: requests stay counted until their handlers have returned

What a request served ahead takes of memory was taken back as soon as its client had left or its answer was dropped, while its handler still ran. A crowd that pipelines and leaves could so have more requests running than the account allows, as many as it opens connections in the time that handlers take to notice.

It is now taken back when both the handler has returned and the connection needs the answer no longer.

TestRunningRequestsStayCounted failed before ("not true: account.Held() >= (maxAhead-1)*aheadSize") and passes.

--- a/pkg/pipeline/answer.go
+++ b/pkg/pipeline/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc/panics"
 )
@@ -19,8 +20,10 @@
 type answer struct {
 	request *http.Request
 	header  http.Header
-	// release takes back what the request's head takes of memory. It may be called more than once.
+	// release takes back what the request takes of memory, and users is by how many it is still used:
+	// its handler and its connection.
 	release func()
+	users   atomic.Int32
 	// done is closed when the handler has returned; panicked is its panic, if it panicked.
 	done     chan struct{}
 	panicked *panics.Recovered
@@ -40,10 +43,18 @@
 }
 
 func (a *answer) run(h http.Handler) {
+	defer a.endUse()
 	defer close(a.done)
 	a.panicked = panics.Try(func() { h.ServeHTTP(a, a.request) })
 }
 
+// endUse records that the handler or the connection needs the request no longer.
+func (a *answer) endUse() {
+	if a.users.Add(-1) == 0 {
+		a.release()
+	}
+}
+
 // deliver writes the answer and waits until it is complete.
 func (a *answer) deliver(w http.ResponseWriter) {
 	a.mu.Lock()
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -80,7 +80,7 @@
 	c.cancel()
 	c.aheadAllowed = false
 	for _, a := range c.ahead {
-		a.release()
+		a.endUse()
 	}
 	c.ahead = nil
 }
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -335,6 +335,28 @@
 	is.True(!slices.Contains(list, taken))
 }
 
+// TestRunningRequestsStayCounted guards against counting requests as gone while their handlers still run,
+// after their clients have left.
+func TestRunningRequestsStayCounted(t *testing.T) {
+	is := is.New(t)
+	account := &heads.Account{Memory: 64 << 20}
+	end := make(chan struct{})
+	var begun atomic.Int64
+	address := serveWith(t, account, func(http.ResponseWriter, *http.Request) {
+		begun.Add(1)
+		<-end
+	})
+	c := dial(t, address)
+	_, err := io.WriteString(c, strings.Repeat("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n", maxAhead))
+	is.NoErr(err)
+	waitFor(t, func() bool { return begun.Load() >= maxAhead })
+	_ = c.Close()
+	time.Sleep(50 * time.Millisecond)
+	is.True(account.Held() >= (maxAhead-1)*aheadSize)
+	close(end)
+	waitFor(t, func() bool { return account.Held() == 0 })
+}
+
 // waitFor waits until a condition holds.
 func waitFor(t *testing.T, holds func() bool) {
 	t.Helper()
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -15,7 +15,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 
 	"github.com/stoneworks/stoneworks/pkg/heads"
 )
@@ -88,7 +87,7 @@
 		defer c.forbidAhead()
 	}
 	if a != nil {
-		defer a.release()
+		defer a.endUse()
 		a.deliver(w)
 		return
 	}
@@ -106,23 +105,16 @@
 	if !h.Heads.Grow(0, size) {
 		return nil
 	}
-	a := h.serveAhead(c, head)
-	if a == nil {
-		h.Heads.Release(size)
-		return nil
-	}
-	a.release = sync.OnceFunc(func() { h.Heads.Release(size) })
-	return a
-}
-
-func (h *Handler) serveAhead(c *Conn, head []byte) *answer {
+	release := func() { h.Heads.Release(size) }
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil || !isPlain(r) || !h.MayServeAhead(r) {
 		// net/http reports what is wrong with the request.
+		release()
 		return nil
 	}
 	h.Count("pipeline.ahead")
-	a := &answer{header: http.Header{}, done: make(chan struct{}), turn: make(chan struct{})}
+	a := &answer{header: http.Header{}, done: make(chan struct{}), turn: make(chan struct{}), release: release}
+	a.users.Store(2)
 	ctx := context.WithValue(ConnContext(c.context, c), answerKey{}, a)
 	a.request = r.WithContext(ctx)
 	go a.run(h.Next)
