--- a/test/crowds/heads_test.go
+++ b/test/crowds/heads_test.go
@@ -111,6 +111,13 @@
 	s.holds(s.box.Clients(), head+"1\r\nx\r\n0\r\n"+filled(1<<20, shortLine), crowdSize)
 }
 
+// TestTrailersAtASlowServerStayWithinTheMachine is for whole trailers of requests that wait for a server.
+func TestTrailersAtASlowServerStayWithinTheMachine(t *testing.T) {
+	s := newStage(t)
+	body := "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + filled(4000, shortLine) + "\r\n"
+	s.holds(s.box.Clients(), start(http.MethodPost, "/slow/x")+body, crowdSize)
+}
+
 // TestPipelinedHeadsStayWithinTheMachine guards against holding heads of requests that follow the one
 // that is served.
 func TestPipelinedHeadsStayWithinTheMachine(t *testing.T) {
