Log: heads that are refused in waves write one line in ten seconds

The box writes a line when it begins to refuse heads and one when half of their memory is free again.

A beginning is logged every 10 s at most, and an end if its beginning was. The metric counts every refusal as before.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -168,7 +168,8 @@
 	// bodies bounds the request bodies that the box holds.
 	bodies utilization.Bodies
 	// heads bounds the heads of requests that the box holds.
-	heads heads.Account
+	heads     heads.Account
+	headLines stateLines
 
 	ports      *ports
 	background *conc.WaitGroup
--- a/pkg/node/node_lines.go
+++ b/pkg/node/node_lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,3 +42,26 @@
 	b.omitted = 0
 	return left
 }
+
+// stateLineEvery is the minimum time between two log lines that a state has begun.
+const stateLineEvery = 10 * time.Second
+
+// stateLines bounds the log lines about the beginnings and ends of a state. An end is logged if its
+// beginning was.
+type stateLines struct {
+	begins   logLimiter
+	isLogged atomic.Bool
+}
+
+// allow reports whether the line about a beginning or an end may be written now. The time is
+// measured from any fixed moment.
+func (l *stateLines) allow(isBeginning bool, now time.Duration) bool {
+	if !isBeginning {
+		return l.isLogged.Swap(false)
+	}
+	if !l.begins.allow(now, stateLineEvery) {
+		return false
+	}
+	l.isLogged.Store(true)
+	return true
+}
--- a/pkg/node/node_utilization.go
+++ b/pkg/node/node_utilization.go
@@ -186,6 +186,9 @@
 
 // logHeads logs that heads of requests have begun to be refused, or have room again.
 func (n *Node) logHeads(isShort bool, held int64) {
+	if !n.headLines.allow(isShort, n.uptime()) {
+		return
+	}
 	message := "memory for heads of requests is free again"
 	if isShort {
 		message = "heads of requests are refused, since memory runs short"
