Soak: cuts between regions, and requests that are restricted to regions

Callers saw requests outside their home region (HOME). The soak could not: its boxes stood in two regions, so that no third one could help past a cut, its cuts were of a box from all servers, and no request was restricted.

A new kind, in a catalogue of its own (12): the links from the boxes of a region to the servers and boxes of another one hang, in one direction or both, or each region is cut from each other, with all open connections. Datagrams between boxes still arrive. Runs of this catalogue have three regions and a service with servers in one of them, and send requests that a route, a customer or both restrict. Two checks, each with a control: such a request reaches no server of another region, and passes through no box of another region beside the one that its client chose; servers record the box that connected. Plans, zones, addresses and clients of catalogues 1 to 11 stay as they were.

The second check is stricter than the users' rule, which also allows boxes of the client's region; the product promises the server's region only.

The check of customers' names now also compares a restricted request with its own customer. The check of cut boxes leaves restricted requests out, since the boxes that are left may not be allowed to help with them.

TestSoak plays catalogue 12 too, since it plays each catalogue.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -73,6 +73,8 @@
 	{"leaving-kept", leavingKept},
 	{"rest-kept", backoffKept},
 	{"cut-served", cutServed},
+	{"region-servers", regionServers},
+	{"region-boxes", regionBoxes},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -159,6 +159,15 @@
 				h.Requests = append(h.Requests, Request{ID: fmt.Sprint("cut-", i), Box: "127.94.0.9", Status: 503, Sent: sent, Ended: sent})
 			}
 		},
+		"region-servers": func(h *History) {
+			h.Requests[1].Regions, h.Requests[1].Customer = []string{"west"}, usualCustomer
+			h.RegionOf = map[string]string{"b1": "east", "s1": "east"}
+		},
+		"region-boxes": func(h *History) {
+			h.Requests[1].Regions, h.Requests[1].Customer = []string{"west"}, usualCustomer
+			h.RegionOf = map[string]string{"b1": "east", "b2": "north", "s1": "west"}
+			h.Arrivals["s1"][1].From = "b2"
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
@@ -216,6 +225,40 @@
 	is.Equal(FindViolations(h), nil) // it no longer announces a limit
 }
 
+// TestRestrictedRequestsMayPassAllowedRegions tests which paths of a restricted request are allowed:
+// through the box that the client sent it to, and through boxes of its regions.
+func TestRestrictedRequestsMayPassAllowedRegions(t *testing.T) {
+	is := is.New(t)
+	h := cleanHistory()
+	h.Requests[1].Regions, h.Requests[1].Customer = []string{"west", "north"}, usualCustomer
+	h.RegionOf = map[string]string{"b1": "east", "b2": "north", "s1": "west"}
+	is.Equal(FindViolations(h), nil)
+	h.Arrivals["s1"][1].From = "b2"
+	is.Equal(FindViolations(h), nil)
+	h.RegionOf["b2"] = "east"
+	is.Equal(len(FindViolations(h)), 1)
+}
+
+// TestRestrictedCustomersAreNamed tests that a restricted request has to name its own customer.
+func TestRestrictedCustomersAreNamed(t *testing.T) {
+	is := is.New(t)
+	h := cleanHistory()
+	h.Requests[1].Customer = restrictedCustomer
+	is.Equal(len(FindViolations(h)), 1)
+	h.Runs["s1"][1].Header.Set("X-Stoneworks-Tenant", restrictedCustomer)
+	is.Equal(FindViolations(h), nil)
+}
+
+// TestRegionCutsDiffer tests that the events cut regions in one direction, in both and all of them.
+func TestRegionCutsDiffer(t *testing.T) {
+	is := is.New(t)
+	p := NewPlan(AllKinds, 7, 6, defaultLength)
+	is.Equal(len(p.regionCuts(Event{Target: 0})), 6)
+	is.Equal(p.regionCuts(Event{Target: 1}), []regionCut{{"east", "west"}})
+	is.Equal(p.regionCuts(Event{Target: 6}), []regionCut{{"north", "west"}})
+	is.Equal(p.regionCuts(Event{Target: 11}), []regionCut{{"north", "east"}, {"east", "north"}})
+}
+
 func TestPlansReplay(t *testing.T) {
 	is := is.New(t)
 	for _, kinds := range Catalogues {
--- a/test/soak/cut.go
+++ b/test/soak/cut.go
@@ -55,6 +55,10 @@
 		}
 		served, failed := 0, 0
 		for _, q := range h.Requests {
+			// The boxes that are left may not be allowed to help with restricted requests.
+			if len(q.Regions) > 0 {
+				continue
+			}
 			if q.Box != cut.Target || q.Sent.Before(cut.From.Add(cutContact)) || q.Ended.After(cut.To) || h.hadOtherFault(q.Sent.Add(-cutContact), q.Ended) || h.wereAllCut(q.Sent.Add(-cutContact), q.Ended) {
 				continue
 			}
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -38,6 +38,10 @@
 	// IsDropped reports whether the request was sent whole and its connection was closed without a
 	// byte of an answer.
 	IsDropped bool
+	// Regions are the only regions in which it may run; nil means all. Customer is the name that
+	// servers have to get with it; empty means that of the usual or the limited customer.
+	Customer string
+	Regions  []string
 	// BodySum is the sum of a long body, of which Body is only the start.
 	BodySum *[sha256.Size]byte
 }
@@ -101,7 +105,9 @@
 	Arrivals   map[string][]machines.Arrival
 	Bodies     map[string][]machines.ReceivedBody
 	// ServiceOf is the service of each server.
-	ServiceOf      map[string]string
+	ServiceOf map[string]string
+	// RegionOf is the region of each server and, by its IP address, of each box.
+	RegionOf       map[string]string
 	Departures     []Departure
 	Configurations []AcceptedConfiguration
 	FaultPeriods   []FaultPeriod
