Soak: clients that send heads of very many short or odd lines

Such clients ended a process in the users' trial; the soak's clients sent ordinary heads only. A new kind in catalogue 12: clients send heads of very many short lines, odd names, one name repeated, a Connection line of very many options, or one long line, all within max-header-bytes. A quarter of them does not end the head and a quarter never sends the body. A new check, with a control, holds for all catalogues: no process ends unless it was stopped or killed. Before, one that a later event started again went unnoticed.

--- a/test/processes/processes.go
+++ b/test/processes/processes.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -63,6 +64,8 @@
 	// cut off from besides.
 	cut      string
 	cutHosts []string
+	// exits are the times at which processes of the box exited.
+	exits []time.Time
 }
 
 const settingsText = `box: %[1]s
@@ -205,6 +208,9 @@
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
+		b.mu.Lock()
+		b.exits = append(b.exits, time.Now())
+		b.mu.Unlock()
 		close(exited)
 	}()
 	b.mu.Lock()
@@ -245,6 +251,13 @@
 	return b.exited
 }
 
+// Exits returns the times at which processes of the box exited.
+func (b *Box) Exits() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.exits)
+}
+
 // Kill kills the process if it still runs, and waits until it has exited.
 func (b *Box) Kill() {
 	if b.Exited() == nil {
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -75,6 +75,7 @@
 	{"cut-served", cutServed},
 	{"region-servers", regionServers},
 	{"region-boxes", regionBoxes},
+	{"own-ends", ownEnds},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,6 +169,10 @@
 			h.RegionOf = map[string]string{"b1": "east", "b2": "north", "s1": "west"}
 			h.Arrivals["s1"][1].From = "b2"
 		},
+		"own-ends": func(h *History) {
+			h.FaultPeriods = []FaultPeriod{{Kind: BoxKill, Target: "b1", From: start, To: after(time.Second)}}
+			h.Exits = []Exit{{"b1", after(time.Millisecond)}, {"b1", after(2 * time.Second)}}
+		},
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
@@ -249,6 +254,17 @@
 	is.Equal(FindViolations(h), nil)
 }
 
+// TestOddHeadsAreWithinTheLimit tests that clients use the room that a configuration allows for heads,
+// and no more.
+func TestOddHeadsAreWithinTheLimit(t *testing.T) {
+	is := is.New(t)
+	for _, lines := range oddLines {
+		text := lines(7000)
+		is.True(len(text) > 6900 && len(text) <= 7000)
+		is.True(strings.HasSuffix(text, "\r\n"))
+	}
+}
+
 // TestRegionCutsDiffer tests that the events cut regions in one direction, in both and all of them.
 func TestRegionCutsDiffer(t *testing.T) {
 	is := is.New(t)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -153,6 +153,8 @@
 		r.cutFromServers(e)
 	case RegionsCut:
 		r.cutRegions(e)
+	case OddHeads:
+		r.sendOddHeads(e)
 	}
 }
 
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -71,6 +71,12 @@
 	At     time.Time
 }
 
+// Exit is the end of a box's process.
+type Exit struct {
+	Box string
+	At  time.Time
+}
+
 // AcceptedConfiguration is a configuration that the store accepted.
 type AcceptedConfiguration struct {
 	Version int
@@ -111,6 +117,7 @@
 	Departures     []Departure
 	Configurations []AcceptedConfiguration
 	FaultPeriods   []FaultPeriod
+	Exits          []Exit
 	// Recovery counts the requests sent after all faults were over.
 	Recovery struct{ Sent, Answered int }
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -67,6 +67,8 @@
 	// RegionsCut is regions whose links to each other's servers and boxes are silent, in one
 	// direction or both.
 	RegionsCut Kind = "regions-cut"
+	// OddHeads is clients whose requests have heads of unusual shapes, some of them unfinished.
+	OddHeads Kind = "odd-heads"
 	// StoreCopy is a store that comes back from a copy some seconds old.
 	StoreCopy Kind = "store-copy"
 	// BoxesStop is a planned stop of two boxes at once while clients open connections to them.
@@ -104,7 +106,7 @@
 	CutKinds          = append(append(Catalogue{}, MovesKinds...), BoxCut, BoxCut, BoxCut)
 	CopyKinds         = append(append(Catalogue{}, CutKinds...), StoreCopy, StoreCopy, StoreCopy)
 	StopKinds         = append(append(Catalogue{}, CopyKinds...), BoxesStop, BoxesStop, BoxesStop, EarlyAnswers, EarlyAnswers, EarlyAnswers)
-	AllKinds          = append(append(Catalogue{}, StopKinds...), repeated(RegionsCut, 8)...)
+	AllKinds          = append(append(Catalogue{}, StopKinds...), slices.Concat(repeated(RegionsCut, 8), repeated(OddHeads, 4))...)
 )
 
 // Catalogues are the catalogues by number, from 1, as seeds.txt and the command line name
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -203,6 +203,9 @@
 	for _, b := range r.boxes {
 		h.Boxes = append(h.Boxes, b.IP)
 		h.RegionOf[b.IP] = r.Plan.regionOf(b.Zone)
+		for _, at := range b.Exits() {
+			h.Exits = append(h.Exits, Exit{Box: b.IP, At: at})
+		}
 	}
 	h.Runs = map[string][]machines.Run{}
 	h.Arrivals = map[string][]machines.Arrival{}
