Review case 5: boxes keep 1,024 whole configurations until they run out of memory

A mirror keeps the latest 1,024 changes of each kind with their whole objects, and for config each of them is a whole configuration. Order of events: a configuration of 5,201 routes; storms of configurations; about 0.95 MB stay with each of them; a box passes the memory of its machine and is killed with the requests that it has passed on.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -39,6 +39,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *stage) (broken bool, err error){
 	"idle-connections": playIdleConnections,
+	"configurations":   playConfigurations,
 }
 
 func main() {
