--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]func(s *stage) (broken bool, err error){
 	"idle-connections": playIdleConnections,
 	"configurations":   playConfigurations,
+	"large-answers":    playLargeAnswers,
 }
 
 func main() {
