Review scripts: records hold what was sent, answered and run; a signal ends a run with 2

The records held failures and summaries only. They now hold each request of cases 5 and 6, and for case 4 the counts of every second and each request of the check.

--- a/review/standin-2/case_answers.go
+++ b/review/standin-2/case_answers.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return false, err
 	}
-	buying, err := newUpstream(s.ip(22), "i-00003", "licensing", 64)
+	buying, err := newUpstream(s.ip(22), "i-00003", "licensing", 64, s.runs)
 	if err != nil {
 		return false, err
 	}
@@ -57,7 +57,7 @@
 	s.note("a box of %d MB is ready; %d clients send %d requests ahead of the first answer, each with an answer of %d bytes", b.size.memoryMB, pipelining, sentAhead, answerBytes)
 	const settle = 2 * time.Second
 	slowFrom = time.Now().Add(settle)
-	lost := &losses{upstream: buying}
+	lost := &losses{runs: s.runs}
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for range callers {
@@ -90,7 +90,7 @@
 // addListeners starts the upstreams that send large answers.
 func (s *stage) addListeners(slowFrom *time.Time) (list []*upstream, err error) {
 	for i := range listenServers {
-		u, err := newUpstream(s.ip(20), fmt.Sprintf("i-1%04d", i), "listen", 6)
+		u, err := newUpstream(s.ip(20), fmt.Sprintf("i-1%04d", i), "listen", 6, s.runs)
 		if err != nil {
 			return nil, err
 		}
@@ -125,11 +125,15 @@
 	if _, err := io.WriteString(c, text.String()); err != nil {
 		return 0
 	}
+	for range ids {
+		s.countSent()
+	}
 	r := bufio.NewReader(c)
 	for _, id := range ids {
 		answer := readReply(c, r, "GET", time.Now().Add(8*time.Second))
+		s.countEnd(answer.status)
+		s.writeRequest("GET", id, b, answer)
 		if answer.status != 200 || !strings.HasPrefix(answer.body, id) {
-			s.write(fmt.Sprintf("%7.3f s  request %s: status %d, %v", time.Since(s.began).Seconds(), id, answer.status, answer.err))
 			return whole
 		}
 		whole++
--- a/review/standin-2/case_configs.go
+++ b/review/standin-2/case_configs.go
@@ -25,7 +25,7 @@
 // playConfigurations plays the case in which configurations follow each other for long, and checks whether
 // requests that were passed on to a sound upstream are answered.
 func playConfigurations(s *stage) (broken bool, err error) {
-	u, err := newUpstream(s.ip(20), "i-00001", "licensing", 64)
+	u, err := newUpstream(s.ip(20), "i-00001", "licensing", 64, s.runs)
 	if err != nil {
 		return false, err
 	}
@@ -48,7 +48,7 @@
 		go b.limitMemory(s.context, s.began)
 	}
 	s.note("two boxes of %d MB are ready; a configuration of %d routes, %d KB", s.boxes[0].size.memoryMB, len(routes), s.store.size("config", "main")>>10)
-	lost := &losses{upstream: u}
+	lost := &losses{runs: s.runs}
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for i, b := range s.boxes {
@@ -95,7 +95,7 @@
 
 // losses counts requests that were passed on to an upstream and whose connection closed without an answer.
 type losses struct {
-	upstream *upstream
+	runs *runLog
 
 	mu   sync.Mutex
 	lost int
@@ -107,15 +107,14 @@
 	return l.lost
 }
 
-// note counts a request that got no answer, if an upstream had it. It reports whether it did.
-func (l *losses) note(id string) bool {
-	began, _ := l.upstream.hasRun(id)
+// note counts a request that got no answer, if an upstream had it.
+func (l *losses) note(id string) {
+	began, _ := l.runs.state(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if began {
 		l.lost++
 	}
-	return began
 }
 
 // buy sends one request after the other on a kept connection until stopped, and opens a new one where that ends.
@@ -143,11 +142,14 @@
 			if _, err := io.WriteString(c, requestText("DELETE", "/buy/x", id, id, 4*time.Second)); err != nil {
 				break
 			}
+			s.countSent()
 			answer := readReply(c, r, "DELETE", time.Now().Add(5*time.Second))
+			s.countEnd(answer.status)
+			s.writeRequest("DELETE", id, b, answer)
 			if answer.status == 0 {
-				isOpen = false
-				s.write(fmt.Sprintf("%7.3f s  request %s to %s: no answer (%v), at the upstream: %v", time.Since(s.began).Seconds(), id, b.name, answer.err, lost.note(id)))
+				lost.note(id)
 			}
+			isOpen = answer.status != 0 && !answer.closes
 		}
 		_ = c.Close()
 	}
--- a/review/standin-2/case_idle.go
+++ b/review/standin-2/case_idle.go
@@ -90,7 +90,7 @@
 // addUpstreams starts upstreams and lists them.
 func (s *stage) addUpstreams(zones []string, from, count int, cold time.Duration) error {
 	for i := from; i < from+count; i++ {
-		u, err := newUpstream(s.ip(20+i%4), fmt.Sprintf("i-%05d", i), "listen", 9)
+		u, err := newUpstream(s.ip(20+i%4), fmt.Sprintf("i-%05d", i), "listen", 9, s.runs)
 		if err != nil {
 			return err
 		}
@@ -113,7 +113,7 @@
 		case <-tick.C:
 		}
 		requests.Go(func() {
-			answer := once(b, from, "GET", "/listen/x", requestID(), fmt.Sprint(rand.Uint64()), 3*time.Second)
+			answer := s.once(b, from, "GET", "/listen/x", requestID(), fmt.Sprint(rand.Uint64()), 3*time.Second)
 			if answer.status == 200 {
 				served.Add(1)
 				return
@@ -131,9 +131,9 @@
 	asked, ready := b.questions()
 	for end := time.Now().Add(contactTime + 2*time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		id := requestID()
-		answer := once(b, from, "GET", "/listen/x", id, id, 3*time.Second)
+		answer := s.once(b, from, "GET", "/listen/x", id, id, 3*time.Second)
 		tries++
-		s.write(fmt.Sprintf("request %s to %s: status %d, %v", id, b.name, answer.status, answer.err))
+		s.writeRequest("GET", id, b, answer)
 		if answer.status != 0 {
 			taken++
 		} else {
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -24,6 +24,8 @@
 	status int
 	body   string
 	err    error
+	// closes is set if the answer announces that the connection closes.
+	closes bool
 }
 
 // readReply reads an answer.
@@ -37,11 +39,13 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	return reply{status: answer.StatusCode, body: string(body)}
+	return reply{status: answer.StatusCode, body: string(body), closes: answer.Close}
 }
 
 // once sends one request on a connection of its own.
-func once(b *box, from, method, path, id, key string, timeout time.Duration) reply {
+func (s *stage) once(b *box, from, method, path, id, key string, timeout time.Duration) (answer reply) {
+	s.countSent()
+	defer func() { s.countEnd(answer.status) }()
 	c, err := b.dial(from)
 	if err != nil {
 		return reply{err: err}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -32,10 +35,18 @@
 	boxes   []*box
 	context context.Context
 
+	runs *runLog
+
 	mu     sync.Mutex
 	record *os.File
+	// sent counts the requests of clients, and ends how they ended, by status; 0 is none.
+	sent int
+	ends map[int]int
 }
 
+// maxTime bounds a run.
+const maxTime = 117 * time.Second
+
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *stage) (broken bool, err error){
 	"idle-connections": playIdleConnections,
@@ -87,7 +98,7 @@
 	defer func() { _ = file.Close() }()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &stage{trouble: os.Getenv("TROUBLE") != "0", dir: dir, program: program, began: time.Now(), context: ctx, record: file}
+	s := &stage{trouble: os.Getenv("TROUBLE") != "0", dir: dir, program: program, began: time.Now(), context: ctx, record: file, runs: newRunLog(), ends: map[int]int{}}
 	lock, err := s.reserveNetwork()
 	if err != nil {
 		return false, err
@@ -101,9 +112,64 @@
 	if s.store, err = newStore(s.ip(10)); err != nil {
 		return false, err
 	}
-	broken, err = run(s)
-	s.note("rule broken: %v", broken)
-	return broken, err
+	go s.recordCounts()
+	type result struct {
+		broken bool
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		broken, err := run(s)
+		done <- result{broken, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case r := <-done:
+		s.writeCounts()
+		s.note("rule broken: %v", r.broken)
+		return r.broken, r.err
+	case <-signals:
+		return false, errors.New("ended by a signal")
+	case <-time.After(maxTime):
+		return false, errors.New("it took too long")
+	}
+}
+
+// recordCounts writes every second what was sent, answered and run so far.
+func (s *stage) recordCounts() {
+	for s.context.Err() == nil {
+		time.Sleep(time.Second)
+		s.writeCounts()
+	}
+}
+
+func (s *stage) writeCounts() {
+	began, answered := s.runs.counts()
+	s.mu.Lock()
+	line := fmt.Sprintf("%7.3f s  so far: clients sent %d, answers by status (0: none) %v; upstreams began %d, answered %d",
+		time.Since(s.began).Seconds(), s.sent, s.ends, began, answered)
+	s.mu.Unlock()
+	s.write(line)
+}
+
+func (s *stage) countSent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+}
+
+func (s *stage) countEnd(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends[status]++
+}
+
+// writeRequest writes how a request ended: what its client got, and whether an upstream has run it.
+func (s *stage) writeRequest(method, id string, b *box, answer reply) {
+	began, answered := s.runs.state(id)
+	s.write(fmt.Sprintf("%7.3f s  %s %s to %s: status %d, error %v; upstream began %v, answered %v",
+		time.Since(s.began).Seconds(), method, id, b.name, answer.status, answer.err, began, answered))
 }
 
 // reserveNetwork chooses a loopback network that no other run uses.
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -28,25 +28,55 @@
 
 	free    chan struct{}
 	waiting atomic.Int64
-	mu      sync.Mutex
-	runs    map[string]*run
+	runs    *runLog
 }
 
-// run is a request that an upstream has begun to work on.
-type run struct {
-	began time.Time
-	// isAnswered is set once the whole answer was handed to the network.
-	isAnswered bool
+// runLog holds the requests that upstreams have begun to work on. The value is set once the whole answer was
+// handed to the network.
+type runLog struct {
+	mu       sync.Mutex
+	runs     map[string]bool
+	answered int
+}
+
+func newRunLog() *runLog { return &runLog{runs: map[string]bool{}} }
+
+func (l *runLog) begin(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = false
+}
+
+func (l *runLog) answer(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = true
+	l.answered++
+}
+
+// state returns whether an upstream has begun to work on a request, and whether it has answered it.
+func (l *runLog) state(id string) (began, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answered, began = l.runs[id]
+	return began, answered
+}
+
+// counts returns how many requests upstreams have begun to work on, and how many they have answered.
+func (l *runLog) counts() (began, answered int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs), l.answered
 }
 
 // newUpstream starts an upstream on a free port of the IP address.
-func newUpstream(ip, id, service string, slots int) (*upstream, error) {
+func newUpstream(ip, id, service string, slots int, runs *runLog) (*upstream, error) {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		return nil, err
 	}
 	u := &upstream{
-		id: id, service: service, address: l.Addr().String(), slots: slots, free: make(chan struct{}, slots), runs: map[string]*run{},
+		id: id, service: service, address: l.Addr().String(), slots: slots, free: make(chan struct{}, slots), runs: runs,
 		work: func(string) time.Duration { return 0 }, size: func(string) int { return 400 },
 	}
 	for range slots {
@@ -91,10 +121,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	began := &run{began: time.Now()}
-	u.mu.Lock()
-	u.runs[id] = began
-	u.mu.Unlock()
+	u.runs.begin(id)
 	finished := u.sleep(r, u.work(r.URL.Path))
 	u.free <- struct{}{}
 	if !finished {
@@ -104,10 +131,9 @@
 	h.Set("X-Stoneworks-Response-Signature", "s."+id)
 	body := answerBody(id, u.size(r.URL.Path))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	_, err := io.WriteString(w, body)
-	u.mu.Lock()
-	began.isAnswered = err == nil
-	u.mu.Unlock()
+	if _, err := io.WriteString(w, body); err == nil {
+		u.runs.answer(id)
+	}
 }
 
 // takeSlot waits for a slot. It returns false if the queue is full, or the request's time is over.
@@ -151,14 +177,6 @@
 	return fmt.Sprintf("%d,%d,%d", u.slots-len(u.free), u.waiting.Load(), u.slots)
 }
 
-// hasRun reports whether the upstream has begun to work on a request, and whether it has answered.
-func (u *upstream) hasRun(id string) (began, answered bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	r := u.runs[id]
-	return r != nil, r != nil && r.isAnswered
-}
-
 // answerBody returns the body of the answer to a request.
 func answerBody(id string, size int) string {
 	return strings.Repeat(id+"\n", size/(len(id)+1)+1)[:size]
