--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -21,6 +21,15 @@
 	Meaning string
 }
 
+// holds reports whether a metric belongs to the family.
+func (m *Metric) holds(name string) bool {
+	last := strings.LastIndexByte(m.Name, '.')
+	if placeholder := m.Name[last+1:]; placeholder != strings.ToUpper(placeholder) {
+		return name == m.Name
+	}
+	return strings.HasPrefix(name, m.Name[:last+1])
+}
+
 // MetricTable is the single list of the metrics that a box serves on its admin address.
 // docs/METRICS.md is generated from it.
 var MetricTable = []Metric{
@@ -59,10 +68,15 @@
 	{"rollouts.wait", "waits", "that this box has begun since a new version has too few servers, slots or answers for its next step, or is held"},
 	{"rollouts.bad", "versions", "that this box has found to be bad"},
 	{"machine.RESOURCE", "share", "of what the box may use of its machine that it uses, where the settings give the size: processor, link_in, link_out, memory, descriptors"},
+	{"memory.live", "bytes", "of the heap that the last garbage collection found in use"},
 	{"suspended", "milliseconds", "for which the machine was suspended, in sum"},
 	{"heartbeats.unsent", "datagrams", "to other boxes not sent, since the address cannot be reached or the link is full"},
 	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
 	{"mirror.pulls.WHERE", "pulls", "of what the store holds, from boxes of the own zone or far ones"},
+	{"mirror.objects.KIND", "bytes", "names and contents of the objects in the box's copy of a kind"},
+	{"mirror.kept.KIND", "bytes", "names and contents in the changes of a kind that are kept for other boxes"},
+	{"mirror.changes.KIND", "changes", "of a kind that are kept for other boxes"},
+	{"mirror.sent.FORM", "bytes", "of copies handed to other boxes, as changes or whole"},
 	{"uploads.answered_early", "requests", "whose answer began before the end of their body"},
 	{"pipeline.ahead", "requests", "served at the same time as one that their client has sent before them on the same connection"},
 	{"pipeline.mismatch", "connections", "on which net/http read another request than was served ahead; its service was stopped"},
@@ -106,7 +120,7 @@
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s_total %d", flat, m.Count()))
 		case metrics.Gauge:
-			lines = append(lines, fmt.Sprintf("%s_milliseconds %d", flat, m.Value()))
+			lines = append(lines, fmt.Sprintf("%s_%s %d", flat, gaugeUnit(name), m.Value()))
 		case metrics.GaugeFloat64:
 			lines = append(lines, fmt.Sprintf("%s_share %.3f", flat, m.Value()))
 		case metrics.Timer:
@@ -124,11 +138,22 @@
 	}
 }
 
+// gaugeUnit returns the unit with which a gauge's name ends.
+func gaugeUnit(name string) string {
+	for _, m := range MetricTable {
+		if m.holds(name) && (m.Unit == "bytes" || m.Unit == "changes") {
+			return m.Unit
+		}
+	}
+	return "milliseconds"
+}
+
 // WriteMetricTable writes the table of metrics as a Markdown page.
 func WriteMetricTable(w io.Writer) {
 	fmt.Fprint(w, "# Metrics\n\nWritten by `stoneworksd --metrics`; a test keeps it so. A box tells them on its\n"+
 		"admin address under /metrics, a line each: `stoneworks_` and the name with `_`\n"+
-		"for dots, then `_total` for what is counted, `_milliseconds` for times and `_share` for shares.\n\n"+
+		"for dots, then `_total` for what is counted, `_milliseconds` for times, `_share` for shares, and `_bytes` or\n"+
+		"`_changes` for how much of these is held.\n\n"+
 		"| Name | Unit | Meaning |\n|---|---|---|\n")
 	for _, m := range MetricTable {
 		fmt.Fprintf(w, "| `%s` | %s | %s |\n", m.Name, m.Unit, m.Meaning)
--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/stoneworks/stoneworks/pkg/httpjson"
 	"github.com/stoneworks/stoneworks/pkg/objects"
 	"github.com/stoneworks/stoneworks/pkg/replica"
@@ -104,7 +106,8 @@
 	w.Header().Set("Content-Type", "application/json")
 	if since, ok := readPosition(r.URL.Query()); ok {
 		if events, held, known := m.EventsSince(since); known {
-			n.logUnsent(m.Kind, json.NewEncoder(w).Encode(replica.Handover{Events: events, Extent: held}))
+			sent := &countingWriter{to: w, count: metrics.GetOrRegisterCounter("mirror.sent.changes", n.Metrics)}
+			n.logUnsent(m.Kind, json.NewEncoder(sent).Encode(replica.Handover{Events: events, Extent: held}))
 			return
 		}
 	}
@@ -116,10 +119,24 @@
 	}
 	// The HTTP client of the receiving box decompresses it.
 	w.Header().Set("Content-Encoding", "gzip")
-	_, err = w.Write(compressed)
+	sent := &countingWriter{to: w, count: metrics.GetOrRegisterCounter("mirror.sent.whole", n.Metrics)}
+	_, err = sent.Write(compressed)
 	n.logUnsent(m.Kind, err)
 }
 
+// countingWriter counts the bytes that are written.
+type countingWriter struct {
+	to    io.Writer
+	count metrics.Counter
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.to.Write(p)
+	w.count.Inc(int64(n))
+	return n, err
+}
+
 // readPosition reads the position from which another box asks for changes. A box that knows no era
 // does not tell one.
 func readPosition(query url.Values) (p objects.Position, ok bool) {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -28,13 +28,21 @@
 	registry := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("answered", registry).Inc(3)
 	metrics.GetOrRegisterTimer("request.shop", registry).Update(20 * time.Millisecond)
+	metrics.GetOrRegisterGauge("memory.live", registry).Update(7)
+	metrics.GetOrRegisterGauge("mirror.changes.servers", registry).Update(8)
+	metrics.GetOrRegisterGauge("mirror.kept.servers", registry).Update(9)
+	metrics.GetOrRegisterGauge("store.answered_ago.servers", registry).Update(10)
 	var b strings.Builder
 	writeMetrics(&b, registry)
 	is.Equal(b.String(), "stoneworks_answered_total 3\n"+
+		"stoneworks_memory_live_bytes 7\n"+
+		"stoneworks_mirror_changes_servers_changes 8\n"+
+		"stoneworks_mirror_kept_servers_bytes 9\n"+
 		"stoneworks_request_shop_milliseconds{quantile=\"0.5\"} 20.000\n"+
 		"stoneworks_request_shop_milliseconds{quantile=\"0.9\"} 20.000\n"+
 		"stoneworks_request_shop_milliseconds{quantile=\"0.99\"} 20.000\n"+
-		"stoneworks_request_shop_total 1\n")
+		"stoneworks_request_shop_total 1\n"+
+		"stoneworks_store_answered_ago_servers_milliseconds 10\n")
 }
 
 func TestCapacityIsThatOfTheScarcerPart(t *testing.T) {
--- a/pkg/node/node_utilization.go
+++ b/pkg/node/node_utilization.go
@@ -182,6 +182,9 @@
 		log.Info("sizes of the machine are unknown and are not watched", map[string]any{"resources": names})
 	}
 	n.utilizationLog = log
+	if err := n.Metrics.Register("memory.live", gometrics.NewFunctionalGauge(liveMemory)); err != nil {
+		log.Warn("metric could not be registered", map[string]any{"metric": "memory.live", "error": err.Error()})
+	}
 }
 
 // logHeads logs that heads of requests have begun to be refused, or have room again.
@@ -236,3 +239,10 @@
 	metrics.Read(samples)
 	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
 }
+
+// liveMemory returns the memory that the last garbage collection found in use, in bytes.
+func liveMemory() int64 {
+	samples := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64())
+}
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -333,6 +333,29 @@
 	return m.synced
 }
 
+// Usage is what a mirror holds.
+type Usage struct {
+	// Objects is the number of objects, and ObjectBytes the length of their names and contents.
+	Objects, ObjectBytes int
+	// Changes is the number of changes that are kept for other boxes, and ChangeBytes the length of
+	// the names and contents that they hold.
+	Changes, ChangeBytes int
+}
+
+// Usage returns what the mirror holds.
+func (m *Mirror) Usage() Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := Usage{Objects: len(m.items), Changes: len(m.changes) - m.first}
+	for _, o := range m.items {
+		u.ObjectBytes += o.size()
+	}
+	for i := range m.changes[m.first:] {
+		u.ChangeBytes += m.changes[m.first+i].event.Object.size()
+	}
+	return u
+}
+
 // Items returns all objects sorted by name, and their extent.
 func (m *Mirror) Items() ([]Object, Extent) {
 	m.mu.Lock()
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -29,6 +29,9 @@
 	Status json.RawMessage `json:"status,omitempty"`
 }
 
+// size returns the length of an object's name and contents in bytes.
+func (o *Object) size() int { return len(o.Name) + len(o.Spec) + len(o.Status) }
+
 // Event is one change of an object.
 type Event struct {
 	Object  Object `json:"object"`
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -119,10 +119,25 @@
 		r.mirrors[kind] = objects.NewMirror(kind)
 		r.mirrors[kind].Now = o.Now
 		r.followers[kind] = r.newFollower(kind)
+		r.registerUsage(kind)
 	}
 	return r
 }
 
+// registerUsage registers the metrics of what the copy of a kind holds.
+func (r *Replica) registerUsage(kind string) {
+	for name, part := range map[string]func(u objects.Usage) int{
+		"mirror.objects.": func(u objects.Usage) int { return u.ObjectBytes },
+		"mirror.kept.":    func(u objects.Usage) int { return u.ChangeBytes },
+		"mirror.changes.": func(u objects.Usage) int { return u.Changes },
+	} {
+		gauge := metrics.NewFunctionalGauge(func() int64 { return int64(part(r.mirrors[kind].Usage())) })
+		if err := r.Metrics.Register(name+kind, gauge); err != nil {
+			r.StoreLog.Warn("cannot register the metric", map[string]any{"metric": name + kind, "error": err.Error()})
+		}
+	}
+}
+
 // OnChange sets the function that is called with each changed or deleted object of a kind.
 // Call it before Run.
 func (r *Replica) OnChange(kind string, changed func(o objects.Object, gone bool)) {
