Mirrors: changes kept for other boxes hold names, not objects

Cause: a mirror keeps its latest 1,024 changes of a kind for other boxes, each with the whole object. The bound is a number of entries, whose length others decide; former states of one object count one by one.

Change: changes.go lists names in the order of their last changes, each once, bounded by their number and by the length of the names. A box that asks is sent the present state of what changed, behind the deletion if the object was deleted since: a server that is created again is another one. A list skips states too, so followers lose nothing that they could rely on.

--- a/pkg/objects/era.go
+++ b/pkg/objects/era.go
@@ -42,7 +42,7 @@
 	for name, known := range applied {
 		m.deferred[name] = deferral{applied: optional(known, true), until: until}
 	}
-	m.dropChanges()
+	m.changes.reset(m.extent.PartialTo)
 }
 
 // LoadCopy replaces the mirror with a list although that is older, because the store has come back
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -31,11 +31,7 @@
 	extent   Extent
 	synced   bool
 	digest   uint32
-	// changes[first:] are the latest changes in their order. Changes up to revision trimmedTo
-	// may be missing.
-	changes   []change
-	first     int
-	trimmedTo uint64
+	changes  changeLog
 }
 
 // Extent is the range of revisions that a list or a set of changes reflects.
@@ -90,15 +86,6 @@
 	return e.Era == other.Era || e.Era == 0 || other.Era == 0
 }
 
-// change is a change of one object, made at maxRevision or before.
-type change struct {
-	event       Event
-	maxRevision uint64
-}
-
-// maxChanges bounds the changes that a mirror keeps for other boxes.
-const maxChanges = 1024
-
 // Version lets boxes compare their mirrors.
 type Version struct {
 	// Era is the era of the revision; see Extent.
@@ -162,17 +149,10 @@
 	}
 	m.synced = true
 	m.extent = m.extent.merge(extent)
-	m.dropChanges()
+	m.changes.reset(m.extent.PartialTo)
 	return true
 }
 
-// dropChanges forgets the changes that were kept for other boxes.
-func (m *Mirror) dropChanges() {
-	clear(m.changes)
-	m.changes, m.first = m.changes[:0], 0
-	m.trimmedTo = m.extent.PartialTo
-}
-
 // Apply applies events that start from the mirror's revision. Events of another era change
 // nothing.
 func (m *Mirror) Apply(events []Event, extent Extent) {
@@ -247,33 +227,20 @@
 // so PartialTo is used as its revision: a list may contain changes newer than its CompleteTo,
 // and with CompleteTo as the revision such a change would not be passed on to boxes that are
 // already past that.
-func (m *Mirror) record(e Event) {
-	m.changes = append(m.changes, change{event: e, maxRevision: m.extent.PartialTo})
-	if len(m.changes)-m.first > maxChanges {
-		m.trimmedTo = m.changes[m.first].maxRevision
-		m.first++
-	}
-	if m.first == maxChanges {
-		// Move the entries only once per maxChanges changes: moving all of them with each
-		// change takes longer than the rest of it.
-		kept := copy(m.changes, m.changes[m.first:])
-		clear(m.changes[kept:])
-		m.changes, m.first = m.changes[:kept], 0
-	}
-}
+func (m *Mirror) record(e Event) { m.changes.add(e, m.extent.PartialTo) }
 
 // EventsSince returns the changes since a position and the extent reached with them; ok is
-// false if these changes are no longer known, as are those since another era.
+// false if these changes are no longer known, as are those since another era. An object that has
+// changed several times is in its last state only.
 func (m *Mirror) EventsSince(since Position) (events []Event, extent Extent, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.synced || since.Era != m.extent.Era || since.Revision < m.trimmedTo {
+	if !m.synced || since.Era != m.extent.Era {
 		return nil, Extent{}, false
 	}
-	for _, c := range m.changes[m.first:] {
-		if c.maxRevision > since.Revision {
-			events = append(events, c.event)
-		}
+	events, ok = m.changes.since(since.Revision, m.items)
+	if !ok {
+		return nil, Extent{}, false
 	}
 	return events, m.extent, true
 }
@@ -338,7 +305,7 @@
 	// Objects is the number of objects, and ObjectBytes the length of their names and contents.
 	Objects, ObjectBytes int
 	// Changes is the number of changes that are kept for other boxes, and ChangeBytes the length of
-	// the names and contents that they hold.
+	// what they hold.
 	Changes, ChangeBytes int
 }
 
@@ -346,13 +313,10 @@
 func (m *Mirror) Usage() Usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	u := Usage{Objects: len(m.items), Changes: len(m.changes) - m.first}
+	u := Usage{Objects: len(m.items), Changes: m.changes.entries.Len(), ChangeBytes: m.changes.nameBytes}
 	for _, o := range m.items {
 		u.ObjectBytes += o.size()
 	}
-	for i := range m.changes[m.first:] {
-		u.ChangeBytes += m.changes[m.first+i].event.Object.size()
-	}
 	return u
 }
 
