Handovers between boxes are written and read object by object; long changes go as the compressed list

A box holds the whole text of what it hands over once for each box that asks at the same time, and a box that takes a list holds the whole text (up to 64 MiB, in a buffer that doubles) beside the objects.

Evidence: by the code, encoding/json encodes a value whole before it writes, and json.Decoder reads a value whole before it decodes. TestHandoversAreNotHeldWhole and TestLongChangesAreHandedOverAsAList with the former way in their place: a list of 50 objects of 20 kB is one write; every long change goes as it is.

Change: writeHandover encodes one object after the other; httpjson.DecodeLists decodes the values of a long list one by one. Changes of 64 kB and more that are half of the mirror or more go as the whole list, which is compressed once for all boxes that ask: of a configuration that is always so.

Tests: those two, TestDecodeLists, TestLongListsAreNotHeld (30 MB of text, less than 1 MB held).

--- a/pkg/httpjson/httpjson.go
+++ b/pkg/httpjson/httpjson.go
@@ -42,18 +42,24 @@
 // Arrays and objects that are nested deeper than maxDepth are replaced; see LimitDepth. The error is a
 // *TrailingError, an *exchange.TooLongError, one of package json, or that of reading the body.
 func Decode(body io.Reader, limit int64, target any) error {
+	return decodeOnly(body, limit, func(d *json.Decoder) error { return d.Decode(target) })
+}
+
+// decodeOnly reads a body to its end, which must be the one value that decode decodes.
+func decodeOnly(body io.Reader, limit int64, decode func(d *json.Decoder) error) error {
 	bounded := &io.LimitedReader{R: body, N: limit + 1}
-	err := decodeOne(json.NewDecoder(&depthReader{from: bounded, limit: depthLimit{levels: maxDepth}}), target)
+	d := json.NewDecoder(&depthReader{from: bounded, limit: depthLimit{levels: maxDepth}})
+	err := decode(d)
+	if err == nil {
+		err = decodeEnd(d)
+	}
 	if bounded.N <= 0 {
 		return &exchange.TooLongError{Limit: limit}
 	}
 	return err
 }
 
-func decodeOne(d *json.Decoder, target any) error {
-	if err := d.Decode(target); err != nil {
-		return err
-	}
+func decodeEnd(d *json.Decoder) error {
 	_, err := d.Token()
 	switch {
 	case err == nil:
--- a/pkg/node/node_mirrors.go
+++ b/pkg/node/node_mirrors.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,7 +9,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -73,7 +70,18 @@
 	}
 	body := &replica.Handover{}
 	arriving := &progressReader{body: answer.Body, arrived: func() { idle.Reset(replica.PullIdleTimeout) }}
-	return body, httpjson.Decode(arriving, maxHandover, body)
+	return body, httpjson.DecodeLists(arriving, maxHandover, body, httpjson.Lists{
+		"items":  func(d *json.Decoder) error { return appendNext(d, &body.Items) },
+		"events": func(d *json.Decoder) error { return appendNext(d, &body.Events) },
+	})
+}
+
+// appendNext decodes the next value of a list and appends it.
+func appendNext[T any](d *json.Decoder, list *[]T) error {
+	var value T
+	err := d.Decode(&value)
+	*list = append(*list, value)
+	return err
 }
 
 // peerClient returns a client for one call to another box.
@@ -105,9 +113,9 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if since, ok := readPosition(r.URL.Query()); ok {
-		if events, held, known := m.EventsSince(since); known {
+		if events, held, known := m.EventsSince(since); known && !isNearlyAll(events, m) {
 			sent := &countingWriter{to: w, count: metrics.GetOrRegisterCounter("mirror.sent.changes", n.Metrics)}
-			n.logUnsent(m.Kind, json.NewEncoder(sent).Encode(replica.Handover{Events: events, Extent: held}))
+			n.logUnsent(m.Kind, writeHandover(sent, &replica.Handover{Events: events, Extent: held}))
 			return
 		}
 	}
@@ -124,19 +132,6 @@
 	n.logUnsent(m.Kind, err)
 }
 
-// countingWriter counts the bytes that are written.
-type countingWriter struct {
-	to    io.Writer
-	count metrics.Counter
-}
-
-// Write implements io.Writer.
-func (w *countingWriter) Write(p []byte) (int, error) {
-	n, err := w.to.Write(p)
-	w.count.Inc(int64(n))
-	return n, err
-}
-
 // readPosition reads the position from which another box asks for changes. A box that knows no era
 // does not tell one.
 func readPosition(query url.Values) (p objects.Position, ok bool) {
@@ -158,41 +153,3 @@
 		n.log.Debug("response could not be sent", map[string]any{"kind": kind, "error": err.Error()})
 	}
 }
-
-// compressedMirrors caches whole mirrors in the form in which they are sent.
-type compressedMirrors struct {
-	mu   sync.Mutex
-	last map[string]compressedMirror
-}
-
-// compressedMirror is a compressed mirror of one version.
-type compressedMirror struct {
-	version objects.Version
-	body    []byte
-}
-
-// of returns the mirror in the form in which it is sent. Entries are very similar, so
-// compression leaves a tenth of the bytes. Each version is compressed only once, because the
-// boxes of a zone that start together all request it.
-func (p *compressedMirrors) of(m *objects.Mirror) ([]byte, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	version := m.Version()
-	if known, ok := p.last[m.Kind]; ok && known.version == version {
-		return known.body, nil
-	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	items, held := m.Items()
-	if err := json.NewEncoder(w).Encode(replica.Handover{Whole: true, Items: items, Extent: held}); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	if p.last == nil {
-		p.last = map[string]compressedMirror{}
-	}
-	p.last[m.Kind] = compressedMirror{version, b.Bytes()}
-	return b.Bytes(), nil
-}
--- a/pkg/objects/kept_test.go
+++ b/pkg/objects/kept_test.go
@@ -93,7 +93,9 @@
 		m.Load([]Object{object("a", 1)}, Exactly(1))
 	}
 	var reported []string
-	follower.OnChange = func(o Object, gone bool) { reported = append(reported, fmt.Sprintf("%s at %d, gone %t", o.Name, o.Revision, gone)) }
+	follower.OnChange = func(o Object, gone bool) {
+		reported = append(reported, fmt.Sprintf("%s at %d, gone %t", o.Name, o.Revision, gone))
+	}
 	source.Apply([]Event{{Object: object("a", 2)}, {Object: object("a", 3), Deleted: true}}, Exactly(3))
 	source.Apply([]Event{{Object: object("a", 4)}, {Object: object("a", 5)}}, Exactly(5))
 	events, held, ok := source.EventsSince(follower.Version().Position())
--- a/pkg/objects/mirror.go
+++ b/pkg/objects/mirror.go
@@ -315,7 +315,7 @@
 	defer m.mu.Unlock()
 	u := Usage{Objects: len(m.items), Changes: m.changes.entries.Len(), ChangeBytes: m.changes.nameBytes}
 	for _, o := range m.items {
-		u.ObjectBytes += o.size()
+		u.ObjectBytes += o.Size()
 	}
 	return u
 }
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -29,8 +29,8 @@
 	Status json.RawMessage `json:"status,omitempty"`
 }
 
-// size returns the length of an object's name and contents in bytes.
-func (o *Object) size() int { return len(o.Name) + len(o.Spec) + len(o.Status) }
+// Size returns the length of an object's name and contents in bytes.
+func (o *Object) Size() int { return len(o.Name) + len(o.Spec) + len(o.Status) }
 
 // Event is one change of an object.
 type Event struct {
