Store: an answer that is too long is not asked for again, and is bounded by the machine

Cause: an answer of the store is read up to 16 MiB, a number of bytes that bounds one answer and nothing else: the changes of one object, each with the whole object, exceed it. The box refused the whole answer as malformed and asked for the same changes and more, until the store would forget its history. On a slow link an answer of a few MB fails in the same way, as it does not arrive in the time of a call.

Change: a *TooLongError, after which the kind is listed: a list has no former states and comes in pages. The longest answer is a sixteenth of the memory, 4 to 16 MiB.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -50,9 +50,8 @@
 	// HoldsKind is the name of the kind in which boxes store the requests that they hold, so
 	// that these outlast the loss of all boxes.
 	HoldsKind string
-	// Store creates the client of the store. The client calls count with the verb of each call,
-	// and unread for each object that cannot be read.
-	Store func(address string, dial func(ctx context.Context, address string) (net.Conn, error), count func(verb string), unread func(err error)) *objects.Client
+	// Store creates the client of the store.
+	Store func(o objects.ClientOptions) *objects.Client
 	// Configuration reads a configuration object of the store.
 	Configuration func(o objects.Object) (*routing.Configuration, error)
 	// Server reads a backend server object. It also reports whether the object may have fields
--- a/pkg/node/node_store.go
+++ b/pkg/node/node_store.go
@@ -22,9 +22,11 @@
 	if !s.Platform.Rollouts {
 		kinds.Rollouts = ""
 	}
-	n.store = n.adapter.Store(s.Platform.Address, n.dialPeer, func(verb string) {
-		metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1)
-	}, func(err error) { n.noteUnreadObject(log, err) })
+	n.store = n.adapter.Store(objects.ClientOptions{
+		Address: s.Platform.Address, Dial: n.dialPeer, MaxAnswer: n.Utilization.Sizes.MaxStoreAnswer(),
+		OnCall:   func(verb string) { metrics.GetOrRegisterCounter("store."+verb, n.Metrics).Inc(1) },
+		OnUnread: func(err error) { n.noteUnreadObject(log, err) },
+	})
 	n.Replica = replica.New(replica.Options{
 		Kinds: kinds, Zone: s.Zone, ContactWindow: s.Bounds.Contact, DrainTime: s.Bounds.Drain,
 		Client:  n.store,
--- a/pkg/objects/calls.go
+++ b/pkg/objects/calls.go
@@ -66,11 +66,13 @@
 	return err
 }
 
-// mustList reports whether a watch failed so that only a list can help.
+// mustList reports whether a watch failed so that only a list can help: asked again, it would bring
+// the same changes and more. A list has no former states, and comes in pages.
 func mustList(err error) bool {
 	var compacted *CompactedError
 	var newEra *NewEraError
-	return errors.As(err, &compacted) || errors.As(err, &newEra)
+	var tooLong *TooLongError
+	return errors.As(err, &compacted) || errors.As(err, &newEra) || errors.As(err, &tooLong)
 }
 
 func (f *Follower) watch(ctx context.Context, wait time.Duration) (Changes, error) {
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"time"
 )
 
@@ -56,6 +57,17 @@
 	Era      uint64
 }
 
+// ClientOptions are what a client of the store needs.
+type ClientOptions struct {
+	Address string
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+	// MaxAnswer is the longest body of an answer that is read, in bytes.
+	MaxAnswer int64
+	// OnCall is called with the verb of each call, and OnUnread for each object that cannot be read.
+	OnCall   func(verb string)
+	OnUnread func(err error)
+}
+
 // Client makes calls to the store.
 type Client struct {
 	// List returns the objects of a kind whose names come after the given one. A stale list is
@@ -86,6 +98,19 @@
 	return "objects: the store no longer has the history since the requested revision"
 }
 
+// TooLongError reports an answer that this box does not read, since it is longer than MaxAnswer or does
+// not arrive in the time of a call.
+type TooLongError struct {
+	Kind string
+	// Length is that of the body in bytes, or of the part that has arrived. Limit is MaxAnswer.
+	Length, Limit int64
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("objects: answer for %s is too long: %d bytes, limit %d", e.Kind, e.Length, e.Limit)
+}
+
 // ConflictError reports that an object has been changed or deleted meanwhile.
 type ConflictError struct {
 	Kind, Name string
--- a/pkg/objects/objects_test.go
+++ b/pkg/objects/objects_test.go
@@ -477,3 +477,27 @@
 	defer s.mu.Unlock()
 	is.Equal(s.calls, []string{"list "})
 }
+
+// TestFollowerListsAnewWhenTheHistoryIsTooLong guards against a follower that asks again and again for
+// changes that are a longer answer than it reads, and learns of none of them.
+func TestFollowerListsAnewWhenTheHistoryIsTooLong(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	lists := 0
+	s.list = func() (Page, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		lists++
+		return Page{Items: []Object{object("a", uint64(lists))}, Revision: uint64(lists)}, nil
+	}
+	s.watch = func(ctx context.Context, since uint64) ([]Event, uint64, error) {
+		if since == 1 {
+			return nil, 0, &TooLongError{Kind: "things", Length: 2, Limit: 1}
+		}
+		return blocked(ctx)
+	}
+	f, stop := startFollower(s, time.Minute)
+	eventually(is, func() bool { return f.Mirror.Version().Revision == 2 })
+	stop()
+	is.Equal(s.calls[:3], []string{"list ", "watch 1", "list "})
+}
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -35,6 +35,9 @@
 		defer mu.Unlock()
 		silent := r.contact.sinceStart() - time.Duration(answered.Load())
 		r.StoreLog.Debug("call ended", callFields(kind, c))
+		if isTooLong(c.Err) {
+			r.StoreLog.Warn("answer of the store is too long; the kind is listed", callFields(kind, c))
+		}
 		if isAnswer(c.Err) {
 			answered.Store(int64(r.contact.sinceStart()))
 			if failed > 0 {
@@ -58,7 +61,13 @@
 // isAnswer reports whether a call with this error was answered by the store.
 func isAnswer(err error) bool {
 	var compacted *objects.CompactedError
-	return err == nil || errors.As(err, &compacted)
+	return err == nil || errors.As(err, &compacted) || isTooLong(err)
+}
+
+// isTooLong reports whether the answer to a call was too long to be read.
+func isTooLong(err error) bool {
+	var tooLong *objects.TooLongError
+	return errors.As(err, &tooLong)
 }
 
 func callFields(kind string, c objects.Call) map[string]any {
--- a/pkg/utilization/utilization.go
+++ b/pkg/utilization/utilization.go
@@ -21,6 +21,23 @@
 	Descriptors int
 }
 
+// The longest answer of the store that a box reads: a share of the memory, within bounds of which the
+// lower one holds a page of a list.
+const (
+	storeAnswerShare = 1.0 / 16
+	minStoreAnswer   = 4 << 20
+	maxStoreAnswer   = 16 << 20
+)
+
+// MaxStoreAnswer returns the longest answer of the store that the box reads, in bytes.
+func (s Sizes) MaxStoreAnswer() int64 {
+	memory := s.of(Memory)
+	if memory <= 0 {
+		return maxStoreAnswer
+	}
+	return int64(min(max(storeAnswerShare*memory, minStoreAnswer), maxStoreAnswer))
+}
+
 // Reading is what a box reads of itself. Processor, Received and Sent are sums since its start.
 type Reading struct {
 	Processor time.Duration
--- a/pkg/utilization/utilization_test.go
+++ b/pkg/utilization/utilization_test.go
@@ -80,3 +80,12 @@
 		is.New(t).Equal(LevelOf(c.share, c.former), c.want)
 	}
 }
+
+// TestLongestAnswerOfTheStoreFollowsTheMemory checks that an answer is bounded by the machine, and may
+// hold a page of a list on any.
+func TestLongestAnswerOfTheStoreFollowsTheMemory(t *testing.T) {
+	is := is.New(t)
+	for memory, want := range map[float64]int64{0: 16 << 20, 16: 4 << 20, 128: 8 << 20, 284: 16 << 20} {
+		is.Equal(Sizes{MemoryMB: memory}.MaxStoreAnswer(), want)
+	}
+}
