Log: waiting lines are bounded in bytes

Lines of the log wait in a queue of 8,192, and a line is as long as the ID that a client gives its request, up to a whole head. While nothing reads the log they take more than a small machine has.

Change: the queue holds at most 4 MiB; longer ones are dropped and counted as those beyond 8,192 are. All 8,192 lines of 200 bytes still fit, and there is room again once lines are written.

The tests that measure a heap share test/heap.

--- a/pkg/httpjson/lists_test.go
+++ b/pkg/httpjson/lists_test.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"runtime"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/stoneworks/stoneworks/pkg/exchange"
+	"github.com/stoneworks/stoneworks/test/heap"
 )
 
 // decodeNumbers decodes a body with a list of numbers.
@@ -72,12 +72,12 @@
 		parts = append(parts, strings.NewReader(","), strings.NewReader(value))
 	}
 	parts = append(parts, strings.NewReader(`]}`))
-	before, held, seen := liveHeap(), 0, 0
+	before, held, seen := heap.Live(), 0, 0
 	err := DecodeLists(io.MultiReader(parts...), length*count*2, &struct{}{}, Lists{"items": func(d *json.Decoder) error {
 		var body struct{ A string }
 		err := d.Decode(&body)
 		if seen++; seen%20 == 0 {
-			held = max(held, liveHeap()-before)
+			held = max(held, heap.Live()-before)
 		}
 		return err
 	}})
@@ -86,11 +86,3 @@
 	t.Logf("%d kB held of %d", held>>10, length*count>>10)
 	is.True(held < 10*length)
 }
-
-// liveHeap returns the length of the heap that is in use.
-func liveHeap() int {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int(m.HeapAlloc)
-}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -16,15 +16,21 @@
 	"github.com/apex/log"
 )
 
-// QueueLength is how many lines the queue holds.
-const QueueLength = 8192
+// QueueLength is how many lines the queue holds, and QueueBytes how long they may be together. A line
+// can be as long as a request's ID, which its client chooses.
+const (
+	QueueLength = 8192
+	QueueBytes  = 4 << 20
+)
 
 // AsyncHandler is an apex/log handler that writes in the background.
 type AsyncHandler struct {
 	out io.Writer
 	// Format formats an entry as one line.
-	Format  func(*log.Entry) string
-	lines   chan string
+	Format func(*log.Entry) string
+	lines  chan string
+	// queued is the length of the lines in the queue.
+	queued  atomic.Int64
 	dropped atomic.Int64
 	// reported is how many of the dropped lines the log has reported.
 	reported int64
@@ -44,14 +50,26 @@
 
 // HandleLog implements log.Handler. It never blocks.
 func (h *AsyncHandler) HandleLog(e *log.Entry) error {
-	select {
-	case h.lines <- h.Format(e):
-	default:
+	if !h.enqueue(h.Format(e)) {
 		h.dropped.Add(1)
 	}
 	return nil
 }
 
+// enqueue queues a line, and reports whether there was room for it.
+func (h *AsyncHandler) enqueue(line string) bool {
+	length := int64(len(line))
+	if h.queued.Add(length) <= QueueBytes {
+		select {
+		case h.lines <- line:
+			return true
+		default:
+		}
+	}
+	h.queued.Add(-length)
+	return false
+}
+
 // Dropped returns how many lines were dropped because the queue was full.
 func (h *AsyncHandler) Dropped() int64 { return h.dropped.Load() }
 
@@ -71,14 +89,16 @@
 // maxWrite bounds the bytes of lines that are joined into one write.
 const maxWrite = 64 << 10
 
-// write writes the line and all lines that are queued. It joins them into writes of up to
+// write writes the line, which was queued, and all lines that are queued. It joins them into writes of up to
 // maxWrite bytes, since each write has a cost of its own.
 func (h *AsyncHandler) write(line string) {
 	var b strings.Builder
 	b.WriteString(line)
+	h.queued.Add(-int64(len(line)))
 	for {
 		select {
 		case next := <-h.lines:
+			h.queued.Add(-int64(len(next)))
 			if b.Len()+len(next) > maxWrite {
 				_, _ = io.WriteString(h.out, b.String())
 				b.Reset()
--- a/pkg/objects/kept_test.go
+++ b/pkg/objects/kept_test.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/stoneworks/stoneworks/test/heap"
 )
 
 // The failure that these tests guard against: a mirror keeps the latest changes for other boxes,
@@ -21,15 +22,6 @@
 	return Object{Name: name, Revision: revision, Spec: bytes.Repeat([]byte{'7'}, length)}
 }
 
-// liveHeap returns the length of the heap that is in use.
-func liveHeap() int {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int(m.HeapAlloc)
-}
-
 // keptRounds is how many changes each form makes: more than a mirror keeps.
 const keptRounds = maxChanges + 200
 
@@ -53,11 +45,11 @@
 			is := is.New(t)
 			m := NewMirror("things")
 			m.Load(nil, Exactly(1))
-			before := liveHeap()
+			before := heap.Live()
 			for i := range uint64(keptRounds) {
 				m.Apply(change(i+2), Exactly(i+2))
 			}
-			grown, u := liveHeap()-before, m.Usage()
+			grown, u := heap.Live()-before, m.Usage()
 			t.Logf("the heap grew by %d kB; %+v", grown>>10, u)
 			is.True(u.ChangeBytes <= maxChangeBytes)
 			is.True(grown < u.ObjectBytes+(1<<20))
