Metrics: the first 100 services have a timer of their own, the others share one

A timer is kept for each service that any configuration has had and that was sent a request, and is never dropped.

Change: as for customers that were refused, whose code it now shares (metricNames).

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -177,9 +177,9 @@
 	// Random returns a random number, which is the key of a request that has none.
 	Random func() uint64
 	Log    *logging.Logger
-	// Count counts an event, Observe records the duration of a request.
+	// Count counts an event, Observe records the duration of a request to a service.
 	Count   func(name string)
-	Observe func(name string, d time.Duration)
+	Observe func(service string, d time.Duration)
 }
 
 // Parameters of the request path.
--- a/pkg/ingress/ingress_answer.go
+++ b/pkg/ingress/ingress_answer.go
@@ -167,7 +167,7 @@
 func (c *call) answered(status int) {
 	s := c.server
 	c.observeTarget(status < http.StatusInternalServerError)
-	s.Observe("request."+c.service, s.Now().Sub(c.start))
+	s.Observe(c.service, s.Now().Sub(c.start))
 	s.Count("answered")
 	clean := len(c.steps) == 1 && status < 500
 	if !clean {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -147,9 +147,9 @@
 	// statusChanged: a backend server's reported status has changed since it was last sent to
 	// other boxes.
 	statusChanged atomic.Bool
-	// refused are the customers that have a metric of their own for refusals.
-	refusedMu sync.Mutex
-	refused   map[string]bool
+	// refused are the customers that have a metric of their own for refusals, and timed the services
+	// that have one for the time of requests.
+	refused, timed metricNames
 
 	leaving atomic.Bool
 	closed  atomic.Bool
@@ -194,7 +194,6 @@
 		idle:     exchange.NewIdleLimit(c.Now),
 		Ledger:   customerstats.NewLedger(c.Now),
 		ports:    &ports{},
-		refused:  map[string]bool{},
 	}
 	n.Timers.Now = c.Now
 	n.Connect = n.connect
@@ -388,9 +387,7 @@
 		Random:               rand.Uint64,
 		Log:                  log,
 		Count:                func(name string) { metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1) },
-		Observe: func(name string, d time.Duration) {
-			metrics.GetOrRegisterTimer(name, n.Metrics).Update(d)
-		},
+		Observe:              n.observeRequest,
 	}
 }
 
--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -38,7 +38,7 @@
 	{"config.refused", "configurations", "that do not parse or make no sense; the last good one stays in force"},
 	{"customer.refused.NAME", "requests", "over their customer's limit, of the first 100 that were refused any; of all others together under others"},
 	{"customer.worst_tenth", "share", "of the requests of the worst-served tenth of this box's customers that were answered within their target, lately"},
-	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, by service"},
+	{"request.SERVICE", "milliseconds", "from a request's arrival to its answer, of the first 100 services; of all others together under others"},
 	{"quota.sent", "datagrams", "of limits of customers and backend servers, to other boxes"},
 	{"findings.sent", "findings", "of backend servers that are gone, told to other boxes"},
 	{"findings.received", "findings", "of backend servers that are gone, told by other boxes"},
--- a/pkg/node/node_quota.go
+++ b/pkg/node/node_quota.go
@@ -195,22 +195,9 @@
 	return d
 }
 
-// maxCustomerMetrics bounds the customers that have a metric of their own.
-const maxCustomerMetrics = 100
-
-// countRefused counts a refusal by customer. Once maxCustomerMetrics customers have been
-// refused, all further ones share a metric.
+// countRefused counts a refusal by customer.
 func (n *Node) countRefused(customer string) {
-	n.refusedMu.Lock()
-	if !n.refused[customer] {
-		if len(n.refused) < maxCustomerMetrics {
-			n.refused[customer] = true
-		} else {
-			customer = "others"
-		}
-	}
-	n.refusedMu.Unlock()
-	metrics.GetOrRegisterCounter("customer.refused."+customer, n.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter(n.refused.of("customer.refused.", customer), n.Metrics).Inc(1)
 }
 
 // serveCustomers returns to operators the limits of customers and the counts of their requests at
