Configurations: a request keeps its route and customer, not the configuration

Cause: a request refers to its route and customer by pointers into the lists of the configuration under which it began, so each request keeps whole lists in memory until it ends. Of a long configuration that changes often, a box holds as many as its requests under way have begun under: their number is bounded by requests, their length by nobody.

Change: the table and the keyring refer to routes and customers each on their own. The present table takes one copy of the structures more, some 200 bytes a route.

--- a/pkg/customer/keyring.go
+++ b/pkg/customer/keyring.go
@@ -18,13 +18,13 @@
 // NewKeyring returns the keyring of the customers. The error is a *SharedKeyError.
 func NewKeyring(customers []Customer) (*Keyring, error) {
 	k := &Keyring{owners: map[Digest]*Customer{}}
-	for i := range customers {
-		c := &customers[i]
+	for _, c := range customers {
+		// A pointer into the list would keep all of it while a request uses the customer.
 		for _, d := range c.Keys {
-			if other, ok := k.owners[d]; ok && other != c {
+			if other, ok := k.owners[d]; ok && other != &c {
 				return nil, &SharedKeyError{Key: d, First: other.Name, Second: c.Name}
 			}
-			k.owners[d] = c
+			k.owners[d] = &c
 		}
 	}
 	return k, nil
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -33,10 +33,10 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
-	for i := range c.Routes {
-		r := &c.Routes[i]
+	for _, r := range c.Routes {
+		// A pointer into the list would keep all of it while a request uses the route.
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		t.hosts[host] = append(t.hosts[host], &r)
 	}
 	for _, routes := range t.hosts {
 		// The longest prefix comes first.
