Soak: series of long configurations at boxes whose machine is small

Catalogue 13 has series of changes of a configuration of 900 kB, boxes that know a machine of 128 MB, the size that the design is for, and a check that no process uses more.

The log shows watches that got no head of an answer within 1.8 s: the stand-in encoded up to 60 MB of changes anew for each watch before it answered.

--- a/test/crowds/crowds_test.go
+++ b/test/crowds/crowds_test.go
@@ -10,8 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -217,12 +215,9 @@
 // peakMemoryMB returns the largest resident memory that the process has had, in MB.
 func (s *stage) peakMemoryMB() int {
 	s.t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.process))
+	used, err := s.box.PeakMemoryMB()
 	is.New(s.t).NoErr(err)
-	_, rest, _ := strings.Cut(string(text), "VmHWM:")
-	kB, err := strconv.Atoi(strings.Fields(rest)[0])
-	is.New(s.t).NoErr(err)
-	return kB >> 10
+	return used
 }
 
 // openDescriptors returns how many descriptors the process has open.
--- a/test/machines/store.go
+++ b/test/machines/store.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"sort"
@@ -80,10 +81,11 @@
 	Status   json.RawMessage `json:"status"`
 }
 
+// storedEvent is a change. Its text is encoded once, since the changes of a long object take long to
+// encode, and a store answers soon however many there are.
 type storedEvent struct {
 	kind     string
-	object   storedObject
-	deleted  bool
+	text     []byte
 	revision uint64
 }
 
@@ -154,10 +156,19 @@
 		o.Metadata.Made, o.Status = known.Metadata.Made, known.Status
 	}
 	s.objects[kind][name] = o
-	s.events = append(s.events, storedEvent{kind: kind, object: *o, revision: s.revision})
+	s.addEvent(kind, o, false)
 	s.notifyWatches()
 }
 
+// addEvent records a change at the store's revision. The caller holds the lock.
+func (s *Store) addEvent(kind string, o *storedObject, deleted bool) {
+	text, err := json.Marshal(map[string]any{"object": o, "gone": deleted})
+	if err != nil {
+		panic(err)
+	}
+	s.events = append(s.events, storedEvent{kind: kind, text: text, revision: s.revision})
+}
+
 // putStatus replaces an object's status if the object still has the revision, and reports whether
 // it did.
 func (s *Store) putStatus(kind, name string, revision uint64, status json.RawMessage) bool {
@@ -170,7 +181,7 @@
 	s.revision++
 	changed := &storedObject{Metadata: metadata{Name: name, Revision: s.revision, Made: o.Metadata.Made}, Spec: o.Spec, Status: status}
 	s.objects[kind][name] = changed
-	s.events = append(s.events, storedEvent{kind: kind, object: *changed, revision: s.revision})
+	s.addEvent(kind, changed, false)
 	s.notifyWatches()
 	return true
 }
@@ -202,7 +213,7 @@
 	}
 	delete(s.objects[kind], name)
 	s.revision++
-	s.events = append(s.events, storedEvent{kind: kind, object: *o, deleted: true, revision: s.revision})
+	s.addEvent(kind, o, true)
 	s.notifyWatches()
 }
 
@@ -375,7 +386,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || over:
-			s.writeJSON(w, map[string]any{"events": append([]map[string]any{}, events...), "at": at})
+			s.write(w, fmt.Appendf(nil, `{"events":[%s],"at":%d}`, bytes.Join(events, []byte(",")), at))
 			return
 		}
 		select {
@@ -395,13 +406,14 @@
 	}
 }
 
-func (s *Store) eventsSince(kind string, since uint64) (events []map[string]any, gone bool) {
+// eventsSince returns the texts of the changes since a revision.
+func (s *Store) eventsSince(kind string, since uint64) (events [][]byte, gone bool) {
 	if since < s.oldestRevision || since > s.revision {
 		return nil, true
 	}
 	for _, e := range s.events {
 		if e.kind == kind && e.revision > since {
-			events = append(events, map[string]any{"object": e.object, "gone": e.deleted})
+			events = append(events, e.text)
 		}
 	}
 	return events, false
@@ -412,10 +424,16 @@
 	if err != nil {
 		panic(err)
 	}
+	s.write(w, text)
+}
+
+// write writes an answer, with the texts in the places that stand for them.
+func (s *Store) write(w http.ResponseWriter, text []byte) {
 	s.texts.Range(func(placeholder, spec any) bool {
 		text = bytes.ReplaceAll(text, []byte(placeholder.(string)), []byte(spec.(string)))
 		return true
 	})
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = w.Write(text)
 }
--- a/test/processes/processes.go
+++ b/test/processes/processes.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -234,6 +235,27 @@
 	return b.command.Process.Pid
 }
 
+// PeakMemoryMB returns the largest resident memory that the current incarnation has had, in MB.
+func (b *Box) PeakMemoryMB() (int, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.Process()))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0, &EndedError{Box: b.Name}
+	}
+	kB, err := strconv.Atoi(fields[0])
+	return kB >> 10, err
+}
+
+// EndedError is returned for what a process that has ended no longer tells.
+type EndedError struct{ Box string }
+
+// Error implements error.
+func (e *EndedError) Error() string { return "the process of " + e.Box + " has ended" }
+
 // Signal sends the process a signal; it does nothing before the first start.
 func (b *Box) Signal(s syscall.Signal) {
 	b.mu.Lock()
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -76,6 +76,7 @@
 	{"region-servers", regionServers},
 	{"region-boxes", regionBoxes},
 	{"own-ends", ownEnds},
+	{"memory", memoryExceeded},
 	{"recovery", recovery},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -173,6 +173,7 @@
 			h.FaultPeriods = []FaultPeriod{{Kind: BoxKill, Target: "b1", From: start, To: after(time.Second)}}
 			h.Exits = []Exit{{"b1", after(time.Millisecond)}, {"b1", after(2 * time.Second)}}
 		},
+		"memory":   func(h *History) { h.MachineMB, h.PeakMemoryMB = 128, map[string]int{"b1": 128, "b2": 129} },
 		"recovery": func(h *History) { h.Recovery.Answered = 50 },
 	}
 	for _, c := range Checks {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -76,8 +76,11 @@
 	return nil
 }
 
-// configure writes the next version of the configuration to the store.
-func (r *run) configure() {
+// configure writes the next version of the configuration to the store, with that many routes more
+// than clients use.
+func (r *run) configure(more int) {
+	r.configuring.Lock()
+	defer r.configuring.Unlock()
 	r.version++
 	r.fleet.Customers = customersOf(r.version)
 	all := append([]machines.Route{markerRoute(r.version)}, routes...)
@@ -85,7 +88,7 @@
 		r.fleet.Customers = append(r.fleet.Customers, machines.Customer{Name: restrictedCustomer, Keys: []string{keyOf(restrictedCustomer)}, Regions: restrictedCustomerRegions})
 		all = append(all, restrictedRoutes...)
 	}
-	r.fleet.Configure(r.version, all...)
+	r.fleet.Configure(r.version, append(all, manyRoutes(more, r.version)...)...)
 	r.update(func(h *History) {
 		h.Configurations = append(h.Configurations, AcceptedConfiguration{Version: r.version, At: time.Now()})
 	})
@@ -130,7 +133,9 @@
 	case LinkDelay, LinkReset, LinkSilent, LinkOneWay:
 		r.disruptLink(server, e)
 	case Configure:
-		r.configure()
+		r.configure(0)
+	case LongConfigurations:
+		r.changeLongConfiguration(e)
 	case Evacuate:
 		r.evacuate(e)
 	case RequestCrashes:
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -118,6 +118,10 @@
 	Configurations []AcceptedConfiguration
 	FaultPeriods   []FaultPeriod
 	Exits          []Exit
+	// PeakMemoryMB is the most memory that a process of each box has used, and MachineMB what their
+	// machines have, 0 if that is unknown.
+	PeakMemoryMB map[string]int
+	MachineMB    int
 	// Recovery counts the requests sent after all faults were over.
 	Recovery struct{ Sent, Answered int }
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -75,6 +75,8 @@
 	// EarlyAnswers is long uploads that servers answer before they have read them.
 	BoxesStop    Kind = "boxes-stop"
 	EarlyAnswers Kind = "early-answers"
+	// LongConfigurations is a long configuration that changes many times in a row.
+	LongConfigurations Kind = "long-configurations"
 )
 
 // Catalogue is a list of kinds that a plan draws from. A seed always draws the same plan from
@@ -82,12 +84,12 @@
 type Catalogue []Kind
 
 // FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds,
-// MovesKinds, CutKinds, CopyKinds, StopKinds and AllKinds are the catalogues. A kind that stands
+// MovesKinds, CutKinds, CopyKinds, StopKinds, RegionKinds and AllKinds are the catalogues. A kind that stands
 // several times is drawn more often. LimitKinds has only kinds under which the limit of a server
 // still applies: a link that delays requests lets them arrive together, so its kinds are left
 // out. StatusHeaderKinds adds to them the kinds of status headers of servers and more faults
-// of the store. Runs of AllKinds, which has cuts between regions, have three regions and send
-// restricted requests.
+// of the store. Runs of RegionKinds and AllKinds, which have cuts between regions, have three
+// regions and send restricted requests. In runs of AllKinds the machines of boxes are small.
 var (
 	FirstKinds = Catalogue{
 		BoxStop, BoxKill, BoxPause, BoxReload, StoreBusy, StoreMany, StoreSilent, StoreReset, StoreForgets, StoreCut,
@@ -106,12 +108,13 @@
 	CutKinds          = append(append(Catalogue{}, MovesKinds...), BoxCut, BoxCut, BoxCut)
 	CopyKinds         = append(append(Catalogue{}, CutKinds...), StoreCopy, StoreCopy, StoreCopy)
 	StopKinds         = append(append(Catalogue{}, CopyKinds...), BoxesStop, BoxesStop, BoxesStop, EarlyAnswers, EarlyAnswers, EarlyAnswers)
-	AllKinds          = append(append(Catalogue{}, StopKinds...), slices.Concat(repeated(RegionsCut, 8), repeated(OddHeads, 4))...)
+	RegionKinds       = append(append(Catalogue{}, StopKinds...), slices.Concat(repeated(RegionsCut, 8), repeated(OddHeads, 4))...)
+	AllKinds          = append(append(Catalogue{}, RegionKinds...), repeated(LongConfigurations, 16)...)
 )
 
 // Catalogues are the catalogues by number, from 1, as seeds.txt and the command line name
 // them.
-var Catalogues = []Catalogue{FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds, MovesKinds, CutKinds, CopyKinds, StopKinds, AllKinds}
+var Catalogues = []Catalogue{FirstKinds, SilentKinds, CrashKinds, LimitKinds, FormerKinds, StatusHeaderKinds, LaterKinds, MovesKinds, CutKinds, CopyKinds, StopKinds, RegionKinds, AllKinds}
 
 // repeated returns a kind several times.
 func repeated(k Kind, times int) Catalogue { return slices.Repeat(Catalogue{k}, times) }
@@ -131,7 +134,9 @@
 	Boxes  int
 	Length time.Duration
 	Zones  []topology.Zone
-	Events []Event
+	// MemoryMB is the memory of a box's machine, 0 if boxes do not know it.
+	MemoryMB int
+	Events   []Event
 }
 
 // Bounds of a plan. Events start between firstEvent after its start and lastEvent before its
@@ -153,6 +158,9 @@
 func NewPlan(kinds Catalogue, seed int64, boxes int, length time.Duration) *Plan {
 	random := rand.New(rand.NewSource(seed))
 	p := &Plan{Seed: seed, Boxes: boxes, Length: length, Zones: zonesOf(kinds)}
+	if slices.Contains(kinds, LongConfigurations) {
+		p.MemoryMB = growthMemoryMB
+	}
 	window := length - firstEvent - lastEvent
 	for range minEvents + random.Intn(maxEvents-minEvents) {
 		e := Event{
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -63,11 +64,13 @@
 	store    *faultproxy.Proxy
 	servers  []*listedServer
 	// cuts counts the events that cut a region from another.
-	cuts       map[regionCut]int
-	random     *rand.Rand
-	version    int
-	began      time.Time
-	injections conc.WaitGroup
+	cuts   map[regionCut]int
+	random *rand.Rand
+	// configuring is held while version changes.
+	configuring sync.Mutex
+	version     int
+	began       time.Time
+	injections  conc.WaitGroup
 }
 
 // Run plays one plan and returns the violations. The error says that the run could not be
@@ -75,6 +78,7 @@
 func Run(o Options) ([]Violation, error) {
 	r := &run{Options: o, random: rand.New(rand.NewSource(o.Plan.Seed)), cuts: map[regionCut]int{}}
 	r.history.ServiceOf, r.history.RegionOf = map[string]string{}, map[string]string{}
+	r.history.PeakMemoryMB, r.history.MachineMB = map[string]int{}, o.Plan.MemoryMB
 	defer r.close()
 	if err := r.prepare(); err != nil {
 		return nil, err
@@ -82,8 +86,8 @@
 	r.play()
 	h := r.collect()
 	found := FindViolations(h)
-	fmt.Fprintf(o.Out, "seed %d: %d events, %d requests (%s), %d probes, %d violations\n",
-		o.Plan.Seed, len(o.Plan.Events), len(h.Requests), statuses(h), len(h.Probes), len(found))
+	fmt.Fprintf(o.Out, "seed %d: %d events, %d requests (%s), %d probes, at most %d MB, %d violations\n",
+		o.Plan.Seed, len(o.Plan.Events), len(h.Requests), statuses(h), len(h.Probes), h.peakMemoryMB(), len(found))
 	return found, nil
 }
 
@@ -136,11 +140,11 @@
 			}
 		}
 	}
-	r.configure()
+	r.configure(0)
 	options := processes.Options{
 		Bin: r.Bin, Dir: r.Dir, Network: r.Network, Store: r.store.Address(), Zones: r.Plan.Zones,
 		CutLinks: true, CutBoxes: r.Plan.hasRestrictions(),
-		Drain: boundDrain, Contact: boundContact, Grace: boundGrace,
+		Drain: boundDrain, Contact: boundContact, Grace: boundGrace, MemoryMB: r.Plan.MemoryMB,
 	}
 	for i := range r.Plan.Boxes {
 		b, err := processes.NewBox(options, r.Plan.Zones[i%len(r.Plan.Zones)].Zone, i+1)
@@ -163,6 +167,11 @@
 // play injects the faults while clients send requests, then lets the system recover.
 func (r *run) play() {
 	r.began = time.Now()
+	done := make(chan struct{})
+	var watch conc.WaitGroup
+	watch.Go(func() { r.watchMemory(done) })
+	defer watch.Wait()
+	defer close(done)
 	end := r.began.Add(r.Plan.Length)
 	var clients conc.WaitGroup
 	r.startClients(&clients, end)
