--- a/pkg/node/node_metrics.go
+++ b/pkg/node/node_metrics.go
@@ -74,7 +74,7 @@
 	{"heartbeats.unread", "datagrams", "that are no heartbeats of this version"},
 	{"mirror.pulls.WHERE", "pulls", "of what the store holds, from boxes of the own zone or far ones"},
 	{"mirror.objects.KIND", "bytes", "names and contents of the objects in the box's copy of a kind"},
-	{"mirror.kept.KIND", "bytes", "names and contents in the changes of a kind that are kept for other boxes"},
+	{"mirror.kept.KIND", "bytes", "of what is kept for other boxes of the changes of a kind"},
 	{"mirror.changes.KIND", "changes", "of a kind that are kept for other boxes"},
 	{"mirror.sent.FORM", "bytes", "of copies handed to other boxes, as changes or whole"},
 	{"uploads.answered_early", "requests", "whose answer began before the end of their body"},
