--- a/test/soak/longconfigurations.go
+++ b/test/soak/longconfigurations.go
@@ -13,7 +13,7 @@
 
 const (
 	// growthMemoryMB is the memory of the machine of a box.
-	growthMemoryMB = 128
+	growthMemoryMB = 96
 	// longRoutes is how many routes a long configuration has, of some 250 bytes each.
 	longRoutes = 3500
 	// longPause is the pause between two changes.
