--- a/pkg/objects/objects_test.go
+++ b/pkg/objects/objects_test.go
@@ -220,7 +220,17 @@
 	is.Equal(s.calls[:3], []string{"list ", "list a", "watch 5"})
 }
 
-func TestFollowerListsAnewWhenHistoryIsGone(t *testing.T) {
+func TestFollowerListsAnewWhenHistoryIsGone(t *testing.T) { listsAnew(t, &CompactedError{}) }
+
+// TestFollowerListsAnewWhenTheHistoryIsTooLong guards against a follower that asks again and again for
+// changes that are a longer answer than it reads, and learns of none of them.
+func TestFollowerListsAnewWhenTheHistoryIsTooLong(t *testing.T) {
+	listsAnew(t, &TooLongError{Kind: "things", Length: 2, Limit: 1})
+}
+
+// listsAnew checks that a follower whose watch fails with the error lists next.
+func listsAnew(t *testing.T, failure error) {
+	t.Helper()
 	is := is.New(t)
 	s := &script{}
 	lists := 0
@@ -235,14 +245,29 @@
 	}
 	s.watch = func(ctx context.Context, since uint64) ([]Event, uint64, error) {
 		if since == 1 {
-			return nil, 0, &CompactedError{}
+			return nil, 0, failure
 		}
 		return blocked(ctx)
 	}
 	f, stop := startFollower(s, time.Minute)
-	defer stop()
 	eventually(is, has(f, "b"))
 	is.True(!has(f, "a")())
+	stop()
+	is.Equal(s.calls[:3], []string{"list ", "watch 1", "list "})
+}
+
+// TestListThatIsTooLongIsAskedForWithPauses checks that a follower does not ask without pause for a list
+// that is a longer answer than it reads.
+func TestListThatIsTooLongIsAskedForWithPauses(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	s.list = func() (Page, error) { return Page{}, &TooLongError{Kind: "things", Length: 2, Limit: 1} }
+	_, stop := startFollower(s, time.Minute)
+	time.Sleep(10 * minRetry)
+	stop()
+	t.Log(len(s.calls), "calls")
+	is.True(len(s.calls) >= 2)
+	is.True(len(s.calls) <= 7)
 }
 
 func TestFollowerAbandonsAWatchWithoutAnAnswer(t *testing.T) {
@@ -477,27 +502,3 @@
 	defer s.mu.Unlock()
 	is.Equal(s.calls, []string{"list "})
 }
-
-// TestFollowerListsAnewWhenTheHistoryIsTooLong guards against a follower that asks again and again for
-// changes that are a longer answer than it reads, and learns of none of them.
-func TestFollowerListsAnewWhenTheHistoryIsTooLong(t *testing.T) {
-	is := is.New(t)
-	s := &script{}
-	lists := 0
-	s.list = func() (Page, error) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		lists++
-		return Page{Items: []Object{object("a", uint64(lists))}, Revision: uint64(lists)}, nil
-	}
-	s.watch = func(ctx context.Context, since uint64) ([]Event, uint64, error) {
-		if since == 1 {
-			return nil, 0, &TooLongError{Kind: "things", Length: 2, Limit: 1}
-		}
-		return blocked(ctx)
-	}
-	f, stop := startFollower(s, time.Minute)
-	eventually(is, func() bool { return f.Mirror.Version().Revision == 2 })
-	stop()
-	is.Equal(s.calls[:3], []string{"list ", "watch 1", "list "})
-}
